Shun by the odds of sickness, draw the pair from all zones, copy only past silence

The module's view, printed four times a second, shows nine of eleven execute nodes shunned for silence at 20 s; the two left got everything, choked, and stayed so. About 15 resets in 5 s, common to all nodes, started it.

Checked: memory 4 of 32 MB and descriptors 190 of 256, so no limit of the machine; the list is in time; 1 ms from a job to its first attempt.

At fault: policy.rs ended() shunned for any single reset, failed connection or error; choose() trusted the few left against most of the fleet, and drew the pair at home first, so that crowded zones choked; wake() copied jobs that merely waited. state.rs now keeps the odds (doubt) and the common share of failures.

Conclusion: the inherited remedies for sick nodes made sound ones sick.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,6 +39,12 @@
 const PACE_LIFE: f64 = 2.0;
 /// A server that failed is shunned for a mean deadline, doubled with each failed trial at most so many times.
 const SHUN_DOUBLINGS: u32 = 2;
+/// A sick server fails so often;
+const SICK: f64 = 0.5;
+/// a sound one as often as all do, which is taken to be at least this.
+const FAILURES_LEAST: f64 = 0.01;
+/// A server is shunned once the logarithm of the odds that it is sick has risen by this.
+const BLAME: f64 = 5.0;
 /// So many trials in a row must succeed before a failed server is an ordinary candidate again.
 const TRIALS: u32 = 3;
 /// Retries and second copies together stay below this share of the requests, so that they feed no storm,
@@ -71,8 +77,6 @@
 const AHEAD_POWER: i32 = 6;
 /// The price counts in proportion to the waiting requests a slot, up to so many.
 const PRICE_CROWDING: f64 = 4.0;
-/// A request that waits makes those behind it wait as long: what a crossing gains counts so many times.
-const KNOCK_ON: f64 = 2.0;
 /// The time usually granted to a first try is given up after so many that differ in a row.
 const USUAL_VOTES: f64 = 64.0;
 /// A pair is drawn from so many servers of a zone side at least,
@@ -434,16 +438,17 @@
             |index: usize| self.seen.endpoints[index].shun.is_none_or(|shun| shun.fault == Fault::Errors);
         let reachable = only(&open, &hears);
         // Danger: with most servers looking bad the evidence is contradictory, and shunning drowns the rest.
-        let trusted = fit.len() * 2 >= reachable.len() && !fit.is_empty();
-        let reached = if reachable.is_empty() { open } else { reachable };
+        let trusted = fit.len() * 2 >= open.len() && !fit.is_empty();
+        let reached = if reachable.len() * 2 < open.len() { open } else { reachable };
         let pool = if trusted { fit } else { reached };
         let at_home = |index: &usize| self.seen.endpoints[*index].entry.zone == self.settings.zone;
         let (mut near, mut far): (Vec<usize>, Vec<usize>) = pool.into_iter().partition(at_home);
         near.truncate(subset);
         far.truncate(subset);
+        let warm = near.len() + far.len();
         for side in [(&mut near, true), (&mut far, false)] {
             // Each is in the pair for two of so many draws.
-            let draws = (side.0.len() as f64 + 1.0) / 2.0;
+            let draws = (warm as f64 + 1.0) / 2.0;
             side.0.extend(self.seen.cold.iter().copied().filter(|index| {
                 at_home(index) == side.1
                     && self.open(now, job, *index)
@@ -452,26 +457,7 @@
                     && self.allotted(now, job, *index, draws)
             }));
         }
-        let Some((local, ask)) = self.draw(now, job, &near) else {
-            return self.draw(now, job, &far).map_or((None, Vec::new()), |(far, ask)| (Some(far), ask));
-        };
-        // Spill: only where the likely gain, for those behind as well, exceeds the price of the crossing.
-        let worth = self.settings.classes[job.class.0].worth;
-        let price = self.settings.cross_zone_price * self.seen.mean_worth.value / KNOCK_ON;
-        let earns = |balancer: &Self, id: EndpointId| {
-            // Danger: a request is refused at a crowded home while servers elsewhere are idle.
-            let odds = balancer.odds(now, job, &balancer.seen.endpoints[id.0 as usize]);
-            odds.taken * odds.earning * worth
-        };
-        let local_earns = earns(self, local);
-        if !ask.is_empty() || worth - local_earns <= price {
-            return (Some(local), ask);
-        }
-        let Some((remote, asks)) = self.draw(now, job, &far) else { return (Some(local), ask) };
-        // Danger: who never crosses never hears that another zone is idle.
-        let trial = self.trial(now, remote);
-        let crosses = trial || earns(self, remote) - local_earns > price;
-        if crosses { (Some(remote), asks) } else { (Some(local), ask) }
+        self.draw(now, job, &[near, far].concat()).map_or((None, Vec::new()), |(id, ask)| (Some(id), ask))
     }
 
     /// Whether a request is to find out about a zone that has long not been heard of.
@@ -641,7 +627,7 @@
         let limit = (WAIT_SHARE * (job.aim - now)).max(self.settings.tick);
         let ahead = (crowding * self.seen.mean_service.value / limit).powi(AHEAD_POWER);
         let price = learnt * crowding.min(PRICE_CROWDING) + ahead;
-        Odds { taken: density / (density + price), earning, ahead, price }
+        Odds { taken: density / (density + price), ahead, price }
     }
 
     /// Refuses early, by those odds.
@@ -732,7 +718,9 @@
             self.again(now, token, actions);
         } else {
             let copies = job.out().count();
-            let late = job.out().all(|(_, attempt)| now - attempt.sent >= attempt.expected);
+            // Danger: a copy of what merely waits in a queue makes all queues longer, until servers choke.
+            let silent = |at: &Attempt| self.seen.endpoints[at.endpoint.0 as usize].heard <= at.sent;
+            let late = job.out().all(|(_, at)| now - at.sent >= STALL_AFTER * at.expected && silent(at));
             let limits = &self.settings.limits;
             if limits.second_copies && self.repeatable(job.class) && copies < 2 && late {
                 let chosen = self.retry(now, token);
@@ -827,14 +815,15 @@
             _ if dropped => {}
             Outcome::ConnectFailed if endpoint.connections > endpoint.out => {}
             Outcome::Served => {
+                self.weigh(id, false);
                 self.prove(id);
                 if let Some((class, attempt)) = &attempt {
                     self.learn(id, *class, attempt, rtt);
                 }
             }
             // Danger: a server that fails at once holds little and keeps winning pairs.
-            Outcome::Errored => self.shun(now, id, Fault::Errors),
-            Outcome::ConnectFailed | Outcome::Reset => self.shun(now, id, Fault::Silence),
+            Outcome::Errored => self.blame(now, id, Fault::Errors),
+            Outcome::ConnectFailed | Outcome::Reset => self.blame(now, id, Fault::Silence),
             Outcome::Rejected => {
                 // Danger: a full server whose report is old looks free.
                 let slots = self.seen.kinds[self.seen.endpoints[id.0 as usize].entry.kind.0].slots.value;
@@ -842,9 +831,9 @@
                 endpoint.others += slots;
                 endpoint.reported_at = now;
             }
-            Outcome::TimedOut if unheard => self.shun(now, id, Fault::Silence),
+            Outcome::TimedOut if unheard => self.blame(now, id, Fault::Silence),
             // Danger: a hung server's attempts are called off in the end or for a copy; then it looks idle.
-            Outcome::Cancelled if unheard && overdue => self.shun(now, id, Fault::Silence),
+            Outcome::Cancelled if unheard && overdue => self.blame(now, id, Fault::Silence),
             Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent => {}
         }
         // Danger: full servers turn away whoever comes next; worth has to decide before them.
@@ -891,6 +880,23 @@
         *price = (*price + PRICE_GAIN * (missed.min(1.0) - MISSES_ALLOWED)).clamp(lowest, highest);
     }
 
+    /// Danger: answers fail now and then at any server; shunned for each, most of a sound fleet stands idle.
+    fn blame(&mut self, now: Seconds, id: EndpointId, fault: Fault) {
+        if self.weigh(id, true) >= BLAME || self.seen.endpoints[id.0 as usize].shun.is_some() {
+            self.shun(now, id, fault);
+        }
+    }
+
+    /// How much likelier it is that the server is sick than that it fails as often as all of them do.
+    fn weigh(&mut self, id: EndpointId, failed: bool) -> f64 {
+        let common = self.seen.failures.value.max(FAILURES_LEAST);
+        self.seen.failures.add(f64::from(failed), MEAN_GAIN);
+        let doubt = &mut self.seen.endpoints[id.0 as usize].doubt;
+        let odds = if failed { SICK / common } else { (1.0 - SICK) / (1.0 - common) };
+        *doubt = (*doubt + odds.ln()).clamp(0.0, BLAME);
+        *doubt
+    }
+
     fn shun(&mut self, now: Seconds, id: EndpointId, fault: Fault) {
         let endpoint = &mut self.seen.endpoints[id.0 as usize];
         let strikes = match endpoint.shun {
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,6 +60,8 @@
     pub(crate) lost: [Mean; 2],
     /// For how long an idle connection is taken to work, as of some instant.
     pub(crate) idle_limit: (Seconds, Seconds),
+    /// The share of attempts that fail, wherever they go.
+    pub(crate) failures: Mean,
     pub(crate) mean_worth: Mean,
     pub(crate) mean_deadline: Seconds,
     /// Retries and second copies that the budget has left.
@@ -104,6 +106,7 @@
             setup: 0.0,
             lost: [Mean::new(0.0, 3.0); 2],
             idle_limit: (settings.limits.keepalive, 0.0),
+            failures: Mean::new(0.0, 64.0),
             mean_worth: Mean::new(mean(|class| class.worth), 0.0),
             mean_deadline: mean(|class| class.deadline),
             retries: 0.0,
@@ -131,6 +134,8 @@
     pub(crate) heard: Seconds,
     pub(crate) expected: Seconds,
     pub(crate) shun: Option<Shun>,
+    /// The logarithm of the odds that it is sick, by what failed and what was served.
+    pub(crate) doubt: f64,
     /// Own connections to it, when one was last seen working, and how long that of the last send had been idle.
     pub(crate) connections: f64,
     pub(crate) used: Seconds,
@@ -226,8 +231,6 @@
 pub(crate) struct Odds {
     /// The chance that it is taken on there and not refused.
     pub(crate) taken: f64,
-    /// The share of its worth that it then likely earns.
-    pub(crate) earning: f64,
     /// What the waiting time ahead adds to the price of work.
     pub(crate) ahead: f64,
     pub(crate) price: f64,
@@ -286,6 +289,7 @@
             heard: now,
             expected: f64::INFINITY,
             shun: None,
+            doubt: 0.0,
             connections: 0.0,
             used: now,
             idle: 0.0,
