Follow discovery to its new address on SIGHUP, with jobs and connections living on

Checked: no handler for SIGHUP anywhere in src/ (main.rs, proxy/mod.rs register SIGTERM and SIGINT alone), so the kernel's default ends the program.

At fault: proxy/mod.rs serve(); machine_list.rs run(), which knew one address for good. Now reload() reads the file on a thread of its own, and the list's mailbox takes a move: the call under way is dropped, the next goes to the new address at once with the version held. A bad file is logged and changes nothing.

Added: three scenarios (the move under a held job, a bad file, a stop amid a reload); without the handler the first SIGHUP ends the proxy and all three fail. The scenario language can replace the configuration.

--- a/src/main.rs
+++ b/src/main.rs
@@ -59,7 +59,7 @@
         }
         Command::Serve(path) => {
             let config = read(&path)?;
-            proxy::run(config).map_err(|error| error.to_string())?;
+            proxy::run(config, move || read(&path)).map_err(|error| error.to_string())?;
         }
     }
     Ok(())
--- a/src/proxy/connection_log.rs
+++ b/src/proxy/connection_log.rs
@@ -36,6 +36,8 @@
     ModuleAsked,
     /// The machine list took the execute node away, moved or restarted it.
     ListChanged,
+    /// The configuration names another address for the machine list.
+    Reloaded,
     /// Idle, and its descriptor was needed elsewhere.
     Shed,
     /// The answer on it could not be used.
@@ -59,6 +61,7 @@
             Reason::IdleLimit => "idle-limit",
             Reason::ModuleAsked => "module-asked",
             Reason::ListChanged => "list-changed",
+            Reason::Reloaded => "reloaded",
             Reason::Shed => "shed",
             Reason::BadAnswer => "bad-answer",
             Reason::BadRequest => "bad-request",
--- a/src/proxy/machine_list.rs
+++ b/src/proxy/machine_list.rs
@@ -1,6 +1,7 @@
 //! Discovery's client: a watch on the machine list, one call after the other.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -74,19 +75,32 @@
     })
 }
 
+/// What comes into the list's mailbox.
+pub(crate) enum Ask {
+    /// Watch, if that is not being done.
+    Watch,
+    /// The list is kept at another address from now on.
+    Move(SocketAddr),
+}
+
 /// The way to the list's actor.
 #[derive(Clone)]
-pub(crate) struct MachineList(UnboundedSender<()>);
+pub(crate) struct MachineList(UnboundedSender<Ask>);
 
 impl MachineList {
-    pub(crate) fn new() -> (Self, UnboundedReceiver<()>) {
+    pub(crate) fn new() -> (Self, UnboundedReceiver<Ask>) {
         let (mailbox, asked) = unbounded_channel();
         (Self(mailbox), asked)
     }
 
     /// Asks for a watch. It goes on by itself until a call fails.
     pub(crate) fn watch(&self) {
-        let _ = self.0.send(());
+        let _ = self.0.send(Ask::Watch);
+    }
+
+    /// Moves to another address, and watches there.
+    pub(crate) fn move_to(&self, discovery: SocketAddr) {
+        let _ = self.0.send(Ask::Move(discovery));
     }
 }
 
@@ -95,21 +109,27 @@
     discovery: SocketAddr,
     version: u64,
     connect_timeout: Seconds,
-    mut asked: UnboundedReceiver<()>,
+    mut mailbox: UnboundedReceiver<Ask>,
     module: Module,
 ) {
     let connect_timeout = duration(connect_timeout).min(LATE);
     let mut caller = Caller { discovery, connect_timeout, link: None };
     // The version to go on from; none after an answer that made no sense: then the whole list is due.
     let mut held = Some(version);
-    while asked.recv().await.is_some() {
+    while let Some(ask) = mailbox.recv().await {
+        if let Ask::Move(to) = ask {
+            caller.move_to(to);
+        }
         loop {
-            match caller.call(held).await {
-                Ok(listing) => {
+            match watch(&mut caller, held, &mut mailbox).await {
+                Watched::Closed => return,
+                // Danger: the old address falls silent soon, and what it would have told counts as told.
+                Watched::Moved(to) => caller.move_to(to),
+                Watched::Answered(Ok(listing)) => {
                     held = Some(listing.version);
                     module.send(Mail::List(Some(listing)));
                 }
-                Err(fault) => {
+                Watched::Answered(Err(fault)) => {
                     line(format_args!("machine-list failed: {}", fault.why));
                     if fault.nonsense {
                         held = None;
@@ -123,6 +143,29 @@
     }
 }
 
+enum Watched {
+    Answered(Result<Listing, Fault>),
+    Moved(SocketAddr),
+    Closed,
+}
+
+/// One call, unless the list moves meanwhile.
+async fn watch(caller: &mut Caller, held: Option<u64>, mailbox: &mut UnboundedReceiver<Ask>) -> Watched {
+    let discovery = caller.discovery;
+    let mut call = pin!(caller.call(held));
+    loop {
+        tokio::select! {
+            biased;
+            ask = mailbox.recv() => match ask {
+                Some(Ask::Move(to)) if to != discovery => return Watched::Moved(to),
+                Some(_) => {}
+                None => return Watched::Closed,
+            },
+            answer = &mut call => return Watched::Answered(answer),
+        }
+    }
+}
+
 struct Fault {
     why: String,
     /// It answered, but nothing that can be read.
@@ -136,6 +179,13 @@
 }
 
 impl Caller {
+    fn move_to(&mut self, discovery: SocketAddr) {
+        if let Some(link) = self.link.take() {
+            link.record.because(Reason::Reloaded);
+        }
+        self.discovery = discovery;
+    }
+
     async fn call(&mut self, held: Option<u64>) -> Result<Listing, Fault> {
         let wait = held.map_or(Duration::ZERO, |_| HOLD);
         let late = || Fault { why: "no answer in time".to_owned(), nonsense: false };
@@ -155,17 +205,15 @@
 
     async fn fetch(&mut self, held: Option<u64>) -> Result<Bytes, Fault> {
         let fault = |why: &str| Fault { why: why.to_owned(), nonsense: false };
-        let mut kept = self.link.take();
-        if let Some(link) = &mut kept
+        if let Some(link) = &mut self.link
             && !link.ready().await
         {
-            kept = None;
+            self.link = None;
         }
-        let mut link = match kept {
-            Some(link) => link,
-            None => (Link::open(Side::MachineList, self.discovery, self.connect_timeout, ()).await)
-                .ok_or_else(|| fault("no connection"))?,
-        };
+        if self.link.is_none() {
+            self.link = Link::open(Side::MachineList, self.discovery, self.connect_timeout, ()).await;
+        }
+        let link = self.link.as_mut().ok_or_else(|| fault("no connection"))?;
         let target = match held {
             Some(version) => format!("/catalog/members?from={version}&hold_ms={}", HOLD.as_millis()),
             None => "/catalog/members".to_owned(),
@@ -180,7 +228,6 @@
         let body = http::whole(answer.into_body(), LIST_LIMIT).await;
         let body = body.map_err(|error| Fault { why: format!("body {error:?}"), nonsense: true })?;
         link.record.otherwise(Reason::ClosedByPeer);
-        self.link = Some(link);
         Ok(body)
     }
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -17,8 +17,8 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::{LocalSet, spawn_blocking, spawn_local};
 
 use crate::interface::Seconds;
 use budget::Budget;
@@ -35,24 +35,33 @@
     Duration::try_from_secs_f64(span.clamp(0.0, LONGEST)).unwrap_or_default()
 }
 
-/// Serves until SIGTERM or SIGINT; every job taken has its answer when this returns.
-pub fn run(config: Config) -> io::Result<()> {
+/// Serves until SIGTERM or SIGINT; every job taken has its answer when this returns. On SIGHUP `read` gives
+/// the configuration as it is now.
+pub fn run(
+    config: Config,
+    read: impl Fn() -> Result<Config, String> + Clone + Send + 'static,
+) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let actors = LocalSet::new();
-    let end = actors.block_on(&runtime, serve(config));
+    let end = actors.block_on(&runtime, serve(config, read));
     connection_log::stopping();
     drop(actors);
     connection_log::flush();
     end
 }
 
-async fn serve(config: Config) -> io::Result<()> {
+async fn serve(
+    config: Config,
+    read: impl Fn() -> Result<Config, String> + Clone + Send + 'static,
+) -> io::Result<()> {
+    let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let listener = TcpListener::bind(config.listen).await?;
     let [front, back] = Budget::sides(config.sockets, config.memory_mb);
     let (list, asked) = MachineList::new();
     let limits = config.named.settings.limits.clone();
+    spawn_local(reload(hangup, read, list.clone()));
     let (module, actor) = Module::new(&config, back, list).map_err(io::Error::other)?;
     let mut deciding = spawn_local(actor);
     let version = config.known.version;
@@ -80,3 +89,23 @@
         _ = &mut deciding => Err(io::Error::other("the module's actor has ended")),
     }
 }
+
+/// On each SIGHUP the configuration is read anew, and the list is watched where it now says. Jobs, connections
+/// and decisions live on; what else the file changes counts from the next start.
+async fn reload(
+    mut hangup: Signal,
+    read: impl Fn() -> Result<Config, String> + Clone + Send + 'static,
+    list: MachineList,
+) {
+    while hangup.recv().await.is_some() {
+        // Danger: a file system that hangs must not stop the jobs.
+        match spawn_blocking(read.clone()).await {
+            Ok(Ok(config)) => {
+                line(format_args!("reloaded discovery={}", config.discovery));
+                list.move_to(config.discovery);
+            }
+            Ok(Err(fault)) => line(format_args!("reload failed: {fault}")),
+            Err(fault) => line(format_args!("reload failed: {fault}")),
+        }
+    }
+}
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -248,6 +248,50 @@
     play(&format!("proxy start {start}\n{scenario}"));
 }
 
+/// A new configuration. Danger: SIGHUP ends whoever does not handle it, and the old discovery falls silent.
+#[rstest]
+#[case::moves_at_once_and_jobs_live_on(
+    "list expect from=1
+     a send POST /book-lesson
+     n1 expect book-lesson
+     proxy send n8
+     list expect closed
+     proxy wait reason=reloaded
+     n8 expect from=1 hold_ms=
+     n8 send 200 body=TO_N9
+     n8 expect from=2
+     n1 send 200 body=booked
+     a expect 200 booked
+     a send GET /slot-lookup
+     n9 expect slot-lookup
+     n9 send 200 body=nine
+     a expect nine"
+)]
+#[case::a_bad_file_changes_nothing(
+    "list expect from=1
+     proxy send nothing
+     proxy wait reload failed
+     list send 200 body=TO_N9
+     list expect from=2
+     a send GET /slot-lookup
+     n9 expect slot-lookup
+     n9 send 200 body=nine
+     a expect nine"
+)]
+#[case::stops_all_the_same(
+    "list expect from=1
+     a send POST /book-lesson
+     n1 expect book-lesson
+     proxy send n8
+     proxy close
+     n1 send 200 body=booked
+     a expect 200 booked
+     proxy expect exit 0"
+)]
+fn a_new_configuration(#[case] scenario: &str) {
+    play(&format!("proxy start n1\n{}", scenario.replace("TO_N9", TO_N9)));
+}
+
 /// A stop: what is taken is finished, new connections are taken for a while, idle ones closed, exit 0.
 #[rstest]
 #[case::finishes_what_it_took(
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -7,6 +7,7 @@
 //!   `send STATUS [Name:value] [body=B] [length=N]`; `close` ends its connection. At `dead` nobody listens;
 //! - `list`: discovery, which speaks like an execute node; `addr(n1)` in a body stands for that node's address;
 //! - `proxy`: `start WORDS` (the nodes on its saved list, and `key=value` over the settings), `close` (SIGTERM),
+//!   `send PARTY` (SIGHUP, with discovery now at that party; `send nothing`: with an empty file),
 //!   `wait TEXT` (until a line of its log holds that), `expect exit N`.
 //!
 //! `expect WORDS`: the next message holds each of the words, whatever their case (`+` stands for a space); `expect closed`: it never comes.
@@ -14,6 +15,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
@@ -42,6 +44,8 @@
     proxy: Option<(Child, Receiver<String>, SocketAddr)>,
     parties: HashMap<String, Party>,
     addrs: HashMap<String, SocketAddr>,
+    /// The configuration: its file and its text.
+    config: (PathBuf, String),
 }
 
 /// Plays a scenario; panics at the step that does not go as written.
@@ -62,6 +66,7 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        let _ = std::fs::remove_file(&self.config.0);
     }
 }
 
@@ -135,8 +140,9 @@
             std::process::id(),
             self.addrs["n9"].port()
         ));
-        std::fs::write(&path, config.replace("SERVERS", &servers.join(",")))
-            .map_err(|error| error.to_string())?;
+        let config = config.replace("SERVERS", &servers.join(","));
+        std::fs::write(&path, &config).map_err(|error| error.to_string())?;
+        self.config = (path.clone(), config);
         let mut command = Command::new(env!("CARGO_BIN_EXE_mosshead"));
         command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(|error| error.to_string())?;
@@ -146,7 +152,6 @@
             stderr.lines().map_while(Result::ok).for_each(|line| drop(lines.send(line)))
         });
         let first = log.recv_timeout(PATIENCE).map_err(|error| error.to_string())?;
-        let _ = std::fs::remove_file(path);
         let addr = first.split("listen=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
         self.proxy = Some((child, log, addr.ok_or(first)?));
         Ok(())
@@ -154,10 +159,21 @@
 
     fn proxy(&mut self, verb: &str, words: &str) -> Result<(), String> {
         let (child, log, _) = self.proxy.as_mut().ok_or("not started")?;
+        let id = child.id().to_string();
+        let signal = |name| {
+            let sent = Command::new("kill").args(["-s", name, &id]).status();
+            sent.map(drop).map_err(|error| error.to_string())
+        };
         match verb {
-            "close" => {
-                let killed = Command::new("kill").arg(child.id().to_string()).status();
-                killed.map(drop).map_err(|error| error.to_string())
+            "close" => signal("TERM"),
+            "send" => {
+                let (path, text) = &self.config;
+                let to = self
+                    .addrs
+                    .get(words)
+                    .map(|to| text.replace(&self.addrs["list"].to_string(), &to.to_string()));
+                std::fs::write(path, to.unwrap_or_default()).map_err(|error| error.to_string())?;
+                signal("HUP")
             }
             "wait" => loop {
                 if log.recv_timeout(PATIENCE).map_err(|error| error.to_string())?.contains(words) {
