Leave a server less room after late answers, and hear every want of a descriptor

The module's view four times a second: a release drains four of nine execute nodes within 3 s, the rest are given 10 to 14 attempts each by this proxy alone (20 to 30 held, by their reports), answers drop from 55 to 16 a quarter second at 11 s, and it never recovers, though all nodes are back at 13 s.

Checked: the price of work moves too late (it leaves its floor 0.7 s after the collapse has begun), and reports cannot tell: they are old, so that own attempts are taken off a figure from before them and others' load reads 0.0 where it was 10.

At fault: policy.rs choose() knew no bound on what it has at one server; decide() could only hold. state.rs has the bound now (Room), and the list's bookkeeping, which decides nothing. submitter.rs connection() subscribed to wants only when first polled: a want from before that went unheard; it now asks whether one is waiting.

Conclusion: fewer attempts at a slow server both keep it from choking and let it recover.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -33,7 +33,7 @@
 const REPORT_AGE: f64 = 1.4;
 /// Where a zone has not been heard of for so many mean deadlines,
 const ZONE_SILENT: f64 = 2.0;
-/// this share of the requests that would be refused there, or not cross to it, go there as trials.
+/// this share of the requests that would be refused there go there as trials.
 const ZONE_TRIALS: f64 = 0.125;
 /// A server's pace fades with this many mean deadlines without an answer, so that it is tried again.
 const PACE_LIFE: f64 = 2.0;
@@ -183,12 +183,14 @@
                 return actions.push(Action::Timer { delay, token: Token(WATCH_TOKEN) });
             }
             ListUpdate::Failed => return,
-            ListUpdate::Changes(entries) => entries.into_iter().for_each(|entry| self.entry(now, entry)),
+            ListUpdate::Changes(entries) => {
+                entries.into_iter().for_each(|entry| self.seen.entry(now, entry, &mut self.rng));
+            }
             ListUpdate::Saved(entries) => {
-                self.replace(now, entries);
+                self.seen.replace(now, entries, &mut self.rng);
                 actions.extend(asking.then_some(Action::Watch));
             }
-            ListUpdate::Full(entries) => self.replace(now, entries),
+            ListUpdate::Full(entries) => self.seen.replace(now, entries, &mut self.rng),
         }
         self.seen.watch_failures = 0;
         self.order(now);
@@ -219,35 +221,6 @@
         self.seen.reserve = reserve;
     }
 
-    fn replace(&mut self, now: Seconds, entries: Vec<ListEntry>) {
-        let listed: Vec<usize> = entries.iter().map(|entry| entry.endpoint.0 as usize).collect();
-        entries.into_iter().for_each(|entry| self.entry(now, entry));
-        let others = self.seen.endpoints.iter_mut().enumerate().filter(|(index, _)| !listed.contains(index));
-        others.for_each(|(_, endpoint)| endpoint.entry.readiness = Readiness::Gone);
-    }
-
-    fn entry(&mut self, now: Seconds, entry: ListEntry) {
-        let index = entry.endpoint.0 as usize;
-        let zone = ZoneStats { usual: Mean::default(), heard: now };
-        self.seen.kinds.resize(self.seen.kinds.len().max(entry.kind.0 + 1), KindStats::default());
-        self.seen.zones.resize(self.seen.zones.len().max(2 * entry.zone.0 + 2), zone);
-        while self.seen.endpoints.len() <= index {
-            let endpoint = EndpointId(self.seen.endpoints.len() as u32);
-            let unheard = ListEntry { endpoint, readiness: Readiness::Gone, ..entry };
-            let rank = self.rng.next_u32();
-            self.seen.endpoints.push(Endpoint { rank, ..Endpoint::new(now, unheard) });
-        }
-        let endpoint = &mut self.seen.endpoints[index];
-        if endpoint.entry.started_at != entry.started_at || endpoint.entry.readiness == Readiness::Gone {
-            // Danger: a restarted process, or whoever has the number of one that has gone, judged by what its
-            // predecessor did. Attempts out stay counted.
-            let (out, rank) = (endpoint.out, endpoint.rank);
-            *endpoint = Endpoint { out, rank, ..Endpoint::new(now, entry) };
-        } else {
-            endpoint.entry = entry;
-        }
-    }
-
     // What a figure means.
 
     fn size(&self, endpoint: &Endpoint) -> f64 {
@@ -443,7 +416,9 @@
         // Danger: with most servers looking bad the evidence is contradictory, and shunning drowns the rest.
         let trusted = fit.len() * 2 >= open.len() && !fit.is_empty();
         let reached = if reachable.len() * 2 < open.len() { open } else { reachable };
-        let pool = if trusted { fit } else { reached };
+        let mut pool = if trusted { fit } else { reached };
+        // Danger: a server that is given more than it answers in time chokes, and stays so until left alone.
+        pool.retain(|&index| !self.seen.endpoints[index].full());
         let at_home = |index: &usize| self.seen.endpoints[*index].entry.zone == self.settings.zone;
         let (mut near, mut far): (Vec<usize>, Vec<usize>) = pool.into_iter().partition(at_home);
         near.truncate(subset);
@@ -457,19 +432,13 @@
                     && self.open(now, job, *index)
                     && self.fit(now, job, *index)
                     && !tried(*index)
+                    && !self.seen.endpoints[*index].full()
                     && self.allotted(now, job, *index, draws)
             }));
         }
         self.draw(now, job, &[near, far].concat()).map_or((None, Vec::new()), |(id, ask)| (Some(id), ask))
     }
 
-    /// Whether a request is to find out about a zone that has long not been heard of.
-    fn trial(&mut self, now: Seconds, at: EndpointId) -> bool {
-        let pool = self.pool(&self.seen.endpoints[at.0 as usize].entry);
-        now - self.seen.zones[pool].heard > ZONE_SILENT * self.seen.mean_deadline
-            && self.chance() < ZONE_TRIALS
-    }
-
     fn probed(&mut self, now: Seconds, id: EndpointId, actions: &mut Vec<Action>) {
         for token in std::mem::take(&mut self.seen.asking) {
             let Some(job) = self.seen.jobs.get_mut(&token).filter(|job| job.attempts.is_empty()) else {
@@ -498,6 +467,11 @@
             actions.push(Action::Timer { delay, token: Token(token) });
             return;
         }
+        // Danger: jobs held until there is room pile up; then all of them go out late.
+        let mut warm = self.seen.near.iter().chain(&self.seen.far);
+        if chosen.is_none() && warm.any(|&index| self.open(now, &job, index)) {
+            return self.finish(token, 1.0, actions);
+        }
         if !self.worth_it(now, &job, chosen) {
             let crowded = |EndpointId(at)| self.crowding(&self.seen.endpoints[at as usize], now);
             return self.finish(token, chosen.map_or(1.0, crowded), actions);
@@ -638,7 +612,10 @@
         let Some(EndpointId(index)) = chosen else { return true };
         let endpoint = &self.seen.endpoints[index as usize];
         let Odds { taken, ahead, price, .. } = self.odds(now, job, endpoint);
-        let taken = self.chance() < taken || self.trial(now, EndpointId(index));
+        // Danger: who sends nothing to a zone never hears that its crowd has gone.
+        let heard = self.seen.zones[self.pool(&endpoint.entry)].heard;
+        let silent = now - heard > ZONE_SILENT * self.seen.mean_deadline;
+        let taken = self.chance() < taken || (silent && self.chance() < ZONE_TRIALS);
         // Danger: the edge of the wait hardly asks for worth, and keeps away the late answers that would move
         // the price. A late try is no sign: little of its time is left wherever it goes.
         let class = &self.settings.classes[job.class.0];
@@ -770,6 +747,11 @@
         let endpoint = &mut self.seen.endpoints[id.0 as usize];
         endpoint.out = (endpoint.out - 1.0).max(0.0);
         let unheard = now - rtt + self.settings.tick >= endpoint.heard;
+        if end != Outcome::NotSent {
+            let late = rtt + self.settings.tick >= self.seen.least_target;
+            let served = end == Outcome::Served;
+            endpoint.room.judge(now, endpoint.out + 1.0, late, served, self.seen.mean_service.value);
+        }
         let overdue = rtt >= 2.0 * STALL_AFTER * endpoint.expected;
         let given_up = matches!(end, Outcome::TimedOut | Outcome::Cancelled);
         if end == Outcome::ConnectFailed || (self.settings.limits.streams == 1 && given_up) {
--- a/src/proxy/submitter.rs
+++ b/src/proxy/submitter.rs
@@ -239,6 +239,8 @@
             }
         });
         let (mut stage, mut wanted) = (self.stage.subscribe(), self.budget.wanted());
+        // Danger: a want from before this line would go unheard.
+        progress.short.set(self.budget.short());
         let stream = TokioIo::new(Heard { stream, progress: progress.clone() });
         let server = Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(stream, service);
         let (mut server, mut stopping) = (pin!(server), false);
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,11 +2,18 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use rand_core::RngCore;
+
 use crate::interface::*;
 
 /// A first guess at a class's service until there are answers: its wanted time mostly allows so many of them.
 const WAITING: f64 = 6.0;
 
+/// So many own attempts may be at a server at once before any answer tells more.
+const ROOM: f64 = 16.0;
+/// A late answer leaves a server this share of the attempts that it may have at once.
+const ROOM_CUT: f64 = 0.7;
+
 /// Why a server is shunned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -64,6 +71,7 @@
     pub(crate) failures: Mean,
     pub(crate) mean_worth: Mean,
     pub(crate) mean_deadline: Seconds,
+    pub(crate) least_target: Seconds,
     /// Retries and second copies that the budget has left.
     pub(crate) retries: f64,
     /// Logarithm of the price of work, for each set of servers that classes are open to; the set of each class.
@@ -109,6 +117,7 @@
             failures: Mean::new(0.0, 64.0),
             mean_worth: Mean::new(mean(|class| class.worth), 0.0),
             mean_deadline: mean(|class| class.deadline),
+            least_target: all.iter().map(|class| class.target).fold(f64::INFINITY, f64::min),
             retries: 0.0,
             prices: vec![0.0; all.len()],
             markets: all.iter().map(market).collect(),
@@ -117,6 +126,37 @@
             watch_failures: 0,
         }
     }
+
+    /// The whole list: who is not on it has gone.
+    pub(crate) fn replace(&mut self, now: Seconds, entries: Vec<ListEntry>, ranks: &mut impl RngCore) {
+        let listed: Vec<usize> = entries.iter().map(|entry| entry.endpoint.0 as usize).collect();
+        entries.into_iter().for_each(|entry| self.entry(now, entry, ranks));
+        let others = self.endpoints.iter_mut().enumerate().filter(|(index, _)| !listed.contains(index));
+        others.for_each(|(_, endpoint)| endpoint.entry.readiness = Readiness::Gone);
+    }
+
+    /// One line of the list; `ranks` gives those not seen before their place in the order of preference.
+    pub(crate) fn entry(&mut self, now: Seconds, entry: ListEntry, ranks: &mut impl RngCore) {
+        let index = entry.endpoint.0 as usize;
+        let zone = ZoneStats { usual: Mean::default(), heard: now };
+        self.kinds.resize(self.kinds.len().max(entry.kind.0 + 1), KindStats::default());
+        self.zones.resize(self.zones.len().max(2 * entry.zone.0 + 2), zone);
+        while self.endpoints.len() <= index {
+            let endpoint = EndpointId(self.endpoints.len() as u32);
+            let unheard = ListEntry { endpoint, readiness: Readiness::Gone, ..entry };
+            let rank = ranks.next_u32();
+            self.endpoints.push(Endpoint { rank, ..Endpoint::new(now, unheard) });
+        }
+        let endpoint = &mut self.endpoints[index];
+        if endpoint.entry.started_at != entry.started_at || endpoint.entry.readiness == Readiness::Gone {
+            // Danger: a restarted process, or whoever has the number of one that has gone, judged by what its
+            // predecessor did. Attempts out stay counted.
+            let (out, rank) = (endpoint.out, endpoint.rank);
+            *endpoint = Endpoint { out, rank, ..Endpoint::new(now, entry) };
+        } else {
+            endpoint.entry = entry;
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -136,6 +176,7 @@
     pub(crate) shun: Option<Shun>,
     /// The logarithm of the odds that it is sick, by what failed and what was served.
     pub(crate) doubt: f64,
+    pub(crate) room: Room,
     /// Own connections to it, when one was last seen working, and how long that of the last send had been idle.
     pub(crate) connections: f64,
     pub(crate) used: Seconds,
@@ -226,6 +267,25 @@
     }
 }
 
+/// How many own attempts a server may have at once: fewer after late answers, slowly more after others.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Room {
+    attempts: f64,
+    cut_until: Seconds,
+}
+
+impl Room {
+    /// One attempt has ended while there were `out`. It is cut once for those that were late together.
+    pub(crate) fn judge(&mut self, now: Seconds, out: f64, late: bool, served: bool, service: Seconds) {
+        if late && now >= self.cut_until {
+            self.attempts = (self.attempts.min(out) * ROOM_CUT).max(1.0);
+            self.cut_until = now + service;
+        } else if served && !late && out >= self.attempts / 2.0 {
+            self.attempts += 1.0 / self.attempts;
+        }
+    }
+}
+
 /// What a request may hope for at a server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Odds {
@@ -278,6 +338,10 @@
 }
 
 impl Endpoint {
+    pub(crate) fn full(&self) -> bool {
+        self.out >= self.room.attempts.floor()
+    }
+
     pub(crate) fn new(now: Seconds, entry: ListEntry) -> Self {
         Self {
             entry,
@@ -290,6 +354,7 @@
             expected: f64::INFINITY,
             shun: None,
             doubt: 0.0,
+            room: Room { attempts: ROOM, cut_until: now },
             connections: 0.0,
             used: now,
             idle: 0.0,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -120,6 +120,33 @@
     host.out.clear();
 }
 
+/// Danger: with a part of the fleet gone the others are given more than they answer in time; they choke, and stay
+/// choked while they are given as much as before. What finds no room is refused at once.
+#[test]
+fn late_answers_leave_a_server_less_room() {
+    let mut all = settings();
+    all.classes[SAFE.0].target = 0.1;
+    // Nothing but the room can refuse these.
+    all.classes[UNSAFE.0].target = 100.0;
+    all.classes[UNSAFE.0].deadline = 100.0;
+    let mut host = Host::new(all, fleet(1));
+    let mut serve_after = |wait: Seconds| {
+        let jobs: Vec<JobId> = (0..40).map(|_| host.ask_as(UNSAFE, None, 100.0).0).collect();
+        let sent: Vec<Sent> = std::mem::take(&mut host.out);
+        let refusals = jobs.iter().filter(|job| refused(&host.actions, **job)).count();
+        assert_eq!(sent.len() + refusals, 40, "each is sent or refused at once");
+        host.now += wait;
+        sent.iter().for_each(|sent| drop(host.serve(*sent)));
+        sent.len()
+    };
+    let soon = (0..200).map(|_| serve_after(0.05)).last();
+    assert!(soon > Some(10), "{soon:?} at once");
+    let late = (0..12).map(|_| serve_after(0.15)).last();
+    assert!(late <= Some(2), "{late:?} at once");
+    let soon = (0..200).map(|_| serve_after(0.05)).last();
+    assert!(soon > Some(10), "{soon:?} at once");
+}
+
 /// Danger: answers fail now and then at any server. Shunned for each, most of a sound fleet stands idle, and
 /// the rest drowns.
 #[test]
