Close a submitter's connection with its answer while others wait for a descriptor

Checked: few connections to execute nodes, low latency there, no line but connections in the log. Ruled out: memory (6 of 48 MB) and CPU.

At fault: submitter.rs connection() (answered() clears short) and answer(), which kept such connections alive. Now the answer says Connection: close while someone waits, which crosses no further message, and idle ones go after 0.1 s.

--- a/src/proxy/submitter.rs
+++ b/src/proxy/submitter.rs
@@ -49,7 +49,7 @@
 /// While descriptors are short, one that has said nothing yet goes after this,
 const SILENT_IF_SHORT: Duration = Duration::from_millis(100);
 /// and one that has had its answer after this.
-const IDLE_IF_SHORT: Duration = Duration::from_millis(500);
+const IDLE_IF_SHORT: Duration = Duration::from_millis(100);
 
 /// How far a stop has come.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -235,6 +235,7 @@
                 progress.busy.set(true);
                 let answer = front.answer(request, &record, progress.whole_by()).await;
                 progress.answered();
+                progress.short.set(front.budget.short());
                 Ok::<_, Infallible>(answer)
             }
         });
@@ -298,7 +299,13 @@
         };
         let stage = *self.stage.borrow();
         record.otherwise(if stage == Stage::Serving { Reason::ClosedByPeer } else { Reason::Stopping });
-        if stage != Stage::Serving {
+        // Danger: answered while others wait, it would idle on their descriptor. Closed by its answer it crosses
+        // no further message.
+        let short = self.budget.short();
+        if short {
+            record.otherwise(Reason::Shed);
+        }
+        if stage != Stage::Serving || short {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
