Let submitters' connections go with their answer once a third of the descriptors are taken

The log shows up to 172 of 176 submitters' connections open, nearly all idle after one answer, and all of them shed together.

Checked: submitters hold at most a third of the descriptors (128 of 384) for requests, so they have no connection left while we think 176 are ours to fill. Ruled out: the stop (before and after it alike), CPU (1 of 20 s), memory.

At fault: submitter.rs answer() and connection() acted only on a budget used up.

--- a/src/proxy/budget.rs
+++ b/src/proxy/budget.rs
@@ -17,6 +17,7 @@
 #[derive(Clone)]
 pub(crate) struct Budget {
     free: Arc<Semaphore>,
+    count: usize,
     wanted: Rc<watch::Sender<()>>,
     waiting: Rc<Cell<usize>>,
 }
@@ -43,7 +44,7 @@
 
     pub(crate) fn of(count: usize) -> Self {
         let (free, wanted) = (Arc::new(Semaphore::new(count)), Rc::new(watch::Sender::new(())));
-        Self { free, wanted, waiting: Rc::default() }
+        Self { free, count, wanted, waiting: Rc::default() }
     }
 
     /// Waits for a descriptor; idle connections are closed for it.
@@ -60,6 +61,12 @@
         }
     }
 
+    /// Whether more than a third are taken. Danger: who may hold only so many connections to this proxy stops
+    /// asking when idle ones fill them, long before this side itself is short.
+    pub(crate) fn tight(&self) -> bool {
+        3 * self.free.available_permits() < 2 * self.count
+    }
+
     /// Whether someone waits for a descriptor.
     pub(crate) fn short(&self) -> bool {
         self.waiting.get() > 0
--- a/src/proxy/submitter.rs
+++ b/src/proxy/submitter.rs
@@ -235,13 +235,13 @@
                 progress.busy.set(true);
                 let answer = front.answer(request, &record, progress.whole_by()).await;
                 progress.answered();
-                progress.short.set(front.budget.short());
+                progress.short.set(front.budget.tight());
                 Ok::<_, Infallible>(answer)
             }
         });
         let (mut stage, mut wanted) = (self.stage.subscribe(), self.budget.wanted());
         // Danger: a want from before this line would go unheard.
-        progress.short.set(self.budget.short());
+        progress.short.set(self.budget.tight());
         let stream = TokioIo::new(Heard { stream, progress: progress.clone() });
         let server = Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(stream, service);
         let (mut server, mut stopping) = (pin!(server), false);
@@ -299,9 +299,9 @@
         };
         let stage = *self.stage.borrow();
         record.otherwise(if stage == Stage::Serving { Reason::ClosedByPeer } else { Reason::Stopping });
-        // Danger: answered while others wait, it would idle on their descriptor. Closed by its answer it crosses
-        // no further message.
-        let short = self.budget.short();
+        // Danger: answered while descriptors are short, it would idle on one. Closed by its answer it crosses no
+        // further message.
+        let short = self.budget.tight();
         if short {
             record.otherwise(Reason::Shed);
         }
