--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,11 @@
+//! Every decision of the client proxy: which execute node a job goes to, whether it is sent again, what is refused.
+//!
+//! Nothing here does I/O, reads a clock or draws from the system: a host hands over instants and a seed.
+
+pub mod interface;
+mod names;
+pub mod policy;
+mod state;
+
+pub use names::Names;
+pub use policy::Balancer;
--- a/src/names.rs
+++ b/crates/decide/src/names.rs
@@ -4,13 +4,14 @@
 
 /// Interned names, numbered in the order of their first appearance.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Names {
+pub struct Names {
     numbers: HashMap<String, usize>,
     names: Vec<String>,
 }
 
 impl Names {
-    pub(crate) fn of<'a>(names: impl IntoIterator<Item = &'a str>) -> Self {
+    /// A table of these names, numbered in their order.
+    pub fn of<'a>(names: impl IntoIterator<Item = &'a str>) -> Self {
         let mut table = Self::default();
         for name in names {
             table.intern(name);
@@ -18,7 +19,8 @@
         table
     }
 
-    pub(crate) fn intern(&mut self, name: &str) -> usize {
+    /// The number of a name, a new one where it is new.
+    pub fn intern(&mut self, name: &str) -> usize {
         if let Some(&number) = self.numbers.get(name) {
             return number;
         }
@@ -27,11 +29,13 @@
         self.names.len() - 1
     }
 
-    pub(crate) fn number(&self, name: &str) -> Option<usize> {
+    /// The number of a name, where it is known.
+    pub fn number(&self, name: &str) -> Option<usize> {
         self.numbers.get(name).copied()
     }
 
-    pub(crate) fn name(&self, number: usize) -> &str {
+    /// The name that has a number; panics at a number that was never given out.
+    pub fn name(&self, number: usize) -> &str {
         &self.names[number]
     }
 }
--- a/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A host for one balancer: it keeps the clock and what has been asked of it.
 #![allow(dead_code)]
 
-use mosshead::Balancer;
-use mosshead::interface::*;
+use mosshead_decide::Balancer;
+use mosshead_decide::interface::*;
 
 pub const SAFE: ClassId = ClassId(0);
 pub const UNSAFE: ClassId = ClassId(1);
--- a/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use mosshead::Balancer;
-use mosshead::interface::*;
+use mosshead_decide::Balancer;
+use mosshead_decide::interface::*;
 
 fn counts(host: &mut Host, requests: usize, servers: usize) -> Vec<usize> {
     let mut counts = vec![0; servers];
--- a/tests/random.rs
+++ b/crates/decide/tests/random.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use mosshead::Balancer;
-use mosshead::interface::*;
+use mosshead_decide::Balancer;
+use mosshead_decide::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 
--- a/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use mosshead::Balancer;
-use mosshead::interface::*;
+use mosshead_decide::Balancer;
+use mosshead_decide::interface::*;
 
 #[test]
 fn a_request_without_any_server_is_held_and_refused_in_time() {
--- a/src/proxy/config.rs
+++ b/crates/proxy/src/config.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use super::machine_list::{Listing, read_listing};
-use crate::settings::{self, Found, Named};
+use crate::listing::{Listing, read_listing};
+use mosshead_settings::{self as settings, Found, Named};
 
 /// The configuration, read and checked.
 #[derive(Clone, Debug)]
--- a/src/proxy/execute_node.rs
+++ b/crates/proxy/src/execute_node.rs
@@ -15,12 +15,12 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout_at};
 
-use super::budget::Budget;
-use super::connection_log::{Reason, Record, Side};
-use super::duration;
-use super::http::{self, BODY_LIMIT, BodyFault, Link, Written};
-use super::module::{Call, ProbeTicket, Ticket};
-use crate::interface::*;
+use crate::budget::Budget;
+use crate::connection_log::{Reason, Record, Side};
+use crate::duration;
+use crate::http::{self, BODY_LIMIT, BodyFault, Link, Written};
+use crate::messages::{Call, NodeMail, ProbeTicket, Ticket, Told};
+use mosshead_decide::interface::*;
 
 /// An idle connection is closed after this share of the time that execute nodes keep one: what is
 /// written to one that they have closed is lost.
@@ -28,33 +28,8 @@
 /// A probe is given up after so many times the time for connecting.
 const PROBE_TIMEOUT: f64 = 2.0;
 
-/// What comes into an execute node's mailbox.
-pub(crate) enum Mail {
-    /// The machine list has news of it.
-    Told(Told),
-    /// The machine list no longer has it.
-    Gone,
-    /// Nothing follows.
-    End,
-    Attempt(Ticket, Rc<Call>, Instant),
-    Probe(ProbeTicket),
-    Cancel(JobId, Round),
-    /// Close the idle connections.
-    Close,
-    /// An attempt or probe is over; its connection may be of further use.
-    Over(Option<(JobId, Round)>, Option<Link>, SocketAddr),
-}
-
-/// What the machine list says of an execute node.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct Told {
-    pub(crate) addr: SocketAddr,
-    pub(crate) readiness: Readiness,
-    pub(crate) started_ms: f64,
-}
-
 /// Starts the actor.
-pub(crate) fn start(limits: &Limits, budget: Budget, told: Told) -> UnboundedSender<Mail> {
+pub(crate) fn start(limits: &Limits, budget: Budget, told: Told) -> UnboundedSender<NodeMail> {
     let (home, mailbox) = unbounded_channel();
     let connect_timeout = duration(limits.connect_timeout);
     let shared = Shared { told: Cell::new(told), connect_timeout, budget };
@@ -79,7 +54,7 @@
 
 struct Node {
     shared: Rc<Shared>,
-    home: UnboundedSender<Mail>,
+    home: UnboundedSender<NodeMail>,
     /// The one used last stands last and is used first.
     idle: Vec<Idle>,
     out: HashMap<(JobId, Round), oneshot::Sender<()>>,
@@ -87,14 +62,14 @@
 }
 
 impl Node {
-    async fn run(mut self, mut mailbox: UnboundedReceiver<Mail>) {
+    async fn run(mut self, mut mailbox: UnboundedReceiver<NodeMail>) {
         let mut wanted = self.shared.budget.wanted();
         loop {
             let expiry = self.idle.first().and_then(|idle| idle.since.checked_add(self.keep));
             tokio::select! {
                 biased;
                 mail = mailbox.recv() => match mail {
-                    Some(Mail::End) | None => return self.close(Reason::ListChanged),
+                    Some(NodeMail::End) | None => return self.close(Reason::ListChanged),
                     Some(mail) => self.read(mail),
                 },
                 _ = wanted.changed() => self.shed(),
@@ -106,9 +81,9 @@
         }
     }
 
-    fn read(&mut self, mail: Mail) {
+    fn read(&mut self, mail: NodeMail) {
         match mail {
-            Mail::Told(told) => {
+            NodeMail::Told(told) => {
                 let before = self.shared.told.replace(told);
                 if (before.addr, before.started_ms) != (told.addr, told.started_ms)
                     || told.readiness != Readiness::Ready
@@ -116,23 +91,23 @@
                     self.close(Reason::ListChanged);
                 }
             }
-            Mail::End => {}
-            Mail::Gone => {
-                self.read(Mail::Told(Told { readiness: Readiness::Gone, ..self.shared.told.get() }))
+            NodeMail::End => {}
+            NodeMail::Gone => {
+                self.read(NodeMail::Told(Told { readiness: Readiness::Gone, ..self.shared.told.get() }))
             }
-            Mail::Attempt(ticket, call, until) => {
+            NodeMail::Attempt(ticket, call, until) => {
                 let (cancel, cancelled) = oneshot::channel();
                 self.out.insert((ticket.job, ticket.round), cancel);
                 spawn_local(attempt(self.way(), ticket, call, until, cancelled));
             }
-            Mail::Probe(ticket) => drop(spawn_local(probe(self.way(), ticket))),
-            Mail::Cancel(job, round) => {
+            NodeMail::Probe(ticket) => drop(spawn_local(probe(self.way(), ticket))),
+            NodeMail::Cancel(job, round) => {
                 if let Some(cancel) = self.out.remove(&(job, round)) {
                     let _ = cancel.send(());
                 }
             }
-            Mail::Close => self.close(Reason::ModuleAsked),
-            Mail::Over(key, link, addr) => {
+            NodeMail::Close => self.close(Reason::ModuleAsked),
+            NodeMail::Over(key, link, addr) => {
                 if let Some(key) = key {
                     self.out.remove(&key);
                 }
@@ -175,7 +150,7 @@
     shared: Rc<Shared>,
     /// What was told of the node when the module chose it.
     chosen: Told,
-    home: UnboundedSender<Mail>,
+    home: UnboundedSender<NodeMail>,
     link: Option<Link>,
 }
 
@@ -235,7 +210,7 @@
         }),
     };
     ticket.settle(result.outcome, result.report, result.body);
-    let _ = way.home.send(Mail::Over(Some(key), usable(result.link).await, way.chosen.addr));
+    let _ = way.home.send(NodeMail::Over(Some(key), usable(result.link).await, way.chosen.addr));
 }
 
 async fn probe(mut way: Way, ticket: ProbeTicket) {
@@ -252,7 +227,7 @@
         result.report = http::load_report(&String::from_utf8_lossy(&result.body));
     }
     ticket.settle(result.outcome, result.report);
-    let _ = way.home.send(Mail::Over(None, usable(result.link).await, way.chosen.addr));
+    let _ = way.home.send(NodeMail::Over(None, usable(result.link).await, way.chosen.addr));
 }
 
 /// A connection fit for the next message; it is that only once the whole answer has been taken off it.
--- a/src/proxy/http.rs
+++ b/crates/proxy/src/http.rs
@@ -20,8 +20,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use super::connection_log::{Line, Reason, Record, Side};
-use crate::interface::LoadReport;
+use crate::connection_log::{Line, Reason, Record, Side};
+use mosshead_decide::interface::LoadReport;
 
 /// The most that a body holds.
 pub(crate) const BODY_LIMIT: usize = 64 * 1024;
--- a/src/proxy/mod.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,7 +8,9 @@
 mod execute_node;
 mod http;
 mod ids;
+mod listing;
 mod machine_list;
+mod messages;
 mod module;
 mod submitter;
 
@@ -21,11 +23,11 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_blocking, spawn_local};
 
-use crate::interface::Seconds;
 use budget::Budget;
 use connection_log::line;
 use machine_list::MachineList;
 use module::Module;
+use mosshead_decide::interface::Seconds;
 use submitter::Front;
 
 /// No wait is longer: an instant further away could not be reckoned.
@@ -66,7 +68,13 @@
     let (module, actor) = Module::new(&config, back, list).map_err(io::Error::other)?;
     let mut deciding = spawn_local(actor);
     let version = config.known.version;
-    spawn_local(machine_list::run(config.discovery, version, limits.connect_timeout, asked, module.clone()));
+    spawn_local(machine_list::run(
+        config.discovery,
+        version,
+        limits.connect_timeout,
+        asked,
+        module.mailbox(),
+    ));
     line(format_args!(
         "start name={} listen={} version={}",
         config.name,
--- a/src/proxy/machine_list.rs
+++ b/crates/proxy/src/machine_list.rs
@@ -10,12 +10,13 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::timeout;
 
-use super::connection_log::{Reason, Side, line};
-use super::duration;
-use super::http::{self, Link};
-use super::module::{Mail, Module};
-use crate::interface::{Readiness, Seconds};
-use crate::settings::{self, Found};
+use crate::connection_log::{Reason, Side, line};
+use crate::duration;
+use crate::http::{self, Link};
+use crate::listing::{Listing, read_listing};
+use crate::messages::Mail;
+use mosshead_decide::interface::Seconds;
+use mosshead_settings::{self as settings, Found};
 
 /// How long a watch may wait. What discovery has to tell counts as told 2 s after that, and 6 s after it
 /// arose in any case: a call that discovery has forgotten must be over by then.
@@ -25,56 +26,6 @@
 /// A list of all machines is larger than other bodies.
 const LIST_LIMIT: usize = 1024 * 1024;
 
-/// The list, or what changed of it.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Listing {
-    pub(crate) version: u64,
-    pub(crate) full: bool,
-    pub(crate) machines: Vec<Machine>,
-}
-
-/// One execute node on the list.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Machine {
-    pub(crate) id: String,
-    pub(crate) addr: SocketAddr,
-    pub(crate) zone: String,
-    pub(crate) kind: String,
-    pub(crate) cell: u64,
-    pub(crate) readiness: Readiness,
-    pub(crate) weight: f64,
-    /// 0 for long ago.
-    pub(crate) started_ms: f64,
-}
-
-/// Reads discovery's form of the list.
-pub(crate) fn read_listing(listing: &Found) -> Result<Listing, String> {
-    let machine = |machine: &Found| -> Result<Machine, String> {
-        let addr = machine.get("addr")?;
-        let or_empty = |name| machine.find(name)?.map_or(Ok(""), |text| text.text());
-        let number_or = |name, or| machine.find(name)?.map_or(Ok(or), |number| number.number());
-        Ok(Machine {
-            id: machine.get("id")?.text()?.to_owned(),
-            addr: addr.text()?.parse().map_err(|_| addr.says("not an address with a port"))?,
-            zone: or_empty("zone")?.to_owned(),
-            kind: or_empty("kind")?.to_owned(),
-            cell: machine.find("cell")?.map_or(Ok(0), |cell| cell.whole())?,
-            readiness: machine.get("state")?.one_of(&[
-                ("SERVING", Readiness::Ready),
-                ("DRAINING", Readiness::Draining),
-                ("DELETED", Readiness::Gone),
-            ])?,
-            weight: number_or("weight", 1.0)?,
-            started_ms: number_or("started_ms", 0.0)?,
-        })
-    };
-    Ok(Listing {
-        version: listing.get("version")?.whole()?,
-        full: listing.get("full")?.truth()?,
-        machines: listing.get("servers")?.items()?.iter().map(machine).collect::<Result<_, _>>()?,
-    })
-}
-
 /// What comes into the list's mailbox.
 pub(crate) enum Ask {
     /// Watch, if that is not being done.
@@ -110,7 +61,7 @@
     version: u64,
     connect_timeout: Seconds,
     mut mailbox: UnboundedReceiver<Ask>,
-    module: Module,
+    home: UnboundedSender<Mail>,
 ) {
     let connect_timeout = duration(connect_timeout).min(LATE);
     let mut caller = Caller { discovery, connect_timeout, link: None };
@@ -127,7 +78,7 @@
                 Watched::Moved(to) => caller.move_to(to),
                 Watched::Answered(Ok(listing)) => {
                     held = Some(listing.version);
-                    module.send(Mail::List(Some(listing)));
+                    let _ = home.send(Mail::List(Some(listing)));
                 }
                 Watched::Answered(Err(fault)) => {
                     line(format_args!("machine-list failed: {}", fault.why));
@@ -135,7 +86,7 @@
                         held = None;
                     }
                     caller.link = None;
-                    module.send(Mail::List(None));
+                    let _ = home.send(Mail::List(None));
                     break;
                 }
             }
--- a/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,11 +1,10 @@
 //! The client proxy's command line.
-#![forbid(unsafe_code)]
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use lexopt::prelude::*;
-use mosshead::proxy::{self, Config};
+use mosshead::{self as proxy, Config};
 
 const USAGE: &str = "usage: mosshead serve [--config FILE]
        mosshead check-config [--config FILE]
--- /dev/null
+++ b/crates/proxy/src/messages.rs
@@ -0,0 +1,155 @@
+//! What the actors hand to each other: mails, and the tickets that owe an outcome. No actor is named here.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use mosshead_decide::interface::*;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+
+use crate::http::Link;
+use crate::listing::Listing;
+
+/// What passes through the proxy unchanged.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) verb: String,
+    pub(crate) target: String,
+    pub(crate) id: String,
+    pub(crate) body: Bytes,
+}
+
+/// A request, as the submitter's side hands it over.
+#[derive(Debug)]
+pub(crate) struct Job {
+    /// The id that it carries, as a number.
+    pub(crate) id: u64,
+    pub(crate) class: ClassId,
+    pub(crate) tenant: Option<TenantId>,
+    /// How long the submitter waits, counted from `arrived`.
+    pub(crate) time_left: Seconds,
+    pub(crate) arrived: Instant,
+    pub(crate) call: Call,
+}
+
+/// The one final answer to a job.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Answer {
+    /// An execute node's answer.
+    Served(Bytes),
+    /// A requeue notice: trying again is harmless, best after this long.
+    Requeue(Seconds),
+    /// Failed; it may have run.
+    Failed,
+    /// Not taken on: another job has its id.
+    IdTaken,
+}
+
+/// What comes into the module's mailbox.
+pub(crate) enum Mail {
+    Job(JobId, Job, oneshot::Sender<Answer>),
+    Withdrawn(JobId),
+    Ended(Ended),
+    Probed { endpoint: EndpointId, outcome: Outcome, rtt: Seconds, report: LoadReport },
+    List(Option<Listing>),
+}
+
+/// The outcome of one attempt.
+pub(crate) struct Ended {
+    pub(crate) job: JobId,
+    pub(crate) round: Round,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) outcome: Outcome,
+    pub(crate) rtt: Seconds,
+    pub(crate) report: LoadReport,
+    pub(crate) body: Bytes,
+}
+
+/// What comes into an execute node's mailbox.
+pub(crate) enum NodeMail {
+    /// The machine list has news of it.
+    Told(Told),
+    /// The machine list no longer has it.
+    Gone,
+    /// Nothing follows.
+    End,
+    Attempt(Ticket, Rc<Call>, Instant),
+    Probe(ProbeTicket),
+    Cancel(JobId, Round),
+    /// Close the idle connections.
+    Close,
+    /// An attempt or probe is over; its connection may be of further use.
+    Over(Option<(JobId, Round)>, Option<Link>, SocketAddr),
+}
+
+/// What the machine list says of an execute node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Told {
+    pub(crate) addr: SocketAddr,
+    pub(crate) readiness: Readiness,
+    pub(crate) started_ms: f64,
+}
+
+/// One attempt, which owes exactly one outcome: dropped without one, it was reset and may have run.
+pub(crate) struct Ticket {
+    pub(crate) job: JobId,
+    pub(crate) round: Round,
+    endpoint: EndpointId,
+    began: Instant,
+    home: Option<UnboundedSender<Mail>>,
+}
+
+impl Ticket {
+    pub(crate) fn new(job: JobId, round: Round, endpoint: EndpointId, home: UnboundedSender<Mail>) -> Self {
+        Self { job, round, endpoint, began: Instant::now(), home: Some(home) }
+    }
+
+    pub(crate) fn settle(mut self, outcome: Outcome, report: LoadReport, body: Bytes) {
+        self.report(outcome, report, body);
+    }
+
+    fn report(&mut self, outcome: Outcome, report: LoadReport, body: Bytes) {
+        let Some(home) = self.home.take() else { return };
+        let Self { job, round, endpoint, .. } = *self;
+        let rtt = self.began.elapsed().as_secs_f64();
+        // Only a proxy that is about to exit has no module.
+        let _ = home.send(Mail::Ended(Ended { job, round, endpoint, outcome, rtt, report, body }));
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.report(Outcome::Reset, LoadReport::default(), Bytes::new());
+    }
+}
+
+/// One probe, which owes exactly one finding.
+pub(crate) struct ProbeTicket {
+    endpoint: EndpointId,
+    began: Instant,
+    home: Option<UnboundedSender<Mail>>,
+}
+
+impl ProbeTicket {
+    pub(crate) fn new(endpoint: EndpointId, home: UnboundedSender<Mail>) -> Self {
+        Self { endpoint, began: Instant::now(), home: Some(home) }
+    }
+
+    pub(crate) fn settle(mut self, outcome: Outcome, report: LoadReport) {
+        self.report(outcome, report);
+    }
+
+    fn report(&mut self, outcome: Outcome, report: LoadReport) {
+        let Some(home) = self.home.take() else { return };
+        let rtt = self.began.elapsed().as_secs_f64();
+        let _ = home.send(Mail::Probed { endpoint: self.endpoint, outcome, rtt, report });
+    }
+}
+
+impl Drop for ProbeTicket {
+    fn drop(&mut self) {
+        self.report(Outcome::Reset, LoadReport::default());
+    }
+}
--- a/src/proxy/module.rs
+++ b/crates/proxy/src/module.rs
@@ -12,80 +12,26 @@
 use std::task::{Context, Poll};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::time::sleep_until;
 
-use super::budget::Budget;
-use super::config::Config;
-use super::connection_log::line;
-use super::duration;
-use super::execute_node::{self, Told};
-use super::ids::Ids;
-use super::machine_list::{Listing, Machine, MachineList};
-use crate::Balancer;
-use crate::interface::*;
-use crate::names::Names;
+use crate::budget::Budget;
+use crate::config::Config;
+use crate::connection_log::line;
+use crate::duration;
+use crate::execute_node;
+use crate::ids::Ids;
+use crate::listing::{Listing, Machine};
+use crate::machine_list::MachineList;
+use crate::messages::{Answer, Call, Ended, Job, Mail, NodeMail, ProbeTicket, Ticket, Told};
+use mosshead_decide::Balancer;
+use mosshead_decide::Names;
+use mosshead_decide::interface::*;
 
 /// The wait that a requeue notice asks for where the proxy is too full for the module to see the job.
 const FULL_WAIT: Seconds = 0.5;
 
-/// What passes through the proxy unchanged.
-#[derive(Debug)]
-pub(crate) struct Call {
-    pub(crate) verb: String,
-    pub(crate) target: String,
-    pub(crate) id: String,
-    pub(crate) body: Bytes,
-}
-
-/// A request, as the submitter's side hands it over.
-#[derive(Debug)]
-pub(crate) struct Job {
-    /// The id that it carries, as a number.
-    pub(crate) id: u64,
-    pub(crate) class: ClassId,
-    pub(crate) tenant: Option<TenantId>,
-    /// How long the submitter waits, counted from `arrived`.
-    pub(crate) time_left: Seconds,
-    pub(crate) arrived: Instant,
-    pub(crate) call: Call,
-}
-
-/// The one final answer to a job.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Answer {
-    /// An execute node's answer.
-    Served(Bytes),
-    /// A requeue notice: trying again is harmless, best after this long.
-    Requeue(Seconds),
-    /// Failed; it may have run.
-    Failed,
-    /// Not taken on: another job has its id.
-    IdTaken,
-}
-
-/// What comes into the module's mailbox.
-pub(crate) enum Mail {
-    Job(JobId, Job, oneshot::Sender<Answer>),
-    Withdrawn(JobId),
-    Ended(Ended),
-    Probed { endpoint: EndpointId, outcome: Outcome, rtt: Seconds, report: LoadReport },
-    List(Option<Listing>),
-}
-
-/// The outcome of one attempt.
-pub(crate) struct Ended {
-    job: JobId,
-    round: Round,
-    endpoint: EndpointId,
-    outcome: Outcome,
-    rtt: Seconds,
-    report: LoadReport,
-    body: Bytes,
-}
-
 /// The way to the module.
 #[derive(Clone)]
 pub(crate) struct Module {
@@ -150,7 +96,12 @@
         Waiting { job: id, answer, answered: false, module: self.clone() }
     }
 
-    pub(crate) fn send(&self, mail: Mail) {
+    /// Where the other actors post what they have for the module.
+    pub(crate) fn mailbox(&self) -> UnboundedSender<Mail> {
+        self.mailbox.clone()
+    }
+
+    fn send(&self, mail: Mail) {
         // Only a proxy that is about to exit has no module.
         let _ = self.mailbox.send(mail);
     }
@@ -182,59 +133,6 @@
     }
 }
 
-/// One attempt, which owes exactly one outcome: dropped without one, it was reset and may have run.
-pub(crate) struct Ticket {
-    pub(crate) job: JobId,
-    pub(crate) round: Round,
-    endpoint: EndpointId,
-    began: Instant,
-    module: Option<Module>,
-}
-
-impl Ticket {
-    pub(crate) fn settle(mut self, outcome: Outcome, report: LoadReport, body: Bytes) {
-        self.report(outcome, report, body);
-    }
-
-    fn report(&mut self, outcome: Outcome, report: LoadReport, body: Bytes) {
-        let Some(module) = self.module.take() else { return };
-        let Self { job, round, endpoint, .. } = *self;
-        let rtt = self.began.elapsed().as_secs_f64();
-        module.send(Mail::Ended(Ended { job, round, endpoint, outcome, rtt, report, body }));
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        self.report(Outcome::Reset, LoadReport::default(), Bytes::new());
-    }
-}
-
-/// One probe, which owes exactly one finding.
-pub(crate) struct ProbeTicket {
-    endpoint: EndpointId,
-    began: Instant,
-    module: Option<Module>,
-}
-
-impl ProbeTicket {
-    pub(crate) fn settle(mut self, outcome: Outcome, report: LoadReport) {
-        self.report(outcome, report);
-    }
-
-    fn report(&mut self, outcome: Outcome, report: LoadReport) {
-        let Some(module) = self.module.take() else { return };
-        let rtt = self.began.elapsed().as_secs_f64();
-        module.send(Mail::Probed { endpoint: self.endpoint, outcome, rtt, report });
-    }
-}
-
-impl Drop for ProbeTicket {
-    fn drop(&mut self) {
-        self.report(Outcome::Reset, LoadReport::default());
-    }
-}
-
 /// A job until it has its answer and all its attempts have ended.
 struct Held {
     id: u64,
@@ -249,7 +147,7 @@
 /// An execute node, as long as the list has it or something is out there.
 struct Node {
     id: String,
-    mailbox: UnboundedSender<execute_node::Mail>,
+    mailbox: UnboundedSender<NodeMail>,
     listed: bool,
     /// Attempts and probes that still owe their outcome.
     out: u32,
@@ -440,22 +338,21 @@
             Action::Cancel { job, round } => {
                 let sent = self.jobs.get(&job).and_then(|held| held.sent.get(round.0 as usize).copied());
                 if let Some(endpoint) = sent {
-                    self.post(endpoint, execute_node::Mail::Cancel(job, round));
+                    self.post(endpoint, NodeMail::Cancel(job, round));
                 }
             }
             Action::Probe { endpoint } => {
                 self.nodes[endpoint.0 as usize].out += 1;
-                let ticket =
-                    ProbeTicket { endpoint, began: Instant::now(), module: Some(self.module.clone()) };
-                self.post(endpoint, execute_node::Mail::Probe(ticket));
+                let ticket = ProbeTicket::new(endpoint, self.module.mailbox.clone());
+                self.post(endpoint, NodeMail::Probe(ticket));
             }
-            Action::Close { endpoint } => self.post(endpoint, execute_node::Mail::Close),
+            Action::Close { endpoint } => self.post(endpoint, NodeMail::Close),
             Action::Watch => self.list.watch(),
             Action::Timer { delay, token } => self.schedule(now + delay, Due::Timer(token)),
         }
     }
 
-    fn post(&self, endpoint: EndpointId, mail: execute_node::Mail) {
+    fn post(&self, endpoint: EndpointId, mail: NodeMail) {
         if let Some(node) = self.nodes.get(endpoint.0 as usize) {
             let _ = node.mailbox.send(mail);
         }
@@ -477,7 +374,7 @@
         // An id that has come back may have another number by now.
         if !node.listed && node.out == 0 && self.numbers.get(&node.id) == Some(&at) {
             self.numbers.remove(&node.id);
-            let _ = node.mailbox.send(execute_node::Mail::End);
+            let _ = node.mailbox.send(NodeMail::End);
             self.free.push(at);
         }
     }
@@ -497,10 +394,9 @@
         self.nodes[endpoint.0 as usize].out += 1;
         let until = if until > 0.0 { until.min(held.deadline) } else { held.deadline };
         let call = held.call.clone();
-        let module = Some(self.module.clone());
-        let ticket = Ticket { job, round, endpoint, began: Instant::now(), module };
+        let ticket = Ticket::new(job, round, endpoint, self.module.mailbox.clone());
         let until = self.instant(until.max(now));
-        self.post(endpoint, execute_node::Mail::Attempt(ticket, call, until));
+        self.post(endpoint, NodeMail::Attempt(ticket, call, until));
     }
 
     /// Tells the execute nodes what the list says of them, and puts it in the module's terms.
@@ -516,7 +412,7 @@
             let at = match self.numbers.get(&machine.id).copied() {
                 Some(at) => {
                     self.nodes[at].listed = listed;
-                    self.post(EndpointId(at as u32), execute_node::Mail::Told(told));
+                    self.post(EndpointId(at as u32), NodeMail::Told(told));
                     at
                 }
                 None if !listed => continue,
@@ -536,7 +432,7 @@
             });
         }
         for at in self.numbers.values().copied().filter(|at| !self.nodes[*at].listed) {
-            self.post(EndpointId(at as u32), execute_node::Mail::Gone);
+            self.post(EndpointId(at as u32), NodeMail::Gone);
         }
         entries
     }
@@ -562,8 +458,11 @@
     use tokio::net::TcpListener;
     use tokio::task::LocalSet;
 
+    use bytes::Bytes;
+
     use super::*;
-    use crate::settings::{Found, json, read};
+    use crate::messages::Told;
+    use mosshead_settings::{Found, json, read};
 
     const SETTINGS: &str = r#"{"classes":[],"limits":{"may_cancel":true,"probes":true,"second_copies":true,
         "send_cap":4,"connect_timeout_s":5},"membership_mode":"ask","tick_s":0.005,"reporting":{"how":"silent"},
@@ -571,9 +470,7 @@
         "fall_multiple":3,"fall_s":3,"warm_up_s":8}}"#;
 
     fn ticket(mailbox: &UnboundedSender<Mail>) -> Ticket {
-        let module = Module { mailbox: mailbox.clone(), jobs: Rc::default(), ready: Rc::default() };
-        let (job, round, endpoint) = (JobId(1), Round(0), EndpointId(0));
-        Ticket { job, round, endpoint, began: Instant::now(), module: Some(module) }
+        Ticket::new(JobId(1), Round(0), EndpointId(0), mailbox.clone())
     }
 
     /// Guards drains and cold starts: what the list says after the choice, while a connection comes up,
@@ -594,8 +491,8 @@
             let (verb, target, id) = ("GET".to_owned(), "/".to_owned(), "1".to_owned());
             let call = Rc::new(Call { verb, target, id, body: Bytes::new() });
             let until = Instant::now() + duration(60.0);
-            let _ = node.send(execute_node::Mail::Attempt(ticket(&mailbox), call, until));
-            let _ = node.send(execute_node::Mail::Told(change(told)));
+            let _ = node.send(NodeMail::Attempt(ticket(&mailbox), call, until));
+            let _ = node.send(NodeMail::Told(change(told)));
             let Some(Mail::Ended(ended)) = mail.recv().await else { panic!("no outcome") };
             assert_eq!(ended.outcome, Outcome::NotSent);
             let (mut stream, _) = listener.accept().await.expect("a connection");
--- a/src/proxy/submitter.rs
+++ b/crates/proxy/src/submitter.rs
@@ -24,14 +24,15 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 
-use super::budget::{Budget, Permit};
-use super::connection_log::{Bounded, Line, Reason, Record, Side, line};
-use super::http::{self, BODY_LIMIT, BodyFault};
-use super::module::{Answer, Call, Job, Module};
-use super::{LONGEST, duration};
-use crate::interface::{ClassId, Effect, TenantId};
-use crate::names::Names;
-use crate::settings::Named;
+use crate::budget::{Budget, Permit};
+use crate::connection_log::{Bounded, Line, Reason, Record, Side, line};
+use crate::http::{self, BODY_LIMIT, BodyFault};
+use crate::messages::{Answer, Call, Job};
+use crate::module::Module;
+use crate::{LONGEST, duration};
+use mosshead_decide::Names;
+use mosshead_decide::interface::{ClassId, Effect, TenantId};
+use mosshead_settings::Named;
 
 /// New connections keep coming for so long after a stop is asked for.
 const STOP_ACCEPTING: Duration = Duration::from_millis(450);
--- a/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -6,8 +6,8 @@
 
 use tinyjson::JsonValue;
 
-use crate::interface::*;
-use crate::names::Names;
+use mosshead_decide::Names;
+use mosshead_decide::interface::*;
 
 /// Longer than any wait that matters, where no limit is stated.
 const AN_HOUR: Seconds = 3600.0;
@@ -16,17 +16,22 @@
 
 /// The settings with the names that their numbers stand for.
 #[derive(Clone, Debug)]
-pub(crate) struct Named {
-    pub(crate) settings: Settings,
-    pub(crate) zones: Names,
-    pub(crate) kinds: Names,
-    pub(crate) classes: Names,
-    pub(crate) tenants: Names,
+pub struct Named {
+    /// The settings.
+    pub settings: Settings,
+    /// Zones, by [`ZoneId`].
+    pub zones: Names,
+    /// Kinds of machine, by [`KindId`].
+    pub kinds: Names,
+    /// Request classes, by [`ClassId`].
+    pub classes: Names,
+    /// Tenants, by [`TenantId`].
+    pub tenants: Names,
 }
 
 /// Parses a text. The parser calls itself for each level, so a text that nests too deeply would
 /// overflow the stack: such a text is turned down before it is parsed.
-pub(crate) fn json(text: &str) -> Result<JsonValue, String> {
+pub fn json(text: &str) -> Result<JsonValue, String> {
     let (mut depth, mut quoted, mut escaped) = (0_usize, false, false);
     for byte in text.bytes() {
         match byte {
@@ -45,13 +50,14 @@
 }
 
 /// A value and where it was found.
-pub(crate) struct Found<'a> {
+pub struct Found<'a> {
     value: &'a JsonValue,
     path: String,
 }
 
 impl<'a> Found<'a> {
-    pub(crate) fn top(value: &'a JsonValue) -> Self {
+    /// The whole text.
+    pub fn top(value: &'a JsonValue) -> Self {
         Self { value, path: String::new() }
     }
 
@@ -68,7 +74,7 @@
     }
 
     /// A message that starts with the path.
-    pub(crate) fn says(&self, message: &str) -> String {
+    pub fn says(&self, message: &str) -> String {
         if self.path.is_empty() { message.to_owned() } else { format!("{}: {message}", self.path) }
     }
 
@@ -77,17 +83,19 @@
     }
 
     /// A member that may be absent or null.
-    pub(crate) fn find(&self, name: &str) -> Result<Option<Found<'a>>, String> {
+    pub fn find(&self, name: &str) -> Result<Option<Found<'a>>, String> {
         let member = self.object()?.get(name).filter(|value| !matches!(value, JsonValue::Null));
         let dot = if self.path.is_empty() { "" } else { "." };
         Ok(member.map(|value| Found { value, path: format!("{}{dot}{name}", self.path) }))
     }
 
-    pub(crate) fn get(&self, name: &str) -> Result<Found<'a>, String> {
+    /// A member that must be there.
+    pub fn get(&self, name: &str) -> Result<Found<'a>, String> {
         self.find(name)?.ok_or_else(|| self.says(&format!("missing field `{name}`")))
     }
 
-    pub(crate) fn items(&self) -> Result<Vec<Found<'a>>, String> {
+    /// The items of a list.
+    pub fn items(&self) -> Result<Vec<Found<'a>>, String> {
         let items: &Vec<JsonValue> = self.value.get().ok_or_else(|| self.wrong("a list"))?;
         let item = |(at, value)| Found { value, path: format!("{}[{at}]", self.path) };
         Ok(items.iter().enumerate().map(item).collect())
@@ -97,16 +105,19 @@
         self.find(name)?.map_or(Ok(Vec::new()), |list| list.items())
     }
 
-    pub(crate) fn text(&self) -> Result<&'a str, String> {
+    /// A text.
+    pub fn text(&self) -> Result<&'a str, String> {
         self.value.get::<String>().map(String::as_str).ok_or_else(|| self.wrong("a text"))
     }
 
-    pub(crate) fn number(&self) -> Result<f64, String> {
+    /// A finite number.
+    pub fn number(&self) -> Result<f64, String> {
         let number = self.value.get::<f64>().copied().filter(|number| number.is_finite());
         number.ok_or_else(|| self.wrong("a number"))
     }
 
-    pub(crate) fn whole(&self) -> Result<u64, String> {
+    /// A whole number from 0 to 2^53.
+    pub fn whole(&self) -> Result<u64, String> {
         let whole = self.number()?;
         if whole < 0.0 || whole.fract() != 0.0 || whole >= 2_f64.powi(53) {
             return Err(self.wrong("a whole number"));
@@ -114,7 +125,8 @@
         Ok(whole as u64)
     }
 
-    pub(crate) fn truth(&self) -> Result<bool, String> {
+    /// True or false.
+    pub fn truth(&self) -> Result<bool, String> {
         self.value.get().copied().ok_or_else(|| self.wrong("a bool"))
     }
 
@@ -131,7 +143,7 @@
     }
 
     /// A name that stands for one of a few values.
-    pub(crate) fn one_of<T: Copy>(&self, values: &[(&str, T)]) -> Result<T, String> {
+    pub fn one_of<T: Copy>(&self, values: &[(&str, T)]) -> Result<T, String> {
         let text = self.text()?;
         let known = values.iter().find(|(name, _)| *name == text);
         known.map(|(_, value)| *value).ok_or_else(|| self.says(&format!("{text:?} is not known")))
@@ -139,7 +151,7 @@
 }
 
 /// Reads the settings object.
-pub(crate) fn read(info: &Found) -> Result<Named, String> {
+pub fn read(info: &Found) -> Result<Named, String> {
     let names = |list: Vec<Found>, member: Option<&str>| -> Result<Names, String> {
         let named = list.iter().map(|item| match member {
             Some(member) => item.get(member)?.text(),
--- a/src/wire.rs
+++ b/crates/simhost/src/lib.rs
@@ -5,10 +5,10 @@
 
 use thiserror::Error;
 
-use crate::interface::*;
-use crate::names::Names;
-use crate::policy::Balancer;
-use crate::settings::{self, Found, Named};
+use mosshead_decide::Balancer;
+use mosshead_decide::Names;
+use mosshead_decide::interface::*;
+use mosshead_settings::{self as settings, Found, Named};
 
 /// What is wrong with the input, and where.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
--- a/src/bin/mosshead-simhost.rs
+++ b/crates/simhost/src/main.rs
@@ -1,10 +1,9 @@
 //! Speaks the simulator's wire on standard input and output, one balancer for each instance.
-#![forbid(unsafe_code)]
 
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
-use mosshead::wire::Drill;
+use mosshead_simhost::Drill;
 
 fn drill() -> Result<(), String> {
     let (mut input, mut output) = (io::stdin().lock(), io::stdout().lock());
--- a/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
-use mosshead::wire::Drill;
+use mosshead_simhost::Drill;
 
 const INFO: &str = r#"{"classes":[{"deadline_s":1.0,"dedup_window_s":5.0,"effect":"free","gain":2.0,"group":"all","late_worth":0.0,"name":"read","streaming":false,"target_s":0.4},{"deadline_s":2.0,"effect":"single_shot","gain":10.0,"late_worth":0.0,"name":"write","target_s":0.4}],"unknown":{"a":[1]},"group_size":3,"limits":{"may_cancel":true,"most_held":20000,"probes":false,"retry_after":true,"max_retry_after_s":1.5,"second_copies":true,"keepalive_s":30.0,"send_cap":3},"machine_types":["m"],"membership_mode":"push","over_share_worth":0.1,"prices":{"cross_zone":0.12},"rank":0,"reporting":{"how":"piggyback","names":["queue","inflight"]},"rules":{"answer_slack_s":0.02,"ask_within_s":10.0,"cold_from":0.15,"drain_grace_s":0.25,"fall_multiple":3.0,"fall_s":1.5,"warm_up_s":23.0},"tenants":[{"name":"farm","quota_per_s":172.0,"share":0.45}],"tick_s":0.005,"weights":"nominal","zone":"b","zones":["a","b"]}"#;
 
