--- a/crates/ctl/src/days.rs
+++ b/crates/ctl/src/days.rs
@@ -48,6 +48,54 @@
     table(rows)
 }
 
+/// The days of each policy taken together: the mean figure, its worst day, what went wrong.
+pub fn means(days: &[Day]) -> String {
+    let mut rows = vec![
+        [
+            "policy",
+            "days",
+            "figure",
+            "worst",
+            "in time",
+            "late",
+            "refused",
+            "failed",
+            "jams a day",
+            "rules broken on",
+        ]
+        .map(str::to_owned)
+        .to_vec(),
+    ];
+    let mut policies: Vec<&str> = Vec::new();
+    for day in days {
+        if !policies.contains(&day.policy.as_str()) {
+            policies.push(&day.policy);
+        }
+    }
+    for policy in policies {
+        let own: Vec<&Day> = days.iter().filter(|day| day.policy == policy).collect();
+        let count = own.len() as f64;
+        let mean = |of: &dyn Fn(&Day) -> f64| own.iter().map(|day| of(day)).sum::<f64>() / count;
+        let ended = |ending: usize| {
+            let part = |day: &Day| day.ledger.all.ended[ending] as f64 / day.ledger.all.asked.max(1) as f64;
+            format!("{:.2} %", 100.0 * mean(&part))
+        };
+        rows.push(vec![
+            policy.to_owned(),
+            own.len().to_string(),
+            format!("{:.4}", mean(&|day| day.figure)),
+            format!("{:.4}", own.iter().map(|day| day.figure).fold(f64::INFINITY, f64::min)),
+            ended(0),
+            ended(1),
+            ended(2),
+            ended(3),
+            format!("{:.1}", mean(&|day| (day.ledger.jams + day.ledger.fell) as f64)),
+            own.iter().filter(|day| !day.kept).count().to_string(),
+        ]);
+    }
+    table(rows)
+}
+
 /// One day in full.
 pub fn whole(day: &Day, scenario: &mosshead_world::scenario::Scenario) -> String {
     let mut rows = vec![vec!["".to_owned(), "asked".to_owned(), "worth kept".to_owned()]];
--- /dev/null
+++ b/crates/ctl/src/emulate.rs
@@ -0,0 +1,100 @@
+//! `mossheadctl emulate`: a day on loopback against real programs.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use clap::Args;
+use mosshead_emulator::{Options, Played, play};
+
+use crate::{BadUse, End, days, scenarios, simulate};
+
+/// Plays a scenario in real time against a command, one program a proxy, on loopback.
+#[derive(Args)]
+pub struct Emulate {
+    /// A scenario's name, or a TOML file.
+    #[arg(default_value = "minute")]
+    scenario: String,
+    /// The day's seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Keeps each program's log in this folder.
+    #[arg(long)]
+    logs: Option<PathBuf>,
+    /// The day is void if one event in a hundred came later than this, in milliseconds.
+    #[arg(long, default_value_t = 10.0)]
+    late_ms: f64,
+    /// One JSON object, on one line.
+    #[arg(long)]
+    json: bool,
+    /// The program and its words; without it the `mosshead` beside this program serves.
+    #[arg(last = true)]
+    command: Vec<String>,
+}
+
+/// The proxy that was built together with this program.
+fn beside() -> anyhow::Result<Vec<String>> {
+    let own = std::env::current_exe()?;
+    let program = own.parent().unwrap_or(Path::new(".")).join("mosshead");
+    if !program.exists() {
+        let fault = format!(
+            "{} is not there: build it (`cargo build --release`), or give a command behind `--`",
+            program.display()
+        );
+        return Err(BadUse(fault).into());
+    }
+    Ok(vec![program.display().to_string(), "serve".to_owned()])
+}
+
+impl Emulate {
+    pub fn run(&self) -> anyhow::Result<End> {
+        let scenario = scenarios::read(&self.scenario)?;
+        if !self.late_ms.is_finite() || self.late_ms <= 0.0 {
+            return Err(BadUse(format!("--late-ms {}: write a time above 0", self.late_ms)).into());
+        }
+        let command = if self.command.is_empty() { beside()? } else { self.command.clone() };
+        let mut options = Options::new(self.seed, command);
+        options.logs = self.logs.clone();
+        options.late_limit = Duration::from_secs_f64(self.late_ms / 1000.0);
+        let bar = simulate::bar(&format!("{} {}", scenario.title, self.seed));
+        let shown = bar.clone();
+        let played = play(&scenario, &options, move |now, length| {
+            shown.set_length(length.0 / 1_000_000);
+            shown.set_position((now.0 / 1_000_000).min(length.0 / 1_000_000));
+        })?;
+        bar.finish_and_clear();
+        if self.json {
+            println!("{}", serde_json::to_string(&played)?);
+        } else {
+            print(&played, &scenario);
+        }
+        Ok(match (played.void, played.day.kept) {
+            (true, _) => End::Void,
+            (false, true) => End::Kept,
+            (false, false) => End::Broken,
+        })
+    }
+}
+
+fn print(played: &Played, scenario: &mosshead_world::scenario::Scenario) {
+    let day = &played.day;
+    println!(
+        "\n{} with `{}`, seed {}: {:.1} s, {} proxies, {} requests\n",
+        day.scenario, day.policy, day.seed, day.length_s, day.proxies, day.ledger.all.asked
+    );
+    println!("{}", days::whole(day, scenario));
+    let late = &played.lateness;
+    println!(
+        "the emulator was late by {:.2} ms in the median, {:.2} ms at 99 %, {:.2} ms at most",
+        late.median_ms, late.p99_ms, late.most_ms
+    );
+    let quarters: Vec<String> = (played.usage.iter())
+        .map(|usage| format!("{:.1} MB and {} descriptors", usage.memory_mb, usage.descriptors))
+        .collect();
+    println!("by quarters, the most of any program: {}", quarters.join("; "));
+    if let Some(broken) = days::broken(day) {
+        println!("\n{broken}");
+    }
+    if played.void {
+        println!("VOID: the machine was late, so this day says nothing of the program");
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line for all but serving.
 
 mod days;
+mod emulate;
 mod scenarios;
 mod simulate;
 
@@ -23,6 +24,8 @@
 enum Command {
     /// Plays a scenario in virtual time, and sets policies side by side.
     Simulate(simulate::Simulate),
+    /// Plays a scenario on loopback against real programs, and judges them by what crossed the sockets.
+    Emulate(emulate::Emulate),
     /// Lists the scenarios that are built in, or prints one.
     Scenarios(scenarios::Scenarios),
     /// Hosts policies for `simulate --processes`; speaks on standard input and output.
@@ -35,6 +38,7 @@
 enum End {
     Kept = 0,
     Broken = 1,
+    Void = 3,
 }
 
 /// A fault that is the caller's: exit code 2.
@@ -52,6 +56,7 @@
 fn main() -> ExitCode {
     let end = match Line::parse().command {
         Command::Simulate(simulate) => simulate.run(),
+        Command::Emulate(emulate) => emulate.run(),
         Command::Scenarios(scenarios) => scenarios.run(),
         Command::Mind(mind) => mind.run(),
     };
--- a/crates/ctl/src/scenarios.rs
+++ b/crates/ctl/src/scenarios.rs
@@ -8,7 +8,7 @@
 use crate::{BadUse, End};
 
 /// The scenarios of `scenarios/`, by name.
-const BUILT_IN: [(&str, &str); 16] = [
+const BUILT_IN: [(&str, &str); 17] = [
     ("calm", include_str!("../../../scenarios/calm.toml")),
     ("churn", include_str!("../../../scenarios/churn.toml")),
     ("cold-fleet", include_str!("../../../scenarios/cold-fleet.toml")),
@@ -16,6 +16,7 @@
     ("hang", include_str!("../../../scenarios/hang.toml")),
     ("late-reports", include_str!("../../../scenarios/late-reports.toml")),
     ("long", include_str!("../../../scenarios/long.toml")),
+    ("loopback", include_str!("../../../scenarios/loopback.toml")),
     ("minute", include_str!("../../../scenarios/minute.toml")),
     ("neighbour", include_str!("../../../scenarios/neighbour.toml")),
     ("resets", include_str!("../../../scenarios/resets.toml")),
--- a/crates/ctl/src/simulate.rs
+++ b/crates/ctl/src/simulate.rs
@@ -32,9 +32,15 @@
     /// One JSON object a day, a line each.
     #[arg(long)]
     json: bool,
+    /// Prints no day in full, only policies side by side.
+    #[arg(long, conflicts_with = "json")]
+    brief: bool,
     /// Prints every fact about this request, as it is recorded.
     #[arg(long)]
     job: Option<u64>,
+    /// Prints every fact about servers and proxies, as it is recorded: starts, ends, jams, news of the list.
+    #[arg(long)]
+    events: bool,
 }
 
 /// Hosts policies for `simulate --processes`.
@@ -87,10 +93,11 @@
                     }
                     None => Box::new(Threads::new(kind, self.threads)),
                 };
-                let job = self.job;
-                let listener = job.map(|job| -> Listener {
+                let (job, events) = (self.job, self.events);
+                let listener = (job.is_some() || events).then(|| -> Listener {
                     Box::new(move |fact| {
-                        if fact.what.job().is_some_and(|of| of.0 == job) {
+                        let about = fact.what.job().map(|job| job.0);
+                        if about.map_or(events, |about| Some(about) == job) {
                             eprintln!("{fact}");
                         }
                     })
@@ -101,12 +108,15 @@
                 if !day.kept {
                     end = End::Broken;
                 }
-                self.print(&day, &scenario, took)?;
+                if !self.brief {
+                    self.print(&day, &scenario, took)?;
+                }
                 all.push(day);
             }
         }
         if all.len() > 1 && !self.json {
-            println!("\n{}", days::beside(&all));
+            let together = self.seeds.len() > 1 && self.brief;
+            println!("\n{}", if together { days::means(&all) } else { days::beside(&all) });
         }
         Ok(end)
     }
--- /dev/null
+++ b/crates/ctl/tests/command.rs
@@ -0,0 +1,98 @@
+//! The command line: exit codes, faults that name what is wrong, and days that do not depend on where they run.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use rstest::rstest;
+use serde_json::Value;
+
+fn run(words: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_mossheadctl")).args(words).output().expect("the program runs")
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned() + &String::from_utf8_lossy(&output.stdout)
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("mossheadctl-{}-{name}.toml", std::process::id()));
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+#[rstest]
+#[case::none(&[], "Usage")]
+#[case::unknown(&["dance"], "unrecognized subcommand")]
+#[case::scenario(&["simulate", "clam"], "no scenario \"clam\": name a TOML file, or one of calm, churn")]
+#[case::policy(&["simulate", "calm", "--policy", "best"], "no policy \"best\": there are mosshead, random")]
+#[case::seed(&["simulate", "calm", "--seed", "x"], "invalid value 'x'")]
+#[case::oracle(&["simulate", "calm", "--policy", "oracle", "--processes", "2"], "use --threads")]
+#[case::late(&["emulate", "calm", "--late-ms", "0"], "--late-ms 0: write a time above 0")]
+#[case::missing(&["simulate", "/nonexistent.toml"], "/nonexistent.toml")]
+fn bad_use_exits_with_2_and_names_it(#[case] words: &[&str], #[case] says: &str) {
+    let output = run(words);
+    assert_eq!(output.status.code(), Some(2), "{}", said(&output));
+    assert!(said(&output).contains(says), "{}", said(&output));
+}
+
+/// Guards writers of scenarios: the file, the line, and what to write.
+#[test]
+fn a_bad_scenario_names_file_and_line() {
+    let text = include_str!("../../../scenarios/calm.toml").replacen("\"40s..50s\"", "\"40..50\"", 1);
+    let path = file("unit", &text);
+    let output = run(&["simulate", path.to_str().expect("a path")]);
+    let _ = std::fs::remove_file(&path);
+    assert_eq!(output.status.code(), Some(2));
+    let said = said(&output);
+    assert!(said.contains(path.to_str().expect("a path")) && said.contains("line 3"), "{said}");
+    assert!(said.contains("needs a unit of time"), "{said}");
+}
+
+#[test]
+fn every_scenario_is_built_in_and_sound() {
+    let listed = said(&run(&["scenarios"]));
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios");
+    let mut count = 0;
+    for entry in std::fs::read_dir(folder).expect("the folder") {
+        let name = entry.expect("an entry").path();
+        let name = name.file_stem().and_then(|stem| stem.to_str()).expect("a name").to_owned();
+        assert!(listed.lines().any(|line| line.split(' ').next() == Some(&name)), "{name}");
+        count += 1;
+    }
+    assert_eq!(listed.lines().count(), count);
+    assert!(count >= 10);
+}
+
+fn day(words: &[&str]) -> Value {
+    let output = run(words);
+    assert_eq!(output.status.code(), Some(0), "{}", said(&output));
+    serde_json::from_slice(&output.stdout).expect("a day in JSON")
+}
+
+/// Guards comparisons: a day is the same to the byte in one process and in several.
+#[test]
+fn a_day_is_the_same_in_one_process_and_in_three() {
+    let words = ["simulate", "churn", "--seed", "9", "--json"];
+    let here = day(&words);
+    assert!(here["facts"].as_u64().is_some_and(|facts| facts > 10_000));
+    for place in [["--processes", "3"], ["--threads", "4"]] {
+        let there = day(&[&words[..], &place[..]].concat());
+        assert_eq!(here["digest"], there["digest"], "{place:?}");
+        assert_eq!(here["ledger"], there["ledger"], "{place:?}");
+    }
+}
+
+/// Guards scripts: a broken rule shows in the exit code, with the timeline of its job.
+#[test]
+fn a_broken_rule_exits_with_1_and_is_told() {
+    let output = run(&["simulate", "churn", "--policy", "two-reports", "--seed", "1"]);
+    assert_eq!(output.status.code(), Some(1), "{}", said(&output));
+    assert!(said(&output).contains("BROKEN at"), "{}", said(&output));
+}
+
+#[test]
+fn a_program_that_is_not_there_is_named() {
+    let output = run(&["emulate", "minute", "--", "/nonexistent/proxy"]);
+    assert_eq!(output.status.code(), Some(1), "{}", said(&output));
+    assert!(said(&output).contains("cannot start `/nonexistent/proxy`"), "{}", said(&output));
+}
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,17 @@
+//! The emulator: the world of [`mosshead_world`] against real programs, in real time, on 127.0.0.0/8.
+//!
+//! It starts a command for each proxy with the variables and the configuration of the platform, takes the part
+//! of the clients, the booking servers and discovery, and keeps a record of what crossed the sockets. The
+//! referee judges by that record; the emulator measures how late it was itself, and voids a day on which it
+//! was too late to judge.
+
+mod clients;
+mod clock;
+mod discovery;
+mod programs;
+mod servers;
+mod stage;
+pub mod wire;
+
+pub use programs::{Usage, Watched};
+pub use stage::{EmulatorError, Lateness, Options, Played, play};
--- /dev/null
+++ b/crates/emulator/tests/referee.rs
@@ -0,0 +1,145 @@
+//! The referee on real sockets: it passes the right proxy, and catches each that is wrong on purpose.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use mosshead_emulator::{Options, Played, play};
+use mosshead_world::referee::Rule;
+use mosshead_world::scenario::Scenario;
+use rstest::rstest;
+
+/// Four seconds with every occasion to do wrong: errors, resets, drains, cold starts, a move of discovery, rude
+/// clients.
+const DAY: &str = r#"
+title = "occasions"
+about = "Every occasion to do wrong, in four seconds."
+length = "4s"
+zones = ["a"]
+
+[load]
+proxies = 1
+rate = "80/s"
+
+[clients]
+retries = 0
+patience = "100%"
+rude = "5/s"
+
+[discovery]
+notice = "30ms..60ms"
+
+[proxy]
+attempts = 3
+second_copies = false
+
+[rules]
+drain_grace = "200ms"
+ask_within = "900ms"
+answer_slack = "150ms"
+
+[[kind]]
+name = "small"
+count = 5
+cores = 1
+queue_per_core = 400
+cold_from = "35%"
+warm_up = "8s"
+connections = { work = "100us" }
+
+[[class]]
+name = "slot-lookup"
+share = "50%"
+work = "40ms"
+target = "500ms"
+deadline = "1500ms"
+worth = 1
+effect = "safe"
+
+[[class]]
+name = "book-lesson"
+share = "50%"
+work = "40ms"
+target = "500ms"
+deadline = "1500ms"
+worth = 10
+effect = "unsafe"
+
+[[tenant]]
+name = "piano-strings"
+share = "100%"
+
+[[trouble]]
+fault = "moved"
+at = "300ms"
+
+[[trouble]]
+fault = "fast-errors"
+at = "600ms"
+length = "2s"
+part = "60%"
+size = "90%"
+
+[[trouble]]
+fault = "churn"
+at = "400ms"
+length = "3s"
+every = "1500ms"
+size = "0%"
+"#;
+
+fn day(fault: &str) -> Played {
+    let scenario = Scenario::read(DAY).expect("a scenario");
+    let command = vec![env!("CARGO_BIN_EXE_mosshead-wrong").to_owned(), fault.to_owned()];
+    let mut options = Options::new(7, command);
+    // Tests share the machine: only a standstill voids the day here.
+    options.late_limit = Duration::from_millis(400);
+    let played = play(&scenario, &options, |_, _| {}).expect("a day");
+    assert!(!played.void, "{:?}", played.lateness);
+    played
+}
+
+#[rstest]
+#[case::resends("resends", Rule::NeverTwice)]
+#[case::ignores_drains("ignores-drains", Rule::Drains)]
+#[case::mixes_answers("mixes-answers", Rule::Genuine)]
+#[case::calls_harmless("calls-harmless", Rule::HonestRefusal)]
+#[case::answers_twice("answers-twice", Rule::OneAnswer)]
+#[case::answers_late("answers-late", Rule::Answered)]
+#[case::floods_cold("floods-cold", Rule::ColdServers)]
+#[case::changes_body("changes-body", Rule::Intact)]
+#[case::drops("drops", Rule::Answered)]
+#[case::ignores_hangup("ignores-hangup", Rule::Drains)]
+#[case::tries_too_often("tries-too-often", Rule::Attempts)]
+#[case::copies("copies", Rule::Attempts)]
+#[case::crashes("crashes", Rule::Alive)]
+#[case::ends_badly("ends-badly", Rule::Alive)]
+#[case::serves_the_rude("serves-the-rude", Rule::Alive)]
+fn a_wrong_proxy_is_caught(#[case] fault: &str, #[case] rule: Rule) {
+    let played = day(fault);
+    assert!(played.day.broken.contains_key(&rule), "{:?}", played.day.broken);
+    let violation = played.day.violations.iter().find(|violation| violation.rule == rule);
+    let violation = violation.expect("it is told");
+    if violation.job.is_some() {
+        assert!(violation.timeline[0].contains("taken by proxy 0"), "{violation}");
+    }
+}
+
+#[test]
+fn the_right_proxy_passes() {
+    let played = day("none");
+    assert!(played.day.kept, "{}", played.day.violations[0]);
+    assert!(played.day.ledger.all.asked > 200 && played.day.ledger.all.open() == 0);
+    assert!(played.usage.iter().any(|usage| usage.memory_mb > 0.5 && usage.descriptors > 5));
+}
+
+#[test]
+fn a_program_that_cannot_start_is_named() {
+    let scenario = Scenario::read(DAY).expect("a scenario");
+    let options = Options::new(1, vec![PathBuf::from("/nonexistent/proxy").display().to_string()]);
+    let fault = play(&scenario, &options, |_, _| {}).expect_err("nothing to start").to_string();
+    assert!(fault.contains("cannot start `/nonexistent/proxy`"), "{fault}");
+    let options = Options::new(1, Vec::new());
+    assert!(
+        play(&scenario, &options, |_, _| {}).expect_err("no command").to_string().contains("behind `--`")
+    );
+}
--- a/crates/proxy/src/connection_log.rs
+++ b/crates/proxy/src/connection_log.rs
@@ -1,19 +1,12 @@
 //! One line for each connection that ends, on either side, with the code of the reason.
 
 use std::cell::Cell;
-use std::fmt;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::OnceLock;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::mpsc::{SyncSender, sync_channel};
-use std::time::{Duration, Instant};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
 
-/// So many lines wait for a slow reader of the log; more are dropped and counted.
-const LINES_WAITING: usize = 1024;
-/// An exit waits for the log so long at the most.
-const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+use crate::log::say;
 
 /// Why a connection ended. The on-call page explains each code.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -148,88 +141,15 @@
             Side::ExecuteNode => "execute-node",
             Side::MachineList => "machine-list",
         };
-        line(format_args!(
-            "connection side={side} peer={} reason={} messages={} open_s={:.3}",
-            record.peer,
-            record.reason.get().code(),
-            record.messages.get(),
-            record.began.elapsed().as_secs_f64()
-        ));
-    }
-}
-
-/// What the writing thread is handed.
-enum Entry {
-    Line(String),
-    /// Answered once all before it is written.
-    Flush(SyncSender<()>),
-}
-
-struct Log {
-    entries: SyncSender<Entry>,
-    dropped: AtomicU64,
-}
-
-static LOG: OnceLock<Log> = OnceLock::new();
-
-fn log() -> &'static Log {
-    LOG.get_or_init(|| {
-        let (entries, waiting) = sync_channel::<Entry>(LINES_WAITING);
-        let writer = move || {
-            for entry in waiting {
-                match entry {
-                    Entry::Line(line) => drop(writeln!(std::io::stderr().lock(), "{line}")),
-                    Entry::Flush(done) => drop(done.try_send(())),
-                }
-            }
-        };
-        // Without the thread the receiver is gone: each line is dropped.
-        let _ = std::thread::Builder::new().name("log".to_owned()).spawn(writer);
-        Log { entries, dropped: AtomicU64::new(0) }
-    })
-}
-
-/// Writes a line of the log. A slow reader of the log must not stop the runtime: a thread writes, and
-/// what does not fit its queue is dropped and counted.
-pub(crate) fn line(text: fmt::Arguments) {
-    let log = log();
-    let dropped = log.dropped.swap(0, Ordering::Relaxed);
-    let text = if dropped > 0 { format!("log dropped={dropped}\n{text}") } else { text.to_string() };
-    if log.entries.try_send(Entry::Line(text)).is_err() {
-        log.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
-    }
-}
-
-/// Lines that others cause at will: so many a second are written, the rest are counted.
-pub(crate) struct Bounded {
-    second: Cell<Instant>,
-    written: Cell<u32>,
-    left_out: Cell<u64>,
-}
-
-/// So many of them a second.
-const LINES_A_SECOND: u32 = 20;
-
-impl Bounded {
-    pub(crate) fn new() -> Self {
-        Self { second: Cell::new(Instant::now()), written: Cell::new(0), left_out: Cell::new(0) }
-    }
-
-    pub(crate) fn line(&self, text: fmt::Arguments) {
-        if self.second.get().elapsed() >= Duration::from_secs(1) {
-            self.second.set(Instant::now());
-            self.written.set(0);
-            if self.left_out.get() > 0 {
-                line(format_args!("{text} left-out={}", self.left_out.replace(0)));
-                return;
-            }
-        }
-        self.written.set(self.written.get() + 1);
-        if self.written.get() > LINES_A_SECOND {
-            self.left_out.set(self.left_out.get() + 1);
-        } else {
-            line(text);
-        }
+        let open_s = format_args!("{:.3}", record.began.elapsed().as_secs_f64());
+        say!(
+            side = %side,
+            peer = %record.peer,
+            reason = %record.reason.get().code(),
+            messages = record.messages.get(),
+            open_s = %open_s,
+            "connection"
+        );
     }
 }
 
@@ -238,12 +158,4 @@
     STOPPING.store(true, Ordering::Relaxed);
 }
 
-/// Waits until the log is written, if its reader keeps up.
-pub(crate) fn flush() {
-    let (done, written) = sync_channel(1);
-    if log().entries.try_send(Entry::Flush(done)).is_ok() {
-        let _ = written.recv_timeout(FLUSH_LIMIT);
-    }
-}
-
 static STOPPING: AtomicBool = AtomicBool::new(false);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 mod http;
 mod ids;
 mod listing;
+pub mod log;
 mod machine_list;
 mod messages;
 mod module;
@@ -23,8 +24,8 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_blocking, spawn_local};
 
+use crate::log::say;
 use budget::Budget;
-use connection_log::line;
 use machine_list::MachineList;
 use module::Module;
 use mosshead_decide::interface::Seconds;
@@ -49,7 +50,6 @@
     let end = actors.block_on(&runtime, serve(config, read));
     connection_log::stopping();
     drop(actors);
-    connection_log::flush();
     end
 }
 
@@ -75,23 +75,23 @@
         asked,
         module.mailbox(),
     ));
-    line(format_args!(
-        "start name={} listen={} version={}",
-        config.name,
-        listener.local_addr()?,
-        env!("CARGO_PKG_VERSION")
-    ));
+    say!(
+        name = %config.name,
+        listen = %listener.local_addr()?,
+        version = %env!("CARGO_PKG_VERSION"),
+        "start"
+    );
     let front = Front::new(module, &config.named, front);
     let stop = async {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
-        line(format_args!("stopping"));
+        say!("stopping");
     };
     tokio::select! {
         () = front.serve(listener, stop) => {
-            line(format_args!("stopped name={}", config.name));
+            say!(name = %config.name, "stopped");
             Ok(())
         }
         // Without decisions there is no proxy: a new one has to be started.
@@ -110,11 +110,11 @@
         // Danger: a file system that hangs must not stop the jobs.
         match spawn_blocking(read.clone()).await {
             Ok(Ok(config)) => {
-                line(format_args!("reloaded discovery={}", config.discovery));
+                say!(discovery = %config.discovery, "reloaded");
                 list.move_to(config.discovery);
             }
-            Ok(Err(fault)) => line(format_args!("reload failed: {fault}")),
-            Err(fault) => line(format_args!("reload failed: {fault}")),
+            Ok(Err(fault)) => say!(fault = %fault, "reload failed"),
+            Err(fault) => say!(fault = %fault, "reload failed"),
         }
     }
 }
--- a/crates/proxy/src/machine_list.rs
+++ b/crates/proxy/src/machine_list.rs
@@ -10,10 +10,11 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::timeout;
 
-use crate::connection_log::{Reason, Side, line};
+use crate::connection_log::{Reason, Side};
 use crate::duration;
 use crate::http::{self, Link};
 use crate::listing::{Listing, read_listing};
+use crate::log::say;
 use crate::messages::Mail;
 use mosshead_decide::interface::Seconds;
 use mosshead_settings::{self as settings, Found};
@@ -81,7 +82,7 @@
                     let _ = home.send(Mail::List(Some(listing)));
                 }
                 Watched::Answered(Err(fault)) => {
-                    line(format_args!("machine-list failed: {}", fault.why));
+                    say!(why = %fault.why, "machine-list failed");
                     if fault.nonsense {
                         held = None;
                     }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -4,16 +4,17 @@
 use std::process::ExitCode;
 
 use lexopt::prelude::*;
+use mosshead::log::{self, Format};
 use mosshead::{self as proxy, Config};
 
-const USAGE: &str = "usage: mosshead serve [--config FILE]
+const USAGE: &str = "usage: mosshead serve [--config FILE] [--log text|json]
        mosshead check-config [--config FILE]
        mosshead version
 
 FILE is the configuration; without it $BALANCER_CONFIG names the file.";
 
 enum Command {
-    Serve(PathBuf),
+    Serve(PathBuf, Format),
     CheckConfig(PathBuf),
     Version,
     Help,
@@ -21,11 +22,19 @@
 
 fn command() -> Result<Command, lexopt::Error> {
     let mut parser = lexopt::Parser::from_env();
-    let (mut name, mut config) = (None, None);
+    let (mut name, mut config, mut format) = (None, None, None);
     while let Some(arg) = parser.next()? {
         match arg {
             Value(value) if name.is_none() => name = Some(value.string()?),
             Long("config") if config.is_none() => config = Some(PathBuf::from(parser.value()?)),
+            Long("log") if format.is_none() => {
+                let word = parser.value()?.string()?;
+                format = Some(match word.as_str() {
+                    "text" => Format::Text,
+                    "json" => Format::Json,
+                    _ => return Err(format!("--log {word:?}: write text or json").into()),
+                });
+            }
             Long("help") | Short('h') => return Ok(Command::Help),
             _ => return Err(arg.unexpected()),
         }
@@ -36,7 +45,7 @@
         named.ok_or("no configuration: give --config or set BALANCER_CONFIG")
     };
     match name.as_str() {
-        "serve" => Ok(Command::Serve(file()?)),
+        "serve" => Ok(Command::Serve(file()?, format.unwrap_or_default())),
         "check-config" => Ok(Command::CheckConfig(file()?)),
         "version" => Ok(Command::Version),
         other => Err(format!("no sub-command {other:?}").into()),
@@ -56,8 +65,9 @@
             let config = read(&path)?;
             println!("{}: fit for {} on {}", path.display(), config.name, config.listen);
         }
-        Command::Serve(path) => {
+        Command::Serve(path, format) => {
             let config = read(&path)?;
+            let _written = log::start(format);
             proxy::run(config, move || read(&path)).map_err(|error| error.to_string())?;
         }
     }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -18,11 +18,11 @@
 
 use crate::budget::Budget;
 use crate::config::Config;
-use crate::connection_log::line;
 use crate::duration;
 use crate::execute_node;
 use crate::ids::Ids;
 use crate::listing::{Listing, Machine};
+use crate::log::say;
 use crate::machine_list::MachineList;
 use crate::messages::{Answer, Call, Ended, Job, Mail, NodeMail, ProbeTicket, Ticket, Told};
 use mosshead_decide::Balancer;
@@ -383,7 +383,7 @@
         let held = self.jobs.get_mut(&job).filter(|held| held.owed.is_some());
         let Some(held) = held.filter(|held| held.sent.len() < self.limits.max_attempts as usize) else {
             let (round, report) = (Round(u32::MAX), LoadReport::default());
-            line(format_args!("fault job={} the module sent a job that is over", job.0));
+            say!(job = job.0, "fault: the module sent a job that is over");
             let outcome = Outcome::NotSent;
             let over = Event::Outcome { job, round, endpoint, outcome, rtt: 0.0, settled: true, report };
             return self.events.push_back(over);
--- a/crates/proxy/src/submitter.rs
+++ b/crates/proxy/src/submitter.rs
@@ -25,8 +25,9 @@
 use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 
 use crate::budget::{Budget, Permit};
-use crate::connection_log::{Bounded, Line, Reason, Record, Side, line};
+use crate::connection_log::{Line, Reason, Record, Side};
 use crate::http::{self, BODY_LIMIT, BodyFault};
+use crate::log::{Bounded, say};
 use crate::messages::{Answer, Call, Job};
 use crate::module::Module;
 use crate::{LONGEST, duration};
@@ -213,7 +214,7 @@
         match listener.accept().await {
             Ok((stream, peer)) => Some((stream, Line::open(Side::Submitter, peer), permit)),
             Err(error) => {
-                line(format_args!("accept failed: {error}"));
+                say!(why = %error, "accept failed");
                 sleep(ACCEPT_PAUSE).await;
                 None
             }
@@ -314,7 +315,11 @@
 
     /// The answer to what is no job, the last on its connection: what follows there may be part of it.
     fn turn_down(&self, record: &Record, Turned(status, why): Turned) -> Response<Full<Bytes>> {
-        self.turned_down.line(format_args!("turned-down status={} {why}", status.as_u16()));
+        match self.turned_down.admit() {
+            Some(0) => say!(status = status.as_u16(), why = %why, "turned-down"),
+            Some(left_out) => say!(status = status.as_u16(), why = %why, left_out, "turned-down"),
+            None => {}
+        }
         record.because(Reason::BadRequest);
         let mut response = respond(status, Bytes::from_static(why.as_bytes()));
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -370,7 +370,7 @@
     ledger: Ledger,
     facts: Vec<Fact>,
     done: Vec<(Time, u64)>,
-    gone: u64,
+    topology: u64,
 }
 
 impl World {
@@ -484,7 +484,7 @@
             ledger: Ledger::new(scenario),
             facts: Vec::new(),
             done: Vec::new(),
-            gone: 0,
+            topology: 0,
             machines,
             scenario: scenario.clone(),
         };
@@ -543,6 +543,11 @@
         self.addresses.len() as u32
     }
 
+    /// Counts the changes of who listens where.
+    pub fn topology(&self) -> u64 {
+        self.topology
+    }
+
     /// Who listens at an address: none where connections are refused. A machine that is cut off says nothing.
     pub fn at_address(&self, address: u32) -> Option<(ServerNo, bool)> {
         let server = (*self.addresses.get(address as usize)?)?;
@@ -684,6 +689,7 @@
                 let machine = &mut self.machines[server as usize];
                 if machine.cut {
                     machine.cut = false;
+                    self.topology += 1;
                     self.break_links(server as usize);
                     self.list_change(server, false);
                 }
@@ -1180,6 +1186,7 @@
     fn end(&mut self, number: usize, for_good: bool) {
         let Some(_) = self.machines[number].server.take() else { return };
         let server = ServerNo(number as u32);
+        self.topology += 1;
         self.fact(What::Ended { server });
         // What it held is lost: it ran in part, and nobody will answer.
         let mut held: Vec<u64> = self
@@ -1205,7 +1212,6 @@
                 self.addresses[address as usize] = None;
                 self.free.push(address);
             }
-            self.gone += 1;
             self.list_change(number as u32, false);
         }
     }
@@ -1222,6 +1228,7 @@
         machine.failing = 0.0;
         let address = machine.address as usize;
         self.addresses[address] = Some(ServerNo(number as u32));
+        self.topology += 1;
         self.fact(What::Started { server: ServerNo(number as u32) });
         self.list_change(number as u32, false);
         self.reschedule(number);
@@ -1356,6 +1363,7 @@
                 for &at in &struck {
                     self.touch(at as usize);
                     self.machines[at as usize].cut = true;
+                    self.topology += 1;
                     self.machines[at as usize].state = State::Deleted;
                     self.list_change(at, true);
                     self.machines[at as usize].state = State::Serving;
