Send a second copy only past an execute node that is held for sick

Trials show by what: a copy goes out past any node that is silent for a while, the first attempt goes on running after it is called off, and the work is done twice while queues are long. A copy now goes out only past a node that is shunned. None at all, and past doubted nodes, were tried too.

The new test fails without the rule. ./check passes.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -699,7 +699,11 @@
         } else {
             let copies = job.out().count();
             // Danger: a copy of what merely waits in a queue makes all queues longer, until servers choke.
-            let silent = |at: &Attempt| self.seen.endpoints[at.endpoint.0 as usize].heard <= at.sent;
+            // What is called off goes on running: only a server held for sick is worth the work twice.
+            let silent = |at: &Attempt| {
+                let endpoint = &self.seen.endpoints[at.endpoint.0 as usize];
+                endpoint.heard <= at.sent && endpoint.shun.is_some()
+            };
             let late = job.out().all(|(_, at)| now - at.sent >= STALL_AFTER * at.expected && silent(at));
             let limits = &self.settings.limits;
             if limits.second_copies && self.repeatable(job.class) && copies < 2 && late {
--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -348,6 +348,7 @@
 fn a_second_copy_goes_out_late_and_the_loser_is_called_off() {
     let mut host = Host::new(settings(), fleet(4));
     let first = host.place(SAFE);
+    fail_twice(&mut host, UNSAFE, first.endpoint, Outcome::Reset);
     assert!(sends(&host.pass(0.1)).is_empty(), "too early");
     let copies = sends(&host.pass(0.5));
     assert!(copies.len() == 1 && copies[0] != first.endpoint, "{copies:?}");
@@ -375,6 +376,15 @@
     );
 }
 
+/// Danger: what is called off goes on running. With copies past every slow server the work is done twice just
+/// while queues are long, and a fleet near its limit jams.
+#[test]
+fn no_second_copy_past_a_server_that_is_merely_silent() {
+    let mut host = Host::new(settings(), fleet(4));
+    host.place(SAFE);
+    assert!(sends(&host.pass(1.5)).is_empty());
+}
+
 /// Danger: a copy of what waits in a queue lengthens another; with a few of them the whole fleet chokes.
 #[test]
 fn no_second_copy_past_a_server_that_answers() {
@@ -616,6 +626,7 @@
 fn a_stream_that_has_begun_is_left_alone_and_its_copies_called_off() {
     let mut host = Host::new(settings(), fleet(4));
     let first = host.place(SAFE);
+    fail_twice(&mut host, UNSAFE, first.endpoint, Outcome::Reset);
     host.pass(0.6);
     let copy = *host.out.last().expect("a copy");
     let actions = host.tell(Event::Begun { job: first.job, round: first.round });
