Play answers that break off half-way, and index the lines of a site

The emulator's spoilt answers left one kind out that the platform knows: a body that breaks off with its connection. Playing it, the referee caught the right proxy of our own tests: it took the first of two lengths for the truth. The reader of heads now turns such a message down.

--- a/crates/emulator/src/servers.rs
+++ b/crates/emulator/src/servers.rs
@@ -191,12 +191,17 @@
             },
             Taken::No(status) => answer(status, "", b""),
         };
-        if wire.write(&reply).await.is_err() {
+        // An answer that breaks off in the middle of its body is the last on its connection.
+        let breaks = reply.ends_with(HALF);
+        if wire.write(&reply).await.is_err() || breaks {
             return false;
         }
     }
 }
 
+/// What there is of the body of an answer that breaks off.
+const HALF: &[u8] = b"half of it, and then";
+
 enum Taken {
     Probe,
     Job,
@@ -231,10 +236,11 @@
         Verdict::Served => answer(200, &load, body),
         Verdict::Errored | Verdict::Reset => answer(500, &load, b""),
         Verdict::TurnedAway => answer(503, &format!("{load}X-Unprocessed: 1\r\n"), b""),
-        Verdict::Spoilt => match conn.0 % 4 {
+        Verdict::Spoilt => match conn.0 % 5 {
             0 => b"\x16\x03\x01 this is no answer\r\n\r\n".to_vec(),
             1 => [b"HTTP/1.1 200 X\r\nContent-Length: 5\r\nContent-Length: 9\r\n\r\n", body].concat(),
             2 => b"HTTP/1.1 200 X\r\nContent-Length: 3000000000\r\n\r\nmuch".to_vec(),
+            3 => [b"HTTP/1.1 200 X\r\nContent-Length: 400\r\n\r\n", HALF].concat(),
             _ => b"HTTP/1.1 20".to_vec(),
         },
     }
--- a/crates/emulator/src/wire.rs
+++ b/crates/emulator/src/wire.rs
@@ -161,6 +161,11 @@
     if message.header("transfer-encoding").is_some() {
         return Err(());
     }
+    // Of two lengths nobody can tell which holds.
+    let lengths = message.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    if lengths.count() > 1 {
+        return Err(());
+    }
     let length = match message.header("content-length") {
         Some(length) => length.trim().parse().map_err(drop)?,
         None => 0,
--- a/crates/emulator/tests/referee.rs
+++ b/crates/emulator/tests/referee.rs
@@ -132,6 +132,19 @@
     assert!(played.usage.iter().any(|usage| usage.memory_mb > 0.5 && usage.descriptors > 5));
 }
 
+/// Guards the world against its own connections: answers that are spoilt or break off leave nothing behind.
+#[test]
+fn spoilt_and_half_answers_are_the_servers_doing() {
+    let more = "\n[[trouble]]\nfault = \"spoilt\"\nat = \"200ms\"\nlength = \"3s\"\nsize = \"20%\"\n";
+    let scenario = Scenario::read(&(DAY.to_owned() + more)).expect("a scenario");
+    let command = vec![env!("CARGO_BIN_EXE_mosshead-wrong").to_owned(), "none".to_owned()];
+    let mut options = Options::new(9, command);
+    options.late_limit = Duration::from_millis(400);
+    let played = play(&scenario, &options, |_, _| {}).expect("a day");
+    assert!(played.day.kept, "{}", played.day.violations[0]);
+    assert!(played.day.ledger.all.ended[3] > 5, "spoilt answers failed some");
+}
+
 /// Guards the referee against blaming a proxy for what the day did to it.
 #[test]
 fn what_a_kill_and_a_stop_cause_is_excused() {
--- a/crates/site/src/fault.rs
+++ b/crates/site/src/fault.rs
@@ -59,7 +59,7 @@
 }
 
 /// Line and column of a byte, counted from 1; columns count characters.
-pub(crate) fn position(text: &str, offset: usize) -> (usize, usize) {
+fn position(text: &str, offset: usize) -> (usize, usize) {
     let before = text.get(..offset.min(text.len())).unwrap_or(text);
     let line = before.bytes().filter(|byte| *byte == b'\n').count() + 1;
     let column = before.rsplit('\n').next().unwrap_or_default().chars().count() + 1;
--- a/crates/site/src/read.rs
+++ b/crates/site/src/read.rs
@@ -7,7 +7,7 @@
 use miette::{NamedSource, SourceSpan};
 use mosshead_units::{Part, Quantity};
 
-use crate::fault::{Fault, Faults, position};
+use crate::fault::{Fault, Faults};
 use crate::files::{Files, beside};
 use crate::model::*;
 
@@ -20,10 +20,24 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Source {
     pub(crate) text: Arc<NamedSource<String>>,
+    /// Where each line after the first begins: a large site asks for thousands of places.
+    lines: Arc<[usize]>,
     /// Where it is included: the file's place among the sources, and the span there.
     from: Option<(usize, SourceSpan)>,
 }
 
+impl Source {
+    fn new(text: Arc<NamedSource<String>>, from: Option<(usize, SourceSpan)>) -> Self {
+        let starts = text.inner().bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
+        let lines = starts.map(|(at, _)| at + 1).collect();
+        Self { text, lines, from }
+    }
+
+    fn line(&self, offset: usize) -> usize {
+        self.lines.partition_point(|start| *start <= offset) + 1
+    }
+}
+
 /// A statement and the file that it stands in.
 type Stated = (usize, KdlNode);
 
@@ -38,8 +52,8 @@
 fn chain(sources: &[Source], mut file: usize) -> Vec<String> {
     let mut links = Vec::new();
     while let Some((parent, span)) = sources[file].from {
-        let text = &sources[parent].text;
-        links.push(format!("{}:{}", text.name(), position(text.inner(), span.offset()).0));
+        let source = &sources[parent];
+        links.push(format!("{}:{}", source.text.name(), source.line(span.offset())));
         file = parent;
     }
     links
@@ -87,7 +101,7 @@
             None => {
                 let text = Arc::new(NamedSource::new(path, String::new()));
                 let help = (!help.is_empty()).then(|| help.to_owned());
-                reader.sources.push(Source { text: text.clone(), from: None });
+                reader.sources.push(Source::new(text.clone(), None));
                 reader.faults.push(Fault::new(text, (0, 0).into(), message, help, Vec::new()));
             }
         };
@@ -117,7 +131,7 @@
         };
         let file = self.sources.len();
         let named = Arc::new(NamedSource::new(path, text.clone()));
-        self.sources.push(Source { text: named, from });
+        self.sources.push(Source::new(named, from));
         let document = match KdlDocument::parse_v2(&text) {
             Ok(document) => document,
             Err(error) => return self.syntax(file, &text, &error),
@@ -183,9 +197,9 @@
             return self.fault(file, node.span(), "a named value is a name and a text", help);
         };
         if let Some((_, other, span)) = self.values.get(name) {
-            let text = &self.sources[*other].text;
-            let line = position(text.inner(), span.offset()).0;
-            let message = format!("the value {name:?} is named twice: first at {}:{line}", text.name());
+            let source = &self.sources[*other];
+            let (file_name, line) = (source.text.name(), source.line(span.offset()));
+            let message = format!("the value {name:?} is named twice: first at {file_name}:{line}");
             return self.fault(file, node.span(), message, "give one of the two another name");
         }
         self.values.insert(name.to_owned(), (value.to_owned(), file, node.span()));
@@ -281,10 +295,10 @@
     }
 
     fn place(&self, file: usize, span: SourceSpan) -> Place {
-        let text = &self.sources[file].text;
-        let line = position(text.inner(), span.offset()).0;
+        let source = &self.sources[file];
+        let line = source.line(span.offset());
         let span = (span.offset(), span.len());
-        Place { file: text.name().to_owned(), line, source: file, span }
+        Place { file: source.text.name().to_owned(), line, source: file, span }
     }
 
     fn unknown(&mut self, file: usize, node: &KdlNode, of: &str, known: &[&str]) {
