Let go of what nobody calls in the world, and test sites on one platform

Read once more, the change held four accessors of the world without a caller, an instant that discovery's answers never looked at, and the platform of the language's tests written twice.

--- a/crates/site/tests/corpus.rs
+++ b/crates/site/tests/corpus.rs
@@ -1,28 +1,12 @@
 //! A corpus of broken files: each has its exact message, reviewed by hand, in `tests/snapshots`.
 
+mod common;
+
 use std::fmt::Write;
 use std::path::Path;
 
-use mosshead_site::{ClassFacts, Memory, Platform, check, read};
-use mosshead_units::Time;
-
-fn platform() -> Platform {
-    let class = |name: &str, ms, safe| ClassFacts { name: name.to_owned(), deadline: Time::ms(ms), safe };
-    let names = |names: &[&str]| names.iter().map(|name| name.to_string()).collect();
-    let server = |zone: &str, at: u32| (zone.to_owned(), "standard".to_owned(), format!("s-{at}"));
-    Platform {
-        classes: vec![
-            class("slot-lookup", 4000, true),
-            class("book-lesson", 6000, false),
-            class("package-pay", 2500, false),
-        ],
-        tenants: names(&["piano-strings", "band-voice"]),
-        zones: names(&["memphis", "nashville", "birmingham"]),
-        kinds: names(&["standard", "older"]),
-        servers: vec![server("memphis", 1), server("nashville", 2), server("birmingham", 3)],
-        attempts: 4,
-    }
-}
+use common::platform;
+use mosshead_site::{Memory, check, read};
 
 /// Guards operators: one look at the message has to be enough.
 #[test]
--- a/crates/world/src/discovery.rs
+++ b/crates/world/src/discovery.rs
@@ -61,13 +61,8 @@
         (self.version, self.list.clone())
     }
 
-    /// Calls in line and calls that wait for news.
-    pub fn waiting(&self) -> (usize, usize) {
-        (self.line.len(), self.parked.len())
-    }
-
     /// A change enters the list; whoever waits for news is answered.
-    pub fn change(&mut self, now: Time, change: Shown, answers: &mut Vec<Answered>) {
+    pub fn change(&mut self, change: Shown, answers: &mut Vec<Answered>) {
         self.version += 1;
         self.list.retain(|shown| shown.server != change.server);
         if change.state != State::Deleted {
@@ -80,7 +75,7 @@
         }
         if !self.down {
             for (_, call) in std::mem::take(&mut self.parked) {
-                answers.push(self.answer(now, call));
+                answers.push(self.answer(call));
             }
         }
     }
@@ -106,11 +101,6 @@
         }
     }
 
-    /// Whether it is down.
-    pub fn is_down(&self) -> bool {
-        self.down
-    }
-
     /// A caller has gone: nobody waits for this answer.
     pub fn forget(&mut self, proxy: usize, number: Option<u64>) {
         let of = |call: &Call| call.proxy == proxy && number.is_none_or(|number| call.number == number);
@@ -134,7 +124,7 @@
                 } else if call.from.is_some_and(|from| from >= self.version) && call.hold > Time::ZERO {
                     self.parked.push((at + call.hold, call));
                 } else {
-                    answers.push(self.answer(at, call));
+                    answers.push(self.answer(call));
                 }
             }
             // Danger: who has waited too long costs no work, or a line once long would fail for ever.
@@ -148,10 +138,10 @@
         let due: Vec<Call> =
             self.parked.iter().filter(|(until, _)| *until <= now).map(|(_, call)| *call).collect();
         self.parked.retain(|(until, _)| *until > now);
-        answers.extend(due.into_iter().map(|call| self.answer(now, call)));
+        answers.extend(due.into_iter().map(|call| self.answer(call)));
     }
 
-    fn answer(&self, _now: Time, call: Call) -> Answered {
+    fn answer(&self, call: Call) -> Answered {
         let oldest = self.changes.front().map_or(self.version, |(version, _)| version - 1);
         match call.from {
             Some(from) if from >= oldest && from <= self.version => {
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -555,11 +555,6 @@
         machine.server.as_ref().map(|_| (server, machine.cut))
     }
 
-    /// How long a message takes between a proxy and a server, without jitter.
-    pub fn delay_between(&self, proxy: usize, server: ServerNo) -> Time {
-        self.delays[self.sides[proxy].zone][self.machines[server.0 as usize].traits.zone]
-    }
-
     /// Whether the day is over: no client waits and none will come.
     pub fn over(&self) -> bool {
         self.now >= self.length && self.wishes.is_empty()
@@ -593,11 +588,6 @@
             .collect()
     }
 
-    /// Tries that came, and those that clients still wait for.
-    pub fn census(&self) -> (u64, u64) {
-        (self.ledger.tries, self.tries.len() as u64)
-    }
-
     /// How many events have happened.
     pub fn events(&self) -> u64 {
         self.queue.taken()
@@ -675,7 +665,7 @@
             Due::Change(shown) => {
                 let mut answers = Vec::new();
                 self.discovery.advance(self.now, &mut answers);
-                self.discovery.change(self.now, shown, &mut answers);
+                self.discovery.change(shown, &mut answers);
                 self.spread(answers);
             }
             Due::Trouble(number) => self.trouble(number, out),
