Blame the silent execute node itself, not the connection that stood idle

Cause: `connected` and `ended` in policy.rs took silence on an idle connection for a connection dropped unseen. A proxy that meets a node once in two seconds finds every connection idle, so each jammed or hung node lowered the limit on idling for all, and the guess also excused the node from blame (`_ if dropped`).

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -89,12 +89,6 @@
 const SETUP_CAP: f64 = 2.0;
 /// of which so many are taken for chance.
 const SETUP_NOISE: f64 = 1.0;
-/// A connection idle for more than so many mean services may have been dropped unseen; others are in use.
-const IDLE_LEAST: f64 = 2.0;
-/// That is believed where this share of what is sent on idle ones is lost, over twice what those in use lose.
-const IDLE_LOSSES: f64 = 0.2;
-/// The limit on idling, once lowered, doubles in so many mean deadlines: longer idling is tried again.
-const IDLE_REVIEW: f64 = 8.0;
 /// A request without a candidate looks again after so many ticks.
 const HOLD_TICKS: f64 = 4.0;
 /// A failed call for the list is repeated after this share of the limit on asking, doubled each time.
@@ -282,11 +276,9 @@
     /// Whether a send finds an open connection with room that can be taken to work.
     fn connected(&self, endpoint: &Endpoint, now: Seconds) -> bool {
         let streams = f64::from(self.settings.limits.streams);
-        let (limit, as_of) = self.seen.idle_limit;
-        let grown = limit * ((now - as_of) / (IDLE_REVIEW * self.seen.mean_deadline)).exp2();
         let shared = endpoint.out > 0.0 && streams > 1.0;
         endpoint.connections * streams > endpoint.out
-            && (shared || now - endpoint.used < grown.min(self.settings.limits.keepalive))
+            && (shared || now - endpoint.used < self.settings.limits.keepalive)
     }
 
     /// How many times its service time a request would take there, waiting included.
@@ -660,8 +652,6 @@
         }
         let connected = self.connected(endpoint, now);
         let endpoint = &mut self.seen.endpoints[id.0 as usize];
-        // Danger: what is sent on a connection that was dropped unseen gets no answer.
-        endpoint.idle = if !connected || endpoint.out > 0.0 { 0.0 } else { now - endpoint.used };
         if !connected {
             // Danger: closing for want of a free one would close those that are counted too low.
             let streams = f64::from(self.settings.limits.streams);
@@ -761,18 +751,7 @@
         if end == Outcome::ConnectFailed || (self.settings.limits.streams == 1 && given_up) {
             endpoint.connections = (endpoint.connections - 1.0).max(endpoint.out);
         }
-        let idle = std::mem::take(&mut endpoint.idle) > IDLE_LEAST * self.seen.mean_service.value;
-        let lost = given_up && unheard && rtt >= IDLE_LEAST * endpoint.expected;
-        if lost || end == Outcome::Served {
-            self.seen.lost[usize::from(idle)].add(f64::from(lost), PACE_GAIN);
-        }
-        // Danger: where all answers are late, healthy connections are closed; those in use lose as much.
-        let dropped =
-            lost && idle && self.seen.lost[1].value > IDLE_LOSSES + IDLE_LEAST * self.seen.lost[0].value;
-        if dropped {
-            self.seen.idle_limit = ((now - rtt - endpoint.used) / 2.0, now);
-            endpoint.used = f64::NEG_INFINITY;
-        } else if given_up && unheard && rtt >= STALL_AFTER * endpoint.expected {
+        if given_up && unheard && rtt >= STALL_AFTER * endpoint.expected {
             self.unanswered(now, id, rtt);
         }
         let endpoint = &mut self.seen.endpoints[id.0 as usize];
@@ -800,8 +779,6 @@
             self.seen.setup += PACE_GAIN * (sample - self.seen.setup);
         }
         match end {
-            // Danger: the server is blamed for its connection. That it is at fault shows on a new one.
-            _ if dropped => {}
             Outcome::ConnectFailed if endpoint.connections > endpoint.out => {}
             Outcome::Served => {
                 self.weigh(id, false);
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -63,10 +63,6 @@
     pub(crate) report_age: f64,
     /// What a new connection costs, in mean services, by how long such attempts took.
     pub(crate) setup: f64,
-    /// The share of attempts without any answer, on connections in use and on idle ones.
-    pub(crate) lost: [Mean; 2],
-    /// For how long an idle connection is taken to work, as of some instant.
-    pub(crate) idle_limit: (Seconds, Seconds),
     /// The share of attempts that fail, wherever they go.
     pub(crate) failures: Mean,
     pub(crate) mean_worth: Mean,
@@ -112,8 +108,6 @@
             mean_service: Mean::new(mean(|class| class.target / WAITING), 0.0),
             report_age: 0.0,
             setup: 0.0,
-            lost: [Mean::new(0.0, 3.0); 2],
-            idle_limit: (settings.limits.keepalive, 0.0),
             failures: Mean::new(0.0, 64.0),
             mean_worth: Mean::new(mean(|class| class.worth), 0.0),
             mean_deadline: mean(|class| class.deadline),
@@ -177,10 +171,9 @@
     /// The logarithm of the odds that it is sick, by what failed and what was served.
     pub(crate) doubt: f64,
     pub(crate) room: Room,
-    /// Own connections to it, when one was last seen working, and how long that of the last send had been idle.
+    /// Own connections to it, and when one was last seen working.
     pub(crate) connections: f64,
     pub(crate) used: Seconds,
-    pub(crate) idle: Seconds,
     /// Its place in this sidecar's order of preference.
     pub(crate) rank: u32,
 }
@@ -357,7 +350,6 @@
             room: Room { attempts: ROOM, cut_until: now },
             connections: 0.0,
             used: now,
-            idle: 0.0,
             rank: 0,
         }
     }
