Turn jobs away by the strain that answers show, within a few jobs of each proxy

Cause, in policy.rs: the price of work (`move_price`) needs 36 misses to matter, 18 s for a trickle; a miss at the aim is weighed by `crowding` (`wake`), and `odds` multiplies the price by it. Reports there are 0.6 to 1.6 s old at a service of 0.08 s, so crowding is about 0 and nothing is refused until nearly all nodes are jammed. Change: the share of the wanted time that answers take, over sixteen of them, a missing one counting 2, raises the price from 0.25 on. Test: a hundred balancers whose reports look idle while answers are slow; without the price they send on all.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -103,6 +103,15 @@
 const PROBE_REST: f64 = 4.0;
 /// their answers are waited for during this share of the wanted time.
 const PROBE_WAIT: f64 = 1.0 / 16.0;
+/// The strain is the share of the wanted time that answers take; one that never comes counts for so much.
+const STRAIN_MISS: f64 = 2.0;
+/// Danger: learnt over many answers, a trickle hears of a jam when it is over.
+const STRAIN_GAIN: f64 = 1.0 / 16.0;
+/// Beyond this strain the price of work rises at once, so many times as steeply.
+const STRAIN_FREE: f64 = 0.25;
+const STRAIN_PRICE: f64 = 8.0;
+/// What is known of it fades within so many mean deadlines.
+const STRAIN_LIFE: f64 = 10.0;
 /// The timer of the subscription; requests count from 1.
 const WATCH_TOKEN: u64 = 0;
 
@@ -595,10 +604,18 @@
         // Danger: a queue can outgrow the wanted time before the first late answer tells of it.
         let limit = (WAIT_SHARE * (job.aim - now)).max(self.settings.tick);
         let ahead = (crowding * self.seen.mean_service.value / limit).powi(AHEAD_POWER);
-        let price = learnt * crowding.min(PRICE_CROWDING) + ahead;
+        // Danger: a hundred that send on until a learnt price tells them to stop jam the fleet for good.
+        let strain = STRAIN_PRICE * (self.strain(now) - STRAIN_FREE).max(0.0);
+        let price = learnt * crowding.min(PRICE_CROWDING) + ahead + strain;
         Odds { taken: density / (density + price), ahead, price }
     }
 
+    /// The strain by now. Danger: who sends nothing never hears that a jam is over.
+    fn strain(&self, now: Seconds) -> f64 {
+        let (strain, at) = self.seen.strain;
+        strain * ((at - now) / (STRAIN_LIFE * self.seen.mean_deadline)).exp()
+    }
+
     /// Refuses early, by those odds.
     fn worth_it(&mut self, now: Seconds, job: &Job, chosen: Option<EndpointId>) -> bool {
         let Some(EndpointId(index)) = chosen else { return true };
@@ -802,6 +819,13 @@
             Outcome::Cancelled if unheard && overdue => self.blame(now, id, Fault::Silence),
             Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent => {}
         }
+        let missed = given_up && rtt + self.settings.tick >= FRESH * self.seen.least_target;
+        if let Some((class, _)) = attempt.as_ref().filter(|_| missed || end == Outcome::Served) {
+            let share = (rtt / self.settings.classes[class.0].target).min(1.0);
+            let sample = if missed { STRAIN_MISS } else { share };
+            let strain = self.strain(now);
+            self.seen.strain = (strain + STRAIN_GAIN * (sample - strain), now);
+        }
         // Danger: full servers turn away whoever comes next; worth has to decide before them.
         let tells =
             matches!(end, Outcome::Served | Outcome::Rejected) || (end == Outcome::TimedOut && !unheard);
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -66,6 +66,8 @@
     /// The share of attempts that fail, wherever they go.
     pub(crate) failures: Mean,
     pub(crate) mean_worth: Mean,
+    /// The share of the wanted time that the last answers took, as of some instant.
+    pub(crate) strain: (f64, Seconds),
     pub(crate) mean_deadline: Seconds,
     pub(crate) least_target: Seconds,
     /// Retries and second copies that the budget has left.
@@ -109,6 +111,7 @@
             report_age: 0.0,
             setup: 0.0,
             failures: Mean::new(0.0, 64.0),
+            strain: (0.0, 0.0),
             mean_worth: Mean::new(mean(|class| class.worth), 0.0),
             mean_deadline: mean(|class| class.deadline),
             least_target: all.iter().map(|class| class.target).fold(f64::INFINITY, f64::min),
--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -739,8 +739,9 @@
         for _ in 0..400 {
             let sent = host.place(SAFE);
             used.insert(sent.endpoint);
-            host.now += gap;
+            host.now += gap.min(0.05);
             host.serve(sent);
+            host.now += gap - gap.min(0.05);
         }
         used.len()
     };
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -436,3 +436,43 @@
     });
     assert!(at_once.count() > 40);
 }
+
+/// Danger: reports that are old show idle execute nodes while answers take most of the wanted time. A hundred proxies
+/// that go by the reports, each with a trickle, jam every node for good. What they send together has to fall within a
+/// few jobs each, the jobs of most worth last, and to come back when answers are quick again.
+#[test]
+fn a_hundred_proxies_send_less_to_a_strained_fleet_within_a_few_jobs() {
+    let mut all = settings();
+    all.classes[UNSAFE.0].worth = 8.0;
+    let hosts = (0..100).map(|seed| {
+        let mut host = Host::new(all.clone(), fleet(6));
+        host.balancer = Balancer::new(all.clone(), seed).expect("legal settings");
+        host.tell(Event::List(ListUpdate::Saved(fleet(6))));
+        host
+    });
+    let mut hosts: Vec<Host> = hosts.collect();
+    // Asks for so many jobs of each class everywhere, answered after `wait`; says what share of each was sent.
+    let mut round = |jobs: usize, wait: Seconds, gap: Seconds| {
+        let mut sent = [0.0; 2];
+        for host in &mut hosts {
+            for class in [SAFE, UNSAFE].repeat(jobs) {
+                host.ask(class);
+                sent[class.0] += host.out.len().min(1) as f64 / (jobs * 100) as f64;
+                host.now += wait;
+                for (at, sent) in std::mem::take(&mut host.out).into_iter().enumerate() {
+                    host.end(sent, Outcome::Served, load(1.0 + 0.1 * at as f64, 0.0));
+                }
+                host.now += gap;
+            }
+        }
+        sent
+    };
+    let sound = round(5, 0.06, 0.1);
+    assert!(sound[0] > 0.95 && sound[1] > 0.95, "of a sound fleet's jobs {sound:?} are sent");
+    round(5, 0.45, 0.1);
+    let strained = round(5, 0.45, 0.1);
+    assert!(strained[0] < 0.5 && strained[0] < strained[1] && strained[1] < 0.8, "{strained:?} are sent on");
+    round(30, 0.06, 2.0);
+    let over = round(5, 0.06, 0.1);
+    assert!(over[0] > 0.9 && over[1] > 0.9, "{over:?} are sent when it is over");
+}
