--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -106,10 +106,10 @@
 /// The strain is the share of the wanted time that answers take; one that never comes counts for so much.
 const STRAIN_MISS: f64 = 2.0;
 /// Danger: learnt over many answers, a trickle hears of a jam when it is over.
-const STRAIN_GAIN: f64 = 1.0 / 16.0;
+const STRAIN_GAIN: f64 = 1.0 / 32.0;
 /// Beyond this strain the price of work rises at once, so many times as steeply.
-const STRAIN_FREE: f64 = 0.25;
-const STRAIN_PRICE: f64 = 8.0;
+const STRAIN_FREE: f64 = 0.23;
+const STRAIN_PRICE: f64 = 20.0;
 /// What is known of it fades within so many mean deadlines.
 const STRAIN_LIFE: f64 = 10.0;
 /// The timer of the subscription; requests count from 1.
