--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -105,6 +105,8 @@
 const PROBE_WAIT: f64 = 1.0 / 16.0;
 /// The strain is the share of the wanted time that answers take; one that never comes counts for so much.
 const STRAIN_MISS: f64 = 2.0;
+/// One given up after this share of the least wanted time never came.
+const STRAIN_WAIT: f64 = 0.9;
 /// Danger: learnt over many answers, a trickle hears of a jam when it is over.
 const STRAIN_GAIN: f64 = 1.0 / 32.0;
 /// Beyond this strain the price of work rises at once, so many times as steeply.
@@ -819,7 +821,7 @@
             Outcome::Cancelled if unheard && overdue => self.blame(now, id, Fault::Silence),
             Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent => {}
         }
-        let missed = given_up && rtt + self.settings.tick >= FRESH * self.seen.least_target;
+        let missed = given_up && rtt + self.settings.tick >= STRAIN_WAIT * self.seen.least_target;
         if let Some((class, _)) = attempt.as_ref().filter(|_| missed || end == Outcome::Served) {
             let share = (rtt / self.settings.classes[class.0].target).min(1.0);
             let sample = if missed { STRAIN_MISS } else { share };
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -93,7 +93,11 @@
 
 impl Host {
     pub fn new(settings: Settings, servers: Vec<ListEntry>) -> Self {
-        let balancer = Balancer::new(settings, 7).expect("legal settings");
+        Self::seeded(settings, servers, 7)
+    }
+
+    pub fn seeded(settings: Settings, servers: Vec<ListEntry>, seed: u64) -> Self {
+        let balancer = Balancer::new(settings, seed).expect("legal settings");
         let mut host = Self {
             now: 100.0,
             balancer,
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -444,13 +444,7 @@
 fn a_hundred_proxies_send_less_to_a_strained_fleet_within_a_few_jobs() {
     let mut all = settings();
     all.classes[UNSAFE.0].worth = 8.0;
-    let hosts = (0..100).map(|seed| {
-        let mut host = Host::new(all.clone(), fleet(6));
-        host.balancer = Balancer::new(all.clone(), seed).expect("legal settings");
-        host.tell(Event::List(ListUpdate::Saved(fleet(6))));
-        host
-    });
-    let mut hosts: Vec<Host> = hosts.collect();
+    let mut hosts: Vec<Host> = (0..100).map(|seed| Host::seeded(all.clone(), fleet(6), seed)).collect();
     // Asks for so many jobs of each class everywhere, answered after `wait`; says what share of each was sent.
     let mut round = |jobs: usize, wait: Seconds, gap: Seconds| {
         let mut sent = [0.0; 2];
