Open a door for operators, and empty the proxy there and back

Need: staff ask for readiness and drain a proxy that serves. Change: control.rs holds readiness, drain and stop; door.rs answers from it on a thread of its own with 16 callers and 24 descriptors set aside; the submitters' side says no to /_health, closes with each answer, and closes idle connections after 0.5 s.

--- a/crates/proxy/src/budget.rs
+++ b/crates/proxy/src/budget.rs
@@ -35,10 +35,10 @@
 pub(crate) type Permit = OwnedSemaphorePermit;
 
 impl Budget {
-    /// Half of what the limits allow for each of the two sides.
-    pub(crate) fn sides(sockets: u64, memory_mb: f64) -> [Self; 2] {
+    /// Half of what the limits allow for each of the two sides, less what is `kept` from both.
+    pub(crate) fn sides(sockets: u64, memory_mb: f64, kept: u64) -> [Self; 2] {
         let memory = (memory_mb * 1024.0 * MEMORY_SHARE / CONNECTION_KB) as u64;
-        let each = (sockets.saturating_sub(OTHER).min(memory) / 2).max(1) as usize;
+        let each = (sockets.saturating_sub(OTHER + kept).min(memory) / 2).max(1) as usize;
         [Self::of(each), Self::of(each)]
     }
 
@@ -87,7 +87,7 @@
     fn neither_descriptors_nor_memory_are_overdrawn() {
         for (sockets, memory_mb) in [(1024, 192.0), (4096, 64.0), (64, 2048.0)] {
             let both: usize =
-                Budget::sides(sockets, memory_mb).iter().map(|side| side.free.available_permits()).sum();
+                Budget::sides(sockets, memory_mb, 0).iter().map(|side| side.free.available_permits()).sum();
             assert!(both as u64 + OTHER <= sockets, "{both} of {sockets}");
             assert!(both as f64 * CONNECTION_KB <= memory_mb * 1024.0, "{both} in {memory_mb} MB");
         }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -12,6 +12,8 @@
     pub name: String,
     /// Where submitters connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they do.
+    pub ops: Option<SocketAddr>,
     /// Where the machine list is kept.
     pub discovery: SocketAddr,
     pub(crate) seed: u64,
@@ -30,6 +32,7 @@
             let found = top.get(name)?;
             found.text()?.parse().map_err(|_| found.says("not an address with a port"))
         };
+        let ops = top.find("ops")?.map(|_| address("ops")).transpose()?;
         let seed = top.get("seed")?;
         let limits = top.get("limits")?;
         let named = settings::read(&top.get("settings")?)?;
@@ -41,6 +44,7 @@
         Ok(Self {
             name: top.get("name")?.text()?.to_owned(),
             listen: address("listen")?,
+            ops,
             discovery: address("discovery")?,
             seed: u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.says("not a number in hex"))?,
             memory_mb: limits.get("memory_mb")?.number()?,
--- a/crates/proxy/src/connection_log.rs
+++ b/crates/proxy/src/connection_log.rs
@@ -43,6 +43,10 @@
     BadAnswer,
     /// Something it carried was turned down before it became a job.
     BadRequest,
+    /// The proxy is being emptied.
+    Draining,
+    /// An operator's call has its answer.
+    Answered,
     /// The proxy is stopping.
     Stopping,
 }
@@ -67,6 +71,8 @@
             Reason::Shed => "shed",
             Reason::BadAnswer => "bad-answer",
             Reason::BadRequest => "bad-request",
+            Reason::Draining => "draining",
+            Reason::Answered => "answered",
             Reason::Stopping => "stopping",
         }
     }
@@ -78,6 +84,7 @@
     Submitter,
     ExecuteNode,
     MachineList,
+    Operator,
 }
 
 /// What is known of an open connection.
@@ -140,6 +147,7 @@
             Side::Submitter => "submitter",
             Side::ExecuteNode => "execute-node",
             Side::MachineList => "machine-list",
+            Side::Operator => "operator",
         };
         let open_s = format_args!("{:.3}", record.began.elapsed().as_secs_f64());
         say!(
--- /dev/null
+++ b/crates/proxy/src/control.rs
@@ -0,0 +1,89 @@
+//! What both threads share: whether the process can serve, drains or stops.
+//!
+//! Readiness is the process's, health the door's; a stop is neither, and wins over both.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+
+use tokio::sync::watch;
+
+/// The switches, and who may look at them.
+pub(crate) struct Control {
+    /// Since when the proxy is being emptied.
+    drain: watch::Sender<Option<Instant>>,
+    ready: AtomicBool,
+    stopping: AtomicBool,
+}
+
+impl Control {
+    pub(crate) fn new() -> Arc<Self> {
+        let (ready, stopping) = (AtomicBool::new(false), AtomicBool::new(false));
+        Arc::new(Self { drain: watch::Sender::new(None), ready, stopping })
+    }
+
+    /// Empties the proxy, or brings it back. Asked twice, the first time counts; says whether it changed.
+    pub(crate) fn drain(&self, on: bool) -> bool {
+        self.drain.send_if_modified(|since| {
+            let changed = since.is_some() != on;
+            if changed {
+                *since = on.then(Instant::now);
+            }
+            changed
+        })
+    }
+
+    pub(crate) fn draining(&self) -> bool {
+        self.drain.borrow().is_some()
+    }
+
+    /// Reports since when the proxy is being emptied.
+    pub(crate) fn drains(&self) -> watch::Receiver<Option<Instant>> {
+        self.drain.subscribe()
+    }
+
+    /// There is a list to send by, or none is to be had for now.
+    pub(crate) fn set_ready(&self) {
+        self.ready.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Whether this process serves whoever comes.
+    pub(crate) fn serves(&self) -> bool {
+        self.ready() && !self.stopping.load(Ordering::Acquire)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards calls that come twice: the first one says since when, and each way back is one.
+    #[test]
+    fn a_drain_counts_from_its_first_call_and_comes_back() {
+        let control = Control::new();
+        assert!(control.drain(true) && control.draining());
+        let since = *control.drains().borrow();
+        assert!(!control.drain(true) && *control.drains().borrow() == since);
+        assert!(control.drain(false) && !control.drain(false) && !control.draining());
+    }
+
+    #[test]
+    fn who_stops_serves_nobody_new_but_stays_ready() {
+        let control = Control::new();
+        assert!(!control.serves());
+        control.set_ready();
+        assert!(control.serves());
+        control.drain(true);
+        assert!(control.serves(), "emptied, the process can still serve");
+        control.set_stopping();
+        assert!(control.ready() && !control.serves());
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/door.rs
@@ -0,0 +1,138 @@
+//! The operators' door: a second address, on a thread and a runtime of its own.
+//!
+//! Danger: an answer that waits for the actors comes late while 32 MB pass or a crowd comes. Each is given from
+//! what both threads share.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, HeaderValue};
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, JoinSet, LocalSet};
+use tokio::time::{sleep, timeout};
+
+use crate::connection_log::{Line, Reason, Record, Side};
+use crate::control::Control;
+use crate::log::say;
+
+/// So many callers are heard at once; the longest-standing one goes when a further one comes.
+const CALLERS: usize = 16;
+/// The descriptors that the door may hold: its callers, the one that comes, the listener, the runtime's.
+pub(crate) const DESCRIPTORS: u64 = CALLERS as u64 + 8;
+/// A call has so long to be whole and to take its answer.
+const CALL: Duration = Duration::from_millis(2000);
+/// The most that a call's head holds.
+const HEAD_LIMIT: usize = 8 * 1024;
+/// After an accept that failed the next one waits for so long.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Opens the door; it stays open until the process ends.
+pub(crate) fn open(at: SocketAddr, control: Arc<Control>) -> io::Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind(at)?;
+    listener.set_nonblocking(true)?;
+    let at = listener.local_addr()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    thread::Builder::new().name("ops".to_owned()).spawn(move || {
+        LocalSet::new().block_on(&runtime, async {
+            match TcpListener::from_std(listener) {
+                Ok(listener) => serve(listener, control).await,
+                Err(error) => say!(why = %error, "fault: the operators' door is shut"),
+            }
+        });
+    })?;
+    Ok(at)
+}
+
+async fn serve(listener: TcpListener, control: Arc<Control>) {
+    let (mut calls, mut standing) = (JoinSet::new(), VecDeque::<AbortHandle>::new());
+    loop {
+        let (stream, peer) = match listener.accept().await {
+            Ok(new) => new,
+            Err(error) => {
+                say!(why = %error, "accept failed");
+                sleep(PAUSE).await;
+                continue;
+            }
+        };
+        while calls.try_join_next().is_some() {}
+        standing.retain(|call| !call.is_finished());
+        // Danger: callers that say nothing would shut out whoever has something to say.
+        if standing.len() >= CALLERS
+            && let Some(oldest) = standing.pop_front()
+        {
+            oldest.abort();
+        }
+        standing.push_back(calls.spawn_local(call(
+            stream,
+            Line::open(Side::Operator, peer),
+            control.clone(),
+        )));
+    }
+}
+
+async fn call(stream: TcpStream, line: Line, control: Arc<Control>) {
+    let record = line.record();
+    record.otherwise(Reason::Shed);
+    let service = service_fn(|request: Request<Incoming>| {
+        let answer = answer(&request, &record, &control);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let mut http = Builder::new();
+    let http = http.keep_alive(false).max_buf_size(HEAD_LIMIT);
+    let reason = match timeout(CALL, http.serve_connection(TokioIo::new(stream), service)).await {
+        Ok(Ok(())) => Reason::Answered,
+        Ok(Err(error)) if error.is_parse() => Reason::BadRequest,
+        Ok(Err(_)) => Reason::Broken,
+        Err(_) => Reason::Unfinished,
+    };
+    record.because(reason);
+}
+
+fn answer(request: &Request<Incoming>, record: &Record, control: &Control) -> Response<Full<Bytes>> {
+    record.message();
+    let respond = |status, words: &'static str| {
+        let mut response = Response::new(Full::new(Bytes::from_static(words.as_bytes())));
+        *response.status_mut() = status;
+        response
+    };
+    let path = request.uri().path();
+    let method = match path {
+        "/ops/readiness" => Method::GET,
+        "/ops/drain/start" | "/ops/drain/stop" => Method::POST,
+        _ => return respond(StatusCode::NOT_FOUND, "no such call\n"),
+    };
+    if request.method() != method {
+        let mut response = respond(StatusCode::METHOD_NOT_ALLOWED, "the call goes by another method\n");
+        let allow = if method == Method::GET { "GET" } else { "POST" };
+        response.headers_mut().insert(ALLOW, HeaderValue::from_static(allow));
+        return response;
+    }
+    match path {
+        "/ops/readiness" if control.serves() => respond(StatusCode::OK, "ready\n"),
+        "/ops/readiness" => respond(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/ops/drain/start" => {
+            if control.drain(true) {
+                say!("drain started");
+            }
+            respond(StatusCode::OK, "draining\n")
+        }
+        _ => {
+            if control.drain(false) {
+                say!("drain stopped");
+            }
+            respond(StatusCode::OK, "serving\n")
+        }
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,8 @@
 mod budget;
 mod config;
 mod connection_log;
+mod control;
+mod door;
 mod execute_node;
 mod http;
 mod ids;
@@ -26,6 +28,7 @@
 
 use crate::log::say;
 use budget::Budget;
+use control::Control;
 use machine_list::MachineList;
 use module::Module;
 use mosshead_decide::interface::Seconds;
@@ -61,11 +64,13 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let listener = TcpListener::bind(config.listen).await?;
-    let [front, back] = Budget::sides(config.sockets, config.memory_mb);
+    let kept = config.ops.map_or(0, |_| door::DESCRIPTORS);
+    let [front, back] = Budget::sides(config.sockets, config.memory_mb, kept);
+    let control = Control::new();
     let (list, asked) = MachineList::new();
     let limits = config.named.settings.limits.clone();
     spawn_local(reload(hangup, read, list.clone()));
-    let (module, actor) = Module::new(&config, back, list).map_err(io::Error::other)?;
+    let (module, actor) = Module::new(&config, back, list, control.clone()).map_err(io::Error::other)?;
     let mut deciding = spawn_local(actor);
     let version = config.known.version;
     spawn_local(machine_list::run(
@@ -75,18 +80,21 @@
         asked,
         module.mailbox(),
     ));
+    let ops = config.ops.map(|ops| door::open(ops, control.clone())).transpose()?;
     say!(
         name = %config.name,
         listen = %listener.local_addr()?,
         version = %env!("CARGO_PKG_VERSION"),
+        ops = ops.map(tracing::field::display),
         "start"
     );
-    let front = Front::new(module, &config.named, front);
+    let front = Front::new(module, &config.named, front, control.clone());
     let stop = async {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
+        control.set_stopping();
         say!("stopping");
     };
     tokio::select! {
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -54,7 +54,12 @@
 
 fn read(path: &PathBuf) -> Result<Config, String> {
     let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-    Config::read(&text).map_err(|fault| format!("{}: {fault}", path.display()))
+    let mut config = Config::read(&text).map_err(|fault| format!("{}: {fault}", path.display()))?;
+    if let (None, Some(ops)) = (config.ops, std::env::var_os("BALANCER_OPS")) {
+        let ops = ops.to_str().and_then(|ops| ops.parse().ok());
+        config.ops = Some(ops.ok_or("BALANCER_OPS: not an address with a port")?);
+    }
+    Ok(config)
 }
 
 fn run(command: Command) -> Result<(), String> {
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -9,6 +9,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -18,6 +19,7 @@
 
 use crate::budget::Budget;
 use crate::config::Config;
+use crate::control::Control;
 use crate::duration;
 use crate::execute_node;
 use crate::ids::Ids;
@@ -37,7 +39,7 @@
 pub(crate) struct Module {
     mailbox: UnboundedSender<Mail>,
     jobs: Rc<Cell<u64>>,
-    ready: Rc<Cell<bool>>,
+    control: Arc<Control>,
 }
 
 impl Module {
@@ -46,9 +48,10 @@
         config: &Config,
         budget: Budget,
         list: MachineList,
+        control: Arc<Control>,
     ) -> Result<(Self, impl Future<Output = ()> + use<>), SettingsError> {
         let (mailbox, mail) = unbounded_channel();
-        let module = Self { mailbox, jobs: Rc::default(), ready: Rc::default() };
+        let module = Self { mailbox, jobs: Rc::default(), control };
         let balancer = Balancer::new(config.named.settings.clone(), config.seed)?;
         let deadlines = config.named.settings.classes.iter().map(|class| class.deadline);
         let longest = deadlines.fold(0.0, f64::max);
@@ -75,18 +78,15 @@
         let known = config.known.clone();
         let run = async move {
             let entries = actor.listing(known.machines, true);
-            actor.module.ready.set(!entries.is_empty());
+            if !entries.is_empty() {
+                actor.module.control.set_ready();
+            }
             actor.tell(Event::List(ListUpdate::Saved(entries)));
             actor.run(mail).await;
         };
         Ok((module, run))
     }
 
-    /// Whether there is a list to send by, or none is to be had for now.
-    pub(crate) fn ready(&self) -> bool {
-        self.ready.get()
-    }
-
     /// Takes a job on; the final answer comes of the returned future. Dropping that withdraws the job.
     pub(crate) fn take(&self, job: Job) -> Waiting {
         let id = JobId(self.jobs.get());
@@ -250,12 +250,12 @@
             }
             Mail::List(None) => {
                 // Danger: with discovery down from the start, nobody would ever be let in.
-                self.module.ready.set(true);
+                self.module.control.set_ready();
                 self.tell(Event::List(ListUpdate::Failed));
             }
             Mail::List(Some(Listing { full, machines, .. })) => {
                 let entries = self.listing(machines, full);
-                self.module.ready.set(true);
+                self.module.control.set_ready();
                 self.tell(Event::List(if full {
                     ListUpdate::Full(entries)
                 } else {
--- a/crates/proxy/src/submitter.rs
+++ b/crates/proxy/src/submitter.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,7 @@
 
 use crate::budget::{Budget, Permit};
 use crate::connection_log::{Line, Reason, Record, Side};
+use crate::control::Control;
 use crate::http::{self, BODY_LIMIT, BodyFault};
 use crate::log::{Bounded, say};
 use crate::messages::{Answer, Call, Job};
@@ -48,6 +50,8 @@
 const MESSAGE: Duration = Duration::from_millis(2000);
 /// A connection without an open message is closed after this.
 const IDLE: Duration = Duration::from_millis(2500);
+/// While the proxy is being emptied, one that idles or says nothing goes after this.
+const IDLE_IF_DRAINING: Duration = Duration::from_millis(500);
 /// While descriptors are short, one that has said nothing yet goes after this,
 const SILENT_IF_SHORT: Duration = Duration::from_millis(100);
 /// and one that has had its answer after this.
@@ -71,6 +75,7 @@
     tenants: Names,
     budget: Budget,
     stage: watch::Sender<Stage>,
+    control: Arc<Control>,
     turned_down: Bounded,
 }
 
@@ -85,12 +90,15 @@
     answered: Cell<bool>,
     /// Descriptors are short.
     short: Cell<bool>,
+    /// Since when the proxy is being emptied.
+    draining: Cell<Option<Instant>>,
 }
 
 impl Progress {
     fn new() -> Self {
         let (since, begun, busy) = (Cell::new(Instant::now()), Cell::new(None), Cell::new(false));
-        Self { since, begun, busy, answered: Cell::new(false), short: Cell::new(false) }
+        let (answered, short, draining) = (Cell::new(false), Cell::new(false), Cell::new(None));
+        Self { since, begun, busy, answered, short, draining }
     }
 
     /// Bytes have come.
@@ -119,6 +127,9 @@
     /// When the connection is to be closed if nothing comes, and why.
     fn end(&self) -> (Instant, Reason) {
         let since = self.since.get();
+        if let (None, Some(drain)) = (self.begun.get(), self.draining.get()) {
+            return (since.max(drain) + IDLE_IF_DRAINING, Reason::Draining);
+        }
         match (self.begun.get(), self.answered.get(), self.short.get()) {
             (Some(_), ..) => (self.whole_by(), Reason::Unfinished),
             (None, false, false) => (self.whole_by(), Reason::Silent),
@@ -172,11 +183,11 @@
 const HEAD_LIMIT: usize = 16 * 1024;
 
 impl Front {
-    pub(crate) fn new(module: Module, named: &Named, budget: Budget) -> Rc<Self> {
+    pub(crate) fn new(module: Module, named: &Named, budget: Budget, control: Arc<Control>) -> Rc<Self> {
         let (classes, tenants) = (named.classes.clone(), named.tenants.clone());
         let effects = named.settings.classes.iter().map(|class| class.effect).collect();
         let (stage, turned_down) = (watch::Sender::new(Stage::Serving), Bounded::new());
-        Rc::new(Self { module, classes, effects, tenants, budget, stage, turned_down })
+        Rc::new(Self { module, classes, effects, tenants, budget, stage, control, turned_down })
     }
 
     /// Serves until `stop`, then finishes what it has taken.
@@ -242,6 +253,8 @@
             }
         });
         let (mut stage, mut wanted) = (self.stage.subscribe(), self.budget.wanted());
+        let mut drains = self.control.drains();
+        progress.draining.set(*drains.borrow_and_update());
         // Danger: a want from before this line would go unheard.
         progress.short.set(self.budget.tight());
         let stream = TokioIo::new(Heard { stream, progress: progress.clone() });
@@ -259,6 +272,7 @@
                     server.as_mut().graceful_shutdown();
                 }
                 _ = wanted.changed() => progress.short.set(true),
+                Ok(()) = drains.changed() => progress.draining.set(*drains.borrow_and_update()),
                 () = sleep_until(close(progress.end().0).into()) => {
                     let (at, why) = progress.end();
                     if !progress.busy.get() && at <= Instant::now() {
@@ -285,8 +299,8 @@
         let arrived = Instant::now();
         record.message();
         let mut response = if request.uri().path() == "/_health" {
-            let ready = self.module.ready();
-            respond(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, Bytes::new())
+            let open = self.control.ready() && !self.control.draining();
+            respond(if open { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, Bytes::new())
         } else {
             match self.decode(request, arrived, whole_by).await {
                 Ok(job) => {
@@ -299,15 +313,19 @@
                 Err(turned) => self.turn_down(record, turned),
             }
         };
-        let stage = *self.stage.borrow();
-        record.otherwise(if stage == Stage::Serving { Reason::ClosedByPeer } else { Reason::Stopping });
+        let last = match (*self.stage.borrow(), self.control.draining()) {
+            (Stage::Serving, false) => None,
+            (Stage::Serving, true) => Some(Reason::Draining),
+            _ => Some(Reason::Stopping),
+        };
+        record.otherwise(last.unwrap_or(Reason::ClosedByPeer));
         // Danger: answered while descriptors are short, it would idle on one. Closed by its answer it crosses no
         // further message.
         let short = self.budget.tight();
         if short {
             record.otherwise(Reason::Shed);
         }
-        if stage != Stage::Serving || short {
+        if last.is_some() || short {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/crates/proxy/tests/network.rs
+++ b/crates/proxy/tests/network.rs
@@ -443,3 +443,101 @@
          proxy wait reason=shed"
     ));
 }
+
+/// The operators' door answers at once, whatever else comes to it or to the submitters' address.
+#[rstest]
+#[case::readiness("GET /ops/readiness", "200 ready")]
+#[case::unknown("GET /ops/health", "404")]
+#[case::method("POST /ops/readiness", "405 allow:+GET")]
+#[case::method_of_a_drain("GET /ops/drain/start", "405 allow:+POST")]
+#[case::noise("raw \u{1}\u{2}\\r\\n\\r\\n", "400")]
+#[case::endless_head("raw GET /ops/readiness HTTP/1.1\\r\\nX: ENDLESS", "431")]
+fn an_operators_call_has_its_answer(#[case] call: &str, #[case] answer: &str) {
+    let call = call.replace("ENDLESS", &"x".repeat(20_000));
+    play(&format!("proxy start door n1\nop send {call}\nop expect {answer}\nop expect closed"));
+}
+
+/// Danger: callers who say nothing, and a crowd at the other address, must not shut the operators out.
+#[test]
+fn neither_silent_callers_nor_a_crowd_shut_the_door() {
+    let silent: String = (0..40).map(|at| format!("op{at} send raw GET /ops\n")).collect();
+    let crowd: String = (0..20).map(|at| format!("a{at} send raw GET /\n")).collect();
+    play(&format!(
+        "proxy start door n1 sockets=64
+         {silent}
+         {crowd}
+         op send GET /ops/readiness
+         op expect 200
+         proxy wait side=operator
+         op39 expect closed
+         proxy wait reason=unfinished"
+    ));
+}
+
+/// Emptied, the proxy says so at once, lets go of whoever idles, and comes back.
+#[rstest]
+#[case::there_and_back(
+    "k send GET /_health
+     k expect 200
+     op send POST /ops/drain/start
+     op expect 200
+     a send GET /_health
+     a expect 503 connection:+close
+     k expect closed
+     proxy wait reason=draining
+     opx send GET /ops/readiness
+     opx expect 200
+     op2 send POST /ops/drain/start
+     op2 expect 200
+     op3 send POST /ops/drain/stop
+     op3 expect 200
+     b send GET /_health
+     b expect 200
+     b send POST /book-lesson
+     n1 expect book-lesson
+     n1 send 200 body=done
+     b expect 200 done
+     op4 send POST /ops/drain/stop
+     op4 expect 200
+     b send GET /_health
+     b expect 200"
+)]
+// What came is served, as its connection's last job; what said nothing goes.
+#[case::jobs_are_served(
+    "s send raw
+     a send POST /book-lesson
+     n1 expect book-lesson
+     op send POST /ops/drain/start
+     op expect 200
+     n1 send 200 body=done
+     a expect 200 done connection:+close
+     a expect closed
+     s expect closed
+     b send POST /book-lesson
+     n1 expect book-lesson
+     n1 send 200 body=two
+     b expect 200 two connection:+close"
+)]
+#[case::crossed_with_a_stop(
+    "op send POST /ops/drain/start
+     op expect 200
+     proxy close
+     op2 send POST /ops/drain/start
+     op2 expect 200
+     proxy expect exit 0"
+)]
+#[case::crossed_with_a_new_configuration(
+    "op send POST /ops/drain/start
+     op expect 200
+     proxy send list
+     proxy wait reloaded
+     a send GET /_health
+     a expect 503
+     op2 send POST /ops/drain/stop
+     op2 expect 200
+     b send GET /_health
+     b expect 200"
+)]
+fn a_drain_goes_there_and_back(#[case] scenario: &str) {
+    play(&format!("proxy start door n1\n{scenario}"));
+}
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -6,7 +6,8 @@
 //! - `n1`, `n2`, ...: an execute node. `expect` takes a new connection where the last is closed;
 //!   `send STATUS [Name:value] [body=B] [length=N] [more=T]` (text behind the answer) or `send raw TEXT`; `close` ends its connection. At `dead` nobody listens;
 //! - `list`: discovery, which speaks like an execute node; `addr(n1)` in a body stands for that node's address;
-//! - `proxy`: `start WORDS` (the nodes on its saved list, and `key=value` over the settings), `close` (SIGTERM),
+//! - `op…`: an operator, who calls at the operators' address.
+//! - `proxy`: `start WORDS` (the nodes on its saved list, and `key=value` over the settings, `door` for the operators' address), `close` (SIGTERM),
 //!   `send PARTY` (SIGHUP, with discovery now at that party; `send nothing`: with an empty file),
 //!   `wait TEXT` (until a line of its log holds that), `expect exit N`.
 //!
@@ -43,6 +44,8 @@
 #[derive(Default)]
 struct Stage {
     proxy: Option<(Child, Receiver<String>, SocketAddr)>,
+    /// The operators' address.
+    ops: Option<SocketAddr>,
     parties: HashMap<String, Party>,
     addrs: HashMap<String, SocketAddr>,
     next: Cell<u32>,
@@ -124,7 +127,9 @@
         let mut config = CONFIG.replace("DISCOVERY", &self.listen("list").to_string());
         let mut servers = Vec::new();
         for word in words.split(' ') {
-            if let Some((key, value)) = word.split_once('=') {
+            if word == "door" {
+                config = config.replacen('{', r#"{"ops":"127.0.0.1:0","#, 1);
+            } else if let Some((key, value)) = word.split_once('=') {
                 let (before, after) = config.split_once(&format!("\"{key}\":")).ok_or("no such key")?;
                 let rest = &after[after.find([',', '}']).ok_or("no end")?..];
                 config = format!("{before}\"{key}\":{value}{rest}");
@@ -154,7 +159,9 @@
             stderr.lines().map_while(Result::ok).for_each(|line| drop(lines.send(line)))
         });
         let first = log.recv_timeout(PATIENCE).map_err(|error| error.to_string())?;
-        let addr = first.split("listen=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+        let named = |name| first.split(name).nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+        let addr = named("listen=");
+        self.ops = named("ops=");
         self.proxy = Some((child, log, addr.ok_or(first)?));
         Ok(())
     }
@@ -193,12 +200,15 @@
 
     /// The party's open connection: a submitter makes one, a listener takes the next.
     fn stream(&mut self, name: &str) -> &mut BufReader<TcpStream> {
-        let proxy = self.proxy.as_ref().expect("the proxy has started").2;
+        let mut to = self.proxy.as_ref().expect("the proxy has started").2;
+        if name.starts_with("op") {
+            to = self.ops.expect("the operators' door is open");
+        }
         let party = self.party(name);
         party.stream.get_or_insert_with(|| {
             let stream = match &party.came {
                 Some(came) => came.recv_timeout(PATIENCE).expect("a connection"),
-                None => TcpStream::connect(proxy).expect("the proxy listens"),
+                None => TcpStream::connect(to).expect("the proxy listens"),
             };
             stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
             BufReader::new(stream)
