Hand the listening socket, the list and the permits to a new process

Need: run is started again under load. Cause: lib.rs bound without SO_REUSEPORT, and two sockets would have had two queues. Change: handover.rs passes the socket over a Unix socket in TMPDIR and shifts permits; SO_REUSEPORT is the fallback; the new process accepts from its first yes on.

--- a/crates/proxy/src/budget.rs
+++ b/crates/proxy/src/budget.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
-/// Descriptors for everything but connections: the runtime's own, the listener, the log, the list.
+/// Descriptors for everything but connections: the runtimes' own, listeners, the log, the list, operators' calls.
 const OTHER: u64 = 32;
 /// What a connection may take at the most: a body of 64 KiB, its head, and the buffers of both.
 const CONNECTION_KB: f64 = 96.0;
@@ -17,7 +17,7 @@
 #[derive(Clone)]
 pub(crate) struct Budget {
     free: Arc<Semaphore>,
-    count: usize,
+    count: Rc<Cell<usize>>,
     wanted: Rc<watch::Sender<()>>,
     waiting: Rc<Cell<usize>>,
 }
@@ -44,6 +44,7 @@
 
     pub(crate) fn of(count: usize) -> Self {
         let (free, wanted) = (Arc::new(Semaphore::new(count)), Rc::new(watch::Sender::new(())));
+        let count = Rc::new(Cell::new(count));
         Self { free, count, wanted, waiting: Rc::default() }
     }
 
@@ -64,7 +65,35 @@
     /// Whether more than a third are taken. Danger: who may hold only so many connections to this proxy stops
     /// asking when idle ones fill them, long before this side itself is short.
     pub(crate) fn tight(&self) -> bool {
-        3 * self.free.available_permits() < 2 * self.count
+        3 * self.free() < 2 * self.count()
+    }
+
+    /// How many there are, taken or not.
+    pub(crate) fn count(&self) -> usize {
+        self.count.get()
+    }
+
+    /// How many are not taken.
+    pub(crate) fn free(&self) -> usize {
+        self.free.available_permits()
+    }
+
+    /// Gives up to so many free ones away, to another process; says how many.
+    pub(crate) fn give(&self, most: usize) -> usize {
+        let given = self.free.forget_permits(most.min(self.free()));
+        self.count.set(self.count() - given);
+        given
+    }
+
+    /// So many more are this process's.
+    pub(crate) fn add(&self, more: usize) {
+        self.free.add_permits(more);
+        self.count.set(self.count() + more);
+    }
+
+    /// Lets idle connections be closed for someone outside of this process.
+    pub(crate) fn want(&self) {
+        self.wanted.send_replace(());
     }
 
     /// Whether someone waits for a descriptor.
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -14,12 +14,14 @@
     drain: watch::Sender<Option<Instant>>,
     ready: AtomicBool,
     stopping: AtomicBool,
+    /// An operator has been told that the process can serve.
+    asked: watch::Sender<bool>,
 }
 
 impl Control {
     pub(crate) fn new() -> Arc<Self> {
         let (ready, stopping) = (AtomicBool::new(false), AtomicBool::new(false));
-        Arc::new(Self { drain: watch::Sender::new(None), ready, stopping })
+        Arc::new(Self { drain: watch::Sender::new(None), ready, stopping, asked: watch::Sender::new(false) })
     }
 
     /// Empties the proxy, or brings it back. Asked twice, the first time counts; says whether it changed.
@@ -51,6 +53,16 @@
         self.ready.load(Ordering::Acquire)
     }
 
+    /// An operator is being told so.
+    pub(crate) fn say_yes(&self) {
+        self.asked.send_if_modified(|asked| !std::mem::replace(asked, true));
+    }
+
+    /// Reports whether an operator has been told.
+    pub(crate) fn asked(&self) -> watch::Receiver<bool> {
+        self.asked.subscribe()
+    }
+
     pub(crate) fn set_stopping(&self) {
         self.stopping.store(true, Ordering::Release);
     }
--- a/crates/proxy/src/door.rs
+++ b/crates/proxy/src/door.rs
@@ -28,9 +28,7 @@
 use crate::log::say;
 
 /// So many callers are heard at once; the longest-standing one goes when a further one comes.
-const CALLERS: usize = 16;
-/// The descriptors that the door may hold: its callers, the one that comes, the listener, the runtime's.
-pub(crate) const DESCRIPTORS: u64 = CALLERS as u64 + 8;
+const CALLERS: usize = 8;
 /// A call has so long to be whole and to take its answer.
 const CALL: Duration = Duration::from_millis(2000);
 /// The most that a call's head holds.
@@ -120,7 +118,10 @@
         return response;
     }
     match path {
-        "/ops/readiness" if control.serves() => respond(StatusCode::OK, "ready\n"),
+        "/ops/readiness" if control.serves() => {
+            control.say_yes();
+            respond(StatusCode::OK, "ready\n")
+        }
         "/ops/readiness" => respond(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         "/ops/drain/start" => {
             if control.drain(true) {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod door;
 mod execute_node;
+mod handover;
 mod http;
 mod ids;
 mod listing;
@@ -20,20 +21,25 @@
 pub use config::Config;
 
 use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_blocking, spawn_local};
 
 use crate::log::say;
 use budget::Budget;
 use control::Control;
+use handover::{Handover, Shares};
 use machine_list::MachineList;
 use module::Module;
 use mosshead_decide::interface::Seconds;
 use submitter::Front;
 
+/// So many connections wait for the accept loop.
+const BACKLOG: u32 = 4096;
 /// No wait is longer: an instant further away could not be reckoned.
 const LONGEST: Seconds = 86_400.0;
 
@@ -57,16 +63,33 @@
 }
 
 async fn serve(
-    config: Config,
+    mut config: Config,
     read: impl Fn() -> Result<Config, String> + Clone + Send + 'static,
 ) -> io::Result<()> {
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let listener = TcpListener::bind(config.listen).await?;
-    let kept = config.ops.map_or(0, |_| door::DESCRIPTORS);
-    let [front, back] = Budget::sides(config.sockets, config.memory_mb, kept);
     let control = Control::new();
+    let way = config.ops.map(|_| handover::path(config.listen));
+    let taken = match &way {
+        Some(path) => handover::take(path, config.listen).await.unwrap_or_else(|why| {
+            say!(why = %why, "no handover");
+            None
+        }),
+        None => None,
+    };
+    let kept = config.ops.map_or(0, |_| handover::STARTING);
+    let [front, back] = Budget::sides(config.sockets, config.memory_mb, kept);
+    let shares = way.map(|path| (path, Shares::new([front.clone(), back.clone()], taken.is_some())));
+    let (listener, predecessor) = match taken {
+        Some(taken) => {
+            config.known = taken.known;
+            (TcpListener::from_std(taken.listener)?, Some(taken.link))
+        }
+        None if shares.is_some() => (shared(config.listen)?, None),
+        None => (TcpListener::bind(config.listen).await?, None),
+    };
+    let listener = Rc::new(listener);
     let (list, asked) = MachineList::new();
     let limits = config.named.settings.limits.clone();
     spawn_local(reload(hangup, read, list.clone()));
@@ -86,8 +109,13 @@
         listen = %listener.local_addr()?,
         version = %env!("CARGO_PKG_VERSION"),
         ops = ops.map(tracing::field::display),
+        handed_over = predecessor.is_some().then_some(true),
         "start"
     );
+    let handover = shares.map(|(path, shares)| {
+        let (module, control, listener) = (module.clone(), control.clone(), listener.clone());
+        Handover::new(path, module, shares, control, listener, predecessor)
+    });
     let front = Front::new(module, &config.named, front, control.clone());
     let stop = async {
         tokio::select! {
@@ -98,7 +126,7 @@
         say!("stopping");
     };
     tokio::select! {
-        () = front.serve(listener, stop) => {
+        () = front.serve(listener, stop, handover) => {
             say!(name = %config.name, "stopped");
             Ok(())
         }
@@ -107,6 +135,15 @@
     }
 }
 
+/// A listener that shares its address with others of this user's.
+fn shared(listen: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(listen)?;
+    socket.listen(BACKLOG)
+}
+
 /// On each SIGHUP the configuration is read anew, and the list is watched where it now says. Jobs, connections
 /// and decisions live on; what else the file changes counts from the next start.
 async fn reload(
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -4,6 +4,7 @@
 
 use mosshead_decide::interface::Readiness;
 use mosshead_settings::Found;
+use tinyjson::JsonValue;
 
 /// The list, or what changed of it.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +28,33 @@
     pub(crate) started_ms: f64,
 }
 
+/// The states by their names.
+const STATES: [(&str, Readiness); 3] =
+    [("SERVING", Readiness::Ready), ("DRAINING", Readiness::Draining), ("DELETED", Readiness::Gone)];
+
+/// Writes discovery's form of the list; none where it can't be written.
+pub(crate) fn write_listing(listing: &Listing) -> Option<String> {
+    let object = |members: Vec<(&str, JsonValue)>| {
+        JsonValue::Object(members.into_iter().map(|(name, value)| (name.to_owned(), value)).collect())
+    };
+    let machine = |machine: &Machine| {
+        let state = STATES.iter().find(|(_, state)| *state == machine.readiness).map_or("DELETED", |at| at.0);
+        object(vec![
+            ("id", machine.id.clone().into()),
+            ("addr", machine.addr.to_string().into()),
+            ("zone", machine.zone.clone().into()),
+            ("kind", machine.kind.clone().into()),
+            ("cell", (machine.cell as f64).into()),
+            ("state", state.to_owned().into()),
+            ("weight", machine.weight.into()),
+            ("started_ms", machine.started_ms.into()),
+        ])
+    };
+    let servers: Vec<JsonValue> = listing.machines.iter().map(machine).collect();
+    let (version, full) = ((listing.version as f64).into(), listing.full.into());
+    object(vec![("version", version), ("full", full), ("servers", servers.into())]).stringify().ok()
+}
+
 /// Reads discovery's form of the list.
 pub(crate) fn read_listing(listing: &Found) -> Result<Listing, String> {
     let machine = |machine: &Found| -> Result<Machine, String> {
@@ -39,11 +67,7 @@
             zone: or_empty("zone")?.to_owned(),
             kind: or_empty("kind")?.to_owned(),
             cell: machine.find("cell")?.map_or(Ok(0), |cell| cell.whole())?,
-            readiness: machine.get("state")?.one_of(&[
-                ("SERVING", Readiness::Ready),
-                ("DRAINING", Readiness::Draining),
-                ("DELETED", Readiness::Gone),
-            ])?,
+            readiness: machine.get("state")?.one_of(&STATES)?,
             weight: number_or("weight", 1.0)?,
             started_ms: number_or("started_ms", 0.0)?,
         })
@@ -54,3 +78,21 @@
         machines: listing.get("servers")?.items()?.iter().map(machine).collect::<Result<_, _>>()?,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use mosshead_settings::json;
+
+    /// Guards drains and cold servers across a replacement: a successor reads what its predecessor knew.
+    #[test]
+    fn a_list_that_is_written_reads_the_same() {
+        let text = r#"{"version":7,"full":true,"servers":[
+            {"id":"a\"b","addr":"127.0.0.1:5","zone":"z","kind":"m","cell":3,"state":"DRAINING","weight":0.3,
+            "started_ms":1764616437123.0},{"id":"c","addr":"127.0.0.1:6","state":"SERVING"}]}"#;
+        let read = |text: &str| read_listing(&Found::top(&json(text).expect("JSON"))).expect("a list");
+        let listing = read(text);
+        assert_eq!(read(&write_listing(&listing).expect("written")), listing);
+        assert_eq!(listing.machines[0].readiness, Readiness::Draining);
+    }
+}
--- a/crates/proxy/src/messages.rs
+++ b/crates/proxy/src/messages.rs
@@ -52,8 +52,15 @@
     Job(JobId, Job, oneshot::Sender<Answer>),
     Withdrawn(JobId),
     Ended(Ended),
-    Probed { endpoint: EndpointId, outcome: Outcome, rtt: Seconds, report: LoadReport },
+    Probed {
+        endpoint: EndpointId,
+        outcome: Outcome,
+        rtt: Seconds,
+        report: LoadReport,
+    },
     List(Option<Listing>),
+    /// What is known of the list, for a successor.
+    Known(oneshot::Sender<Listing>),
 }
 
 /// The outcome of one attempt.
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -69,6 +69,7 @@
             zones: config.named.zones.clone(),
             kinds: config.named.kinds.clone(),
             nodes: Vec::new(),
+            version: config.known.version,
             jobs: BTreeMap::new(),
             ids: Ids::new(duration(longest)),
             due: BinaryHeap::new(),
@@ -96,6 +97,13 @@
         Waiting { job: id, answer, answered: false, module: self.clone() }
     }
 
+    /// The machine list as it is known now.
+    pub(crate) async fn known(&self) -> Option<Listing> {
+        let (asked, listing) = oneshot::channel();
+        self.send(Mail::Known(asked));
+        listing.await.ok()
+    }
+
     /// Where the other actors post what they have for the module.
     pub(crate) fn mailbox(&self) -> UnboundedSender<Mail> {
         self.mailbox.clone()
@@ -146,7 +154,7 @@
 
 /// An execute node, as long as the list has it or something is out there.
 struct Node {
-    id: String,
+    machine: Machine,
     mailbox: UnboundedSender<NodeMail>,
     listed: bool,
     /// Attempts and probes that still owe their outcome.
@@ -173,6 +181,8 @@
     zones: Names,
     kinds: Names,
     nodes: Vec<Node>,
+    /// The list's.
+    version: u64,
     jobs: BTreeMap<JobId, Held>,
     ids: Ids,
     due: BinaryHeap<Reverse<(Instant, u64, Due)>>,
@@ -248,12 +258,18 @@
                 self.landed(endpoint);
                 self.tell(Event::Probed { endpoint, outcome, rtt, report });
             }
+            Mail::Known(asked) => {
+                let known = self.nodes.iter().filter(|node| node.listed);
+                let machines = known.map(|node| node.machine.clone()).collect();
+                let _ = asked.send(Listing { version: self.version, full: true, machines });
+            }
             Mail::List(None) => {
                 // Danger: with discovery down from the start, nobody would ever be let in.
                 self.module.control.set_ready();
                 self.tell(Event::List(ListUpdate::Failed));
             }
-            Mail::List(Some(Listing { full, machines, .. })) => {
+            Mail::List(Some(Listing { version, full, machines })) => {
+                self.version = version;
                 let entries = self.listing(machines, full);
                 self.module.control.set_ready();
                 self.tell(Event::List(if full {
@@ -372,8 +388,8 @@
     fn retire(&mut self, at: usize) {
         let node = &mut self.nodes[at];
         // An id that has come back may have another number by now.
-        if !node.listed && node.out == 0 && self.numbers.get(&node.id) == Some(&at) {
-            self.numbers.remove(&node.id);
+        if !node.listed && node.out == 0 && self.numbers.get(&node.machine.id) == Some(&at) {
+            self.numbers.remove(&node.machine.id);
             let _ = node.mailbox.send(NodeMail::End);
             self.free.push(at);
         }
@@ -412,11 +428,12 @@
             let at = match self.numbers.get(&machine.id).copied() {
                 Some(at) => {
                     self.nodes[at].listed = listed;
+                    self.nodes[at].machine.clone_from(&machine);
                     self.post(EndpointId(at as u32), NodeMail::Told(told));
                     at
                 }
                 None if !listed => continue,
-                None => self.number(machine.id, told),
+                None => self.number(machine.clone(), told),
             };
             let endpoint = EndpointId(at as u32);
             // Danger: an instant reckoned anew with each list would differ a little: a restart each time.
@@ -438,11 +455,11 @@
     }
 
     /// Starts the actor of an execute node that is new here, under a number that nobody has.
-    fn number(&mut self, id: String, told: Told) -> usize {
+    fn number(&mut self, machine: Machine, told: Told) -> usize {
         let mailbox = execute_node::start(&self.limits, self.budget.clone(), told);
         let at = self.free.pop().unwrap_or(self.nodes.len());
-        self.numbers.insert(id.clone(), at);
-        let node = Node { id, mailbox, listed: true, out: 0 };
+        self.numbers.insert(machine.id.clone(), at);
+        let node = Node { machine, mailbox, listed: true, out: 0 };
         match self.nodes.get_mut(at) {
             Some(place) => *place = node,
             None => self.nodes.push(node),
--- a/crates/proxy/src/submitter.rs
+++ b/crates/proxy/src/submitter.rs
@@ -28,6 +28,7 @@
 use crate::budget::{Budget, Permit};
 use crate::connection_log::{Line, Reason, Record, Side};
 use crate::control::Control;
+use crate::handover::Handover;
 use crate::http::{self, BODY_LIMIT, BodyFault};
 use crate::log::{Bounded, say};
 use crate::messages::{Answer, Call, Job};
@@ -41,6 +42,8 @@
 const STOP_ACCEPTING: Duration = Duration::from_millis(450);
 /// And the last of them is taken to have come once none has for so long.
 const STOP_QUIET: Duration = Duration::from_millis(20);
+/// Where a successor accepts, idle connections are kept for so long after a stop is asked for.
+const STOP_KEEPING: Duration = Duration::from_millis(600);
 /// After an accept that failed, for want of descriptors perhaps, the next one waits for so long.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -191,9 +194,22 @@
     }
 
     /// Serves until `stop`, then finishes what it has taken.
-    pub(crate) async fn serve(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
+    pub(crate) async fn serve(
+        self: Rc<Self>,
+        listener: Rc<TcpListener>,
+        stop: impl Future<Output = ()>,
+        handover: Option<Rc<Handover>>,
+    ) {
         let mut open = JoinSet::new();
         let mut stop = pin!(stop);
+        if let Some(handover) = &handover {
+            tokio::select! {
+                biased;
+                // It has taken nobody in: the predecessor still does.
+                () = &mut stop => return handover.close(),
+                () = handover.begin() => {}
+            }
+        }
         loop {
             tokio::select! {
                 biased;
@@ -203,19 +219,35 @@
             }
         }
         self.stage.send_replace(Stage::Closing);
-        let latest = Instant::now() + STOP_ACCEPTING;
+        let since = Instant::now();
+        let mut relieved = false;
+        if let Some(handover) = &handover {
+            handover.stop();
+        }
         loop {
             tokio::select! {
                 biased;
-                () = sleep_until(latest.into()) => break,
+                () = sleep_until((since + STOP_ACCEPTING).into()) => break,
+                // A successor accepts at the same socket: its queue lives on.
+                () = by_successor(&handover) => {
+                    relieved = true;
+                    break;
+                }
                 new = self.accept(&listener) => self.start(new, &mut open),
             }
         }
         // What the kernel has accepted would be lost with the listener.
-        while let Ok(new) = timeout(STOP_QUIET, self.accept(&listener)).await {
+        while !relieved && let Ok(new) = timeout(STOP_QUIET, self.accept(&listener)).await {
             self.start(new, &mut open);
         }
         drop(listener);
+        if let Some(handover) = &handover {
+            handover.close();
+        }
+        if relieved {
+            // Danger: closed at once, idle connections would cross what submitters send on them.
+            sleep_until((since + STOP_KEEPING).into()).await;
+        }
         self.stage.send_replace(Stage::Stopping);
         while open.join_next().await.is_some() {}
     }
@@ -409,6 +441,14 @@
     }
 }
 
+/// Ends once a successor accepts at the same door.
+async fn by_successor(handover: &Option<Rc<Handover>>) {
+    match handover {
+        Some(handover) => handover.relieved().await,
+        None => std::future::pending().await,
+    }
+}
+
 fn respond(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -13,6 +13,8 @@
 //!
 //! `expect WORDS`: the next message holds each of the words, whatever their case (`+` stands for a space); `expect closed`: it never comes.
 
+#![allow(dead_code)]
+
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -22,10 +24,12 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
+use tempfile::TempDir;
+
 /// Nothing takes as long: it only keeps a failed test from hanging.
 const PATIENCE: Duration = Duration::from_secs(8);
 
-const CONFIG: &str = r#"{"name":"t","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"0a",
+pub const CONFIG: &str = r#"{"name":"t","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"0a",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"version":1,"full":true,"servers":[SERVERS]},
 "settings":{"classes":[{"name":"slot-lookup","target_s":3.0,"deadline_s":6.0,"gain":1.0,"effect":"free","group":"all"},
 {"name":"book-lesson","target_s":3.0,"deadline_s":6.0,"gain":10.0,"effect":"single_shot","group":"all"}],
@@ -44,6 +48,8 @@
 #[derive(Default)]
 struct Stage {
     proxy: Option<(Child, Receiver<String>, SocketAddr)>,
+    /// Holds the configuration, and whatever the proxy leaves.
+    folder: Option<TempDir>,
     /// The operators' address.
     ops: Option<SocketAddr>,
     parties: HashMap<String, Party>,
@@ -71,7 +77,6 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        let _ = std::fs::remove_file(&self.config.0);
     }
 }
 
@@ -142,16 +147,15 @@
         for spare in ["n8", "n9"] {
             self.listen(spare);
         }
-        let path = std::env::temp_dir().join(format!(
-            "mosshead-{}-{}.json",
-            std::process::id(),
-            self.addrs["n9"].port()
-        ));
+        let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
+        let path = folder.path().join("config.json");
         let config = config.replace("SERVERS", &servers.join(","));
         std::fs::write(&path, &config).map_err(|error| error.to_string())?;
         self.config = (path.clone(), config);
         let mut command = Command::new(env!("CARGO_BIN_EXE_mosshead"));
         command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped());
+        command.env("TMPDIR", folder.path());
+        self.folder = Some(folder);
         let mut child = command.spawn().map_err(|error| error.to_string())?;
         let (lines, log) = channel();
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
