Let large bodies and answers flow through, in all forms of HTTP/1.1

Cause: http::whole held every body and stopped at BODY_LIMIT; FIRST_MESSAGE bounded a message in total. Two more were found on the way by the log: answers that end with a close they announce were turned down (162 bad-answer, execute_node.rs decode), and answers that a slow reader still took were cut off by the limits on idling, since hyper had asked for their last byte (3 lost; Progress::end); ruled out for the latter: the node's rest, the deadline. Change: flow.rs polls hyper's bodies through, framing.rs finds both framings in the raw bytes, the module learns of a body that still comes (Coming, Whole), idle connections are shed from a sixth of all descriptors on.

--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -417,6 +417,15 @@
     List(ListUpdate),
     /// A client's request; one final answer is now owed.
     Request(Request),
+    /// A request whose body still comes: it may be sent on, and its time counts from [`Event::Whole`].
+    Coming(Request),
+    /// The last byte of such a request has come.
+    Whole {
+        /// The request.
+        job: JobId,
+        /// How long until the client gives up on it.
+        time_left: Seconds,
+    },
     /// An attempt ended. There is exactly one of these for each send.
     Outcome {
         /// The request.
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -142,6 +142,17 @@
         match event {
             Event::List(update) => self.list(now, update, actions),
             Event::Request(request) => self.request(now, request, actions),
+            Event::Coming(request) => {
+                let job = request.job;
+                self.request(now, request, actions);
+                self.seen.job(job).into_iter().for_each(|job| job.coming = true);
+            }
+            Event::Whole { job, time_left } => {
+                self.seen.job(job).into_iter().for_each(|job| job.whole(now, time_left));
+                if let Some(&token) = self.seen.tokens.get(&job) {
+                    self.wake(now, token, actions);
+                }
+            }
             Event::Outcome { job, round, endpoint, outcome, rtt, settled, report } => {
                 self.report(now, endpoint, report);
                 let token = self.seen.tokens.get(&job).copied();
@@ -555,7 +566,7 @@
         }
         let elapsed = if first { 0.0 } else { (class.deadline - request.time_left).max(0.0) };
         let aim = now + (class.target - elapsed).min(request.time_left);
-        let mut job = Job::new(now, &request, aim);
+        let mut job = Job::new(now, &request, aim, self.settings.limits.max_attempts);
         self.seen.mean_worth.add(class.worth, MEAN_GAIN);
         self.seen.mean_service.add(stats.service.value, MEAN_GAIN);
         self.seen.rate.add(now, self.seen.mean_deadline);
@@ -696,7 +707,7 @@
 
     fn wake(&mut self, now: Seconds, token: u64, actions: &mut Vec<Action>) {
         let Some(job) = self.seen.jobs.get(&token) else { return };
-        if job.begun {
+        if job.begun || (job.coming && !job.attempts.is_empty()) {
             return;
         }
         if now + self.settings.tick >= self.end(job) {
@@ -731,7 +742,7 @@
 
     /// Whether the limit on attempts and the retry budget have one left.
     fn spare(&self, job: &Job) -> bool {
-        (job.attempts.len() as u32) < self.settings.limits.max_attempts && self.seen.retries >= 1.0
+        (job.attempts.len() as u32) < job.most && self.seen.retries >= 1.0
     }
 
     /// A server for another attempt, if the limits and the retry budget grant one.
@@ -922,9 +933,7 @@
     }
 
     fn begun(&mut self, id: JobId, round: Round, actions: &mut Vec<Action>) {
-        let Some(job) = self.seen.tokens.get(&id).and_then(|token| self.seen.jobs.get_mut(token)) else {
-            return;
-        };
+        let Some(job) = self.seen.job(id) else { return };
         job.begun = true;
         if self.settings.limits.cancel {
             let others = job.out().filter(|&(at, _)| at != round.0 as usize);
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// A request that is held.
+    pub(crate) fn job(&mut self, id: JobId) -> Option<&mut Job> {
+        self.jobs.get_mut(self.tokens.get(&id)?)
+    }
+
     /// The whole list: who is not on it has gone.
     pub(crate) fn replace(&mut self, now: Seconds, entries: Vec<ListEntry>, ranks: &mut impl RngCore) {
         let listed: Vec<usize> = entries.iter().map(|entry| entry.endpoint.0 as usize).collect();
@@ -214,6 +219,11 @@
     pub(crate) deadline: Seconds,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) begun: bool,
+    /// Its body still comes; its aim and deadline count from the last byte.
+    pub(crate) coming: bool,
+    came: Seconds,
+    /// The most attempts that it may have.
+    pub(crate) most: u32,
     /// Which cold servers it may go to: a random number from 0 to 1.
     pub(crate) lot: f64,
     /// It leaves servers alone that other classes are bound to, while there are others.
@@ -228,7 +238,7 @@
 
 impl Job {
     /// A request that came now, with its wanted time ending at `aim`.
-    pub(crate) fn new(now: Seconds, request: &Request, aim: Seconds) -> Self {
+    pub(crate) fn new(now: Seconds, request: &Request, aim: Seconds, most: u32) -> Self {
         Self {
             id: request.job,
             class: request.class,
@@ -236,6 +246,9 @@
             deadline: now + request.time_left,
             attempts: Vec::new(),
             begun: false,
+            coming: false,
+            came: now,
+            most,
             lot: 0.0,
             spare: false,
             within: 1.0,
@@ -245,6 +258,13 @@
         }
     }
 
+    /// Its last byte has come.
+    pub(crate) fn whole(&mut self, now: Seconds, time_left: Seconds) {
+        self.aim = now + (self.aim - self.came);
+        self.deadline = now + time_left;
+        self.coming = false;
+    }
+
     pub(crate) fn may_have_run(&self) -> Option<&Attempt> {
         self.attempts.iter().find(|attempt| !attempt.never_ran)
     }
--- a/crates/proxy/src/budget.rs
+++ b/crates/proxy/src/budget.rs
@@ -10,6 +10,8 @@
 const OTHER: u64 = 32;
 /// What a connection may take at the most: a body of 64 KiB, its head, and the buffers of both.
 const CONNECTION_KB: f64 = 96.0;
+/// Submitters hold at most a third of all descriptors; from half of that on they are to let go of idle ones.
+const TIGHT_SHARE: u64 = 6;
 /// The share of the memory that connections may take together.
 const MEMORY_SHARE: f64 = 0.75;
 
@@ -18,6 +20,8 @@
 pub(crate) struct Budget {
     free: Arc<Semaphore>,
     count: Rc<Cell<usize>>,
+    /// With more than so many taken it is tight.
+    ease: usize,
     wanted: Rc<watch::Sender<()>>,
     waiting: Rc<Cell<usize>>,
 }
@@ -39,13 +43,14 @@
     pub(crate) fn sides(sockets: u64, memory_mb: f64, kept: u64) -> [Self; 2] {
         let memory = (memory_mb * 1024.0 * MEMORY_SHARE / CONNECTION_KB) as u64;
         let each = (sockets.saturating_sub(OTHER + kept).min(memory) / 2).max(1) as usize;
-        [Self::of(each), Self::of(each)]
+        let ease = (sockets / TIGHT_SHARE) as usize;
+        [0, 1].map(|_| Self { ease, ..Self::of(each) })
     }
 
     pub(crate) fn of(count: usize) -> Self {
         let (free, wanted) = (Arc::new(Semaphore::new(count)), Rc::new(watch::Sender::new(())));
         let count = Rc::new(Cell::new(count));
-        Self { free, count, wanted, waiting: Rc::default() }
+        Self { free, count, ease: usize::MAX, wanted, waiting: Rc::default() }
     }
 
     /// Waits for a descriptor; idle connections are closed for it.
@@ -62,10 +67,11 @@
         }
     }
 
-    /// Whether more than a third are taken. Danger: who may hold only so many connections to this proxy stops
+    /// Whether many are taken. Danger: who may hold only so many connections to this proxy stops
     /// asking when idle ones fill them, long before this side itself is short.
     pub(crate) fn tight(&self) -> bool {
-        3 * self.free() < 2 * self.count()
+        let taken = self.count().saturating_sub(self.free());
+        taken > self.ease.min(2 * self.count() / 3)
     }
 
     /// How many there are, taken or not.
--- a/crates/proxy/src/connection_log.rs
+++ b/crates/proxy/src/connection_log.rs
@@ -45,6 +45,8 @@
     BadRequest,
     /// The proxy is being emptied.
     Draining,
+    /// The submitter took nothing more of its answer.
+    Unread,
     /// An operator's call has its answer.
     Answered,
     /// The proxy is stopping.
@@ -72,6 +74,7 @@
             Reason::BadAnswer => "bad-answer",
             Reason::BadRequest => "bad-request",
             Reason::Draining => "draining",
+            Reason::Unread => "unread",
             Reason::Answered => "answered",
             Reason::Stopping => "stopping",
         }
--- a/crates/proxy/src/execute_node.rs
+++ b/crates/proxy/src/execute_node.rs
@@ -7,9 +7,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode, Version, body::Incoming};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -18,13 +17,20 @@
 use crate::budget::Budget;
 use crate::connection_log::{Reason, Record, Side};
 use crate::duration;
+use crate::flow::{self, Flow, Start};
 use crate::http::{self, BODY_LIMIT, BodyFault, Link, Written};
-use crate::messages::{Call, NodeMail, ProbeTicket, Ticket, Told};
+use crate::messages::{Call, NodeMail, Payload, ProbeTicket, Ticket, Told};
 use mosshead_decide::interface::*;
 
 /// An idle connection is closed after this share of the time that execute nodes keep one: what is
 /// written to one that they have closed is lost.
 const IDLE_SHARE: f64 = 0.9;
+/// An answer whose length is not stated is held for so long, should it prove to be small.
+const ANSWER_WAIT: Duration = Duration::from_millis(200);
+/// A node that takes nothing of a body for so long is given up.
+const UPLOAD_REST: Duration = Duration::from_secs(6);
+/// How often it is looked whether the last byte has come.
+const UPLOAD_LOOK: Duration = Duration::from_millis(20);
 /// A probe is given up after so many times the time for connecting.
 const PROBE_TIMEOUT: f64 = 2.0;
 
@@ -160,11 +166,13 @@
     report: LoadReport,
     body: Bytes,
     link: Option<Link>,
+    /// More of the answer than can be held.
+    more: Option<Incoming>,
 }
 
 impl Result {
     fn of(outcome: Outcome) -> Self {
-        Self { outcome, report: LoadReport::default(), body: Bytes::new(), link: None }
+        Self { outcome, report: LoadReport::default(), body: Bytes::new(), link: None, more: None }
     }
 }
 
@@ -188,7 +196,7 @@
 
 async fn attempt(
     mut way: Way,
-    ticket: Ticket,
+    mut ticket: Ticket,
     call: Rc<Call>,
     until: Instant,
     cancelled: oneshot::Receiver<()>,
@@ -203,20 +211,51 @@
             Result::of(Outcome::Cancelled)
         }
         result = exchange(&mut way, &call, until, &progress) => result,
-        () = sleep_until(until.into()) => Result::of(if progress.given_up() {
+        () = late(&call, until) => Result::of(if progress.given_up() {
             Outcome::TimedOut
         } else {
             Outcome::ConnectFailed
         }),
     };
-    ticket.settle(result.outcome, result.report, result.body);
-    let _ = way.home.send(NodeMail::Over(Some(key), usable(result.link).await, way.chosen.addr));
+    if let Some(whole) = call.body.upload().and_then(|upload| upload.whole()) {
+        ticket.since(whole);
+    }
+    let Result { outcome, report, body, mut link, more } = result;
+    let body = match (more, link.take()) {
+        (Some(rest), Some(used)) => {
+            let (home, addr) = (way.home.clone(), way.chosen.addr);
+            Flow::down(body, rest, used, move |link| {
+                spawn_local(async move { home.send(NodeMail::Over(None, usable(Some(link)).await, addr)) });
+            })
+        }
+        (_, used) => {
+            link = used;
+            Flow::from(body)
+        }
+    };
+    ticket.settle(outcome, report, body);
+    let _ = way.home.send(NodeMail::Over(Some(key), usable(link).await, way.chosen.addr));
+}
+
+/// Ends when an attempt is to be given up. While the job's body still comes, that is when the node takes no more of it; then the
+/// submitter's wait counts from the last byte.
+async fn late(call: &Call, until: Instant) {
+    let Some(upload) = call.body.upload() else { return sleep_until(until.into()).await };
+    let left = until.saturating_duration_since(Instant::now());
+    loop {
+        let at = upload.whole().map_or(upload.moved() + UPLOAD_REST, |whole| whole + left);
+        if at <= Instant::now() {
+            return;
+        }
+        // The last byte may come meanwhile.
+        sleep_until(at.min(Instant::now() + UPLOAD_LOOK).into()).await;
+    }
 }
 
 async fn probe(mut way: Way, ticket: ProbeTicket) {
     let progress = Progress::default();
     let (verb, target, id) = ("GET".to_owned(), "/_load".to_owned(), String::new());
-    let call = Call { verb, target, id, body: Bytes::new() };
+    let call = Call { verb, target, id, body: Payload::Whole(Bytes::new()) };
     let until = Instant::now() + way.shared.connect_timeout.mul_f64(PROBE_TIMEOUT);
     let result = timeout_at(until.into(), exchange(&mut way, &call, until, &progress)).await;
     let mut result = result.unwrap_or_else(|_| {
@@ -239,6 +278,11 @@
 
 async fn exchange(way: &mut Way, call: &Call, until: Instant, progress: &Progress) -> Result {
     let (shared, chosen) = (way.shared.clone(), way.chosen);
+    // What can't be sent once more is not; the connection stays for others.
+    if call.body.upload().is_some_and(|upload| upload.spent()) {
+        let unused = way.link.take();
+        return Result { link: unused, ..Result::of(Outcome::NotSent) };
+    }
     loop {
         let kept = match way.link.take() {
             Some(mut link) => link.ready().await.then_some(link),
@@ -262,10 +306,21 @@
             link.record.because(Reason::ListChanged);
             return Result::of(Outcome::NotSent);
         }
-        let Some(request) = encode(call, told.addr, until) else { return Result::of(Outcome::NotSent) };
+        let body = match &call.body {
+            Payload::Whole(body) => Some(Flow::from(body.clone())),
+            Payload::Flowing(upload) => upload.flow(link.written.clone()),
+        };
+        let Some(request) = body.and_then(|body| encode(call, told.addr, until, body)) else {
+            link.record.because(Reason::GivenUp);
+            return Result::of(Outcome::NotSent);
+        };
+        let length = match &call.body {
+            Payload::Whole(body) => body.len(),
+            Payload::Flowing(upload) => upload.length().map_or(usize::MAX, |length| length as usize),
+        };
         link.record.otherwise(Reason::Broken);
         progress.begun(&link);
-        match link.send(request, call.body.len()).await {
+        match link.send(request, length).await {
             Ok(answer) => return decode(link, answer).await,
             Err(_) if link.written.whole() => return Result::of(Outcome::Reset),
             // It ended, or brought what belongs to no answer, while it was idle: nothing was written to it.
@@ -283,14 +338,19 @@
     Link::open(Side::ExecuteNode, addr, within, permit).await.ok_or(Outcome::ConnectFailed)
 }
 
-fn encode(call: &Call, addr: SocketAddr, until: Instant) -> Option<Request<Full<Bytes>>> {
+fn encode(call: &Call, addr: SocketAddr, until: Instant, body: Flow) -> Option<Request<Flow>> {
     let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
     let mut request = Request::builder().method(call.verb.as_str()).uri(call.target.as_str());
     request = request.header("host", addr.to_string()).header("x-time-left", format!("{left:.3}"));
     if !call.id.is_empty() {
         request = request.header("x-correlation-id", call.id.as_str());
     }
-    request.body(Full::new(call.body.clone())).ok()
+    request.body(body).ok()
+}
+
+/// A connection that carried all of the job; answered before that, it is of no further use.
+fn fit(link: Link) -> Option<Link> {
+    Some(link).filter(|link| link.written.whole())
 }
 
 async fn decode(link: Link, answer: Response<Incoming>) -> Result {
@@ -304,11 +364,30 @@
         _ => Outcome::Errored,
     };
     // Danger: without exactly one length nobody can tell whether an answer is whole.
-    let framed =
-        answer.headers().contains_key(CONTENT_LENGTH) != answer.headers().contains_key(TRANSFER_ENCODING);
+    // Where none is stated the end of the connection is the answer's, if the node says that it will close it.
+    let has = |name| answer.headers().contains_key(name);
+    let framed = match (has(CONTENT_LENGTH), has(TRANSFER_ENCODING)) {
+        (true, true) => false,
+        (false, false) => {
+            let close = header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+            close || answer.version() == Version::HTTP_10
+        }
+        _ => true,
+    };
     let fault = match framed {
+        true if outcome == Outcome::Served => {
+            match flow::start(answer.into_body(), Some(ANSWER_WAIT)).await {
+                Ok(Start::Whole(body)) => {
+                    return Result { outcome, report, body, link: fit(link), more: None };
+                }
+                Ok(Start::More(body, rest)) => {
+                    return Result { outcome, report, body, link: Some(link), more: Some(rest) };
+                }
+                Err(fault) => fault,
+            }
+        }
         true => match http::whole(answer.into_body(), BODY_LIMIT).await {
-            Ok(body) => return Result { outcome, report, body, link: Some(link) },
+            Ok(body) => return Result { outcome, report, body, link: fit(link), more: None },
             Err(fault) => fault,
         },
         false => BodyFault::Unframed,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,8 @@
 mod control;
 mod door;
 mod execute_node;
+mod flow;
+mod framing;
 mod handover;
 mod http;
 mod ids;
--- a/crates/proxy/src/machine_list.rs
+++ b/crates/proxy/src/machine_list.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::timeout;
 
 use crate::connection_log::{Reason, Side};
 use crate::duration;
+use crate::flow::Flow;
 use crate::http::{self, Link};
 use crate::listing::{Listing, read_listing};
 use crate::log::say;
@@ -171,7 +171,7 @@
             None => "/catalog/members".to_owned(),
         };
         let request = Request::get(target).header("host", self.discovery.to_string());
-        let request = request.body(Full::default()).map_err(|error| fault(&error.to_string()))?;
+        let request = request.body(Flow::from(Bytes::new())).map_err(|error| fault(&error.to_string()))?;
         link.record.otherwise(Reason::GivenUp);
         let answer = link.send(request, 0).await.map_err(|error| fault(&error.to_string()))?;
         if answer.status() != StatusCode::OK {
--- a/crates/proxy/src/messages.rs
+++ b/crates/proxy/src/messages.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
+use crate::flow::{Flow, Upload};
 use crate::http::Link;
 use crate::listing::Listing;
 
@@ -18,7 +19,24 @@
     pub(crate) verb: String,
     pub(crate) target: String,
     pub(crate) id: String,
-    pub(crate) body: Bytes,
+    pub(crate) body: Payload,
+}
+
+/// A job's body.
+#[derive(Debug)]
+pub(crate) enum Payload {
+    Whole(Bytes),
+    Flowing(Rc<Upload>),
+}
+
+impl Payload {
+    /// The body that still comes.
+    pub(crate) fn upload(&self) -> Option<&Rc<Upload>> {
+        match self {
+            Payload::Whole(_) => None,
+            Payload::Flowing(upload) => Some(upload),
+        }
+    }
 }
 
 /// A request, as the submitter's side hands it over.
@@ -35,10 +53,10 @@
 }
 
 /// The one final answer to a job.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug)]
 pub(crate) enum Answer {
     /// An execute node's answer.
-    Served(Bytes),
+    Served(Flow),
     /// A requeue notice: trying again is harmless, best after this long.
     Requeue(Seconds),
     /// Failed; it may have run.
@@ -61,6 +79,8 @@
     List(Option<Listing>),
     /// What is known of the list, for a successor.
     Known(oneshot::Sender<Listing>),
+    /// The last byte of a job's body has come.
+    Whole(JobId),
 }
 
 /// The outcome of one attempt.
@@ -71,7 +91,7 @@
     pub(crate) outcome: Outcome,
     pub(crate) rtt: Seconds,
     pub(crate) report: LoadReport,
-    pub(crate) body: Bytes,
+    pub(crate) body: Flow,
 }
 
 /// What comes into an execute node's mailbox.
@@ -113,11 +133,16 @@
         Self { job, round, endpoint, began: Instant::now(), home: Some(home) }
     }
 
-    pub(crate) fn settle(mut self, outcome: Outcome, report: LoadReport, body: Bytes) {
+    /// The node has had the job since `since` only.
+    pub(crate) fn since(&mut self, since: Instant) {
+        self.began = self.began.max(since);
+    }
+
+    pub(crate) fn settle(mut self, outcome: Outcome, report: LoadReport, body: Flow) {
         self.report(outcome, report, body);
     }
 
-    fn report(&mut self, outcome: Outcome, report: LoadReport, body: Bytes) {
+    fn report(&mut self, outcome: Outcome, report: LoadReport, body: Flow) {
         let Some(home) = self.home.take() else { return };
         let Self { job, round, endpoint, .. } = *self;
         let rtt = self.began.elapsed().as_secs_f64();
@@ -128,7 +153,7 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.report(Outcome::Reset, LoadReport::default(), Bytes::new());
+        self.report(Outcome::Reset, LoadReport::default(), Bytes::new().into());
     }
 }
 
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -147,6 +147,8 @@
     call: Rc<Call>,
     owed: Option<oneshot::Sender<Answer>>,
     deadline: Seconds,
+    /// What the submitter grants from the last byte on.
+    time_left: Seconds,
     /// Where each attempt went, in their order.
     sent: Vec<EndpointId>,
     out: u32,
@@ -258,6 +260,7 @@
                 self.landed(endpoint);
                 self.tell(Event::Probed { endpoint, outcome, rtt, report });
             }
+            Mail::Whole(job) => self.whole(job),
             Mail::Known(asked) => {
                 let known = self.nodes.iter().filter(|node| node.listed);
                 let machines = known.map(|node| node.machine.clone()).collect();
@@ -284,6 +287,16 @@
         }
     }
 
+    /// The last byte of a job's body has come: its time counts from now on.
+    fn whole(&mut self, id: JobId) {
+        let now = self.now();
+        let Some(held) = self.jobs.get_mut(&id) else { return };
+        held.deadline = now + held.time_left;
+        let (deadline, time_left) = (held.deadline, held.time_left);
+        self.schedule(deadline, Due::Deadline(id));
+        self.tell(Event::Whole { job: id, time_left });
+    }
+
     fn job(&mut self, id: JobId, job: Job, owed: oneshot::Sender<Answer>) {
         if self.jobs.len() >= self.limits.most_held {
             // Nothing was sent, so a retry does no harm.
@@ -297,9 +310,20 @@
         let time_left = job.time_left - job.arrived.elapsed().as_secs_f64();
         let deadline = self.now() + time_left;
         let call = Rc::new(job.call);
-        self.jobs.insert(id, Held { id: job.id, call, owed: Some(owed), deadline, sent: Vec::new(), out: 0 });
-        self.schedule(deadline, Due::Deadline(id));
-        self.tell(Event::Request(Request { job: id, time_left, class: job.class, tenant: job.tenant }));
+        let upload = call.body.upload().cloned();
+        let (owed, sent) = (Some(owed), Vec::new());
+        self.jobs.insert(id, Held { id: job.id, call, owed, deadline, time_left, sent, out: 0 });
+        let request = Request { job: id, time_left, class: job.class, tenant: job.tenant };
+        match upload {
+            Some(upload) => {
+                upload.belongs_to(self.module.mailbox.clone(), id);
+                self.tell(Event::Coming(request));
+            }
+            None => {
+                self.schedule(deadline, Due::Deadline(id));
+                self.tell(Event::Request(request));
+            }
+        }
     }
 
     fn ended(&mut self, ended: Ended) {
@@ -409,6 +433,12 @@
         held.out += 1;
         self.nodes[endpoint.0 as usize].out += 1;
         let until = if until > 0.0 { until.min(held.deadline) } else { held.deadline };
+        // The whole of the wait is left while the body still comes.
+        let until = if held.call.body.upload().is_some_and(|upload| upload.whole().is_none()) {
+            now + held.time_left
+        } else {
+            until
+        };
         let call = held.call.clone();
         let ticket = Ticket::new(job, round, endpoint, self.module.mailbox.clone());
         let until = self.instant(until.max(now));
@@ -478,7 +508,7 @@
     use bytes::Bytes;
 
     use super::*;
-    use crate::messages::Told;
+    use crate::messages::{Payload, Told};
     use mosshead_settings::{Found, json, read};
 
     const SETTINGS: &str = r#"{"classes":[],"limits":{"may_cancel":true,"probes":true,"second_copies":true,
@@ -506,7 +536,7 @@
             let node = execute_node::start(&settings.settings.limits, Budget::of(1), told);
             let (mailbox, mut mail) = unbounded_channel();
             let (verb, target, id) = ("GET".to_owned(), "/".to_owned(), "1".to_owned());
-            let call = Rc::new(Call { verb, target, id, body: Bytes::new() });
+            let call = Rc::new(Call { verb, target, id, body: Payload::Whole(Bytes::new()) });
             let until = Instant::now() + duration(60.0);
             let _ = node.send(NodeMail::Attempt(ticket(&mailbox), call, until));
             let _ = node.send(NodeMail::Told(change(told)));
@@ -522,7 +552,7 @@
     fn a_dropped_ticket_may_have_run() {
         let (mailbox, mut mail) = unbounded_channel();
         drop(ticket(&mailbox));
-        ticket(&mailbox).settle(Outcome::Served, LoadReport::default(), Bytes::new());
+        ticket(&mailbox).settle(Outcome::Served, LoadReport::default(), Bytes::new().into());
         let mut next = || match mail.try_recv() {
             Ok(Mail::Ended(ended)) => Some(ended.outcome),
             _ => None,
--- a/crates/proxy/src/submitter.rs
+++ b/crates/proxy/src/submitter.rs
@@ -1,6 +1,6 @@
 //! The submitter's side: an accept loop and one actor for each connection, HTTP to jobs, answers to HTTP.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -11,7 +11,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
@@ -19,21 +18,24 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{sleep, sleep_until, timeout};
 
+use crate::LONGEST;
 use crate::budget::{Budget, Permit};
 use crate::connection_log::{Line, Reason, Record, Side};
 use crate::control::Control;
+use crate::flow::{self, Flow, Start, Upload};
+use crate::framing::Framing;
 use crate::handover::Handover;
-use crate::http::{self, BODY_LIMIT, BodyFault};
+use crate::http::BodyFault;
 use crate::log::{Bounded, say};
-use crate::messages::{Answer, Call, Job};
+use crate::messages::{Answer, Call, Job, Payload};
 use crate::module::Module;
-use crate::{LONGEST, duration};
 use mosshead_decide::Names;
 use mosshead_decide::interface::{ClassId, Effect, TenantId};
 use mosshead_settings::Named;
@@ -53,6 +55,8 @@
 const MESSAGE: Duration = Duration::from_millis(2000);
 /// A connection without an open message is closed after this.
 const IDLE: Duration = Duration::from_millis(2500);
+/// A submitter that takes nothing of its answer for so long is let go; what is in the machine's buffers may take long.
+const READER_REST: Duration = Duration::from_secs(30);
 /// While the proxy is being emptied, one that idles or says nothing goes after this.
 const IDLE_IF_DRAINING: Duration = Duration::from_millis(500);
 /// While descriptors are short, one that has said nothing yet goes after this,
@@ -95,13 +99,19 @@
     short: Cell<bool>,
     /// Since when the proxy is being emptied.
     draining: Cell<Option<Instant>>,
+    /// Since when the submitter takes no more of what is written.
+    blocked: Cell<Option<Instant>>,
+    /// An answer on it has broken off.
+    spoilt: Cell<bool>,
+    framing: RefCell<Framing>,
 }
 
 impl Progress {
     fn new() -> Self {
         let (since, begun, busy) = (Cell::new(Instant::now()), Cell::new(None), Cell::new(false));
         let (answered, short, draining) = (Cell::new(false), Cell::new(false), Cell::new(None));
-        Self { since, begun, busy, answered, short, draining }
+        let (blocked, spoilt, framing) = (Cell::new(None), Cell::new(false), RefCell::new(Framing::new()));
+        Self { since, begun, busy, answered, short, draining, blocked, spoilt, framing }
     }
 
     /// Bytes have come.
@@ -111,6 +121,16 @@
         }
     }
 
+    /// The submitter has taken some of what is written, or has no room for it.
+    fn wrote(&self, some: bool) {
+        if some {
+            self.blocked.set(None);
+            self.since.set(Instant::now());
+        } else if self.blocked.get().is_none() {
+            self.blocked.set(Some(Instant::now()));
+        }
+    }
+
     fn answered(&self) {
         self.since.set(Instant::now());
         self.begun.set(None);
@@ -129,6 +149,10 @@
 
     /// When the connection is to be closed if nothing comes, and why.
     fn end(&self) -> (Instant, Reason) {
+        // Danger: an answer that a slow reader still takes would be cut off.
+        if let Some(blocked) = self.blocked.get() {
+            return (blocked + READER_REST, Reason::Unread);
+        }
         let since = self.since.get();
         if let (None, Some(drain)) = (self.begun.get(), self.draining.get()) {
             return (since.max(drain) + IDLE_IF_DRAINING, Reason::Draining);
@@ -149,12 +173,22 @@
     progress: Rc<Progress>,
 }
 
+impl Drop for Heard {
+    fn drop(&mut self) {
+        // Danger: where the end of a body is the end of the connection, half an answer would look whole.
+        if self.progress.spoilt.get() {
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for Heard {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
             self.progress.heard();
+            self.progress.framing.borrow_mut().feed(&buf.filled()[before..]);
         }
         read
     }
@@ -162,7 +196,9 @@
 
 impl AsyncWrite for Heard {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let wrote = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.progress.wrote(wrote.is_ready());
+        wrote
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
@@ -278,9 +314,16 @@
             let (front, record, progress) = (self.clone(), record.clone(), progress.clone());
             async move {
                 progress.busy.set(true);
-                let answer = front.answer(request, &record, progress.whole_by()).await;
-                progress.answered();
-                progress.short.set(front.budget.tight());
+                let both = progress.framing.borrow_mut().next();
+                let mut answer = front.answer(request, &record, both).await;
+                answer.body_mut().tells(move |whole| {
+                    progress.answered();
+                    progress.spoilt.set(!whole);
+                    progress.short.set(front.budget.tight());
+                    if !whole {
+                        record.because(Reason::Broken);
+                    }
+                });
                 Ok::<_, Infallible>(answer)
             }
         });
@@ -294,7 +337,8 @@
         let (mut server, mut stopping) = (pin!(server), false);
         let end = loop {
             // While a job is held nothing is to be closed: it is looked at again later.
-            let close = |at| if progress.busy.get() { Instant::now() + IDLE } else { at };
+            let held = || progress.busy.get() && progress.blocked.get().is_none();
+            let close = |at| if held() { Instant::now() + IDLE } else { at };
             tokio::select! {
                 biased;
                 end = server.as_mut() => break end,
@@ -307,7 +351,7 @@
                 Ok(()) = drains.changed() => progress.draining.set(*drains.borrow_and_update()),
                 () = sleep_until(close(progress.end().0).into()) => {
                     let (at, why) = progress.end();
-                    if !progress.busy.get() && at <= Instant::now() {
+                    if !held() && at <= Instant::now() {
                         return record.because(why);
                     }
                 }
@@ -322,19 +366,13 @@
         }
     }
 
-    async fn answer(
-        &self,
-        request: Request<Incoming>,
-        record: &Record,
-        whole_by: Instant,
-    ) -> Response<Full<Bytes>> {
-        let arrived = Instant::now();
+    async fn answer(&self, request: Request<Incoming>, record: &Record, both: bool) -> Response<Flow> {
         record.message();
         let mut response = if request.uri().path() == "/_health" {
             let open = self.control.ready() && !self.control.draining();
             respond(if open { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, Bytes::new())
         } else {
-            match self.decode(request, arrived, whole_by).await {
+            match self.decode(request, both).await {
                 Ok(job) => {
                     record.otherwise(Reason::SubmitterGone);
                     match self.module.take(job).await {
@@ -364,7 +402,7 @@
     }
 
     /// The answer to what is no job, the last on its connection: what follows there may be part of it.
-    fn turn_down(&self, record: &Record, Turned(status, why): Turned) -> Response<Full<Bytes>> {
+    fn turn_down(&self, record: &Record, Turned(status, why): Turned) -> Response<Flow> {
         match self.turned_down.admit() {
             Some(0) => say!(status = status.as_u16(), why = %why, "turned-down"),
             Some(left_out) => say!(status = status.as_u16(), why = %why, left_out, "turned-down"),
@@ -376,26 +414,30 @@
         response
     }
 
-    async fn decode(
-        &self,
-        request: Request<Incoming>,
-        arrived: Instant,
-        whole_by: Instant,
-    ) -> Result<Job, Turned> {
+    async fn decode(&self, request: Request<Incoming>, both: bool) -> Result<Job, Turned> {
         let (head, body) = request.into_parts();
+        // Danger: where both framings are given a second message may hide in the body.
+        if both && head.headers.contains_key(TRANSFER_ENCODING) {
+            return Err(Turned(StatusCode::BAD_REQUEST, "the body is framed twice"));
+        }
         let (class, tenant, time_left, id) = self.read_head(&head)?;
         let too_long = Turned(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
         // Danger: a submitter that never ends its body would hold its descriptor for good.
-        let whole_by = whole_by.min(arrived + duration(time_left));
-        let body = timeout_at(whole_by.into(), http::whole(body, BODY_LIMIT)).await;
         let late = Turned(StatusCode::REQUEST_TIMEOUT, "the body did not come in time");
-        let body = body.map_err(|_| late)?.map_err(|fault| match fault {
+        let body = flow::start(body, None).await.map_err(|fault| match fault {
             BodyFault::TooLong => too_long,
+            BodyFault::Late => late,
             BodyFault::Broken | BodyFault::Unframed => Turned(StatusCode::BAD_REQUEST, "the body broke off"),
         })?;
         let number = u64::from_str_radix(&id, 16).map_err(|_| BAD_ID)?;
         let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
+        let body = match body {
+            Start::Whole(body) => Payload::Whole(body),
+            Start::More(start, rest) => Payload::Flowing(Upload::new(start, rest)),
+        };
         let call = Call { verb: head.method.as_str().to_owned(), target, id, body };
+        // What the submitter grants counts from its last byte.
+        let arrived = Instant::now();
         Ok(Job { id: number, class, tenant, time_left, arrived, call })
     }
 
@@ -407,11 +449,6 @@
             // Danger: of two values the execute node may read the other one.
             if values.next().is_some() { Err(bad("a header is given twice")) } else { value.transpose() }
         };
-        // Danger: with a chunked body hyper hides a Content-Length, and where both are given a second message
-        // may hide in the body. Jobs state their length.
-        if head.headers.contains_key(TRANSFER_ENCODING) {
-            return Err(Turned(StatusCode::LENGTH_REQUIRED, "the body has no Content-Length of its own"));
-        }
         let id = header("x-correlation-id")?.filter(|id| !id.is_empty());
         let id = id.ok_or(bad("X-Correlation-Id is missing"))?.to_owned();
         if id.len() != ID_DIGITS || !id.bytes().all(|digit| digit.is_ascii_hexdigit()) {
@@ -423,7 +460,8 @@
             return Err(bad("path and class differ"));
         }
         let class = self.classes.number(class).ok_or(bad("the class is not known"))?;
-        let body = head.headers.get(CONTENT_LENGTH).is_some_and(|length| length.as_bytes() != b"0");
+        let body = head.headers.get(CONTENT_LENGTH).is_some_and(|length| length.as_bytes() != b"0")
+            || head.headers.contains_key(TRANSFER_ENCODING);
         let fits = match self.effects[class] {
             Effect::Safe => head.method == Method::GET && !body,
             Effect::Keyed { .. } | Effect::Unsafe => head.method == Method::POST,
@@ -449,13 +487,13 @@
     }
 }
 
-fn respond(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
+fn respond(status: StatusCode, body: impl Into<Flow>) -> Response<Flow> {
+    let mut response = Response::new(body.into());
     *response.status_mut() = status;
     response
 }
 
-fn encode(answer: Answer) -> Response<Full<Bytes>> {
+fn encode(answer: Answer) -> Response<Flow> {
     match answer {
         Answer::Served(body) => respond(StatusCode::OK, body),
         Answer::Requeue(wait) => {
--- a/crates/simulate/src/policies.rs
+++ b/crates/simulate/src/policies.rs
@@ -249,7 +249,8 @@
                 actions.push(Action::Timer { delay, token: WATCH });
             }
             Event::Timer(_) => actions.push(Action::Watch),
-            Event::Request(Request { job, time_left, class, .. }) => {
+            Event::Coming(Request { job, time_left, class, .. })
+            | Event::Request(Request { job, time_left, class, .. }) => {
                 let deadline = now + time_left;
                 let (attempts, out, may_have_run, last) = (0, 0, false, None);
                 self.jobs.insert(job, Job { class, deadline, attempts, out, may_have_run, last });
@@ -277,7 +278,7 @@
                 self.send(now, job, actions);
             }
             Event::Withdrawn { job } => drop(self.jobs.remove(&job)),
-            Event::Begun { .. } | Event::Probed { .. } => {}
+            Event::Begun { .. } | Event::Whole { .. } | Event::Probed { .. } => {}
         }
     }
 }
