Take the whole of the settings on SIGHUP, or nothing

Need: classes come and go, effects and attempts change under load. Change: tuning.rs gives each changed definition a new place, Balancer::retune swaps the settings once, jobs keep their class and attempts, no key that is in force may be missing; names are taken under former terms for 1 s.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -120,9 +120,9 @@
 /// The decisions of one sidecar.
 #[derive(Clone, Debug)]
 pub struct Balancer {
-    settings: Settings,
+    pub(crate) settings: Settings,
     rng: Pcg32,
-    seen: Memory,
+    pub(crate) seen: Memory,
 }
 
 impl Balancer {
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -4,6 +4,7 @@
 
 use rand_core::RngCore;
 
+use crate::Balancer;
 use crate::interface::*;
 
 /// A first guess at a class's service until there are answers: its wanted time mostly allows so many of them.
@@ -86,8 +87,6 @@
     pub(crate) fn new(settings: &Settings) -> Self {
         let all = &settings.classes;
         let mean = |of: fn(&Class) -> f64| all.iter().map(of).sum::<f64>() / all.len() as f64;
-        let open = |class: &Class| (class.runs_on.clone(), class.runs_in.clone());
-        let market = |class| all.iter().position(|first| open(first) == open(class)).unwrap_or(0);
         Self {
             endpoints: Vec::new(),
             near: Vec::new(),
@@ -117,7 +116,7 @@
             least_target: all.iter().map(|class| class.target).fold(f64::INFINITY, f64::min),
             retries: 0.0,
             prices: vec![0.0; all.len()],
-            markets: all.iter().map(market).collect(),
+            markets: markets(all),
             reserve: 1.0,
             bound: Mean::default(),
             watch_failures: 0,
@@ -161,6 +160,50 @@
     }
 }
 
+/// For each class the first one that is open to the same servers.
+fn markets(all: &[Class]) -> Vec<usize> {
+    let open = |class: &Class| (class.runs_on.clone(), class.runs_in.clone());
+    let market = |class| all.iter().position(|first| open(first) == open(class)).unwrap_or(0);
+    all.iter().map(market).collect()
+}
+
+impl Balancer {
+    /// Other settings are in force. Requests that are held keep their classes: of those only such change that no
+    /// request holds. `open` are the classes that new requests come under; of two `heirs` the second goes on with what
+    /// is known of the first.
+    pub fn retune(
+        &mut self,
+        settings: Settings,
+        open: &[ClassId],
+        heirs: &[(ClassId, ClassId)],
+    ) -> Result<(), SettingsError> {
+        settings.check()?;
+        let (seen, all) = (&mut self.seen, &settings.classes);
+        for (at, class) in all.iter().enumerate() {
+            if at >= seen.classes.len() {
+                seen.classes.push(ClassStats::new(class));
+            } else if self.settings.classes[at] != *class {
+                seen.classes[at] = ClassStats::new(class);
+            }
+        }
+        for &(from, to) in heirs {
+            seen.classes[to.0].service = seen.classes[from.0].service;
+            if self.settings.classes[from.0].deadline == all[to.0].deadline {
+                seen.classes[to.0] = seen.classes[from.0].clone();
+            }
+        }
+        let lowest = seen.prices.iter().copied().fold(f64::INFINITY, f64::min);
+        seen.prices.resize(all.len(), lowest);
+        seen.markets = markets(all);
+        seen.tenant_rates.resize(settings.tenants.len(), Rate::default());
+        let open = || open.iter().map(|class| &all[class.0]);
+        seen.mean_deadline = open().map(|class| class.deadline).sum::<f64>() / open().count().max(1) as f64;
+        seen.least_target = open().map(|class| class.target).fold(f64::INFINITY, f64::min);
+        self.settings = settings;
+        Ok(())
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Endpoint {
     pub(crate) entry: ListEntry,
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,9 +1,15 @@
 //! What the proxy is told when it starts.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::listing::{Listing, read_listing};
 use mosshead_settings::{self as settings, Found, Named};
+use tinyjson::JsonValue;
+
+/// Keys that may be absent at any time.
+const OPTIONAL: [&str; 6] = ["aim_stretch", "passes_deadline", "warm_keys", "fleet", "ops", "known"];
 
 /// The configuration, read and checked.
 #[derive(Clone, Debug)]
@@ -21,9 +27,17 @@
     pub(crate) sockets: u64,
     pub(crate) known: Listing,
     pub(crate) named: Named,
+    /// The text, parsed.
+    json: Arc<JsonValue>,
 }
 
 impl Config {
+    /// Whether a configuration that replaces this one has all keys of it. A fault names the key.
+    pub(crate) fn replaced_by(&self, next: &Self) -> Result<(), String> {
+        lacking(&self.json, &next.json, "")
+            .map_or(Ok(()), |key| Err(format!("{key}: missing, and in force now")))
+    }
+
     /// Reads the text of a configuration; a fault names the key.
     pub fn read(text: &str) -> Result<Self, String> {
         let json = settings::json(text)?;
@@ -51,6 +65,34 @@
             sockets: sockets.whole()?,
             known: read_listing(&top.get("known")?)?,
             named,
+            json: Arc::new(json),
         })
     }
 }
+
+/// The first key of `old` that is missing in `new`. Danger: what is left out by mistake would fall back on a default.
+/// The objects of a list need the keys that all of the old ones have.
+fn lacking(old: &JsonValue, new: &JsonValue, path: &str) -> Option<String> {
+    let member = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    match (old, new) {
+        (JsonValue::Object(old), JsonValue::Object(new)) => {
+            let mut keys: Vec<_> = old.iter().filter(|(key, _)| !OPTIONAL.contains(&key.as_str())).collect();
+            keys.sort_by_key(|(key, _)| *key);
+            keys.into_iter().find_map(|(key, value)| match new.get(key) {
+                Some(found) => lacking(value, found, &member(key)),
+                None => Some(member(key)),
+            })
+        }
+        (JsonValue::Array(old), JsonValue::Array(new)) => {
+            let object = |value: &JsonValue| value.get::<HashMap<String, JsonValue>>().cloned();
+            let all: Vec<_> = old.iter().filter_map(object).collect();
+            let mut common = all.first().cloned().unwrap_or_default();
+            common.retain(|key, _| all.iter().all(|object| object.contains_key(key)));
+            let common = JsonValue::Object(common.into_keys().map(|key| (key, JsonValue::Null)).collect());
+            let each = new.iter().enumerate().filter(|(_, value)| matches!(value, JsonValue::Object(_)));
+            each.map(|(at, value)| (format!("{path}[{at}]"), value))
+                .find_map(|(path, value)| lacking(&common, value, &path))
+        }
+        _ => None,
+    }
+}
--- a/crates/proxy/src/execute_node.rs
+++ b/crates/proxy/src/execute_node.rs
@@ -37,7 +37,7 @@
 /// Starts the actor.
 pub(crate) fn start(limits: &Limits, budget: Budget, told: Told) -> UnboundedSender<NodeMail> {
     let (home, mailbox) = unbounded_channel();
-    let connect_timeout = duration(limits.connect_timeout);
+    let connect_timeout = Cell::new(duration(limits.connect_timeout));
     let shared = Shared { told: Cell::new(told), connect_timeout, budget };
     let keep = duration(limits.keepalive * IDLE_SHARE);
     let node =
@@ -49,7 +49,7 @@
 /// What the node's attempts look up.
 struct Shared {
     told: Cell<Told>,
-    connect_timeout: Duration,
+    connect_timeout: Cell<Duration>,
     budget: Budget,
 }
 
@@ -113,6 +113,10 @@
                 }
             }
             NodeMail::Close => self.close(Reason::ModuleAsked),
+            NodeMail::Retuned(connect_timeout, keepalive) => {
+                self.shared.connect_timeout.set(duration(connect_timeout));
+                self.keep = duration(keepalive * IDLE_SHARE);
+            }
             NodeMail::Over(key, link, addr) => {
                 if let Some(key) = key {
                     self.out.remove(&key);
@@ -256,7 +260,7 @@
     let progress = Progress::default();
     let (verb, target, id) = ("GET".to_owned(), "/_load".to_owned(), String::new());
     let call = Call { verb, target, id, body: Payload::Whole(Bytes::new()) };
-    let until = Instant::now() + way.shared.connect_timeout.mul_f64(PROBE_TIMEOUT);
+    let until = Instant::now() + way.shared.connect_timeout.get().mul_f64(PROBE_TIMEOUT);
     let result = timeout_at(until.into(), exchange(&mut way, &call, until, &progress)).await;
     let mut result = result.unwrap_or_else(|_| {
         progress.given_up();
@@ -332,7 +336,7 @@
 
 /// A new connection; where this machine has no descriptor left for it, the node is not to blame.
 async fn connect(shared: &Shared, addr: SocketAddr) -> std::result::Result<Link, Outcome> {
-    let latest = Instant::now() + shared.connect_timeout;
+    let latest = Instant::now() + shared.connect_timeout.get();
     let permit = timeout_at(latest.into(), shared.budget.take()).await.map_err(|_| Outcome::NotSent)?;
     let within = latest.saturating_duration_since(Instant::now());
     Link::open(Side::ExecuteNode, addr, within, permit).await.ok_or(Outcome::ConnectFailed)
--- a/crates/proxy/src/ids.rs
+++ b/crates/proxy/src/ids.rs
@@ -18,6 +18,12 @@
         Self { taken: HashSet::new(), over: VecDeque::new(), keep }
     }
 
+    /// Later jobs may run for so long.
+    pub(crate) fn keep(&mut self, keep: Duration) {
+        // Danger: shortened, an id that is kept longer would stand before one that is due.
+        self.keep = self.keep.max(keep);
+    }
+
     /// Takes an id; false if it is taken already.
     pub(crate) fn take(&mut self, id: u64, now: Instant) -> bool {
         while let Some((until, over)) = self.over.front().copied()
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 mod messages;
 mod module;
 mod submitter;
+mod tuning;
 
 pub use config::Config;
 
@@ -94,8 +95,8 @@
     let listener = Rc::new(listener);
     let (list, asked) = MachineList::new();
     let limits = config.named.settings.limits.clone();
-    spawn_local(reload(hangup, read, list.clone()));
-    let (module, actor) = Module::new(&config, back, list, control.clone()).map_err(io::Error::other)?;
+    let (module, terms, actor) =
+        Module::new(&config, back, list.clone(), control.clone()).map_err(io::Error::other)?;
     let mut deciding = spawn_local(actor);
     let version = config.known.version;
     spawn_local(machine_list::run(
@@ -118,7 +119,8 @@
         let (module, control, listener) = (module.clone(), control.clone(), listener.clone());
         Handover::new(path, module, shares, control, listener, predecessor)
     });
-    let front = Front::new(module, &config.named, front, control.clone());
+    let front = Front::new(module.clone(), terms, front, control.clone());
+    spawn_local(reload(hangup, read, list, module, front.clone(), config.clone()));
     let stop = async {
         tokio::select! {
             _ = terminate.recv() => {}
@@ -146,21 +148,37 @@
     socket.listen(BACKLOG)
 }
 
-/// On each SIGHUP the configuration is read anew, and the list is watched where it now says. Jobs, connections
-/// and decisions live on; what else the file changes counts from the next start.
+/// On each SIGHUP the configuration is read anew: the settings are taken whole or not at all, and the list is watched where
+/// it now says. Jobs and connections live on; what else the file changes counts from the next start.
 async fn reload(
     mut hangup: Signal,
     read: impl Fn() -> Result<Config, String> + Clone + Send + 'static,
     list: MachineList,
+    module: Module,
+    front: Rc<Front>,
+    mut running: Config,
 ) {
     while hangup.recv().await.is_some() {
         // Danger: a file system that hangs must not stop the jobs.
-        match spawn_blocking(read.clone()).await {
-            Ok(Ok(config)) => {
-                say!(discovery = %config.discovery, "reloaded");
-                list.move_to(config.discovery);
+        let read = spawn_blocking(read.clone()).await;
+        let next = read.unwrap_or_else(|fault| Err(fault.to_string()));
+        let next = next.and_then(|next| running.replaced_by(&next).map(|()| next));
+        let taken = match next {
+            Ok(next) => module.retune(next.named.clone()).await.map(|terms| (next, terms)),
+            Err(fault) => Err(fault),
+        };
+        match taken {
+            Ok((next, terms)) => {
+                front.retuned(terms);
+                say!(
+                    discovery = %next.discovery,
+                    classes = next.named.settings.classes.len(),
+                    attempts = next.named.settings.limits.max_attempts,
+                    "reloaded"
+                );
+                list.move_to(next.discovery);
+                running = next;
             }
-            Ok(Err(fault)) => say!(fault = %fault, "reload failed"),
             Err(fault) => say!(fault = %fault, "reload failed"),
         }
     }
--- a/crates/proxy/src/messages.rs
+++ b/crates/proxy/src/messages.rs
@@ -6,12 +6,14 @@
 
 use bytes::Bytes;
 use mosshead_decide::interface::*;
+use mosshead_settings::Named;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
 use crate::flow::{Flow, Upload};
 use crate::http::Link;
 use crate::listing::Listing;
+use crate::tuning::Terms;
 
 /// What passes through the proxy unchanged.
 #[derive(Debug)]
@@ -81,6 +83,8 @@
     Known(oneshot::Sender<Listing>),
     /// The last byte of a job's body has come.
     Whole(JobId),
+    /// Other settings, and whom to tell what submitters may name from now on.
+    Retune(Box<Named>, oneshot::Sender<Result<Terms, String>>),
 }
 
 /// The outcome of one attempt.
@@ -107,6 +111,8 @@
     Cancel(JobId, Round),
     /// Close the idle connections.
     Close,
+    /// Other limits are in force.
+    Retuned(Seconds, Seconds),
     /// An attempt or probe is over; its connection may be of further use.
     Over(Option<(JobId, Round)>, Option<Link>, SocketAddr),
 }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -5,7 +5,7 @@
 
 use std::cell::Cell;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -27,9 +27,11 @@
 use crate::log::say;
 use crate::machine_list::MachineList;
 use crate::messages::{Answer, Call, Ended, Job, Mail, NodeMail, ProbeTicket, Ticket, Told};
+use crate::tuning::{Change, Terms, Tuning};
 use mosshead_decide::Balancer;
 use mosshead_decide::Names;
 use mosshead_decide::interface::*;
+use mosshead_settings::Named;
 
 /// The wait that a requeue notice asks for where the proxy is too full for the module to see the job.
 const FULL_WAIT: Seconds = 0.5;
@@ -49,7 +51,8 @@
         budget: Budget,
         list: MachineList,
         control: Arc<Control>,
-    ) -> Result<(Self, impl Future<Output = ()> + use<>), SettingsError> {
+    ) -> Result<(Self, Terms, impl Future<Output = ()> + use<>), SettingsError> {
+        let (tuning, terms) = Tuning::new(&config.named);
         let (mailbox, mail) = unbounded_channel();
         let module = Self { mailbox, jobs: Rc::default(), control };
         let balancer = Balancer::new(config.named.settings.clone(), config.seed)?;
@@ -69,6 +72,7 @@
             zones: config.named.zones.clone(),
             kinds: config.named.kinds.clone(),
             nodes: Vec::new(),
+            tuning,
             version: config.known.version,
             jobs: BTreeMap::new(),
             ids: Ids::new(duration(longest)),
@@ -85,7 +89,7 @@
             actor.tell(Event::List(ListUpdate::Saved(entries)));
             actor.run(mail).await;
         };
-        Ok((module, run))
+        Ok((module, terms, run))
     }
 
     /// Takes a job on; the final answer comes of the returned future. Dropping that withdraws the job.
@@ -97,6 +101,13 @@
         Waiting { job: id, answer, answered: false, module: self.clone() }
     }
 
+    /// Takes other settings up, all or none; gives what submitters may name from now on.
+    pub(crate) async fn retune(&self, named: Named) -> Result<Terms, String> {
+        let (owed, terms) = oneshot::channel();
+        self.send(Mail::Retune(Box::new(named), owed));
+        terms.await.unwrap_or_else(|_| Err("the module has ended".to_owned()))
+    }
+
     /// The machine list as it is known now.
     pub(crate) async fn known(&self) -> Option<Listing> {
         let (asked, listing) = oneshot::channel();
@@ -144,6 +155,9 @@
 /// A job until it has its answer and all its attempts have ended.
 struct Held {
     id: u64,
+    /// What it came under, whatever the settings say by now.
+    class: ClassId,
+    most: u32,
     call: Rc<Call>,
     owed: Option<oneshot::Sender<Answer>>,
     deadline: Seconds,
@@ -183,6 +197,7 @@
     zones: Names,
     kinds: Names,
     nodes: Vec<Node>,
+    tuning: Tuning,
     /// The list's.
     version: u64,
     jobs: BTreeMap<JobId, Held>,
@@ -261,6 +276,7 @@
                 self.tell(Event::Probed { endpoint, outcome, rtt, report });
             }
             Mail::Whole(job) => self.whole(job),
+            Mail::Retune(named, owed) => drop(owed.send(self.retune(*named))),
             Mail::Known(asked) => {
                 let known = self.nodes.iter().filter(|node| node.listed);
                 let machines = known.map(|node| node.machine.clone()).collect();
@@ -287,6 +303,25 @@
         }
     }
 
+    fn retune(&mut self, named: Named) -> Result<Terms, String> {
+        let named = named.onto(&mut self.zones, &mut self.kinds);
+        let held: HashSet<ClassId> = self.jobs.values().map(|held| held.class).collect();
+        let mut tuning = self.tuning.clone();
+        let change = tuning.change(&named, |class| held.contains(&class), Instant::now())?;
+        let Change { settings, terms, open, heirs } = change;
+        let limits = settings.limits.clone();
+        let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        self.balancer.retune(settings, &open, &heirs).map_err(|fault| fault.to_string())?;
+        // Nothing can fail from here on.
+        self.tuning = tuning;
+        self.ids.keep(duration(longest));
+        for node in &self.nodes {
+            let _ = node.mailbox.send(NodeMail::Retuned(limits.connect_timeout, limits.keepalive));
+        }
+        self.limits = limits;
+        Ok(terms)
+    }
+
     /// The last byte of a job's body has come: its time counts from now on.
     fn whole(&mut self, id: JobId) {
         let now = self.now();
@@ -311,8 +346,8 @@
         let deadline = self.now() + time_left;
         let call = Rc::new(job.call);
         let upload = call.body.upload().cloned();
-        let (owed, sent) = (Some(owed), Vec::new());
-        self.jobs.insert(id, Held { id: job.id, call, owed, deadline, time_left, sent, out: 0 });
+        let (owed, sent, class, most) = (Some(owed), Vec::new(), job.class, self.limits.max_attempts);
+        self.jobs.insert(id, Held { id: job.id, class, most, call, owed, deadline, time_left, sent, out: 0 });
         let request = Request { job: id, time_left, class: job.class, tenant: job.tenant };
         match upload {
             Some(upload) => {
@@ -421,7 +456,7 @@
 
     fn send(&mut self, now: Seconds, job: JobId, endpoint: EndpointId, until: Seconds) {
         let held = self.jobs.get_mut(&job).filter(|held| held.owed.is_some());
-        let Some(held) = held.filter(|held| held.sent.len() < self.limits.max_attempts as usize) else {
+        let Some(held) = held.filter(|held| held.sent.len() < held.most as usize) else {
             let (round, report) = (Round(u32::MAX), LoadReport::default());
             say!(job = job.0, "fault: the module sent a job that is over");
             let outcome = Outcome::NotSent;
--- a/crates/proxy/src/submitter.rs
+++ b/crates/proxy/src/submitter.rs
@@ -36,9 +36,8 @@
 use crate::log::{Bounded, say};
 use crate::messages::{Answer, Call, Job, Payload};
 use crate::module::Module;
-use mosshead_decide::Names;
+use crate::tuning::{Term, Terms};
 use mosshead_decide::interface::{ClassId, Effect, TenantId};
-use mosshead_settings::Named;
 
 /// New connections keep coming for so long after a stop is asked for.
 const STOP_ACCEPTING: Duration = Duration::from_millis(450);
@@ -77,9 +76,7 @@
 /// The side that submitters see.
 pub(crate) struct Front {
     module: Module,
-    classes: Names,
-    effects: Vec<Effect>,
-    tenants: Names,
+    terms: RefCell<Rc<Terms>>,
     budget: Budget,
     stage: watch::Sender<Stage>,
     control: Arc<Control>,
@@ -222,11 +219,15 @@
 const HEAD_LIMIT: usize = 16 * 1024;
 
 impl Front {
-    pub(crate) fn new(module: Module, named: &Named, budget: Budget, control: Arc<Control>) -> Rc<Self> {
-        let (classes, tenants) = (named.classes.clone(), named.tenants.clone());
-        let effects = named.settings.classes.iter().map(|class| class.effect).collect();
+    pub(crate) fn new(module: Module, terms: Terms, budget: Budget, control: Arc<Control>) -> Rc<Self> {
+        let terms = RefCell::new(Rc::new(terms));
         let (stage, turned_down) = (watch::Sender::new(Stage::Serving), Bounded::new());
-        Rc::new(Self { module, classes, effects, tenants, budget, stage, control, turned_down })
+        Rc::new(Self { module, terms, budget, stage, control, turned_down })
+    }
+
+    /// What submitters may name from now on.
+    pub(crate) fn retuned(&self, terms: Terms) {
+        self.terms.replace(Rc::new(terms));
     }
 
     /// Serves until `stop`, then finishes what it has taken.
@@ -459,23 +460,25 @@
         if class != first {
             return Err(bad("path and class differ"));
         }
-        let class = self.classes.number(class).ok_or(bad("the class is not known"))?;
+        let (terms, now) = (self.terms.borrow().clone(), Instant::now());
+        if terms.class(class, now).next().is_none() {
+            return Err(bad("the class is not known"));
+        }
         let body = head.headers.get(CONTENT_LENGTH).is_some_and(|length| length.as_bytes() != b"0")
             || head.headers.contains_key(TRANSFER_ENCODING);
-        let fits = match self.effects[class] {
+        let fits = |term: &&Term| match term.effect {
             Effect::Safe => head.method == Method::GET && !body,
             Effect::Keyed { .. } | Effect::Unsafe => head.method == Method::POST,
         };
-        if !fits {
-            return Err(Turned(StatusCode::METHOD_NOT_ALLOWED, "the class goes by another method"));
-        }
+        let other = Turned(StatusCode::METHOD_NOT_ALLOWED, "the class goes by another method");
+        let class = terms.class(class, now).find(fits).ok_or(other)?.class;
         let tenant = match header("x-account")? {
             None | Some("") => None,
-            Some(name) => Some(TenantId(self.tenants.number(name).ok_or(bad("the account is not known"))?)),
+            Some(name) => Some(terms.tenant(name).ok_or(bad("the account is not known"))?),
         };
         let left = header("x-time-left")?.ok_or(bad("X-Time-Left is missing"))?;
         let left = left.trim().parse().ok().filter(|left: &f64| (f64::MIN_POSITIVE..=LONGEST).contains(left));
-        Ok((ClassId(class), tenant, left.ok_or(bad("X-Time-Left is not a time"))?, id))
+        Ok((class, tenant, left.ok_or(bad("X-Time-Left is not a time"))?, id))
     }
 }
 
--- a/crates/proxy/tests/network.rs
+++ b/crates/proxy/tests/network.rs
@@ -641,3 +641,112 @@
 fn every_form_comes_through(#[case] scenario: &str) {
     play(&format!("proxy start n1\n{}", scenario.replace("LARGE", &"0123456789".repeat(20_000))));
 }
+
+/// SIGHUP brings other settings, whole or not at all.
+#[rstest]
+#[case::a_class_is_added(
+    "a send GET /poem
+     a expect 400
+     proxy tune add:poem:single_shot
+     proxy wait reloaded
+     b send POST /poem
+     n1 expect /poem
+     n1 send 500
+     b expect 502"
+)]
+// A dropped one refuses new jobs a moment later; what it had taken is served.
+#[case::a_class_is_dropped(
+    "proxy tune add:poem:free
+     proxy wait classes=3
+     a send GET /poem
+     n1 expect /poem
+     proxy tune drop:poem
+     proxy wait classes=2
+     n1 send 200 body=late
+     a expect late
+     h send GET /_health
+     h expect 200
+     h expect closed
+     b send GET /poem
+     b expect 400"
+)]
+// Danger: judged by the new effect, an open job would be sent again after it may have run.
+#[case::an_open_job_keeps_its_effect(
+    "a send POST /book-lesson
+     n1 expect book-lesson
+     proxy tune drop:book-lesson add:book-lesson:guarded send_cap=4
+     proxy wait attempts=4
+     n1 send 500
+     a expect 502
+     b send GET /slot-lookup
+     n1 expect slot-lookup
+     n1 send 200 body=ok
+     b expect ok"
+)]
+#[case::fewer_attempts(
+    "proxy tune send_cap=1
+     proxy wait attempts=1
+     a send POST /book-lesson
+     n1 expect book-lesson
+     n1 send 503 X-Unprocessed:1
+     a expect 503 retry-after:"
+)]
+#[case::the_last_of_many(
+    "proxy tune add:x:free
+     proxy tune add:y:free
+     proxy tune raw nonsense
+     proxy tune send_cap=1
+     proxy wait attempts=1
+     a send GET /y
+     n1 expect /y
+     n1 send 200 body=ok
+     a expect ok"
+)]
+fn settings_change_under_load(#[case] scenario: &str) {
+    play(&format!("proxy start n1\n{scenario}"));
+}
+
+/// Danger: half of a configuration, or a default in place of a key that was lost, breaks rules hours later.
+#[rstest]
+#[case::empty("raw ", "fault=")]
+#[case::cut_off("raw {\"name\":\"t\",\"listen\":\"127", "fault=")]
+#[case::no_json("raw nonsense", "fault=")]
+#[case::a_key_lost("lose:name add:poem:free", "missing field `name`")]
+#[case::a_key_with_a_default_lost("lose:keepalive_s add:poem:free", "settings.limits.keepalive_s: missing")]
+#[case::a_key_of_a_class_lost("lose:group add:poem:free", "settings.classes[0].group: missing")]
+#[case::deadline_below_zero("deadline_s=-5 add:poem:free", "deadline is -5")]
+#[case::no_deadline("deadline_s=0 add:poem:free", "deadline is 0")]
+#[case::deadline_in_words("deadline_s=\"soon\" add:poem:free", "deadline_s: invalid")]
+#[case::half_an_attempt("send_cap=2.5 add:poem:free", "send_cap: invalid")]
+#[case::no_attempt("send_cap=0 add:poem:free", "max_attempts is 0")]
+fn nothing_is_taken_from_a_bad_file(#[case] change: &str, #[case] fault: &str) {
+    play(&format!(
+        "proxy start n1
+         proxy tune {change}
+         proxy wait {fault}
+         a send GET /poem
+         a expect 400
+         b send GET /slot-lookup
+         n1 expect slot-lookup
+         n1 send 503 X-Unprocessed:1
+         n1 expect slot-lookup
+         n1 send 200 body=ok
+         b expect ok"
+    ));
+}
+
+/// The file is gone, a folder, or no text: nothing changes, and the fault names it.
+#[test]
+fn a_file_that_is_none_changes_nothing() {
+    for what in ["folder", "gone", "bytes"] {
+        play(&format!(
+            "proxy start n1
+             proxy lay {what}
+             proxy wait config.json:
+             b send GET /slot-lookup
+             n1 expect slot-lookup
+             n1 send 200 body=ok
+             b expect ok"
+        ));
+    }
+}
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -9,6 +9,8 @@
 //! - `op…`: an operator, who calls at the operators' address.
 //! - `proxy`: `start WORDS` (the nodes on its saved list, and `key=value` over the settings, `door` for the operators' address), `close` (SIGTERM),
 //!   `send PARTY` (SIGHUP, with discovery now at that party; `send nothing`: with an empty file),
+//!   `tune CHANGES` (SIGHUP, with other settings: `KEY=VALUE`, `add:CLASS:EFFECT`, `drop:CLASS`, `lose:KEY`, or `raw TEXT`),
+//!   `lay WHAT` (SIGHUP, with a `folder`, `bytes` or nothing in the file's place),
 //!   `wait TEXT` (until a line of its log holds that), `expect exit N`.
 //!
 //! `expect WORDS`: the next message holds each of the words, whatever their case (`+` stands for a space); `expect closed`: it never comes.
@@ -31,8 +33,8 @@
 
 pub const CONFIG: &str = r#"{"name":"t","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"0a",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"version":1,"full":true,"servers":[SERVERS]},
-"settings":{"classes":[{"name":"slot-lookup","target_s":3.0,"deadline_s":6.0,"gain":1.0,"effect":"free","group":"all"},
-{"name":"book-lesson","target_s":3.0,"deadline_s":6.0,"gain":10.0,"effect":"single_shot","group":"all"}],
+"settings":{"classes":[{"name":"slot-lookup","target_s":3.0,"deadline_s":6.0,"gain":1.0,"group":"all","effect":"free"},
+{"name":"book-lesson","target_s":3.0,"deadline_s":6.0,"gain":10.0,"group":"all","effect":"single_shot"}],
 "limits":{"may_cancel":true,"probes":false,"second_copies":false,"send_cap":2,"max_retry_after_s":2.0,"max_streams":1,
 "keepalive_s":60.0,"connect_timeout_s":0.25,"most_held":100},"machine_types":["m"],"membership_mode":"ask","over_share_worth":0.1,"tick_s":0.005,
 "reporting":{"how":"piggyback"},"rules":{"ask_within_s":10.0,"cold_from":0.35,"fall_multiple":3.0,"fall_s":3.0,
@@ -135,9 +137,7 @@
             if word == "door" {
                 config = config.replacen('{', r#"{"ops":"127.0.0.1:0","#, 1);
             } else if let Some((key, value)) = word.split_once('=') {
-                let (before, after) = config.split_once(&format!("\"{key}\":")).ok_or("no such key")?;
-                let rest = &after[after.find([',', '}']).ok_or("no end")?..];
-                config = format!("{before}\"{key}\":{value}{rest}");
+                config = with(&config, key, value)?;
             } else {
                 let addr = self.listen(word);
                 servers.push(format!(r#"{{"id":"{word}","addr":"{addr}","zone":"z","state":"SERVING"}}"#));
@@ -193,6 +193,30 @@
                     return Ok(());
                 }
             },
+            "lay" => {
+                let path = &self.config.0;
+                let laid = match words {
+                    "bytes" => std::fs::write(path, [0xff, 0xfe, 0x80]),
+                    "folder" => std::fs::remove_file(path).and_then(|()| std::fs::create_dir(path)),
+                    _ => std::fs::remove_file(path),
+                };
+                laid.map_err(|error| error.to_string())?;
+                signal("HUP")
+            }
+            "tune" => {
+                let (path, text) = &mut self.config;
+                let text = match words.strip_prefix("raw") {
+                    Some(raw) => raw.trim_start().to_owned(),
+                    None => {
+                        for word in words.split(' ') {
+                            *text = tuned(text, word)?;
+                        }
+                        text.clone()
+                    }
+                };
+                std::fs::write(path, text).map_err(|error| error.to_string())?;
+                signal("HUP")
+            }
             _ => {
                 let status = child.wait().map_err(|error| error.to_string())?;
                 (format!("exit {}", status.code().unwrap_or(-1)) == words)
@@ -261,6 +285,44 @@
     }
 }
 
+/// The configuration with another value for a key.
+fn with(config: &str, key: &str, value: &str) -> Result<String, String> {
+    let (before, after) = config.split_once(&format!("\"{key}\":")).ok_or("no such key")?;
+    let rest = &after[after.find([',', '}']).ok_or("no end")?..];
+    Ok(format!("{before}\"{key}\":{value}{rest}"))
+}
+
+/// The configuration with one change: `KEY=VALUE`, `add:CLASS:EFFECT`, `drop:CLASS` or `lose:KEY`.
+fn tuned(config: &str, word: &str) -> Result<String, String> {
+    let class = |name: &str| {
+        let from = config.find(&format!("{{\"name\":\"{name}\"")).ok_or("no such class")?;
+        let to = from + config[from..].find('}').ok_or("no end")? + 1;
+        Ok::<_, String>((from, to))
+    };
+    if let Some((name, effect)) = word.strip_prefix("add:").and_then(|rest| rest.split_once(':')) {
+        let (from, to) = class("slot-lookup")?;
+        let added = with(
+            &with(&config[from..to], "name", &format!("\"{name}\""))?,
+            "effect",
+            &format!("\"{effect}\""),
+        )?;
+        return Ok(format!("{}{added},{}", &config[..from], &config[from..]));
+    }
+    if let Some(name) = word.strip_prefix("drop:") {
+        let (from, to) = class(name)?;
+        let (before, after) = (config[..from].trim_end_matches([',', '\n']), &config[to..]);
+        let after = if before.ends_with('[') { after.trim_start_matches([',', '\n']) } else { after };
+        return Ok(format!("{before}{after}"));
+    }
+    if let Some(key) = word.strip_prefix("lose:") {
+        let (before, after) = config.split_once(&format!("\"{key}\":")).ok_or("no such key")?;
+        let rest = &after[after.find(',').ok_or("no end")? + 1..];
+        return Ok(format!("{before}{rest}"));
+    }
+    let (key, value) = word.split_once('=').ok_or("no such change")?;
+    with(config, key, value)
+}
+
 /// The next whole message, or none where the connection ends first.
 fn read(stream: &mut BufReader<TcpStream>) -> Option<String> {
     let mut text = String::new();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -29,6 +29,22 @@
     pub tenants: Names,
 }
 
+impl Named {
+    /// The same settings with zones and kinds numbered in these tables, where other numbers are known already.
+    pub fn onto(mut self, zones: &mut Names, kinds: &mut Names) -> Self {
+        let mut zone = |ZoneId(at): ZoneId| ZoneId(zones.intern(self.zones.name(at)));
+        let mut kind = |KindId(at): KindId| KindId(kinds.intern(self.kinds.name(at)));
+        let settings = &mut self.settings;
+        settings.zone = zone(settings.zone);
+        for class in &mut settings.classes {
+            class.runs_in.iter_mut().flatten().for_each(|at| *at = zone(*at));
+            class.runs_on.iter_mut().flatten().for_each(|at| *at = kind(*at));
+        }
+        (self.zones, self.kinds) = (zones.clone(), kinds.clone());
+        self
+    }
+}
+
 /// Parses a text. The parser calls itself for each level, so a text that nests too deeply would
 /// overflow the stack: such a text is turned down before it is parsed.
 pub fn json(text: &str) -> Result<JsonValue, String> {
