--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -1003,3 +1003,79 @@
         assert_eq!(to_lower, expected, "renewed: {renewed}");
     }
 }
+
+/// A request whose body takes its time: it is sent on at once, and its time counts from the last byte.
+#[test]
+fn a_body_that_still_comes_uses_up_no_time() {
+    let mut host = Host::new(settings(), fleet(3));
+    host.place(UNSAFE);
+    let job = JobId(1000);
+    let request = Request { job, time_left: 2.0, class: UNSAFE, tenant: None };
+    let actions = host.tell(Event::Coming(request));
+    assert_eq!(sends(&actions).len(), 1, "{actions:?}");
+    let sent = *host.out.last().expect("an attempt");
+    let actions = host.pass(30.0);
+    assert!(!refused(&actions, job) && !failed(&actions, job), "{actions:?}");
+    let actions = host.tell(Event::Whole { job, time_left: 2.0 });
+    assert!(actions.iter().all(|action| matches!(action, Action::Timer { .. })), "{actions:?}");
+    let actions = host.pass(0.1);
+    assert!(!failed(&actions, job));
+    let actions = host.pass(3.0);
+    assert!(failed(&actions, job), "from then on it has its time like any other: {actions:?}");
+    host.end(sent, Outcome::Cancelled, LoadReport::default());
+}
+
+/// Danger: a body whose start has been passed on can't be sent again. That it was not sent ends it, harmlessly.
+#[test]
+fn a_body_that_broke_off_before_its_end_never_ran() {
+    let mut host = Host::new(settings(), fleet(3));
+    let job = JobId(1000);
+    host.tell(Event::Coming(Request { job, time_left: 2.0, class: UNSAFE, tenant: None }));
+    let sent = *host.out.last().expect("an attempt");
+    host.pass(0.1);
+    let actions = host.end(sent, Outcome::ConnectFailed, LoadReport::default());
+    assert_eq!(sends(&actions).len(), 1, "another server is tried: {actions:?}");
+    let again = *host.out.last().expect("an attempt");
+    let actions = host.end(again, Outcome::NotSent, LoadReport::default());
+    assert!(refused(&actions, job), "{actions:?}");
+}
+
+/// Other settings bind the requests that come after them; those that are held keep theirs.
+#[test]
+fn held_requests_keep_the_settings_that_they_came_under() {
+    let mut host = Host::new(settings(), fleet(4));
+    let old = host.place(UNSAFE);
+    let mut other = settings();
+    other.limits.max_attempts = 1;
+    other.classes.push(class(Effect::Unsafe));
+    let added = ClassId(other.classes.len() - 1);
+    let open = [SAFE, KEYED, added];
+    host.balancer.retune(other, &open, &[(UNSAFE, added)]).expect("legal settings");
+    let new = host.place(added);
+    let actions = host.end(new, Outcome::ConnectFailed, LoadReport::default());
+    assert!(refused(&actions, new.job), "one attempt is all it has: {actions:?}");
+    let actions = host.end(old, Outcome::ConnectFailed, LoadReport::default());
+    assert_eq!(sends(&actions).len(), 1, "it came with three: {actions:?}");
+}
+
+/// Danger: half of other settings in force is worse than none.
+#[test]
+fn settings_at_fault_change_nothing() {
+    let mut host = Host::new(settings(), fleet(2));
+    let mut other = settings();
+    other.limits.max_attempts = 7;
+    other.classes[0].deadline = -1.0;
+    assert!(host.balancer.retune(other, &[SAFE], &[]).is_err());
+    let first = host.place(UNSAFE);
+    let mut tries = 1;
+    let mut sent = first;
+    loop {
+        let actions = host.end(sent, Outcome::ConnectFailed, LoadReport::default());
+        if sends(&actions).is_empty() {
+            break;
+        }
+        sent = *host.out.last().expect("an attempt");
+        tries += 1;
+    }
+    assert!(tries <= 3, "{tries}");
+}
