--- a/crates/proxy/tests/replace.rs
+++ b/crates/proxy/tests/replace.rs
@@ -1,173 +1,52 @@
 //! The replacement of a process that serves, with real processes under load: each job is counted to one answer.
 
 mod scenario;
+mod stand;
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::os::unix::net::UnixListener;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use tempfile::TempDir;
+use stand::{PATIENCE, Place, Proxy, id_of, node, read};
 
-/// Nothing takes as long: it only keeps a failed test from hanging.
-const PATIENCE: Duration = Duration::from_secs(8);
-
-/// One message with its body; none where the connection ends first.
-fn read(stream: &mut BufReader<TcpStream>) -> Option<String> {
-    let mut text = String::new();
-    while !text.ends_with("\r\n\r\n") {
-        if stream.read_line(&mut text).ok()? == 0 {
-            return None;
-        }
-    }
-    let length =
-        text.to_lowercase().split("content-length: ").nth(1).map(|rest| rest.lines().next()?.parse().ok());
-    let mut body = vec![0; length.flatten().unwrap_or(0)];
-    stream.read_exact(&mut body).ok()?;
-    Some(text + &String::from_utf8_lossy(&body))
-}
-
-/// An execute node that answers each job after a moment with its id, and counts how often each came.
-fn node(ran: Arc<Mutex<Vec<String>>>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let addr = listener.local_addr().expect("an address");
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let ran = ran.clone();
-            thread::spawn(move || {
-                let mut stream = BufReader::new(stream);
-                while let Some(job) = read(&mut stream) {
-                    let id = id_of(&job).expect("an id").to_owned();
-                    ran.lock().expect("the list").push(id.clone());
-                    thread::sleep(Duration::from_millis(4));
-                    let answer = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\r\n{id}", id.len());
-                    if stream.get_mut().write_all(answer.as_bytes()).is_err() {
-                        return;
-                    }
-                }
-            });
+/// An execute node that answers each job after a moment with its id, and notes which came.
+fn echo(ran: Arc<Mutex<Vec<String>>>) -> SocketAddr {
+    node(move |mut stream| {
+        while let Some(job) = read(&mut stream) {
+            let id = id_of(&job).expect("an id").to_owned();
+            ran.lock().expect("the list").push(id.clone());
+            thread::sleep(Duration::from_millis(4));
+            let answer = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\r\n{id}", id.len());
+            if stream.get_mut().write_all(answer.as_bytes()).is_err() {
+                return;
+            }
         }
-    });
-    addr
-}
-
-fn id_of(job: &str) -> Option<&str> {
-    job.lines().find_map(|line| line.strip_prefix("x-correlation-id: "))
-}
-
-struct Proxy {
-    child: Child,
-    log: Receiver<String>,
-    ops: SocketAddr,
+    })
 }
 
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+/// A deployment over such a node.
+struct Deployed {
+    place: Place,
+    ran: Arc<Mutex<Vec<String>>>,
 }
 
-impl Proxy {
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-s", name, &id]).status().expect("kill runs").success());
-    }
-
-    fn wait(&self, words: &str) {
-        let began = Instant::now();
-        while !self.log.recv_timeout(PATIENCE).expect("a line").contains(words) {
-            assert!(began.elapsed() < PATIENCE, "never said: {words}");
-        }
-    }
-
-    fn ends_well(&mut self) {
-        let began = Instant::now();
-        let end = loop {
-            if let Some(end) = self.child.try_wait().expect("its state") {
-                break end;
-            }
-            assert!(began.elapsed() < PATIENCE, "it never ended");
-            thread::sleep(Duration::from_millis(5));
-        };
-        assert_eq!(end.code(), Some(0));
-    }
+impl std::ops::Deref for Deployed {
+    type Target = Place;
 
-    fn call(&self, call: &str) -> Option<String> {
-        let mut stream = TcpStream::connect(self.ops).ok()?;
-        stream.set_read_timeout(Some(PATIENCE)).ok()?;
-        stream.write_all(format!("{call} HTTP/1.1\r\n\r\n").as_bytes()).ok()?;
-        read(&mut BufReader::new(stream))
+    fn deref(&self) -> &Place {
+        &self.place
     }
-
-    /// Waits until it says that it can serve.
-    fn ready(&self) {
-        let began = Instant::now();
-        while !self.call("GET /ops/readiness").is_some_and(|answer| answer.contains(" 200 ")) {
-            assert!(began.elapsed() < PATIENCE, "never ready");
-            thread::sleep(Duration::from_millis(5));
-        }
-    }
-}
-
-/// One deployment: an address, a folder that processes share, a node.
-struct Place {
-    folder: TempDir,
-    config: String,
-    listen: SocketAddr,
-    ran: Arc<Mutex<Vec<String>>>,
 }
 
-impl Place {
+impl Deployed {
     fn new(sockets: u32) -> Self {
         let ran = Arc::new(Mutex::new(Vec::new()));
-        let server = format!(r#"{{"id":"n1","addr":"{}","zone":"z","state":"SERVING"}}"#, node(ran.clone()));
-        // A port that is free now; both processes bind it.
-        let listen = TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).expect("a port");
-        let config = scenario::CONFIG
-            .replace("SERVERS", &server)
-            .replace("DISCOVERY", "127.0.0.1:1")
-            .replace(r#"{"name":"piano","share":1.0}"#, "")
-            .replace("127.0.0.1:0", &listen.to_string())
-            .replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"))
-            .replacen('{', r#"{"ops":"127.0.0.1:0","#, 1);
-        Self { folder: tempfile::tempdir().expect("a folder"), config, listen, ran }
-    }
-
-    fn door(&self) -> std::path::PathBuf {
-        let name = self.listen.to_string().replace(['.', ':'], "_");
-        self.folder.path().join(format!("mosshead-{name}.sock"))
-    }
-
-    fn start(&self) -> Proxy {
-        let path = self.folder.path().join("config.json");
-        std::fs::write(&path, &self.config).expect("a file");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_mosshead"));
-        command.args(["serve", "--config"]).arg(&path).env("TMPDIR", self.folder.path());
-        let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
-        let (lines, log) = channel();
-        let stderr = BufReader::new(child.stderr.take().expect("piped"));
-        thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(lines.send(line))));
-        let first = loop {
-            let line = log.recv_timeout(PATIENCE).expect("a line");
-            if line.starts_with("start ") {
-                break line;
-            }
-        };
-        let ops = first.split("ops=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
-        Proxy { child, log, ops: ops.expect("the door's address") }
-    }
-
-    fn connect(&self) -> Option<BufReader<TcpStream>> {
-        let stream = TcpStream::connect(self.listen).ok()?;
-        stream.set_read_timeout(Some(PATIENCE)).ok()?;
-        Some(BufReader::new(stream))
+        Self { place: Place::new(sockets, echo(ran.clone())), ran }
     }
 
     /// Keeps submitters busy until told to stop; each counts what it sent, and names what got no answer.
@@ -261,7 +140,7 @@
 #[case::calmly("")]
 #[case::with_a_new_configuration_meanwhile("HUP")]
 fn nothing_is_lost_over_replacements_in_a_row(#[case] signal: &str) {
-    let place = Place::new(256);
+    let place = Deployed::new(256);
     let mut old = place.start();
     old.ready();
     let load = place.load();
@@ -289,7 +168,7 @@
 /// The new process dies before its yes: it has taken nobody in, and the old one goes on.
 #[test]
 fn a_successor_that_dies_before_its_yes_takes_nothing_with_it() {
-    let place = Place::new(256);
+    let place = Deployed::new(256);
     let mut old = place.start();
     old.ready();
     let load = place.load();
@@ -316,7 +195,7 @@
 /// The old process is killed outright in the middle: only what it held is lost, and the new one has all.
 #[test]
 fn a_predecessor_that_is_killed_leaves_the_door_open() {
-    let place = Place::new(256);
+    let place = Deployed::new(256);
     let mut old = place.start();
     old.ready();
     let load = place.load();
@@ -334,7 +213,7 @@
 /// The new one dies right after its yes: the old one, not yet told to stop, has the name and the permits again.
 #[test]
 fn a_successor_that_dies_after_its_yes_can_be_followed_by_another() {
-    let place = Place::new(256);
+    let place = Deployed::new(256);
     let mut old = place.start();
     old.ready();
     let mut first = place.start();
@@ -361,7 +240,7 @@
 #[case::a_folder("folder")]
 #[case::someone_who_says_nothing("silent")]
 fn what_is_no_predecessor_stops_nobody(#[case] what: &str) {
-    let place = Place::new(256);
+    let place = Deployed::new(256);
     let mut old = place.start();
     old.ready();
     let _ = std::fs::remove_file(place.door());
@@ -386,7 +265,7 @@
 #[test]
 fn a_full_process_leaves_its_successor_room_and_both_keep_the_limit() {
     const SOCKETS: u32 = 96;
-    let place = Place::new(SOCKETS);
+    let place = Deployed::new(SOCKETS);
     let mut old = place.start();
     old.ready();
     let crowd: Vec<_> = (0..60).map(|_| place.connect()).collect();
