Let go of heads that rest, and stop only when nobody waits at the door

Need: crowds that connect and idle or stop half way. Cause: on a stop, Front::serve took a missing descriptor for an empty queue (timeout around take and accept together) and closed the listener on what waited; heads that stopped half way held a descriptor for 2.5 s (Progress::end). Ruled out: idle and silent connections, gone after 0.1 s already (10,491 shed). Change: the stop waits for descriptors up to 1 s and judges the queue alone; a head that rests for 0.8 s goes while descriptors are short.

--- a/crates/proxy/src/submitter.rs
+++ b/crates/proxy/src/submitter.rs
@@ -23,7 +23,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 
 use crate::LONGEST;
 use crate::budget::{Budget, Permit};
@@ -45,13 +45,17 @@
 const STOP_QUIET: Duration = Duration::from_millis(20);
 /// Where a successor accepts, idle connections are kept for so long after a stop is asked for.
 const STOP_KEEPING: Duration = Duration::from_millis(600);
+/// and one that stops half way in a head after this: slow writers bring something more often.
+const STALL_IF_SHORT: Duration = Duration::from_millis(800);
+/// A stop waits for descriptors for those in the queue until so long after it was asked for.
+const STOP_WAITING: Duration = Duration::from_millis(1000);
 /// After an accept that failed, for want of descriptors perhaps, the next one waits for so long.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// A connection whose first message is not whole by then is closed: whoever sends one sends it at once.
 const FIRST_MESSAGE: Duration = Duration::from_millis(2500);
 /// A later message has so long from its first byte.
-const MESSAGE: Duration = Duration::from_millis(2000);
+const MESSAGE: Duration = Duration::from_millis(2500);
 /// A connection without an open message is closed after this.
 const IDLE: Duration = Duration::from_millis(2500);
 /// A submitter that takes nothing of its answer for so long is let go; what is in the machine's buffers may take long.
@@ -89,6 +93,8 @@
     since: Cell<Instant>,
     /// The first byte that came after that.
     begun: Cell<Option<Instant>>,
+    /// The last byte that came.
+    heard: Cell<Instant>,
     /// A message's head is whole, and its answer is due.
     busy: Cell<bool>,
     answered: Cell<bool>,
@@ -108,11 +114,13 @@
         let (since, begun, busy) = (Cell::new(Instant::now()), Cell::new(None), Cell::new(false));
         let (answered, short, draining) = (Cell::new(false), Cell::new(false), Cell::new(None));
         let (blocked, spoilt, framing) = (Cell::new(None), Cell::new(false), RefCell::new(Framing::new()));
-        Self { since, begun, busy, answered, short, draining, blocked, spoilt, framing }
+        let heard = Cell::new(Instant::now());
+        Self { since, begun, heard, busy, answered, short, draining, blocked, spoilt, framing }
     }
 
     /// Bytes have come.
     fn heard(&self) {
+        self.heard.set(Instant::now());
         if !self.busy.get() && self.begun.get().is_none() {
             self.begun.set(Some(Instant::now()));
         }
@@ -155,7 +163,11 @@
             return (since.max(drain) + IDLE_IF_DRAINING, Reason::Draining);
         }
         match (self.begun.get(), self.answered.get(), self.short.get()) {
-            (Some(_), ..) => (self.whole_by(), Reason::Unfinished),
+            (Some(_), _, true) => {
+                let stalled = self.heard.get() + STALL_IF_SHORT;
+                (self.whole_by().min(stalled), Reason::Unfinished)
+            }
+            (Some(_), _, false) => (self.whole_by(), Reason::Unfinished),
             (None, false, false) => (self.whole_by(), Reason::Silent),
             (None, true, false) => (since + IDLE, Reason::IdleLimit),
             (None, false, true) => (since + SILENT_IF_SHORT, Reason::Shed),
@@ -274,7 +286,11 @@
             }
         }
         // What the kernel has accepted would be lost with the listener.
-        while !relieved && let Ok(new) = timeout(STOP_QUIET, self.accept(&listener)).await {
+        // Danger: without a free descriptor nobody comes either, and the queue is full.
+        while !relieved
+            && let Ok(permit) = timeout_at((since + STOP_WAITING).into(), self.budget.take()).await
+            && let Ok(new) = timeout(STOP_QUIET, self.accept_with(&listener, permit)).await
+        {
             self.start(new, &mut open);
         }
         drop(listener);
@@ -291,6 +307,10 @@
 
     async fn accept(&self, listener: &TcpListener) -> Option<(TcpStream, Line, Permit)> {
         let permit = self.budget.take().await;
+        self.accept_with(listener, permit).await
+    }
+
+    async fn accept_with(&self, listener: &TcpListener, permit: Permit) -> Option<(TcpStream, Line, Permit)> {
         match listener.accept().await {
             Ok((stream, peer)) => Some((stream, Line::open(Side::Submitter, peer), permit)),
             Err(error) => {
--- a/crates/proxy/tests/network.rs
+++ b/crates/proxy/tests/network.rs
@@ -750,3 +750,43 @@
         ));
     }
 }
+
+/// Danger: a crowd that stops half way fills the descriptors; a slow writer is no such crowd.
+#[test]
+fn who_stops_half_way_gives_way_and_who_is_slow_does_not() {
+    let crowd: String = (0..40).map(|at| format!("c{at} send raw GET /slot-\n")).collect();
+    play(&format!(
+        "proxy start n1 sockets=64
+         {crowd}
+         proxy wait reason=unfinished
+         a send GET /slot-lookup
+         n1 expect slot-lookup
+         n1 send 200 body=ok
+         a expect ok"
+    ));
+    let parts: String =
+        "GET /slot-lookup HTTP/1.1\\r\\nX-Time-Left: 5\\r\\nX-Correlation-Id: 00000000000000a1\\r\\n\\r\\n"
+            .split_inclusive("\\r\\n")
+            .map(|part| format!("a send raw {part}\nproxy rest 0.6\n"))
+            .collect();
+    let crowd: String = (0..12).map(|at| format!("c{at} send raw\n")).collect();
+    play(&format!(
+        "proxy start n1 sockets=64\n{parts}{crowd}n1 expect slot-lookup\nn1 send 200 body=ok\na expect ok"
+    ));
+}
+
+/// Danger: what waits in the queue while no descriptor is free would be lost with the listener.
+#[test]
+fn a_stop_serves_who_waits_behind_a_crowd() {
+    let crowd: String = (0..30).map(|at| format!("c{at} send raw GET /slot-\n")).collect();
+    play(&format!(
+        "proxy start n1 sockets=64
+         {crowd}
+         a send GET /slot-lookup
+         proxy close
+         n1 expect slot-lookup
+         n1 send 200 body=ok
+         a expect ok
+         proxy expect exit 0"
+    ));
+}
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -10,6 +10,7 @@
 //! - `proxy`: `start WORDS` (the nodes on its saved list, and `key=value` over the settings, `door` for the operators' address), `close` (SIGTERM),
 //!   `send PARTY` (SIGHUP, with discovery now at that party; `send nothing`: with an empty file),
 //!   `tune CHANGES` (SIGHUP, with other settings: `KEY=VALUE`, `add:CLASS:EFFECT`, `drop:CLASS`, `lose:KEY`, or `raw TEXT`),
+//!   `rest SECONDS` (where a party's slowness is what is tested),
 //!   `lay WHAT` (SIGHUP, with a `folder`, `bytes` or nothing in the file's place),
 //!   `wait TEXT` (until a line of its log holds that), `expect exit N`.
 //!
@@ -179,6 +180,11 @@
         };
         match verb {
             "close" => signal("TERM"),
+            "rest" => {
+                let span = words.parse().map_err(|_| "no span")?;
+                std::thread::sleep(Duration::from_secs_f64(span));
+                Ok(())
+            }
             "send" => {
                 let (path, text) = &self.config;
                 let to = self
