Hold an answer of unknown length for 10 ms, not 200

Cause: ANSWER_WAIT in execute_node.rs held chunked answers and those ended by a close for 200 ms, which came late by that and told the module of slow nodes. Ruled out: turned-down messages (none in the log), shed connections (none).

--- a/crates/proxy/src/execute_node.rs
+++ b/crates/proxy/src/execute_node.rs
@@ -26,7 +26,7 @@
 /// written to one that they have closed is lost.
 const IDLE_SHARE: f64 = 0.9;
 /// An answer whose length is not stated is held for so long, should it prove to be small.
-const ANSWER_WAIT: Duration = Duration::from_millis(200);
+const ANSWER_WAIT: Duration = Duration::from_millis(10);
 /// A node that takes nothing of a body for so long is given up.
 const UPLOAD_REST: Duration = Duration::from_secs(6);
 /// How often it is looked whether the last byte has come.
