Time a node to the head of its answer, not to the last byte

Cause: the round trip of an answer in slow pieces counted to its last byte (Ticket::report), so the module took the way here for the node's work.

--- a/crates/proxy/src/execute_node.rs
+++ b/crates/proxy/src/execute_node.rs
@@ -172,11 +172,20 @@
     link: Option<Link>,
     /// More of the answer than can be held.
     more: Option<Incoming>,
+    /// When the head of a good answer came.
+    headed: Option<Instant>,
 }
 
 impl Result {
     fn of(outcome: Outcome) -> Self {
-        Self { outcome, report: LoadReport::default(), body: Bytes::new(), link: None, more: None }
+        Self {
+            outcome,
+            report: LoadReport::default(),
+            body: Bytes::new(),
+            link: None,
+            more: None,
+            headed: None,
+        }
     }
 }
 
@@ -224,7 +233,8 @@
     if let Some(whole) = call.body.upload().and_then(|upload| upload.whole()) {
         ticket.since(whole);
     }
-    let Result { outcome, report, body, mut link, more } = result;
+    let Result { outcome, report, body, mut link, more, headed } = result;
+    ticket.until(headed);
     let body = match (more, link.take()) {
         (Some(rest), Some(used)) => {
             let (home, addr) = (way.home.clone(), way.chosen.addr);
@@ -358,6 +368,7 @@
 }
 
 async fn decode(link: Link, answer: Response<Incoming>) -> Result {
+    let headed = Some(Instant::now());
     let header = |name| answer.headers().get(name).and_then(|value| value.to_str().ok());
     let report = header("x-backend-load").map(http::load_report).unwrap_or_default();
     let unprocessed = header("x-unprocessed").is_some_and(|value| value.trim() == "1");
@@ -382,16 +393,16 @@
         true if outcome == Outcome::Served => {
             match flow::start(answer.into_body(), Some(ANSWER_WAIT)).await {
                 Ok(Start::Whole(body)) => {
-                    return Result { outcome, report, body, link: fit(link), more: None };
+                    return Result { outcome, report, body, link: fit(link), more: None, headed };
                 }
                 Ok(Start::More(body, rest)) => {
-                    return Result { outcome, report, body, link: Some(link), more: Some(rest) };
+                    return Result { outcome, report, body, link: Some(link), more: Some(rest), headed };
                 }
                 Err(fault) => fault,
             }
         }
         true => match http::whole(answer.into_body(), BODY_LIMIT).await {
-            Ok(body) => return Result { outcome, report, body, link: fit(link), more: None },
+            Ok(body) => return Result { outcome, report, body, link: fit(link), more: None, headed: None },
             Err(fault) => fault,
         },
         false => BodyFault::Unframed,
--- a/crates/proxy/src/messages.rs
+++ b/crates/proxy/src/messages.rs
@@ -131,12 +131,18 @@
     pub(crate) round: Round,
     endpoint: EndpointId,
     began: Instant,
+    done: Option<Instant>,
     home: Option<UnboundedSender<Mail>>,
 }
 
 impl Ticket {
     pub(crate) fn new(job: JobId, round: Round, endpoint: EndpointId, home: UnboundedSender<Mail>) -> Self {
-        Self { job, round, endpoint, began: Instant::now(), home: Some(home) }
+        Self { job, round, endpoint, began: Instant::now(), done: None, home: Some(home) }
+    }
+
+    /// The node had done its work then: what follows is the way here.
+    pub(crate) fn until(&mut self, headed: Option<Instant>) {
+        self.done = headed;
     }
 
     /// The node has had the job since `since` only.
@@ -151,7 +157,8 @@
     fn report(&mut self, outcome: Outcome, report: LoadReport, body: Flow) {
         let Some(home) = self.home.take() else { return };
         let Self { job, round, endpoint, .. } = *self;
-        let rtt = self.began.elapsed().as_secs_f64();
+        let done = self.done.unwrap_or_else(Instant::now);
+        let rtt = done.saturating_duration_since(self.began).as_secs_f64();
         // Only a proxy that is about to exit has no module.
         let _ = home.send(Mail::Ended(Ended { job, round, endpoint, outcome, rtt, report, body }));
     }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -582,6 +582,18 @@
         });
     }
 
+    /// Danger: counted to its last byte, a large answer to a slow reader looks like a node in trouble.
+    #[test]
+    fn a_node_is_timed_to_the_head_of_its_answer() {
+        let (mailbox, mut mail) = unbounded_channel();
+        let mut timed = ticket(&mailbox);
+        timed.until(Some(Instant::now()));
+        std::thread::sleep(std::time::Duration::from_millis(60));
+        timed.settle(Outcome::Served, LoadReport::default(), Bytes::new().into());
+        let Ok(Mail::Ended(ended)) = mail.try_recv() else { panic!("no outcome") };
+        assert!(ended.rtt < 0.05, "{}", ended.rtt);
+    }
+
     /// Guards the count of outcomes: an attempt that is let go of has had its outcome, or has it now.
     #[test]
     fn a_dropped_ticket_may_have_run() {
