--- a/crates/proxy/tests/network.rs
+++ b/crates/proxy/tests/network.rs
@@ -790,3 +790,27 @@
          proxy expect exit 0"
     ));
 }
+
+/// Where the configuration names no address for operators, the environment may.
+#[test]
+fn the_environment_may_name_the_door() {
+    play("proxy start door-by-name n1\nop send GET /ops/readiness\nop expect 200 ready");
+}
+
+/// Danger: hundreds of signals in a row, good files and bad ones, must leave what the last good one alone would.
+#[test]
+fn hundreds_of_changes_end_as_the_last_good_one() {
+    let changes: String = (0..100)
+        .map(|at| format!("proxy tune send_cap={}\nproxy tune raw {{\"name\":{at}\n", 2 + at % 2))
+        .collect();
+    play(&format!(
+        "proxy start n1
+         {changes}
+         proxy tune send_cap=1
+         proxy wait attempts=1
+         a send POST /book-lesson
+         n1 expect book-lesson
+         n1 send 503 X-Unprocessed:1
+         a expect 503 retry-after:"
+    ));
+}
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -7,7 +7,7 @@
 //!   `send STATUS [Name:value] [body=B] [length=N] [more=T]` (text behind the answer) or `send raw TEXT`; `close` ends its connection. At `dead` nobody listens;
 //! - `list`: discovery, which speaks like an execute node; `addr(n1)` in a body stands for that node's address;
 //! - `op…`: an operator, who calls at the operators' address.
-//! - `proxy`: `start WORDS` (the nodes on its saved list, and `key=value` over the settings, `door` for the operators' address), `close` (SIGTERM),
+//! - `proxy`: `start WORDS` (the nodes on its saved list, and `key=value` over the settings, `door` for the operators' address, `door-by-name` where the environment names it), `close` (SIGTERM),
 //!   `send PARTY` (SIGHUP, with discovery now at that party; `send nothing`: with an empty file),
 //!   `tune CHANGES` (SIGHUP, with other settings: `KEY=VALUE`, `add:CLASS:EFFECT`, `drop:CLASS`, `lose:KEY`, or `raw TEXT`),
 //!   `rest SECONDS` (where a party's slowness is what is tested),
@@ -133,10 +133,12 @@
 
     fn start(&mut self, words: &str) -> Result<(), String> {
         let mut config = CONFIG.replace("DISCOVERY", &self.listen("list").to_string());
-        let mut servers = Vec::new();
+        let (mut servers, mut by_name) = (Vec::new(), false);
         for word in words.split(' ') {
             if word == "door" {
                 config = config.replacen('{', r#"{"ops":"127.0.0.1:0","#, 1);
+            } else if word == "door-by-name" {
+                by_name = true;
             } else if let Some((key, value)) = word.split_once('=') {
                 config = with(&config, key, value)?;
             } else {
@@ -155,7 +157,10 @@
         self.config = (path.clone(), config);
         let mut command = Command::new(env!("CARGO_BIN_EXE_mosshead"));
         command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped());
-        command.env("TMPDIR", folder.path());
+        command.env("TMPDIR", folder.path()).env_remove("BALANCER_OPS");
+        if by_name {
+            command.env("BALANCER_OPS", "127.0.0.1:0");
+        }
         self.folder = Some(folder);
         let mut child = command.spawn().map_err(|error| error.to_string())?;
         let (lines, log) = channel();
