Test that a successor knows the drains that its predecessor knew

Need: the issue asks that the new process knows drains and cold servers. Change: a test with a list of its own: the successor goes on from the predecessor's version and sends nothing to a node that drains, though its configuration says that it serves.

--- a/crates/proxy/tests/replace.rs
+++ b/crates/proxy/tests/replace.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::os::unix::net::UnixListener;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -289,3 +290,39 @@
     assert!(lost.is_empty(), "{lost:?}");
     drop(crowd);
 }
+
+/// Danger: by the list that it was configured with, a new process would send to a node that drains.
+#[test]
+fn a_successor_knows_the_drains_that_its_predecessor_knew() {
+    let mut deployed = Deployed::new(256);
+    let other = echo(Arc::default());
+    let drains =
+        r#"{"version":9,"full":false,"servers":[{"id":"n1","addr":"127.0.0.1:1","state":"DRAINING"}]}"#;
+    let (asked, calls) = channel();
+    let list = node(move |mut stream| {
+        while let Some(call) = read(&mut stream) {
+            let _ = asked.send(call.lines().next().unwrap_or_default().to_owned());
+            if call.contains("from=1&") {
+                let answer = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\r\n{drains}", drains.len());
+                stream.get_mut().write_all(answer.as_bytes()).expect("an answer is taken");
+            }
+        }
+    });
+    let more = format!(r#""servers":[{{"id":"n2","addr":"{other}","zone":"z","state":"SERVING"}},"#);
+    let place = &mut deployed.place;
+    place.config =
+        place.config.replace("\"servers\":[", &more).replace("127.0.0.1:1\"", &format!("{list}\""));
+    let mut old = deployed.start();
+    old.ready();
+    let next = || calls.recv_timeout(PATIENCE).expect("a call for the list");
+    assert!(next().contains("from=1&") && next().contains("from=9&"));
+    let new = deployed.start();
+    assert!(next().contains("from=9&"), "it goes on from where the old one was");
+    new.ready();
+    old.signal("TERM");
+    old.ends_well();
+    for id in 0..20 {
+        ask(deployed.listen, &mut None, &format!("{id:016x}")).expect("an answer");
+    }
+    assert!(deployed.ran.lock().expect("the list").is_empty(), "sent to a node that drains");
+}
