Hand over to this user's processes and root's only

Cause: found on reading the change again: precede() let anybody ask where the proxy runs as root (the folder's rights still stood before it). Change: the asker's user is compared, not the own one. Measured: the tests of replacement pass.

--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -313,7 +313,7 @@
     /// Hands over to a successor, and shares the limits with it until either ends.
     async fn precede(self: Rc<Self>, stream: UnixStream) {
         let own = rustix::process::getuid().as_raw();
-        if !stream.peer_cred().is_ok_and(|peer| peer.uid() == own || own == 0) {
+        if !stream.peer_cred().is_ok_and(|peer| peer.uid() == own || peer.uid() == 0) {
             return say!("handover refused: another user asked");
         }
         let Ok(Some((reader, mut writer))) = timeout(PATIENCE, self.hand_over(stream)).await else {
