--- a/crates/proxy/src/execute_node.rs
+++ b/crates/proxy/src/execute_node.rs
@@ -233,19 +233,17 @@
     if let Some(whole) = call.body.upload().and_then(|upload| upload.whole()) {
         ticket.since(whole);
     }
-    let Result { outcome, report, body, mut link, more, headed } = result;
+    let Result { outcome, report, body, link, more, headed } = result;
     ticket.until(headed);
-    let body = match (more, link.take()) {
+    let (body, link) = match (more, link) {
         (Some(rest), Some(used)) => {
             let (home, addr) = (way.home.clone(), way.chosen.addr);
-            Flow::down(body, rest, used, move |link| {
+            let home = move |link| {
                 spawn_local(async move { home.send(NodeMail::Over(None, usable(Some(link)).await, addr)) });
-            })
-        }
-        (_, used) => {
-            link = used;
-            Flow::from(body)
+            };
+            (Flow::down(body, rest, used, home), None)
         }
+        (_, link) => (Flow::from(body), link),
     };
     ticket.settle(outcome, report, body);
     let _ = way.home.send(NodeMail::Over(Some(key), usable(link).await, way.chosen.addr));
@@ -320,18 +318,17 @@
             link.record.because(Reason::ListChanged);
             return Result::of(Outcome::NotSent);
         }
-        let body = match &call.body {
-            Payload::Whole(body) => Some(Flow::from(body.clone())),
-            Payload::Flowing(upload) => upload.flow(link.written.clone()),
+        let (body, length) = match &call.body {
+            Payload::Whole(body) => (Some(Flow::from(body.clone())), body.len()),
+            Payload::Flowing(upload) => {
+                let length = upload.length().map_or(usize::MAX, |length| length as usize);
+                (upload.flow(link.written.clone()), length)
+            }
         };
         let Some(request) = body.and_then(|body| encode(call, told.addr, until, body)) else {
             link.record.because(Reason::GivenUp);
             return Result::of(Outcome::NotSent);
         };
-        let length = match &call.body {
-            Payload::Whole(body) => body.len(),
-            Payload::Flowing(upload) => upload.length().map_or(usize::MAX, |length| length as usize),
-        };
         link.record.otherwise(Reason::Broken);
         progress.begun(&link);
         match link.send(request, length).await {
@@ -378,8 +375,8 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Rejected,
         _ => Outcome::Errored,
     };
-    // Danger: without exactly one length nobody can tell whether an answer is whole.
-    // Where none is stated the end of the connection is the answer's, if the node says that it will close it.
+    // Danger: with two lengths nobody can tell whether an answer is whole. Where none is stated its end is the
+    // connection's, if the node says that it will close it.
     let has = |name| answer.headers().contains_key(name);
     let framed = match (has(CONTENT_LENGTH), has(TRANSFER_ENCODING)) {
         (true, true) => false,
@@ -393,16 +390,17 @@
         true if outcome == Outcome::Served => {
             match flow::start(answer.into_body(), Some(ANSWER_WAIT)).await {
                 Ok(Start::Whole(body)) => {
-                    return Result { outcome, report, body, link: fit(link), more: None, headed };
+                    return Result { report, body, link: fit(link), headed, ..Result::of(outcome) };
                 }
                 Ok(Start::More(body, rest)) => {
-                    return Result { outcome, report, body, link: Some(link), more: Some(rest), headed };
+                    let (link, more) = (Some(link), Some(rest));
+                    return Result { report, body, link, more, headed, ..Result::of(outcome) };
                 }
                 Err(fault) => fault,
             }
         }
         true => match http::whole(answer.into_body(), BODY_LIMIT).await {
-            Ok(body) => return Result { outcome, report, body, link: fit(link), more: None, headed: None },
+            Ok(body) => return Result { report, body, link: fit(link), ..Result::of(outcome) },
             Err(fault) => fault,
         },
         false => BodyFault::Unframed,
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -322,7 +322,6 @@
         say!("handed over");
         let mut lines = reader.lines();
         let (mut given, mut accepts) = ([0; 2], false);
-        let mut stopping = self.stopping.subscribe();
         let (mut tick, mut told) = (interval(TICK), false);
         // Each side's free permits at first: a part of them is left to the jobs that come meanwhile.
         let first = self.shares.sides.each_ref().map(|side| side.free() / 2);
@@ -342,7 +341,7 @@
                     _ => break,
                 },
                 _ = tick.tick() => {
-                    let stops = *stopping.borrow_and_update();
+                    let stops = *self.stopping.borrow();
                     let whole = self.shares.whole;
                     let due = [0, 1].map(|at| match (stops, accepts) {
                         (true, _) => usize::MAX,
@@ -375,7 +374,7 @@
         say!(accepted = accepts, "successor gone");
         if accepts {
             self.relieved.send_modify(|count| *count -= 1);
-            if self.listener.borrow().is_some() && !*stopping.borrow() {
+            if self.listener.borrow().is_some() && !*self.stopping.borrow() {
                 self.publish();
             }
         }
--- a/crates/proxy/src/submitter.rs
+++ b/crates/proxy/src/submitter.rs
@@ -45,17 +45,13 @@
 const STOP_QUIET: Duration = Duration::from_millis(20);
 /// Where a successor accepts, idle connections are kept for so long after a stop is asked for.
 const STOP_KEEPING: Duration = Duration::from_millis(600);
-/// and one that stops half way in a head after this: slow writers bring something more often.
-const STALL_IF_SHORT: Duration = Duration::from_millis(800);
 /// A stop waits for descriptors for those in the queue until so long after it was asked for.
 const STOP_WAITING: Duration = Duration::from_millis(1000);
 /// After an accept that failed, for want of descriptors perhaps, the next one waits for so long.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// A connection whose first message is not whole by then is closed: whoever sends one sends it at once.
-const FIRST_MESSAGE: Duration = Duration::from_millis(2500);
-/// A later message has so long from its first byte.
-const MESSAGE: Duration = Duration::from_millis(2500);
+/// A head has so long from connecting, a later one from its first byte.
+const HEAD: Duration = Duration::from_millis(2500);
 /// A connection without an open message is closed after this.
 const IDLE: Duration = Duration::from_millis(2500);
 /// A submitter that takes nothing of its answer for so long is let go; what is in the machine's buffers may take long.
@@ -66,6 +62,8 @@
 const SILENT_IF_SHORT: Duration = Duration::from_millis(100);
 /// and one that has had its answer after this.
 const IDLE_IF_SHORT: Duration = Duration::from_millis(100);
+/// and one that stops half way in a head after this: slow writers bring something more often.
+const STALL_IF_SHORT: Duration = Duration::from_millis(800);
 
 /// How far a stop has come.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -120,9 +118,10 @@
 
     /// Bytes have come.
     fn heard(&self) {
-        self.heard.set(Instant::now());
+        let now = Instant::now();
+        self.heard.set(now);
         if !self.busy.get() && self.begun.get().is_none() {
-            self.begun.set(Some(Instant::now()));
+            self.begun.set(Some(now));
         }
     }
 
@@ -147,8 +146,8 @@
     /// By when the message that has begun has to be whole.
     fn whole_by(&self) -> Instant {
         match self.begun.get().filter(|_| self.answered.get()) {
-            Some(begun) => begun + MESSAGE,
-            None => self.since.get() + FIRST_MESSAGE,
+            Some(begun) => begun + HEAD,
+            None => self.since.get() + HEAD,
         }
     }
 
--- a/crates/proxy/src/tuning.rs
+++ b/crates/proxy/src/tuning.rs
@@ -123,16 +123,14 @@
         if next.places.len() > MOST {
             return Err(format!("settings.classes: over {MOST} definitions within a minute"));
         }
-        // A tenant keeps its number; one that is dropped has no share, and its name is not known any more.
+        // A tenant keeps its number and its name; one that is dropped has no share: whatever it still sends is beyond it.
         next.shares.iter_mut().for_each(|tenant| tenant.share = 0.0);
-        let mut known = Names::default();
         for (at, tenant) in named.settings.tenants.iter().enumerate() {
             let number = next.tenants.intern(named.tenants.name(at));
             if number == next.shares.len() {
                 next.shares.push(tenant.clone());
             }
             next.shares[number] = tenant.clone();
-            known.intern(named.tenants.name(at));
         }
         let settings = Settings {
             classes: next.places.iter().map(|place| place.class.clone()).collect(),
