Test that both processes of a replacement keep one limit of memory

Need: the issue names memory and descriptors of both together; only descriptors had a test. Change: six readers of 32 MB at each process, under 32 MB resident together; the stand-in node and readers are shared with the test beside it, whose assertions stay.

--- a/crates/proxy/tests/flow.rs
+++ b/crates/proxy/tests/flow.rs
@@ -4,7 +4,7 @@
 mod stand;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -186,40 +186,55 @@
     line.split_whitespace().nth(1).and_then(|figure| figure.parse().ok()).expect("a figure")
 }
 
+const ANSWER: usize = 32 << 20;
+
+/// A node whose answers have 32 MB, but to one job.
+fn large_answers() -> SocketAddr {
+    node(|mut stream| {
+        while let Some((head, _)) = read_message(&mut stream) {
+            let length = if head.contains("00000000000000ff") { 5 } else { ANSWER };
+            let to = stream.get_mut();
+            let mut sent = write!(to, "HTTP/1.1 200 X\r\nContent-Length: {length}\r\n\r\n");
+            let piece = [7; 64 * 1024];
+            let mut left = length;
+            while left > 0 && sent.is_ok() {
+                sent = to.write_all(&piece[..left.min(piece.len())]);
+                left -= left.min(piece.len());
+            }
+            if sent.is_err() {
+                return;
+            }
+        }
+    })
+}
+
+/// A submitter that takes the head of a large answer, and nothing more for now.
+fn reader(place: &Place, id: u64) -> BufReader<TcpStream> {
+    let mut stream = place.connect().expect("the door");
+    stream.get_mut().write_all(job(id, "Content-Length: 0").as_bytes()).expect("a job is taken");
+    let (head, length, _) = read_head(&mut stream).expect("the head of an answer");
+    assert!(length == Some(ANSWER), "{head}");
+    stream
+}
+
+/// Takes the rest of it.
+fn take_all(reader: &mut BufReader<TcpStream>) {
+    let mut all = 0;
+    let mut piece = vec![0; 64 * 1024];
+    while all < ANSWER {
+        let count = reader.read(&mut piece).expect("more of the answer");
+        assert!(count > 0, "cut off at {all}");
+        all += count;
+    }
+}
+
 /// Readers that take nothing slow only their own senders, and what is held does not grow with bodies.
 #[test]
 fn many_large_answers_to_slow_readers_stay_in_bounded_memory() {
-    const ANSWER: usize = 32 << 20;
     const READERS: u64 = 12;
-    let place = Place::new(
-        256,
-        node(|mut stream| {
-            while let Some((head, _)) = read_message(&mut stream) {
-                let length = if head.contains("00000000000000ff") { 5 } else { ANSWER };
-                let to = stream.get_mut();
-                let mut sent = write!(to, "HTTP/1.1 200 X\r\nContent-Length: {length}\r\n\r\n");
-                let piece = [7; 64 * 1024];
-                let mut left = length;
-                while left > 0 && sent.is_ok() {
-                    sent = to.write_all(&piece[..left.min(piece.len())]);
-                    left -= left.min(piece.len());
-                }
-                if sent.is_err() {
-                    return;
-                }
-            }
-        }),
-    );
+    let place = Place::new(256, large_answers());
     let proxy = proxy(&place);
-    let mut readers: Vec<_> = (0..READERS)
-        .map(|id| {
-            let mut stream = place.connect().expect("the door");
-            stream.get_mut().write_all(job(id, "Content-Length: 0").as_bytes()).expect("a job is taken");
-            let (head, length, _) = read_head(&mut stream).expect("the head of an answer");
-            assert!(length == Some(ANSWER), "{head}");
-            stream
-        })
-        .collect();
+    let mut readers: Vec<_> = (0..READERS).map(|id| reader(&place, id)).collect();
     let mut other = place.connect().expect("the door");
     other.get_mut().write_all(job(255, "Content-Length: 0").as_bytes()).expect("a job is taken");
     let began = Instant::now();
@@ -228,15 +243,7 @@
     assert!(proxy.call("GET /ops/readiness").is_some_and(|answer| answer.contains(" 200 ")));
     // Idle for longer than an idle connection may be: they still take their answers.
     thread::sleep(Duration::from_millis(2700));
-    for reader in &mut readers {
-        let mut all = 0;
-        let mut piece = vec![0; 64 * 1024];
-        while all < ANSWER {
-            let count = reader.read(&mut piece).expect("more of the answer");
-            assert!(count > 0, "cut off at {all}");
-            all += count;
-        }
-    }
+    readers.iter_mut().for_each(take_all);
     let peak = resident_kb(&proxy);
     assert!(peak < 24 * 1024, "{peak} kB for {READERS} answers of 32 MB");
 }
@@ -303,3 +310,20 @@
     let end = stream.read_to_end(&mut Vec::new());
     assert!(end.is_err(), "{end:?}: it looks whole");
 }
+
+/// Both processes of a replacement together hold no more than one may, also while both pass large answers on.
+#[test]
+fn both_processes_of_a_replacement_stay_in_one_limit_of_memory() {
+    const READERS: u64 = 6;
+    let place = Place::new(256, large_answers());
+    let mut old = proxy(&place);
+    let mut readers: Vec<_> = (0..READERS).map(|id| reader(&place, id)).collect();
+    let new = proxy(&place);
+    old.signal("TERM");
+    old.wait("stopping");
+    readers.extend((0..READERS).map(|id| reader(&place, 100 + id)));
+    let both = resident_kb(&old) + resident_kb(&new);
+    readers.iter_mut().for_each(take_all);
+    old.ends_well();
+    assert!(both < 32 * 1024, "{both} kB");
+}
