Pass the idempotency key on, byte for byte, with every attempt

Ruled out: the submitter's side, which takes such jobs; flowing bodies, which go through the same encode.

A keyed class without a key, an empty or over-long key (255 bytes), or two of them, get 400 at once.

--- a/crates/proxy/src/execute_node.rs
+++ b/crates/proxy/src/execute_node.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode, Version, body::Incoming};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
@@ -18,7 +18,7 @@
 use crate::connection_log::{Reason, Record, Side};
 use crate::duration;
 use crate::flow::{self, Flow, Start};
-use crate::http::{self, BODY_LIMIT, BodyFault, Link, Written};
+use crate::http::{self, BODY_LIMIT, BodyFault, KEY, Link, Written};
 use crate::messages::{Call, NodeMail, Payload, ProbeTicket, Ticket, Told};
 use mosshead_decide::interface::*;
 
@@ -267,7 +267,7 @@
 async fn probe(mut way: Way, ticket: ProbeTicket) {
     let progress = Progress::default();
     let (verb, target, id) = ("GET".to_owned(), "/_load".to_owned(), String::new());
-    let call = Call { verb, target, id, body: Payload::Whole(Bytes::new()) };
+    let call = Call { verb, target, id, key: None, body: Payload::Whole(Bytes::new()) };
     let until = Instant::now() + way.shared.connect_timeout.get().mul_f64(PROBE_TIMEOUT);
     let result = timeout_at(until.into(), exchange(&mut way, &call, until, &progress)).await;
     let mut result = result.unwrap_or_else(|_| {
@@ -356,6 +356,9 @@
     if !call.id.is_empty() {
         request = request.header("x-correlation-id", call.id.as_str());
     }
+    if let Some(key) = &call.key {
+        request = request.header(KEY, HeaderValue::from_maybe_shared(key.clone()).ok()?);
+    }
     request.body(body).ok()
 }
 
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -24,6 +24,8 @@
 use crate::flow::Flow;
 use mosshead_decide::interface::LoadReport;
 
+/// What a submitter names a keyed job by; repeats of one key are one job to the execute nodes of a group.
+pub(crate) const KEY: &str = "idempotency-key";
 /// The most of a body that is held.
 pub(crate) const BODY_LIMIT: usize = 64 * 1024;
 
--- a/crates/proxy/src/messages.rs
+++ b/crates/proxy/src/messages.rs
@@ -21,6 +21,8 @@
     pub(crate) verb: String,
     pub(crate) target: String,
     pub(crate) id: String,
+    /// The idempotency key, byte for byte. Danger: without it execute nodes take a repeat for new work.
+    pub(crate) key: Option<Bytes>,
     pub(crate) body: Payload,
 }
 
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -571,7 +571,8 @@
             let node = execute_node::start(&settings.settings.limits, Budget::of(1), told);
             let (mailbox, mut mail) = unbounded_channel();
             let (verb, target, id) = ("GET".to_owned(), "/".to_owned(), "1".to_owned());
-            let call = Rc::new(Call { verb, target, id, body: Payload::Whole(Bytes::new()) });
+            let body = Payload::Whole(Bytes::new());
+            let call = Rc::new(Call { verb, target, id, key: None, body });
             let until = Instant::now() + duration(60.0);
             let _ = node.send(NodeMail::Attempt(ticket(&mailbox), call, until));
             let _ = node.send(NodeMail::Told(change(told)));
--- a/crates/proxy/src/submitter.rs
+++ b/crates/proxy/src/submitter.rs
@@ -32,7 +32,7 @@
 use crate::flow::{self, Flow, Start, Upload};
 use crate::framing::Framing;
 use crate::handover::Handover;
-use crate::http::BodyFault;
+use crate::http::{BodyFault, KEY};
 use crate::log::{Bounded, say};
 use crate::messages::{Answer, Call, Job, Payload};
 use crate::module::Module;
@@ -222,10 +222,21 @@
 #[derive(Debug, PartialEq)]
 struct Turned(StatusCode, &'static str);
 
+/// What a message's head says of its job.
+struct HeadRead {
+    class: ClassId,
+    tenant: Option<TenantId>,
+    time_left: f64,
+    id: String,
+    key: Option<Bytes>,
+}
+
 const BAD_ID: Turned = Turned(StatusCode::BAD_REQUEST, "X-Correlation-Id is not 16 hex digits");
 const ID_TAKEN: Turned = Turned(StatusCode::CONFLICT, "X-Correlation-Id is in use");
 /// What an id consists of.
 const ID_DIGITS: usize = 16;
+/// The most bytes that an idempotency key may have.
+const KEY_LIMIT: usize = 255;
 /// The most that the head of a message holds.
 const HEAD_LIMIT: usize = 16 * 1024;
 
@@ -440,7 +451,7 @@
         if both && head.headers.contains_key(TRANSFER_ENCODING) {
             return Err(Turned(StatusCode::BAD_REQUEST, "the body is framed twice"));
         }
-        let (class, tenant, time_left, id) = self.read_head(&head)?;
+        let HeadRead { class, tenant, time_left, id, key } = self.read_head(&head)?;
         let too_long = Turned(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
         // Danger: a submitter that never ends its body would hold its descriptor for good.
         let late = Turned(StatusCode::REQUEST_TIMEOUT, "the body did not come in time");
@@ -455,13 +466,13 @@
             Start::Whole(body) => Payload::Whole(body),
             Start::More(start, rest) => Payload::Flowing(Upload::new(start, rest)),
         };
-        let call = Call { verb: head.method.as_str().to_owned(), target, id, body };
+        let call = Call { verb: head.method.as_str().to_owned(), target, id, key, body };
         // What the submitter grants counts from its last byte.
         let arrived = Instant::now();
         Ok(Job { id: number, class, tenant, time_left, arrived, call })
     }
 
-    fn read_head(&self, head: &Parts) -> Result<(ClassId, Option<TenantId>, f64, String), Turned> {
+    fn read_head(&self, head: &Parts) -> Result<HeadRead, Turned> {
         let bad = |why| Turned(StatusCode::BAD_REQUEST, why);
         let header = |name| {
             let mut values = head.headers.get_all(name).iter();
@@ -485,11 +496,19 @@
         }
         let body = head.headers.get(CONTENT_LENGTH).is_some_and(|length| length.as_bytes() != b"0")
             || head.headers.contains_key(TRANSFER_ENCODING);
+        let key = read_key(head)?;
+        // A key on a class that knows none passes on like any other: what is unchanged is as the submitter sent it.
         let fits = |term: &&Term| match term.effect {
             Effect::Safe => head.method == Method::GET && !body,
-            Effect::Keyed { .. } | Effect::Unsafe => head.method == Method::POST,
+            Effect::Keyed { .. } => head.method == Method::POST && key.is_some(),
+            Effect::Unsafe => head.method == Method::POST,
+        };
+        let keyed = |term: &Term| matches!(term.effect, Effect::Keyed { .. });
+        let keyless = head.method == Method::POST && key.is_none();
+        let other = match keyless && terms.class(class, now).any(keyed) {
+            true => bad("Idempotency-Key is missing"),
+            false => Turned(StatusCode::METHOD_NOT_ALLOWED, "the class goes by another method"),
         };
-        let other = Turned(StatusCode::METHOD_NOT_ALLOWED, "the class goes by another method");
         let class = terms.class(class, now).find(fits).ok_or(other)?.class;
         let tenant = match header("x-account")? {
             None | Some("") => None,
@@ -497,7 +516,22 @@
         };
         let left = header("x-time-left")?.ok_or(bad("X-Time-Left is missing"))?;
         let left = left.trim().parse().ok().filter(|left: &f64| (f64::MIN_POSITIVE..=LONGEST).contains(left));
-        Ok((class, tenant, left.ok_or(bad("X-Time-Left is not a time"))?, id))
+        let time_left = left.ok_or(bad("X-Time-Left is not a time"))?;
+        Ok(HeadRead { class, tenant, time_left, id, key })
+    }
+}
+
+/// The idempotency key, if there is one. It need not be text: it passes on byte for byte.
+fn read_key(head: &Parts) -> Result<Option<Bytes>, Turned> {
+    let bad = |why| Turned(StatusCode::BAD_REQUEST, why);
+    let mut keys = head.headers.get_all(KEY).iter();
+    match (keys.next(), keys.next()) {
+        (None, _) => Ok(None),
+        // Danger: of two keys the execute node may go by the other one.
+        (_, Some(_)) => Err(bad("Idempotency-Key is given twice")),
+        (Some(key), None) if key.is_empty() => Err(bad("Idempotency-Key is empty")),
+        (Some(key), None) if key.len() > KEY_LIMIT => Err(bad("Idempotency-Key is too long")),
+        (Some(key), None) => Ok(Some(Bytes::copy_from_slice(key.as_bytes()))),
     }
 }
 
--- a/crates/proxy/tests/network.rs
+++ b/crates/proxy/tests/network.rs
@@ -19,6 +19,26 @@
      n1 send 200 body=free
      a expect 200 free"
 )]
+// The key too, with each attempt, byte for byte, whatever the class makes of it.
+#[case::keys_pass_on_unchanged(
+    "proxy start n1 effect=\"guarded\" send_cap=5
+     a send POST /slot-lookup Idempotency-Key:00Ff-\u{e9}= body=bread
+     n1 expect POST /slot-lookup idempotency-key:+00ff-\u{e9} bread
+     n1 send 503 X-Unprocessed:1
+     n1 expect POST /slot-lookup idempotency-key:+00ff-\u{e9} bread
+     n1 send 500
+     n1 expect POST /slot-lookup idempotency-key:+00ff-\u{e9} bread
+     n1 send 200 body=baked
+     a expect 200 baked
+     a send POST /book-lesson Idempotency-Key:k2
+     n1 expect POST /book-lesson idempotency-key:+k2
+     n1 send 200 body=booked
+     a expect 200 booked
+     a send POST /book-lesson
+     n1 expect POST /book-lesson
+     n1 send 200 body=keyless
+     a expect 200 keyless"
+)]
 // What may have run is never called harmless to retry, and an unsafe job is not sent again.
 #[case::error_is_no_requeue_notice(
     "proxy start n1
@@ -140,6 +160,9 @@
 #[case::negative_length("POST /book-lesson length=-5", "400")]
 // Danger: hyper hides the length behind a chunked body, and the body a second message.
 #[case::two_lengths("POST /book-lesson Transfer-Encoding:chunked", "400 twice connection:+close")]
+#[case::two_keys("POST /book-lesson Idempotency-Key:a Idempotency-Key:a", "400 twice")]
+#[case::empty_key("POST /book-lesson Idempotency-Key:", "400 empty")]
+#[case::over_long_key("POST /book-lesson Idempotency-Key:KEY", "400 too+long")]
 #[case::size("POST /book-lesson length=34603009", "413")]
 #[case::garbage("raw \u{1}\u{2}\\r\\n\\r\\n", "400")]
 fn bad_input_is_turned_down_at_once(#[case] bad: &str, #[case] answer: &str) {
@@ -153,7 +176,21 @@
          n1 send 200 body=fine
          b expect 200 fine"
     );
-    play(&scenario.replace("ENDLESS", &"x".repeat(20_000)));
+    play(&scenario.replace("ENDLESS", &"x".repeat(20_000)).replace("KEY", &"k".repeat(256)));
+}
+
+/// Danger: a keyed job without its key is new work at each execute node that it is sent to again.
+#[test]
+fn a_keyed_job_without_a_key_is_turned_down() {
+    play(
+        "proxy start n1 effect=\"guarded\"
+         a send POST /slot-lookup body=bread
+         a expect 400 idempotency-key is+missing
+         b send GET /slot-lookup
+         b expect 405
+         c send POST /slot-lookup Idempotency-Key:k1
+         n1 expect idempotency-key:+k1",
+    );
 }
 
 /// Danger: connections that say nothing, or half a message, would hold their descriptors for good.
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -34,7 +34,7 @@
 
 pub const CONFIG: &str = r#"{"name":"t","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"0a",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"version":1,"full":true,"servers":[SERVERS]},
-"settings":{"classes":[{"name":"slot-lookup","target_s":3.0,"deadline_s":6.0,"gain":1.0,"group":"all","effect":"free"},
+"settings":{"classes":[{"name":"slot-lookup","target_s":3.0,"deadline_s":6.0,"gain":1.0,"dedup_window_s":5.0,"group":"all","effect":"free"},
 {"name":"book-lesson","target_s":3.0,"deadline_s":6.0,"gain":10.0,"group":"all","effect":"single_shot"}],
 "limits":{"may_cancel":true,"probes":false,"second_copies":false,"send_cap":2,"max_retry_after_s":2.0,"max_streams":1,
 "keepalive_s":60.0,"connect_timeout_s":0.25,"most_held":100},"machine_types":["m"],"membership_mode":"ask","over_share_worth":0.1,"tick_s":0.005,
