Watch the agent where lists are pushed, and tell the module of one job a connection

At fault: policy.rs, list, asks for a watch only where discovery is asked, and the host watched only when asked to; so the agent was never called. In the module's eyes pushed lists come by themselves: the watch is the socket host's (module.rs, follow), from the start, after SIGHUP, and 0.1 s after a failure (a watch goes on where calls come within 0.2 s). Ruled out: the 250 ms grace itself, which attempts keep that look at the list again before their first byte.

Who answers at once with nothing new is called 20 times a second at most, and failures are logged within bounds. The protocol carries one request at a time on a connection; config.rs says 1, whatever max_streams names.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -49,7 +49,10 @@
         let ops = top.find("ops")?.map(|_| address("ops")).transpose()?;
         let seed = top.get("seed")?;
         let limits = top.get("limits")?;
-        let named = settings::read(&top.get("settings")?)?;
+        let mut named = settings::read(&top.get("settings")?)?;
+        // Danger: told of more, the module takes connections for open that are not. Whatever the platform states, the
+        // protocol carries one request at a time on each.
+        named.settings.limits.streams = 1;
         named.settings.check().map_err(|error| error.to_string())?;
         let sockets = limits.get("sockets")?;
         if sockets.whole()? < 64 {
@@ -96,3 +99,21 @@
         _ => None,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Danger: told of more jobs a connection than the protocol carries, the module takes new connections for open.
+    #[test]
+    fn a_connection_carries_one_job_whatever_the_settings_name() {
+        let text = r#"{"name":"t","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"0a",
+            "limits":{"memory_mb":64,"sockets":64},"known":{"version":1,"full":true,"servers":[]},"settings":{
+            "classes":[{"name":"c","target_s":0.1,"deadline_s":0.4,"gain":1,"effect":"free"}],
+            "limits":{"may_cancel":true,"probes":true,"second_copies":false,"send_cap":4,"max_streams":100,
+            "connect_timeout_s":0.15},"membership_mode":"push","tick_s":0.001,"reporting":{"how":"piggyback"},
+            "weights":"silent","zone":"z","zones":["z"],"rules":{"ask_within_s":10,"cold_from":0.3,
+            "fall_multiple":3,"fall_s":1.5,"warm_up_s":8}}}"#;
+        assert_eq!(Config::read(text).expect("a configuration").named.settings.limits.streams, 1);
+    }
+}
--- a/crates/proxy/src/machine_list.rs
+++ b/crates/proxy/src/machine_list.rs
@@ -2,19 +2,19 @@
 
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout};
 
 use crate::connection_log::{Reason, Side};
 use crate::duration;
 use crate::flow::Flow;
 use crate::http::{self, Link};
 use crate::listing::{Listing, read_listing};
-use crate::log::say;
+use crate::log::{Bounded, say};
 use crate::messages::Mail;
 use mosshead_decide::interface::Seconds;
 use mosshead_settings::{self as settings, Found};
@@ -24,6 +24,9 @@
 const HOLD: Duration = Duration::from_millis(4000);
 /// So long after its wait a call is given up.
 const LATE: Duration = Duration::from_millis(1500);
+/// Whoever answers at once though nothing is new is called again after this. Danger: one that does not wait would
+/// be called without end.
+const PACE: Duration = Duration::from_millis(50);
 /// A list of all machines is larger than other bodies.
 const LIST_LIMIT: usize = 1024 * 1024;
 
@@ -68,21 +71,29 @@
     let mut caller = Caller { discovery, connect_timeout, link: None };
     // The version to go on from; none after an answer that made no sense: then the whole list is due.
     let mut held = Some(version);
+    let failed = Bounded::new();
     while let Some(ask) = mailbox.recv().await {
         if let Ask::Move(to) = ask {
             caller.move_to(to);
         }
+        let mut from = Instant::now();
         loop {
-            match watch(&mut caller, held, &mut mailbox).await {
+            let called = Instant::now().max(from);
+            match watch(&mut caller, held, from, &mut mailbox).await {
                 Watched::Closed => return,
                 // Danger: the old address falls silent soon, and what it would have told counts as told.
                 Watched::Moved(to) => caller.move_to(to),
                 Watched::Answered(Ok(listing)) => {
+                    let news = held.is_none_or(|held| listing.version > held);
+                    from = if news { Instant::now() } else { called + PACE };
                     held = Some(listing.version);
                     let _ = home.send(Mail::List(Some(listing)));
                 }
                 Watched::Answered(Err(fault)) => {
-                    say!(why = %fault.why, "machine-list failed");
+                    if let Some(left_out) = failed.admit() {
+                        let left_out = (left_out > 0).then_some(left_out);
+                        say!(why = %fault.why, left_out, "machine-list failed");
+                    }
                     if fault.nonsense {
                         held = None;
                     }
@@ -101,10 +112,18 @@
     Closed,
 }
 
-/// One call, unless the list moves meanwhile.
-async fn watch(caller: &mut Caller, held: Option<u64>, mailbox: &mut UnboundedReceiver<Ask>) -> Watched {
+/// One call, at `from`, unless the list moves meanwhile.
+async fn watch(
+    caller: &mut Caller,
+    held: Option<u64>,
+    from: Instant,
+    mailbox: &mut UnboundedReceiver<Ask>,
+) -> Watched {
     let discovery = caller.discovery;
-    let mut call = pin!(caller.call(held));
+    let mut call = pin!(async {
+        sleep_until(from.into()).await;
+        caller.call(held).await
+    });
     loop {
         tokio::select! {
             biased;
@@ -183,3 +202,40 @@
         Ok(body)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::task::{LocalSet, spawn_local};
+
+    /// Danger: one that answers at once though nothing is new would be called without end, and news must not wait.
+    #[test]
+    fn who_does_not_wait_is_called_at_a_pace() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let addr = listener.local_addr().expect("an address");
+            let (list, asked) = MachineList::new();
+            let (home, _mail) = unbounded_channel();
+            list.watch();
+            spawn_local(run(addr, 1, 1.0, asked, home));
+            let (mut stream, _) = listener.accept().await.expect("a call");
+            let mut took = [Duration::ZERO; 3];
+            for (version, took) in [2, 2, 2].into_iter().zip(&mut took) {
+                let since = Instant::now();
+                let mut head = Vec::new();
+                while !head.ends_with(b"\r\n\r\n") {
+                    head.push(stream.read_u8().await.expect("a head"));
+                }
+                *took = since.elapsed();
+                let body = format!(r#"{{"version":{version},"full":false,"servers":[]}}"#);
+                let answer = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                stream.write_all(answer.as_bytes()).await.expect("written");
+            }
+            // The first call found the list at version 1 and brought news; the next one brought none.
+            assert!(took[1] < PACE / 2 && took[2] >= PACE / 2, "{took:?}");
+        });
+    }
+}
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -35,6 +35,9 @@
 
 /// The wait that a requeue notice asks for where the proxy is too full for the module to see the job.
 const FULL_WAIT: Seconds = 0.5;
+/// An agent that has failed a call is called again after this. What it has counts as told, and a watch goes on where
+/// the next call comes within 0.2 s; it is on this machine, and a call costs nobody anything.
+const AGENT_AGAIN: Seconds = 0.1;
 
 /// The way to the module.
 #[derive(Clone)]
@@ -62,6 +65,7 @@
         let mut actor = Actor {
             balancer,
             limits: config.named.settings.limits.clone(),
+            membership: config.named.settings.membership,
             start: Instant::now(),
             start_unix_ms: unix.as_millis() as f64,
             module: module.clone(),
@@ -87,6 +91,7 @@
                 actor.module.control.set_ready();
             }
             actor.tell(Event::List(ListUpdate::Saved(entries)));
+            actor.follow();
             actor.run(mail).await;
         };
         Ok((module, terms, run))
@@ -179,6 +184,7 @@
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
+    Agent,
     Timer(Token),
     Deadline(JobId),
 }
@@ -186,6 +192,7 @@
 struct Actor {
     balancer: Balancer,
     limits: Limits,
+    membership: Membership,
     start: Instant,
     start_unix_ms: f64,
     module: Module,
@@ -244,12 +251,21 @@
         {
             self.due.pop();
             match due {
+                Due::Agent => self.follow(),
                 Due::Timer(token) => self.tell(Event::Timer(token)),
                 Due::Deadline(job) => self.overdue(job),
             }
         }
     }
 
+    /// Where lists are pushed they come by themselves in the module's eyes: the watch on the agent is this wire's.
+    /// Danger: without it the saved list would be the only one ever had.
+    fn follow(&self) {
+        if self.membership == Membership::Push {
+            self.list.watch();
+        }
+    }
+
     /// The submitter stops waiting now. The module answers before that; should it not, this does.
     fn overdue(&mut self, job: JobId) {
         if self.jobs.get(&job).is_some_and(|held| held.owed.is_some()) {
@@ -286,6 +302,7 @@
                 // Danger: with discovery down from the start, nobody would ever be let in.
                 self.module.control.set_ready();
                 self.tell(Event::List(ListUpdate::Failed));
+                self.schedule(self.now() + AGENT_AGAIN, Due::Agent);
             }
             Mail::List(Some(Listing { version, full, machines })) => {
                 self.version = version;
@@ -309,7 +326,7 @@
         let mut tuning = self.tuning.clone();
         let change = tuning.change(&named, |class| held.contains(&class), Instant::now())?;
         let Change { settings, terms, open, heirs } = change;
-        let limits = settings.limits.clone();
+        let (limits, membership) = (settings.limits.clone(), settings.membership);
         let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
         self.balancer.retune(settings, &open, &heirs).map_err(|fault| fault.to_string())?;
         // Nothing can fail from here on.
@@ -318,7 +335,8 @@
         for node in &self.nodes {
             let _ = node.mailbox.send(NodeMail::Retuned(limits.connect_timeout, limits.keepalive));
         }
-        self.limits = limits;
+        (self.limits, self.membership) = (limits, membership);
+        self.follow();
         Ok(terms)
     }
 
--- a/crates/proxy/tests/network.rs
+++ b/crates/proxy/tests/network.rs
@@ -324,6 +324,52 @@
      n8 send 200 body=moved
      a expect moved"#
 )]
+// Where lists are pushed an agent is called from the start, and again whatever it makes of a call.
+#[case::an_agent_is_watched(
+    "n1 membership_mode=\"push\"",
+    "list expect from=1 hold_ms=
+     list send 200 body=TO_N9
+     list expect from=2
+     a send GET /slot-lookup
+     n9 expect slot-lookup
+     n9 send 200 body=nine
+     a expect nine"
+)]
+#[case::an_agent_that_breaks_off(
+    "n1 membership_mode=\"push\"",
+    "list expect from=1
+     list close
+     proxy wait machine-list failed
+     list expect from=1
+     list send 503
+     list expect closed
+     list close
+     list expect from=1
+     list send 200 body=nonsense
+     list expect closed
+     list close
+     list expect /catalog/members
+     list send 200 body=TO_N9
+     list expect from=2
+     a send GET /slot-lookup
+     n9 expect slot-lookup"
+)]
+#[case::an_agent_that_takes_over_from_discovery(
+    "n1",
+    "list expect from=1
+     list close
+     proxy wait machine-list failed
+     proxy tune membership_mode=\"push\"
+     list expect from=1
+     list close
+     list expect from=1
+     list close
+     list expect from=1
+     list close
+     list expect from=1
+     list send 200 body=TO_N9
+     list expect from=2"
+)]
 // Nodes come and go: what has left and owes nothing is let go of, and its number is another's.
 #[case::numbers_are_used_again(
     "n1",
