Ask another server past a crowded pair, and trust fresh reports over strain

At fault: policy.rs, odds: STRAIN_FREE is 0.23 of the wanted time, which an idle node of 45 ms exceeds where 160 ms are wanted; and draw: the lower of a pair waits for half of the jobs at one slot and 0.7 of load, while probes here cost 0.002 and answers hold.

Strain now counts as far as reports do not hold (1 - credence^2, squared). Where they hold, the higher one of a crowded pair gives way to another server, asked in its turn, five in all.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -51,10 +51,10 @@
 const RETRY_SHARE: f64 = 0.2;
 /// and below so many at once.
 const RETRY_BURST: f64 = 20.0;
-/// A second copy goes out once this share of the wanted time has passed,
+/// A second copy goes out once this share of the wanted time has passed, and not where it delays first tries.
 const COPY_AFTER: f64 = 0.5;
-/// and only to a server with fewer waiting requests a slot: elsewhere it delays first tries.
-const COPY_CROWDED: f64 = 0.5;
+/// Where so many requests wait for each slot a server is crowded.
+const CROWDED: f64 = 0.5;
 /// All lots together send a cold server at most this share of the stated multiple of its part,
 const COLD_SHARE: f64 = 0.4;
 /// where the traffic is taken to be up to this much more than the warm fleet can do.
@@ -85,10 +85,6 @@
 const SUBSET_SHARE: f64 = 0.25;
 /// A new connection's price, as a share of a mean worth, counts for so many mean services.
 const SETUP_PRICE: f64 = 4.0;
-/// A new connection costs at most so many mean services in time,
-const SETUP_CAP: f64 = 2.0;
-/// of which so many are taken for chance.
-const SETUP_NOISE: f64 = 1.0;
 /// A request without a candidate looks again after so many ticks.
 const HOLD_TICKS: f64 = 4.0;
 /// A failed call for the list is repeated after this share of the limit on asking, doubled each time.
@@ -101,6 +97,10 @@
 const PROBE_SLOW: f64 = 0.25;
 /// and rest for so many mean deadlines;
 const PROBE_REST: f64 = 4.0;
+/// where so much of a report holds on arrival, the higher one of a crowded pair gives way to another,
+const PROBE_HOLDS: f64 = 0.5;
+/// until so many have been asked;
+const PROBE_MOST: usize = 5;
 /// their answers are waited for during this share of the wanted time.
 const PROBE_WAIT: f64 = 1.0 / 16.0;
 /// The strain is the share of the wanted time that answers take; one that never comes counts for so much.
@@ -109,7 +109,7 @@
 const STRAIN_WAIT: f64 = 0.9;
 /// Danger: learnt over many answers, a trickle hears of a jam when it is over.
 const STRAIN_GAIN: f64 = 1.0 / 32.0;
-/// Beyond this strain the price of work rises at once, so many times as steeply.
+/// Beyond this strain the price of work rises at once, so many times as steeply, as far as reports tell less.
 const STRAIN_FREE: f64 = 0.23;
 const STRAIN_PRICE: f64 = 20.0;
 /// What is known of it fades within so many mean deadlines.
@@ -191,14 +191,14 @@
     fn list(&mut self, now: Seconds, update: ListUpdate, actions: &mut Vec<Action>) {
         let asking = self.settings.membership == Membership::Ask;
         match update {
-            ListUpdate::Failed if asking => {
+            ListUpdate::Failed if !asking => return,
+            ListUpdate::Failed => {
                 // Danger: all sidecars calling again at once keep a slow directory down; spread and back off.
                 let doubled = f64::from(1 << self.seen.watch_failures.min(3));
                 self.seen.watch_failures += 1;
                 let delay = self.settings.rules.ask_within * WATCH_BACKOFF * doubled * (0.5 + self.chance());
                 return actions.push(Action::Timer { delay, token: Token(WATCH_TOKEN) });
             }
-            ListUpdate::Failed => return,
             ListUpdate::Changes(entries) => {
                 entries.into_iter().for_each(|entry| self.seen.entry(now, entry, &mut self.rng));
             }
@@ -289,9 +289,9 @@
     }
 
     fn figure(&self, endpoint: &Endpoint, now: Seconds) -> f64 {
-        // Danger: new connections can be slow and costly, and those to rarely used servers are always new.
-        let setup = (self.seen.setup - SETUP_NOISE).max(0.0) + SETUP_PRICE * self.settings.connection_price;
-        let setup = if self.connected(endpoint, now) { 0.0 } else { setup };
+        // Danger: new connections can be costly, and those to rarely used servers are always new.
+        let open = self.connected(endpoint, now);
+        let setup = if open { 0.0 } else { SETUP_PRICE * self.settings.connection_price };
         ((self.load(endpoint, now) + 1.0) / self.capacity(endpoint, now) + setup) * self.drag(endpoint, now)
     }
 
@@ -378,6 +378,8 @@
     /// The lower of two distinct candidates drawn at random: the one place where a server is chosen.
     /// With it those of the pair that have to be probed first.
     fn draw(&mut self, now: Seconds, job: &Job, candidates: &[usize]) -> Option<(EndpointId, Vec<usize>)> {
+        let strange: Vec<usize> =
+            candidates.iter().copied().filter(|index| !job.met.contains(index)).collect();
         // The pair that was probed for this job stays its pair.
         let asked: Vec<usize> =
             candidates.iter().copied().filter(|index| job.asked.contains(index)).collect();
@@ -390,15 +392,24 @@
         let second = (first + 1 + self.below(count - 1)) % count;
         let pair = [candidates[first as usize], candidates[second as usize]];
         let figures = pair.map(|index| self.figure(&self.seen.endpoints[index], now));
+        // The order of the pair is random, so a tie is too.
+        let lower = if figures[0] <= figures[1] { pair[0] } else { pair[1] };
         // The more of a report holds on arrival, the sooner a new one is worth its price.
         let trust = PROBE_TRUST.powf(1.0 - self.credence());
         let stale = |index: usize| self.trust(&self.seen.endpoints[index], now) < trust;
         let cheap = self.settings.limits.probes && 2.0 * self.settings.probe_price <= PROBE_CHEAP;
         let due = job.attempts.is_empty() && now < job.ask_until && now >= self.seen.rest_until;
-        let asks = cheap && due && asked.is_empty() && pair.into_iter().any(stale);
-        let ask = if asks { pair.to_vec() } else { Vec::new() };
-        // The order of the pair is random, so a tie is too.
-        Some((EndpointId(if figures[0] <= figures[1] { pair[0] } else { pair[1] } as u32), ask))
+        let known = self.credence() >= PROBE_HOLDS && job.met.len() < PROBE_MOST;
+        let ask = match asked.len() {
+            0 if cheap && due && pair.into_iter().any(stale) => pair.to_vec(),
+            // What another one holds costs little to know.
+            2 if cheap && due && known && self.crowding(&self.seen.endpoints[lower], now) > CROWDED => {
+                let other = self.below(strange.len() as u64) as usize;
+                strange.get(other).into_iter().copied().collect()
+            }
+            _ => Vec::new(),
+        };
+        Some((EndpointId(lower as u32), ask))
     }
 
     /// The server for the job's next attempt, or those whose figures are too old and have to be asked first.
@@ -458,10 +469,10 @@
             let Some(job) = self.seen.jobs.get_mut(&token).filter(|job| job.attempts.is_empty()) else {
                 continue;
             };
-            job.due = job.due.saturating_sub(usize::from(job.asked.contains(&(id.0 as usize))));
-            match job.due {
-                0 => self.decide(now, token, actions),
-                _ => self.seen.asking.push(token),
+            job.due.retain(|&index| index != id.0 as usize);
+            match job.due.is_empty() {
+                true => self.decide(now, token, actions),
+                false => self.seen.asking.push(token),
             }
         }
     }
@@ -472,8 +483,11 @@
         let (chosen, ask) = self.choose(now, &job);
         if !ask.is_empty() {
             if let Some(job) = self.seen.jobs.get_mut(&token) {
-                job.due = ask.len();
+                // The higher one of a crowded pair has made room for another.
+                job.asked.retain(|&index| chosen == Some(EndpointId(index as u32)));
                 job.asked.extend(&ask);
+                job.met.extend(&ask);
+                job.due.clone_from(&ask);
             }
             actions.extend(ask.iter().map(|&index| Action::Probe { endpoint: EndpointId(index as u32) }));
             self.seen.asking.push(token);
@@ -617,8 +631,10 @@
         // Danger: a queue can outgrow the wanted time before the first late answer tells of it.
         let limit = (WAIT_SHARE * (job.aim - now)).max(self.settings.tick);
         let ahead = (crowding * self.seen.mean_service.value / limit).powi(AHEAD_POWER);
-        // Danger: a hundred that send on until a learnt price tells them to stop jam the fleet for good.
-        let strain = STRAIN_PRICE * (self.strain(now) - STRAIN_FREE).max(0.0);
+        // Danger: a hundred that send on until a learnt price tells them to stop jam the fleet for good; but where
+        // a service is much of the wanted time and reports hold, what servers say is the better evidence.
+        let blind = (1.0 - self.credence().powi(2)).powi(2);
+        let strain = STRAIN_PRICE * blind * (self.strain(now) - STRAIN_FREE).max(0.0);
         let price = learnt * crowding.min(PRICE_CROWDING) + ahead + strain;
         Odds { taken: density / (density + price), ahead, price }
     }
@@ -694,7 +710,7 @@
             endpoint.expected = expected;
         }
         endpoint.out += 1.0;
-        let attempt = Attempt::new(id, now, expected, crowding, !connected);
+        let attempt = Attempt::new(id, now, expected, crowding);
         if let Some(job) = self.seen.jobs.get_mut(&token) {
             if !job.attempts.is_empty() {
                 self.seen.retries -= 1.0;
@@ -728,8 +744,7 @@
             let limits = &self.settings.limits;
             if limits.second_copies && self.repeatable(job.class) && copies < 2 && late {
                 let chosen = self.retry(now, token);
-                if chosen
-                    .is_some_and(|id| self.crowding(&self.seen.endpoints[id.0 as usize], now) < COPY_CROWDED)
+                if chosen.is_some_and(|id| self.crowding(&self.seen.endpoints[id.0 as usize], now) < CROWDED)
                 {
                     return self.send(now, token, chosen, actions);
                 }
@@ -740,19 +755,12 @@
         }
     }
 
-    /// Whether the limit on attempts and the retry budget have one left.
-    fn spare(&self, job: &Job) -> bool {
-        (job.attempts.len() as u32) < job.most && self.seen.retries >= 1.0
-    }
-
     /// A server for another attempt, if the limits and the retry budget grant one.
     fn retry(&mut self, now: Seconds, token: u64) -> Option<EndpointId> {
         let job = self.seen.jobs[&token].clone();
         // Danger: when everything fails, retries multiply the load that made it fail.
-        if !self.spare(&job) {
-            return None;
-        }
-        self.choose(now, &job).0
+        let spare = (job.attempts.len() as u32) < job.most && self.seen.retries >= 1.0;
+        spare.then(|| self.choose(now, &job).0)?
     }
 
     fn again(&mut self, now: Seconds, token: u64, actions: &mut Vec<Action>) {
@@ -800,14 +808,6 @@
                 endpoint.expected = attempt.expected;
             }
         }
-        if let Some((_, Attempt { opened: true, expected, .. })) = &attempt
-            && matches!(end, Outcome::Served | Outcome::ConnectFailed)
-        {
-            // What fails has to be tried again: its time comes on top.
-            let late = if end == Outcome::Served { rtt - expected } else { rtt + expected };
-            let sample = (late / self.seen.mean_service.value).clamp(-SETUP_CAP, SETUP_CAP);
-            self.seen.setup += PACE_GAIN * (sample - self.seen.setup);
-        }
         match end {
             Outcome::ConnectFailed if endpoint.connections > endpoint.out => {}
             Outcome::Served => {
@@ -912,13 +912,10 @@
     }
 
     fn prove(&mut self, id: EndpointId) {
-        let shun = &mut self.seen.endpoints[id.0 as usize].shun;
-        if let Some(trial) = shun {
+        self.seen.endpoints[id.0 as usize].shun.take_if(|trial| {
             trial.proofs += 1;
-            if trial.proofs >= TRIALS {
-                *shun = None;
-            }
-        }
+            trial.proofs >= TRIALS
+        });
     }
 
     /// What follows for the request from the end of one of its attempts.
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -62,8 +62,6 @@
     pub(crate) mean_service: Mean,
     /// How many lives a report stays the same before a server renews it, as far as repeated ones tell.
     pub(crate) report_age: f64,
-    /// What a new connection costs, in mean services, by how long such attempts took.
-    pub(crate) setup: f64,
     /// The share of attempts that fail, wherever they go.
     pub(crate) failures: Mean,
     pub(crate) mean_worth: Mean,
@@ -108,7 +106,6 @@
             fleet_usual: Mean::default(),
             mean_service: Mean::new(mean(|class| class.target / WAITING), 0.0),
             report_age: 0.0,
-            setup: 0.0,
             failures: Mean::new(0.0, 64.0),
             strain: (0.0, 0.0),
             mean_worth: Mean::new(mean(|class| class.worth), 0.0),
@@ -235,22 +232,14 @@
     pub(crate) sent: Seconds,
     pub(crate) expected: Seconds,
     pub(crate) crowding: f64,
-    /// It opened a new connection.
-    pub(crate) opened: bool,
     pub(crate) ended: Option<Outcome>,
     /// Its outcome proves that it never ran.
     pub(crate) never_ran: bool,
 }
 
 impl Attempt {
-    pub(crate) fn new(
-        endpoint: EndpointId,
-        sent: Seconds,
-        expected: Seconds,
-        crowding: f64,
-        opened: bool,
-    ) -> Self {
-        Self { endpoint, sent, expected, crowding, opened, ended: None, never_ran: false }
+    pub(crate) fn new(endpoint: EndpointId, sent: Seconds, expected: Seconds, crowding: f64) -> Self {
+        Self { endpoint, sent, expected, crowding, ended: None, never_ran: false }
     }
 }
 
@@ -273,10 +262,11 @@
     pub(crate) spare: bool,
     /// The share of its worth that its tenant's share leaves it.
     pub(crate) within: f64,
-    /// Servers probed for it, until when their answers are waited for, and how many are still due.
+    /// Its pair, once probed; all servers probed for it, until when their answers are waited for, and which are due.
     pub(crate) asked: Vec<usize>,
+    pub(crate) met: Vec<usize>,
     pub(crate) ask_until: Seconds,
-    pub(crate) due: usize,
+    pub(crate) due: Vec<usize>,
 }
 
 impl Job {
@@ -296,8 +286,9 @@
             spare: false,
             within: 1.0,
             asked: Vec::new(),
+            met: Vec::new(),
             ask_until: now,
-            due: 0,
+            due: Vec::new(),
         }
     }
 
--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -799,6 +799,49 @@
     assert!(probes(&actions).is_empty() && sends(&actions).len() == 1, "too dear: {actions:?}");
 }
 
+/// A host with servers in two zones whose reports were seen renewed within little of a mean service.
+fn with_fresh_reports(settings: Settings) -> Host {
+    let zoned = |at: u32| ListEntry { zone: ZoneId(at as usize % 2), ..entry(at) };
+    let mut host = Host::new(settings, (0..10).map(zoned).collect());
+    for at in 0..100 {
+        host.now += 0.004;
+        for server in 0..10 {
+            probed(&mut host, EndpointId(server), 0.001, load(1.0 + f64::from(at % 2), 0.0));
+        }
+    }
+    host.now += 2.0;
+    host
+}
+
+/// Danger: at servers of one slot the lower of a pair often has a queue while another stands idle. Where a probe's answer
+/// holds, the higher one gives way to another until one is idle or enough have been asked.
+#[test]
+fn the_higher_one_of_a_crowded_pair_gives_way_where_reports_hold() {
+    let mut host = with_fresh_reports(probing(0.001));
+    let (_, actions) = host.ask(SAFE);
+    let pair = probes(&actions);
+    assert_eq!(pair.len(), 2, "{actions:?}");
+    assert!(probes(&probed(&mut host, pair[0], 0.001, load(3.0, 2.0))).is_empty());
+    let third = probes(&probed(&mut host, pair[1], 0.001, load(4.0, 3.0)));
+    assert!(third.len() == 1 && !pair.contains(&third[0]), "another one is asked: {third:?}");
+    let fourth = probes(&probed(&mut host, third[0], 0.001, load(5.0, 4.0)));
+    assert!(fourth.len() == 1 && !pair.contains(&fourth[0]) && fourth != third, "{fourth:?}");
+    let fifth = probes(&probed(&mut host, fourth[0], 0.001, load(5.0, 4.0)));
+    let actions = probed(&mut host, fifth[0], 0.001, load(5.0, 4.0));
+    assert!(probes(&actions).is_empty(), "five are enough");
+    assert_eq!(sends(&actions), [pair[0]], "the lowest of all stayed in each pair");
+
+    // One that is idle ends the search, and where reports are old a pair is all that is asked.
+    let mut host = with_fresh_reports(probing(0.001));
+    let pair = probes(&host.ask(SAFE).1);
+    probed(&mut host, pair[0], 0.001, load(3.0, 2.0));
+    assert_eq!(sends(&probed(&mut host, pair[1], 0.001, load(0.0, 0.0))), [pair[1]]);
+    let mut host = Host::new(probing(0.001), fleet(9));
+    let pair = probes(&host.ask(SAFE).1);
+    let actions = pair.iter().map(|&server| probed(&mut host, server, 0.001, load(5.0, 4.0)));
+    assert!(actions.flat_map(|actions| probes(&actions)).next().is_none());
+}
+
 /// Danger: a probe that never comes back keeps its request from being sent.
 #[test]
 fn probes_are_waited_for_during_a_part_of_the_wanted_time() {
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -470,3 +470,28 @@
     let over = round(5, 0.06, 0.1);
     assert!(over[0] > 0.9 && over[1] > 0.9, "{over:?} are sent when it is over");
 }
+
+/// Danger: where a service takes much of the wanted time, answers of an idle fleet look strained. Reports that hold are the
+/// better evidence: servers that say that nothing waits get their work.
+#[test]
+fn an_idle_fleet_whose_service_takes_much_of_the_wanted_time_is_not_strained() {
+    let mut host = Host::new(settings(), fleet(6));
+    let mut sent = 0;
+    for at in 0..600 {
+        // Reports are renewed all the time.
+        for step in 0..10 {
+            host.now += 0.002;
+            for server in 0..6 {
+                let (outcome, rtt, report) = (Outcome::Served, 0.001, load(f64::from(step % 2), 0.0));
+                host.tell(Event::Probed { endpoint: EndpointId(server), outcome, rtt, report });
+            }
+        }
+        host.ask(SAFE);
+        host.now += 0.2;
+        for attempt in std::mem::take(&mut host.out) {
+            sent += usize::from(at >= 300);
+            host.end(attempt, Outcome::Served, load(0.0, 0.0));
+        }
+    }
+    assert!(sent >= 285, "of 300 jobs {sent} are sent");
+}
