Take for late only who came before and was not served

A trace of each refusal: of n0's some 2,500 nearly all had a wanted time that had ended 0.28 s before they came, with room, no strain and the lowest price. From 47 s on half of the submitters wait 28 to 50 ms in place of 390 ms. At fault: policy.rs, request, took a time left that is not the usual one for what is left of a deadline. Ruled out by the same trace: rooms, shunning, cold lots, outs that are never given back.

Who comes again names, by deadline less time left, the instant of a first try that ended unserved here. Those instants are kept (state.rs, at most 1,024 a class); without a match within three ticks a job is a first try, however little time it has.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -79,6 +79,8 @@
 const PRICE_CROWDING: f64 = 4.0;
 /// The time usually granted to a first try is given up after so many that differ in a row.
 const USUAL_VOTES: f64 = 64.0;
+/// What clients say of when they first tried is exact to so many ticks.
+const AGAIN_TICKS: f64 = 3.0;
 /// A pair is drawn from so many servers of a zone side at least,
 const SUBSET_LEAST: usize = 3;
 /// and from so many for each own request in a mean deadline: more than that and none is heard of in time.
@@ -570,17 +572,18 @@
     fn request(&mut self, now: Seconds, request: Request, actions: &mut Vec<Action>) {
         let class = &self.settings.classes[request.class.0];
         let stats = &mut self.seen.classes[request.class.0];
-        // First tries are all granted the same, often a part of the deadline. A later one may get less or
-        // more: what is left of the deadline, which tells when the first began.
-        // Danger: first tries taken for late ones are refused for want of time, all of them.
+        // First tries are mostly granted the same. A later one gets what is left of the deadline, which tells when
+        // the first came. Danger: who merely waits less is refused as late. Late is who came then, unserved.
         let mut first = (request.time_left - stats.usual).abs() < self.settings.tick;
         stats.votes = (stats.votes + if first { 2.0 } else { -1.0 }).min(USUAL_VOTES);
         if stats.votes < 0.0 {
             (stats.usual, stats.votes, first) = (request.time_left, 1.0, true);
         }
-        let elapsed = if first { 0.0 } else { (class.deadline - request.time_left).max(0.0) };
+        let elapsed = (class.deadline - request.time_left).max(0.0);
+        first |= !stats.has_failed(now - elapsed, AGAIN_TICKS * self.settings.tick);
+        let elapsed = elapsed * f64::from(!first);
         let aim = now + (class.target - elapsed).min(request.time_left);
-        let mut job = Job::new(now, &request, aim, self.settings.limits.max_attempts);
+        let mut job = Job::new(now, &request, elapsed, aim, self.settings.limits.max_attempts);
         self.seen.mean_worth.add(class.worth, MEAN_GAIN);
         self.seen.mean_service.add(stats.service.value, MEAN_GAIN);
         self.seen.rate.add(now, self.seen.mean_deadline);
@@ -672,11 +675,8 @@
 
     /// When nothing that could still arrive is worth anything.
     fn end(&self, job: &Job) -> Seconds {
-        if self.settings.classes[job.class.0].late_worth > 0.0 {
-            job.deadline
-        } else {
-            job.aim.min(job.deadline)
-        }
+        let late = self.settings.classes[job.class.0].late_worth > 0.0;
+        if late { job.deadline } else { job.aim.min(job.deadline) }
     }
 
     fn send(&mut self, now: Seconds, token: u64, chosen: Option<EndpointId>, actions: &mut Vec<Action>) {
@@ -951,6 +951,9 @@
     fn drop_job(&mut self, token: u64, answer: Option<Action>, actions: &mut Vec<Action>) {
         let Some(job) = self.seen.jobs.remove(&token) else { return };
         self.seen.tokens.remove(&job.id);
+        if job.attempts.iter().all(|attempt| attempt.ended != Some(Outcome::Served)) {
+            self.seen.classes[job.class.0].failed(job.origin, self.settings.classes[job.class.0].deadline);
+        }
         // Danger: work nobody waits for any more keeps a server busy.
         if self.settings.limits.cancel && !job.begun {
             actions.extend(job.out().map(|(at, _)| job.cancel(at)));
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -1,6 +1,6 @@
 //! What the balancer remembers of servers, requests and classes. Nothing here decides anything.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use rand_core::RngCore;
 
@@ -15,6 +15,9 @@
 /// A late answer leaves a server this share of the attempts that it may have at once.
 const ROOM_CUT: f64 = 0.7;
 
+/// So many requests that ended unserved are remembered for each class.
+const UNSERVED_MOST: usize = 1024;
+
 /// Why a server is shunned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -254,6 +257,8 @@
     /// Its body still comes; its aim and deadline count from the last byte.
     pub(crate) coming: bool,
     came: Seconds,
+    /// When its submitter first tried.
+    pub(crate) origin: Seconds,
     /// The most attempts that it may have.
     pub(crate) most: u32,
     /// Which cold servers it may go to: a random number from 0 to 1.
@@ -270,8 +275,8 @@
 }
 
 impl Job {
-    /// A request that came now, with its wanted time ending at `aim`.
-    pub(crate) fn new(now: Seconds, request: &Request, aim: Seconds, most: u32) -> Self {
+    /// A request that came now, first tried so long ago, with its wanted time ending at `aim`.
+    pub(crate) fn new(now: Seconds, request: &Request, elapsed: Seconds, aim: Seconds, most: u32) -> Self {
         Self {
             id: request.job,
             class: request.class,
@@ -281,6 +286,7 @@
             begun: false,
             coming: false,
             came: now,
+            origin: now - elapsed,
             most,
             lot: 0.0,
             spare: false,
@@ -354,6 +360,8 @@
     /// The time that clients commonly grant a first try, and how sure that is.
     pub(crate) usual: Seconds,
     pub(crate) votes: f64,
+    /// When those came first that have lately ended unserved.
+    unserved: VecDeque<Seconds>,
 }
 
 /// What has been learnt of a kind of machine.
@@ -383,7 +391,22 @@
 impl ClassStats {
     /// Guesses until there are answers.
     pub(crate) fn new(class: &Class) -> Self {
-        Self { service: Mean::new(class.target / WAITING, 1.0), usual: class.deadline, votes: 0.0 }
+        let (service, unserved) = (Mean::new(class.target / WAITING, 1.0), VecDeque::new());
+        Self { service, usual: class.deadline, votes: 0.0, unserved }
+    }
+
+    /// A request that came first at `origin` has ended unserved; what is older than `life` comes no more.
+    pub(crate) fn failed(&mut self, origin: Seconds, life: Seconds) {
+        let full = self.unserved.len() >= UNSERVED_MOST;
+        if full || self.unserved.front().is_some_and(|first| *first < origin - life) {
+            self.unserved.pop_front();
+        }
+        self.unserved.push_back(origin);
+    }
+
+    /// Whether such a request came first at about `origin`.
+    pub(crate) fn has_failed(&self, origin: Seconds, slack: Seconds) -> bool {
+        self.unserved.iter().any(|first| (first - origin).abs() <= slack)
     }
 }
 
