Let the world play a second kind of deployment: keyed jobs, agents, stalls, one core

It gains keyed classes (group, window; a repeat in both is dropped), lists pushed to an agent (in virtual time and on loopback), util reports, stalls, heavy requests, and work that stops when it is given up. The referee names a repeat outside group or window, and a changed key; four mutants more, each caught.

--- a/crates/ctl/src/scenarios.rs
+++ b/crates/ctl/src/scenarios.rs
@@ -8,7 +8,7 @@
 use crate::{BadUse, End};
 
 /// The scenarios of `scenarios/`, by name.
-const BUILT_IN: [(&str, &str); 17] = [
+const BUILT_IN: [(&str, &str); 25] = [
     ("calm", include_str!("../../../scenarios/calm.toml")),
     ("churn", include_str!("../../../scenarios/churn.toml")),
     ("cold-fleet", include_str!("../../../scenarios/cold-fleet.toml")),
@@ -19,6 +19,14 @@
     ("loopback", include_str!("../../../scenarios/loopback.toml")),
     ("minute", include_str!("../../../scenarios/minute.toml")),
     ("neighbour", include_str!("../../../scenarios/neighbour.toml")),
+    ("orders-agent", include_str!("../../../scenarios/orders-agent.toml")),
+    ("orders-brim", include_str!("../../../scenarios/orders-brim.toml")),
+    ("orders-calm", include_str!("../../../scenarios/orders-calm.toml")),
+    ("orders-crash", include_str!("../../../scenarios/orders-crash.toml")),
+    ("orders-heavy", include_str!("../../../scenarios/orders-heavy.toml")),
+    ("orders-neighbour", include_str!("../../../scenarios/orders-neighbour.toml")),
+    ("orders-rolling", include_str!("../../../scenarios/orders-rolling.toml")),
+    ("orders-stalls", include_str!("../../../scenarios/orders-stalls.toml")),
     ("resets", include_str!("../../../scenarios/resets.toml")),
     ("restarts", include_str!("../../../scenarios/restarts.toml")),
     ("small-instances", include_str!("../../../scenarios/small-instances.toml")),
--- a/crates/emulator/src/bin/mosshead-wrong.rs
+++ b/crates/emulator/src/bin/mosshead-wrong.rs
@@ -52,9 +52,17 @@
     EndsBadly,
     /// Serves whatever anybody sends.
     ServesTheRude,
+    /// Sends keyed jobs on without their key.
+    DropsKeys,
+    /// Repeats keyed jobs wherever the turn takes it.
+    RepeatsElsewhere,
+    /// Repeats keyed jobs at the same server, after their window.
+    RepeatsLate,
+    /// Never asks for the list.
+    NeverAsks,
 }
 
-const FAULTS: [(&str, Fault); 16] = [
+const FAULTS: [(&str, Fault); 20] = [
     ("none", Fault::None),
     ("resends", Fault::Resends),
     ("ignores-drains", Fault::IgnoresDrains),
@@ -71,8 +79,15 @@
     ("crashes", Fault::Crashes),
     ("ends-badly", Fault::EndsBadly),
     ("serves-the-rude", Fault::ServesTheRude),
+    ("drops-keys", Fault::DropsKeys),
+    ("repeats-elsewhere", Fault::RepeatsElsewhere),
+    ("repeats-late", Fault::RepeatsLate),
+    ("never-asks", Fault::NeverAsks),
 ];
 
+/// Longer than any keyed job of the days it plays is known for.
+const WINDOW: Duration = Duration::from_millis(350);
+
 struct Server {
     place: SocketAddr,
     serving: bool,
@@ -162,6 +177,10 @@
 
 async fn attempt(proxy: &Proxy, request: &Message, id: &str, until: Instant) -> End {
     let Some(place) = proxy.choose() else { return End::NeverRan };
+    attempt_at(proxy, place, request, id, until).await
+}
+
+async fn attempt_at(proxy: &Proxy, place: SocketAddr, request: &Message, id: &str, until: Instant) -> End {
     let left = || until.saturating_duration_since(Instant::now());
     let Ok(Ok(stream)) = timeout(left().min(Duration::from_millis(250)), TcpStream::connect(place)).await
     else {
@@ -173,8 +192,10 @@
         body[0] ^= 1;
     }
     let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    let key = request.header("idempotency-key").filter(|_| proxy.fault != Fault::DropsKeys);
+    let key = key.map(|key| format!("Idempotency-Key: {key}\r\n")).unwrap_or_default();
     let head = format!(
-        "{} {} HTTP/1.1\r\nHost: {place}\r\nX-Correlation-Id: {id}\r\n{length}\r\n",
+        "{} {} HTTP/1.1\r\nHost: {place}\r\nX-Correlation-Id: {id}\r\n{key}{length}\r\n",
         request.method, request.target
     );
     if wire.write(&[head.into_bytes(), body].concat()).await.is_err() {
@@ -213,6 +234,17 @@
         }
         return answer(502, "", b"");
     }
+    let keyed = request.header("idempotency-key").is_some();
+    if proxy.fault == Fault::RepeatsLate && keyed {
+        let Some(place) = proxy.choose() else { return refuse() };
+        for _ in 0..2 {
+            if let End::Served(body) = attempt_at(proxy, place, request, &id, until).await {
+                return answer(200, "", &body);
+            }
+            sleep(WINDOW).await;
+        }
+        return answer(502, "", b"");
+    }
     for _ in 0..most {
         match attempt(proxy, request, &id, until).await {
             End::Served(body) => {
@@ -223,7 +255,8 @@
             End::NeverRan => {}
             End::MayHaveRun => {
                 may_have_run = true;
-                if !safe && proxy.fault != Fault::Resends {
+                let repeats = keyed && proxy.fault == Fault::RepeatsElsewhere;
+                if !safe && !repeats && proxy.fault != Fault::Resends {
                     break;
                 }
             }
@@ -299,7 +332,9 @@
     });
     proxy.learn(&first["known"]);
     let discovery = Rc::new(Cell::new(place(&first, "discovery")?));
-    spawn_local(watch(proxy.clone(), discovery.clone()));
+    if fault != Fault::NeverAsks {
+        spawn_local(watch(proxy.clone(), discovery.clone()));
+    }
     let failed = |error: std::io::Error| error.to_string();
     let mut hangup = signal(SignalKind::hangup()).map_err(failed)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
--- a/crates/emulator/src/clients.rs
+++ b/crates/emulator/src/clients.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use mosshead_world::facts::Answer;
+use mosshead_world::scenario::Effect;
 use mosshead_world::{Input, Job, JobNo, Time};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -32,6 +33,7 @@
     method: &'static str,
     target: String,
     body: String,
+    key: Option<String>,
 }
 
 /// All clients.
@@ -65,7 +67,8 @@
         let (at, sent) = sent.get(id)?;
         let same = message.method == sent.method
             && message.target == sent.target
-            && message.body == sent.body.as_bytes();
+            && message.body == sent.body.as_bytes()
+            && message.header("idempotency-key") == sent.key.as_deref();
         (*at == proxy).then_some((sent.job, same))
     }
 }
@@ -90,12 +93,13 @@
 
 /// A usual client sends a request.
 pub(crate) fn send(stage: &Rc<Stage>, job: Job) {
-    let (class, tenant, safe) = stage.world(|world| {
+    let (class, tenant, effect) = stage.world(|world| {
         let scenario = world.scenario();
         let class = &scenario.class[job.class];
         let tenant = job.tenant.map(|tenant| scenario.tenant[tenant].name.clone());
-        (class.name.clone(), tenant, class.effect == mosshead_world::scenario::Effect::Safe)
+        (class.name.clone(), tenant, class.effect)
     });
+    let safe = effect == Effect::Safe;
     let id = id(stage.seed, job.no);
     let (method, body) = match safe {
         true => ("GET", String::new()),
@@ -105,11 +109,14 @@
     let left = job.left.as_seconds();
     let account = tenant.map(|tenant| format!("X-Account: {tenant}\r\n")).unwrap_or_default();
     let length = if safe { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    let key =
+        (effect == Effect::Keyed).then(|| format!("{:016X}-{}", mixed(stage.seed ^ 0xb, job.no), job.no.0));
+    let keyed = key.as_ref().map(|key| format!("Idempotency-Key: {key}\r\n")).unwrap_or_default();
     let bytes = format!(
         "{method} {target} HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id}\r\nX-Service-Class: {class}\r\n\
-         {account}X-Time-Left: {left:.3}\r\n{length}\r\n{body}"
+         {account}X-Time-Left: {left:.3}\r\n{keyed}{length}\r\n{body}"
     );
-    let sent = Sent { job: job.no, method, target, body };
+    let sent = Sent { job: job.no, method, target, body, key };
     stage.clients.sent.borrow_mut().insert(id, (job.proxy, sent));
     let task = spawn_local(ask(stage.clone(), job, bytes.into_bytes()));
     stage.clients.waiting.borrow_mut().insert(job.no, task.abort_handle());
--- a/crates/emulator/src/servers.rs
+++ b/crates/emulator/src/servers.rs
@@ -227,7 +227,8 @@
 }
 
 fn load(report: &Report) -> String {
-    format!("qps={:.1},inflight={:.0},queue={:.0}", report.qps, report.in_flight, report.queue)
+    let Report { qps, in_flight, queue, util } = report;
+    format!("qps={qps:.1},inflight={in_flight:.0},queue={queue:.0},util={util:.3}")
 }
 
 fn encode(verdict: Verdict, report: &Report, body: &[u8], conn: Conn) -> Vec<u8> {
--- a/crates/emulator/tests/referee.rs
+++ b/crates/emulator/tests/referee.rs
@@ -14,7 +14,7 @@
 title = "occasions"
 about = "Every occasion to do wrong, in four seconds."
 length = "4s"
-zones = ["a"]
+zones = ["a", "b"]
 
 [load]
 proxies = 1
@@ -46,9 +46,20 @@
 warm_up = "8s"
 connections = { work = "100us" }
 
+[[class]]
+name = "order-change"
+share = "30%"
+work = "40ms"
+target = "500ms"
+deadline = "1500ms"
+worth = 2
+effect = "keyed"
+group = "zone"
+window = "300ms"
+
 [[class]]
 name = "slot-lookup"
-share = "50%"
+share = "40%"
 work = "40ms"
 target = "500ms"
 deadline = "1500ms"
@@ -57,7 +68,7 @@
 
 [[class]]
 name = "book-lesson"
-share = "50%"
+share = "30%"
 work = "40ms"
 target = "500ms"
 deadline = "1500ms"
@@ -88,7 +99,11 @@
 "#;
 
 fn day(fault: &str) -> Played {
-    let scenario = Scenario::read(DAY).expect("a scenario");
+    day_of(DAY, fault)
+}
+
+fn day_of(text: &str, fault: &str) -> Played {
+    let scenario = Scenario::read(text).expect("a scenario");
     let command = vec![env!("CARGO_BIN_EXE_mosshead-wrong").to_owned(), fault.to_owned()];
     let mut options = Options::new(7, command);
     // Tests share the machine: only a standstill voids the day here.
@@ -114,6 +129,10 @@
 #[case::crashes("crashes", Rule::Alive)]
 #[case::ends_badly("ends-badly", Rule::Alive)]
 #[case::serves_the_rude("serves-the-rude", Rule::Alive)]
+#[case::drops_keys("drops-keys", Rule::Intact)]
+#[case::repeats_elsewhere("repeats-elsewhere", Rule::NeverTwice)]
+#[case::repeats_late("repeats-late", Rule::NeverTwice)]
+#[case::never_asks("never-asks", Rule::Drains)]
 fn a_wrong_proxy_is_caught(#[case] fault: &str, #[case] rule: Rule) {
     let played = day(fault);
     assert!(played.day.broken.contains_key(&rule), "{:?}", played.day.broken);
@@ -132,6 +151,18 @@
     assert!(played.usage.iter().any(|usage| usage.memory_mb > 0.5 && usage.descriptors > 5));
 }
 
+/// Where lists are pushed, what the agent has counts as told, whether or not a proxy asks: who watches passes.
+#[test]
+fn what_an_agent_has_counts_as_told() {
+    let pushed = DAY.replacen("[discovery]", "[discovery]\npushed = true", 1);
+    // A proxy that hears of a drain within its grace of 0.2 s needs an agent, not ten seconds of leave.
+    let pushed = pushed.replacen("ask_within = \"900ms\"", "ask_within = \"10s\"", 1);
+    let played = day_of(&pushed, "none");
+    assert!(played.day.kept, "{}", played.day.violations[0]);
+    let played = day_of(&pushed, "never-asks");
+    assert!(played.day.broken.contains_key(&Rule::Drains), "{:?}", played.day.broken);
+}
+
 /// Guards the world against its own connections: answers that are spoilt or break off leave nothing behind.
 #[test]
 fn spoilt_and_half_answers_are_the_servers_doing() {
--- a/crates/simulate/src/host.rs
+++ b/crates/simulate/src/host.rs
@@ -23,6 +23,9 @@
 /// A probe is given up after so many times the time for connecting.
 const PROBE_TIMEOUT: f64 = 2.0;
 
+/// An agent that has failed a call is called again after this.
+const AGENT_AGAIN: Time = Time::ms(100);
+
 enum Due {
     Turn,
     Timer { proxy: usize, life: u32, token: Token },
@@ -31,6 +34,7 @@
     ProbeLate(Conn),
     Deadline(JobNo),
     CallLate { proxy: usize, number: u64 },
+    Agent { proxy: usize, life: u32 },
 }
 
 #[derive(Default)]
@@ -186,6 +190,7 @@
         self.brains.start(at, &settings_text(&self.world, at), seed.wrapping_mul(0x9e37_79b9_7f4a_7c15))?;
         let entries = self.learn(at, &list);
         self.mail(at, Event::List(ListUpdate::Saved(entries)));
+        self.follow(at);
         self.world.input(self.now, Input::Up { proxy: at });
         Ok(())
     }
@@ -262,7 +267,12 @@
                 if self.proxies[proxy].call == Some(number) {
                     self.proxies[proxy].call = None;
                     self.world.input(self.now, Input::Forget { proxy, number });
-                    self.mail(proxy, Event::List(ListUpdate::Failed));
+                    self.failed(proxy);
+                }
+            }
+            Due::Agent { proxy, life } => {
+                if self.proxies[proxy].up && self.proxies[proxy].life == life {
+                    self.follow(proxy);
                 }
             }
         }
@@ -597,6 +607,19 @@
 
     // The list.
 
+    /// Where lists are pushed the host watches its agent by itself, like the host on sockets.
+    fn follow(&mut self, proxy: usize) {
+        if self.world.scenario().discovery.pushed {
+            self.ask(proxy);
+        }
+    }
+
+    fn failed(&mut self, proxy: usize) {
+        self.mail(proxy, Event::List(ListUpdate::Failed));
+        let life = self.proxies[proxy].life;
+        self.queue.push(self.now + AGENT_AGAIN, Due::Agent { proxy, life });
+    }
+
     fn ask(&mut self, proxy: usize) {
         if self.proxies[proxy].call.is_some() {
             return;
@@ -616,7 +639,7 @@
         }
         self.proxies[proxy].call = None;
         let Some((version, full, lines)) = listed else {
-            return self.mail(proxy, Event::List(ListUpdate::Failed));
+            return self.failed(proxy);
         };
         self.proxies[proxy].version = version;
         let mut entries = Vec::new();
--- a/crates/simulate/src/platform.rs
+++ b/crates/simulate/src/platform.rs
@@ -2,7 +2,7 @@
 
 use mosshead_settings::Named;
 use mosshead_world::World;
-use mosshead_world::scenario::Effect;
+use mosshead_world::scenario::{Effect, Group};
 use serde_json::{Value, json};
 
 /// The settings of one proxy, as the platform's JSON has them.
@@ -17,9 +17,13 @@
                 "deadline_s": seconds(class.deadline),
                 "gain": class.worth,
                 "late_worth": 0.0,
-                "effect": match class.effect { Effect::Safe => "free", Effect::Unsafe => "single_shot" },
-                "group": "all",
-                "dedup_window_s": 5.0,
+                "effect": match class.effect {
+                    Effect::Safe => "free",
+                    Effect::Unsafe => "single_shot",
+                    Effect::Keyed => "guarded",
+                },
+                "group": match class.group { Group::All => "all", Group::Zone => "zone" },
+                "dedup_window_s": seconds(class.window),
                 "streaming": false,
             })
         })
@@ -37,13 +41,13 @@
         "zones": scenario.zones,
         "zone": scenario.zones[world.zone_of(proxy)],
         "machine_types": scenario.kind.iter().map(|kind| &kind.name).collect::<Vec<_>>(),
-        "membership_mode": "ask",
+        "membership_mode": if scenario.discovery.pushed { "push" } else { "ask" },
         "over_share_worth": 0.1,
         "prices": {"cross_zone": 0.015, "probe": 0.01, "waste": 0.02, "late_fail": 0.1, "handshake": 0.0},
         "goal": {"whole": 0.45, "worst_window": 0.05, "worst_class": 0.2, "worst_tenant": 0.3},
         "rank": proxy,
         "group_size": world.proxies(),
-        "reporting": {"how": "piggyback", "names": ["qps", "inflight", "queue"]},
+        "reporting": {"how": "piggyback", "names": ["qps", "inflight", "queue", "util"]},
         "weights": "silent",
         "value_by": "request",
         "tick_s": seconds(scenario.tick),
--- a/crates/simulate/tests/days.rs
+++ b/crates/simulate/tests/days.rs
@@ -23,6 +23,7 @@
 #[case::resets("resets")]
 #[case::restarts("restarts")]
 #[case::wide("wide")]
+#[case::orders_rolling("orders-rolling")]
 fn a_day_is_the_same_to_the_byte_over_runs_and_threads(#[case] name: &str) {
     let scenario = scenario(name);
     let first = day(&scenario, 5, Kind::Mosshead, 1);
@@ -44,6 +45,14 @@
         "hang",
         "late-reports",
         "neighbour",
+        "orders-agent",
+        "orders-brim",
+        "orders-calm",
+        "orders-crash",
+        "orders-heavy",
+        "orders-neighbour",
+        "orders-rolling",
+        "orders-stalls",
         "resets",
         "restarts",
         "spoilt",
--- a/crates/world/src/discovery.rs
+++ b/crates/world/src/discovery.rs
@@ -37,12 +37,15 @@
     parked: Vec<(Time, Call)>,
     per_call: Time,
     timeout: Time,
+    /// An agent on each machine answers, at no cost, and says nothing while discovery is down.
+    pushed: bool,
     down: bool,
 }
 
 impl Discovery {
     /// One with this list, which works through a call in `per_call` and fails those that wait past `timeout`.
-    pub fn new(list: Vec<Shown>, per_call: Time, timeout: Time) -> Self {
+    pub fn new(list: Vec<Shown>, per_call: Time, timeout: Time, pushed: bool) -> Self {
+        let per_call = if pushed { Time::ZERO } else { per_call };
         Self {
             version: 1,
             list,
@@ -52,6 +55,7 @@
             parked: Vec::new(),
             per_call,
             timeout,
+            pushed,
             down: false,
         }
     }
@@ -82,6 +86,9 @@
 
     /// A call has come.
     pub fn call(&mut self, now: Time, call: Call, answers: &mut Vec<Answered>) {
+        if self.down && self.pushed {
+            return self.parked.push((now + call.hold, call));
+        }
         if self.down {
             return answers.push((call, None));
         }
@@ -94,7 +101,13 @@
     /// Goes down, and ends what waits, or comes up again.
     pub fn down(&mut self, down: bool, answers: &mut Vec<Answered>) {
         self.down = down;
-        if down {
+        if self.pushed && !down {
+            let (old, parked) =
+                std::mem::take(&mut self.parked).into_iter().partition(|(_, call)| self.news(call));
+            self.parked = parked;
+            let old: Vec<(Time, Call)> = old;
+            answers.extend(old.into_iter().map(|(_, call)| self.answer(call)));
+        } else if down && !self.pushed {
             let line = std::mem::take(&mut self.line).into_iter().map(|(_, call)| call);
             let parked = std::mem::take(&mut self.parked).into_iter().map(|(_, call)| call);
             answers.extend(line.chain(parked).map(|call| (call, None)));
@@ -111,6 +124,9 @@
     /// When something is due next.
     pub fn next(&self) -> Time {
         let head = if self.line.is_empty() { Time::NEVER } else { self.busy_until };
+        if self.down {
+            return head;
+        }
         self.parked.iter().map(|(until, _)| *until).min().unwrap_or(Time::NEVER).min(head)
     }
 
@@ -121,7 +137,7 @@
             if let Some((came, call)) = self.line.pop_front() {
                 if came + self.timeout < at {
                     answers.push((call, None));
-                } else if call.from.is_some_and(|from| from >= self.version) && call.hold > Time::ZERO {
+                } else if !self.news(&call) && call.hold > Time::ZERO {
                     self.parked.push((at + call.hold, call));
                 } else {
                     answers.push(self.answer(call));
@@ -135,12 +151,20 @@
             }
             self.busy_until = at + self.per_call;
         }
+        if self.down {
+            return;
+        }
         let due: Vec<Call> =
             self.parked.iter().filter(|(until, _)| *until <= now).map(|(_, call)| *call).collect();
         self.parked.retain(|(until, _)| *until > now);
         answers.extend(due.into_iter().map(|call| self.answer(call)));
     }
 
+    /// Whether there is something newer than the call goes on from.
+    fn news(&self, call: &Call) -> bool {
+        call.from.is_none_or(|from| from < self.version)
+    }
+
     fn answer(&self, call: Call) -> Answered {
         let oldest = self.changes.front().map_or(self.version, |(version, _)| version - 1);
         match call.from {
--- a/crates/world/src/facts.rs
+++ b/crates/world/src/facts.rs
@@ -73,8 +73,10 @@
         server: ServerNo,
         /// On which connection.
         conn: Conn,
-        /// Method, target, id and body are those of the client.
+        /// Method, target, id, key and body are those of the client.
         intact: bool,
+        /// The servers that drop each other's repeats of it, by number.
+        group: usize,
     },
     /// A server took a request in.
     Arrived {
@@ -250,11 +252,11 @@
         let job = |job: JobNo| job.0;
         let (tag, a, b, c, d) = match fact.what {
             What::Taken { job: j, proxy, class, effect, deadline } => {
-                (1, job(j), proxy as u64, (class as u64) << 1 | (effect == Effect::Safe) as u64, deadline.0)
+                (1, job(j), proxy as u64, (class as u64) << 2 | effect as u64, deadline.0)
             }
             What::Begun { job: j, proxy, server, conn } => (2, job(j), proxy as u64, server.0.into(), conn.0),
-            What::Written { job: j, server, conn, intact } => {
-                (3, job(j), server.0.into(), conn.0, intact.into())
+            What::Written { job: j, server, conn, intact, group } => {
+                (3, job(j), server.0.into(), conn.0, (group as u64) << 1 | intact as u64)
             }
             What::Arrived { job: j, server } => (4, job(j), server.0.into(), 0, 0),
             What::Ran { job: j, server } => (5, job(j), server.0.into(), 0, 0),
--- a/crates/world/src/referee.rs
+++ b/crates/world/src/referee.rs
@@ -25,7 +25,8 @@
     OneAnswer,
     /// An answer that says served is one that a server made for this job.
     Genuine,
-    /// What must not run twice is not sent again once it may have run.
+    /// What must not run twice is not sent again once it may have run; what carries a key only where and while its repeat is
+    /// dropped.
     NeverTwice,
     /// What may have run is never called harmless to try again.
     HonestRefusal,
@@ -96,12 +97,15 @@
 
 struct Attempt {
     conn: Conn,
+    at: Time,
+    group: usize,
     end: End,
 }
 
 struct Record {
     proxy: usize,
     effect: Effect,
+    class: usize,
     deadline: Time,
     attempts: Vec<Attempt>,
     answered: Option<(Answer, Time)>,
@@ -118,6 +122,8 @@
     finish: Time,
     attempts: usize,
     second_copies: bool,
+    /// For how long repeats of each class are dropped.
+    windows: Vec<Time>,
     records: HashMap<JobNo, Record>,
     /// Jobs in the order in which they may be forgotten.
     leaving: VecDeque<(Time, JobNo)>,
@@ -135,6 +141,7 @@
             finish: scenario.rules.finish_grace,
             attempts: scenario.proxy.attempts as usize,
             second_copies: scenario.proxy.second_copies,
+            windows: scenario.class.iter().map(|class| class.window).collect(),
             records: HashMap::new(),
             leaving: VecDeque::new(),
             told: HashMap::new(),
@@ -182,10 +189,10 @@
             record.facts.push(*fact);
         }
         match fact.what {
-            What::Taken { job, proxy, effect, deadline, .. } => {
+            What::Taken { job, proxy, effect, class, deadline } => {
                 let (attempts, facts) = (Vec::new(), vec![*fact]);
                 let (answered, over, ran) = (None, false, 0);
-                let record = Record { proxy, effect, deadline, attempts, answered, over, ran, facts };
+                let record = Record { proxy, effect, class, deadline, attempts, answered, over, ran, facts };
                 self.records.insert(job, record);
                 self.leaving.push_back((deadline + REMEMBERED, job));
             }
@@ -202,7 +209,7 @@
                     self.broken(Rule::Drains, at, Some(job), what);
                 }
             }
-            What::Written { job, conn, intact, .. } => self.written(at, job, conn, intact),
+            What::Written { job, conn, intact, group, .. } => self.written(at, job, conn, intact, group),
             What::Came { job, conn, verdict } => {
                 let end = match verdict {
                     Verdict::TurnedAway => End::NeverRan,
@@ -215,7 +222,7 @@
             What::Ran { job, .. } => {
                 let Some(record) = self.records.get_mut(&job) else { return };
                 record.ran += 1;
-                if record.ran > 1 && record.effect == Effect::Unsafe {
+                if record.ran > 1 && record.effect != Effect::Safe {
                     let what = format!("it has run {} times", record.ran);
                     self.broken(Rule::NeverTwice, at, Some(job), what);
                 }
@@ -261,13 +268,25 @@
         }
     }
 
-    fn written(&mut self, at: Time, job: JobNo, conn: Conn, intact: bool) {
+    fn written(&mut self, at: Time, job: JobNo, conn: Conn, intact: bool, group: usize) {
         let Some(record) = self.records.get_mut(&job) else { return };
         let answered = record.answered;
         let may_have_run = record.attempts.iter().any(|attempt| attempt.end != End::NeverRan);
         let out = record.attempts.iter().any(|attempt| attempt.end == End::Out);
-        record.attempts.push(Attempt { conn, end: End::Out });
+        let first = record.attempts.iter().find(|attempt| attempt.end != End::NeverRan);
+        let strange = first.filter(|_| record.effect == Effect::Keyed).and_then(|first| {
+            let late = at > first.at + self.windows[record.class];
+            match (first.group == group, late) {
+                (false, _) => Some("sent again where nobody drops its repeat"),
+                (true, true) => Some("sent again after its repeat is dropped"),
+                (true, false) => None,
+            }
+        });
+        record.attempts.push(Attempt { conn, at, group, end: End::Out });
         let (count, effect) = (record.attempts.len(), record.effect);
+        if let Some(what) = strange {
+            self.broken(Rule::NeverTwice, at, Some(job), what.to_owned());
+        }
         if !intact {
             let what = "an attempt differs from what the client sent".to_owned();
             self.broken(Rule::Intact, at, Some(job), what);
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -172,6 +172,9 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Discovery {
+    /// Its changes are pushed to an agent on each proxy's machine: calls there cost nobody anything, what the agent has
+    /// counts as told, and it says nothing while discovery is down.
+    pub pushed: bool,
     /// How late a change enters the list.
     pub notice: Span<Time>,
     /// How late the end of a machine that says nothing enters it.
@@ -185,6 +188,7 @@
 impl Default for Discovery {
     fn default() -> Self {
         Self {
+            pushed: false,
             notice: Span { lo: Time::ms(700), hi: Time::ms(2500) },
             silent_notice: Span { lo: Time::ms(6500), hi: Time::ms(12000) },
             capacity: Span::one(PerSecond(200.0)),
@@ -301,6 +305,9 @@
     /// Whether waiting work that was given up is dropped.
     #[serde(default)]
     pub drops_given_up: bool,
+    /// Whether work that was given up stops, also where it has begun.
+    #[serde(default)]
+    pub stops_given_up: bool,
     /// What happens when it is overdriven; nothing without it.
     pub jam: Option<Jam>,
     /// Its connections.
@@ -418,6 +425,19 @@
     Safe,
     /// Harm: it must never run twice.
     Unsafe,
+    /// It carries a key: servers of one group drop a repeat within the class's window; elsewhere it would run twice.
+    Keyed,
+}
+
+/// Which servers drop each other's repeats of a keyed request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Group {
+    /// All of them.
+    All,
+    /// Those of a zone.
+    #[default]
+    Zone,
 }
 
 /// A class of request.
@@ -441,6 +461,12 @@
     pub worth: f64,
     /// What a second execution would do.
     pub effect: Effect,
+    /// For a keyed class: who drops repeats,
+    #[serde(default)]
+    pub group: Group,
+    /// and for how long after the first attempt that may have run.
+    #[serde(default)]
+    pub window: Time,
 }
 
 /// A tenant.
@@ -468,6 +494,10 @@
     Hang,
     /// Servers fail so many requests at once (`size`: which share).
     FastErrors,
+    /// Servers stand still for `delay`, again and again (`every`).
+    Stalls,
+    /// So many requests (`size`) cost many times their work (`times`).
+    Heavy,
     /// Another program takes a share of the machine (`size`), on and off (`every`).
     Neighbour,
     /// Load reports come later (`delay`).
@@ -614,6 +644,12 @@
             if class.target > class.deadline || class.target == Time::ZERO {
                 return fail(&key("target"), "it lies above `0s` and not above `deadline`");
             }
+            if (class.effect == Effect::Keyed) == (class.window == Time::ZERO) {
+                return fail(
+                    &key("window"),
+                    "a keyed class needs one above `0s`, and no other class has one",
+                );
+            }
             if class.work.lo == Time::ZERO {
                 return fail(&key("work"), "it has to be above `0ms`");
             }
--- a/crates/world/src/server.rs
+++ b/crates/world/src/server.rs
@@ -38,6 +38,8 @@
     pub errors: f64,
     /// Whether waiting work that was given up is dropped.
     pub drops_given_up: bool,
+    /// Whether all work that was given up stops.
+    pub stops_given_up: bool,
     /// What overdriving does.
     pub jam: Option<JamTraits>,
     /// The most connections it holds.
@@ -102,6 +104,7 @@
             thrash_at: draws.within(kind.thrash_at),
             errors: draws.within(kind.errors.map(|part| part.0)),
             drops_given_up: kind.drops_given_up,
+            stops_given_up: kind.stops_given_up,
             jam,
             connections: draws.count(kind.connections.cap),
             round_trips: draws.count(kind.connections.round_trips),
@@ -125,6 +128,8 @@
     pub in_flight: f64,
     /// Requests waiting.
     pub queue: f64,
+    /// The share of its cores that are busy.
+    pub util: f64,
 }
 
 /// What became of a request that came.
@@ -332,7 +337,9 @@
             self.next_report = self.at + self.traits.report_period;
             let qps = (self.served - self.served_before) as f64 / self.traits.report_period.as_seconds();
             self.served_before = self.served;
-            let report = Report { qps, in_flight: self.held() as f64, queue: self.waiting.len() as f64 };
+            let (in_flight, queue) = (self.held() as f64, self.waiting.len() as f64);
+            let util = (self.work.len() as f64 / self.traits.cores).min(1.0);
+            let report = Report { qps, in_flight, queue, util };
             self.history.push_back((self.at, report));
             // Only the newest one that is old enough is ever shown: keep that and the newer ones.
             let shown = self.at - self.traits.report_delay - self.late_reports;
@@ -404,15 +411,19 @@
         Offered::Taken
     }
 
-    /// Nobody waits for a request any more: where the kind drops such work and it has not begun, it is let go.
+    /// Nobody waits for a request any more: where the kind drops such work and it has not begun, it is let go, and where
+    /// the kind stops it, also when it has.
     pub fn give_up(&mut self, id: u64) -> bool {
-        if !self.traits.drops_given_up {
-            return false;
+        let before = self.held();
+        if self.traits.drops_given_up || self.traits.stops_given_up {
+            self.waiting.retain(|(waiting, _)| *waiting != id);
+        }
+        if self.traits.stops_given_up {
+            self.work.retain(|(_, work)| *work != id);
+            self.fill();
         }
-        let before = self.waiting.len();
-        self.waiting.retain(|(waiting, _)| *waiting != id);
         self.judge();
-        self.waiting.len() < before
+        self.held() < before
     }
 
     /// Whether a request has not begun: it waits.
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -9,7 +9,7 @@
 use crate::facts::{Answer, Fact, Verdict, What};
 use crate::ledger::{Ending, Ledger};
 use crate::queue::Queue;
-use crate::scenario::{Effect, Fault, Scenario};
+use crate::scenario::{Effect, Fault, Group, Scenario};
 use crate::server::{Offered, Report, Server, Traits};
 
 /// A booking server, numbered in the order of their making; never used again.
@@ -74,6 +74,9 @@
     pub one_shot: bool,
 }
 
+/// Who has not asked its agent for so long counts as told what the agent has.
+const AGENT_WITHIN: Time = Time::ms(200);
+
 /// What discovery answers: the version, whether the list is whole, and its lines; none where the call failed.
 pub type Listed = Option<(u64, bool, Vec<Shown>)>;
 
@@ -283,6 +286,8 @@
     work: f64,
     /// Nobody waits for its answer any more.
     abandoned: bool,
+    /// Its key is known where it came: it does not run again.
+    repeat: bool,
 }
 
 struct Try {
@@ -315,6 +320,7 @@
 struct Running {
     struck: Vec<u32>,
     size: f64,
+    times: f64,
     until: Time,
     delay: Time,
 }
@@ -341,6 +347,8 @@
     addresses: Vec<Option<ServerNo>>,
     free: Vec<u32>,
     discovery: Discovery,
+    /// When each key was first seen in a group of servers.
+    keys: HashMap<(JobNo, usize), Time>,
     discovery_step: u64,
     sides: Vec<Side>,
     load: Load,
@@ -454,7 +462,8 @@
             queue: Queue::default(),
             addresses: (0..machines.len()).map(|number| Some(ServerNo(number as u32))).collect(),
             free: Vec::new(),
-            discovery: Discovery::new(list, per_call, scenario.discovery.timeout),
+            discovery: Discovery::new(list, per_call, scenario.discovery.timeout, scenario.discovery.pushed),
+            keys: HashMap::new(),
             discovery_step: 0,
             sides,
             load: Load::draw(scenario, length, seed),
@@ -762,7 +771,14 @@
             false => Some(draws.weighted(self.tenant_weights.iter().copied())),
         };
         let (mean, spread) = self.works[class];
-        let work = draws.spread(mean, spread);
+        let mut work = draws.spread(mean, spread);
+        for (trouble, running) in self.scenario.trouble.iter().zip(&self.running) {
+            if let Some(running) = running.as_ref().filter(|_| trouble.fault == Fault::Heavy)
+                && draws.chance(running.size)
+            {
+                work *= running.times;
+            }
+        }
         let honours = draws.chance(self.habits.honour);
         let wish = self.next_wish;
         self.next_wish += 1;
@@ -922,7 +938,8 @@
         link.used = self.now;
         let accepted = link.how == Opening::Accepted;
         self.ledger.attempts += 1;
-        self.fact(What::Written { job, server, conn, intact });
+        let group = self.group(job, server).unwrap_or_default();
+        self.fact(What::Written { job, server, conn, intact, group });
         let traits = &self.machines[server.0 as usize].traits;
         let (extra, trips) = (traits.connection_work, traits.round_trips);
         let wish = self.tries.get(&job).map(|held| held.wish);
@@ -930,7 +947,8 @@
         let own = wish.and_then(|wish| self.wishes.get(&wish)).map_or(self.works[0].0, |wish| wish.work);
         let work = own + if first { extra } else { 0.0 };
         self.jobs_out.insert(exchange, job);
-        self.exchanges.insert(exchange, Exchange { job, conn, server, work, abandoned: false });
+        self.exchanges
+            .insert(exchange, Exchange { job, conn, server, work, abandoned: false, repeat: false });
         let Some(mut delay) = self.link_delay(conn) else { return };
         if first && accepted {
             delay += delay.times((2 * trips) as f64);
@@ -978,6 +996,10 @@
         }
         match running.offer(number, work) {
             Offered::Taken => {
+                let repeat = self.repeated(job, server);
+                if let Some(exchange) = self.exchanges.get_mut(&number) {
+                    exchange.repeat = repeat;
+                }
                 self.ledger.work += work;
                 self.fact(What::Arrived { job, server });
                 self.reschedule(at);
@@ -991,6 +1013,30 @@
         }
     }
 
+    /// The servers that drop each other's repeats of a keyed request, by number; none for a request without a key.
+    fn group(&self, job: JobNo, server: ServerNo) -> Option<usize> {
+        let class = &self.scenario.class[self.wishes.get(&self.tries.get(&job)?.wish)?.class];
+        match (class.effect, class.group) {
+            (Effect::Keyed, Group::Zone) => Some(self.machines[server.0 as usize].traits.zone),
+            (Effect::Keyed, Group::All) => Some(0),
+            _ => None,
+        }
+    }
+
+    /// Whether a request's key is known where it has come; from now on it is.
+    fn repeated(&mut self, job: JobNo, server: ServerNo) -> bool {
+        let Some(group) = self.group(job, server) else { return false };
+        let wish = self.tries.get(&job).and_then(|held| self.wishes.get(&held.wish));
+        let window = wish.map_or(Time::ZERO, |wish| self.scenario.class[wish.class].window);
+        let now = self.now;
+        let first = self.keys.entry((job, group)).or_insert(now);
+        let known = *first < now && now <= *first + window;
+        if now > *first + window {
+            *first = now;
+        }
+        known
+    }
+
     fn turn_away(&mut self, number: u64) {
         let Some(exchange) = self.exchanges.remove(&number) else { return };
         let running = self.machines[exchange.server.0 as usize].server.as_ref();
@@ -1023,7 +1069,7 @@
         {
             let machine = &mut self.machines[server.0 as usize];
             let noise = machine.traits.report_noise;
-            for figure in [&mut report.qps, &mut report.in_flight, &mut report.queue] {
+            for figure in [&mut report.qps, &mut report.in_flight, &mut report.queue, &mut report.util] {
                 *figure *= 1.0 + noise * (2.0 * machine.draws.part() - 1.0);
             }
         }
@@ -1116,8 +1162,10 @@
         }
         for (_, id) in done.drain(..) {
             let Some(exchange) = self.exchanges.remove(&id) else { continue };
-            let Exchange { job, conn, server, work, abandoned } = exchange;
-            self.fact(What::Ran { job, server });
+            let Exchange { job, conn, server, work, abandoned, repeat } = exchange;
+            if !repeat {
+                self.fact(What::Ran { job, server });
+            }
             let machine = &mut self.machines[number];
             let verdict = if machine.draws.chance(machine.traits.errors) {
                 Verdict::Errored
@@ -1284,9 +1332,12 @@
                 self.send_back(conn, Back::Reset);
             }
         }
+        self.keys.retain(|(job, _), _| self.tries.contains_key(job));
         let (_, list) = self.discovery.list();
         for proxy in 0..self.sides.len() {
-            let silent = self.sides[proxy].asked + self.scenario.rules.ask_within <= self.now;
+            let within =
+                if self.scenario.discovery.pushed { AGENT_WITHIN } else { self.scenario.rules.ask_within };
+            let silent = self.sides[proxy].asked + within <= self.now;
             if self.sides[proxy].up && silent && !self.discovery.asks(proxy) {
                 self.tell(proxy, true, &list);
             }
@@ -1304,6 +1355,7 @@
         let until = self.now + draws.time(trouble.length);
         let size = draws.within(trouble.size.map(|part| part.0));
         let delay = draws.time(trouble.delay);
+        let times = draws.within(trouble.times);
         let part = draws.within(trouble.part.map(|part| part.0));
         let some = |mut all: Vec<u32>, draws: &mut Draws| {
             draws.shuffle(&mut all);
@@ -1321,19 +1373,11 @@
             .collect();
         let now = self.now;
         match trouble.fault {
-            Fault::Hang => {
-                for &at in &struck {
-                    self.touch(at as usize);
-                    if let Some(server) = &mut self.machines[at as usize].server {
-                        server.hang(true);
-                    }
-                    self.reschedule(at as usize);
-                }
-            }
+            Fault::Hang => self.hang(&struck, true),
             Fault::FastErrors => {
                 struck.iter().for_each(|&at| self.machines[at as usize].failing = size);
             }
-            Fault::Neighbour => self.queue.push(now, Due::Toggle(number, true)),
+            Fault::Neighbour | Fault::Stalls => self.queue.push(now, Due::Toggle(number, true)),
             Fault::LateReports => {
                 for machine in &mut self.machines {
                     if let Some(server) = &mut machine.server {
@@ -1384,24 +1428,16 @@
                     self.queue.push(now + delay.max(longest), Due::StartProxy(proxy));
                 }
             }
-            Fault::Spoilt | Fault::Surge => {}
+            Fault::Spoilt | Fault::Surge | Fault::Heavy => {}
         }
-        self.running[number] = Some(Running { struck, size, until, delay });
+        self.running[number] = Some(Running { struck, size, times, until, delay });
         self.queue.push(until, Due::Calm(number));
     }
 
     fn calm(&mut self, number: usize) {
         let Some(running) = self.running[number].take() else { return };
         match self.scenario.trouble[number].fault {
-            Fault::Hang => {
-                for at in running.struck {
-                    self.touch(at as usize);
-                    if let Some(server) = &mut self.machines[at as usize].server {
-                        server.hang(false);
-                    }
-                    self.reschedule(at as usize);
-                }
-            }
+            Fault::Hang | Fault::Stalls => self.hang(&running.struck, false),
             Fault::FastErrors => {
                 running.struck.iter().for_each(|&at| self.machines[at as usize].failing = 0.0);
             }
@@ -1414,11 +1450,25 @@
                 }
             }
             Fault::StaleDiscovery => self.stale = self.stale - running.delay,
-            Fault::DiscoveryDown => self.discovery.down(false, &mut Vec::new()),
+            Fault::DiscoveryDown => {
+                let mut answers = Vec::new();
+                self.discovery.down(false, &mut answers);
+                self.spread(answers);
+            }
             _ => {}
         }
     }
 
+    fn hang(&mut self, struck: &[u32], hangs: bool) {
+        for &at in struck {
+            self.touch(at as usize);
+            if let Some(server) = &mut self.machines[at as usize].server {
+                server.hang(hangs);
+            }
+            self.reschedule(at as usize);
+        }
+    }
+
     fn steal(&mut self, struck: &[u32], part: f64) {
         for &at in struck {
             self.touch(at as usize);
@@ -1432,8 +1482,16 @@
     fn toggle(&mut self, number: usize, on: bool) {
         let Some(running) = &self.running[number] else { return };
         let (struck, size, until) = (running.struck.clone(), running.size, running.until);
-        self.steal(&struck, if on { size } else { 0.0 });
-        let at = self.now + self.chance.time(self.scenario.trouble[number].every);
+        let every = self.chance.time(self.scenario.trouble[number].every);
+        let mut at = self.now + every;
+        if self.scenario.trouble[number].fault == Fault::Stalls {
+            self.hang(&struck, on);
+            if on {
+                at = self.now + self.chance.time(self.scenario.trouble[number].delay);
+            }
+        } else {
+            self.steal(&struck, if on { size } else { 0.0 });
+        }
         if at < until {
             self.queue.push(at, Due::Toggle(number, !on));
         }
--- a/crates/world/tests/server.rs
+++ b/crates/world/tests/server.rs
@@ -113,3 +113,22 @@
     assert_eq!(done.len(), 1);
     assert!(done[0].0 > Time::ms(20_000));
 }
+
+/// Guards days on which a cancelled request stops at once: kept running, it would crowd a node of one slot for nothing.
+#[test]
+fn work_that_is_given_up_stops_where_the_kind_says_so() {
+    for stops in ["", "stops_given_up = true"] {
+        let change = format!("cores = 3\nslots_per_core = 1\ndrops_given_up = true\n{stops}");
+        let one_slot = ("slots_per_core = \"2..6\"\n", "");
+        let mut server = server(&traits(&[one_slot, ("cores = 3", &change)]), true);
+        let mut done = Vec::new();
+        for id in 0..4 {
+            assert_eq!(server.offer(id, 1.0), Offered::Taken);
+        }
+        // Three are in work, the fourth waits and is let go in either case.
+        assert!(server.give_up(3) && server.held() == 3);
+        server.advance(Time::ms(10), &mut done);
+        assert_eq!(server.give_up(0), !stops.is_empty());
+        assert_eq!(server.held(), 3 - usize::from(!stops.is_empty()));
+    }
+}
