Draw a report's noise when it is taken, not with each answer

At fault: world.rs, send_back, drew new noise for each answer, so that an old report looked renewed and the module believed it. Ruled out: whom a late try is told by, other servers past a crowded pair: without either the loss stays; without trust in reports it goes.

--- a/crates/emulator/src/servers.rs
+++ b/crates/emulator/src/servers.rs
@@ -227,7 +227,7 @@
 }
 
 fn load(report: &Report) -> String {
-    let Report { qps, in_flight, queue, util } = report;
+    let Report { qps, in_flight, queue, util, .. } = report;
     format!("qps={qps:.1},inflight={in_flight:.0},queue={queue:.0},util={util:.3}")
 }
 
--- a/crates/world/src/server.rs
+++ b/crates/world/src/server.rs
@@ -130,6 +130,8 @@
     pub queue: f64,
     /// The share of its cores that are busy.
     pub util: f64,
+    /// When it was taken: what is shown until the next one is the same, noise and all.
+    pub taken: Time,
 }
 
 /// What became of a request that came.
@@ -339,7 +341,7 @@
             self.served_before = self.served;
             let (in_flight, queue) = (self.held() as f64, self.waiting.len() as f64);
             let util = (self.work.len() as f64 / self.traits.cores).min(1.0);
-            let report = Report { qps, in_flight, queue, util };
+            let report = Report { qps, in_flight, queue, util, taken: self.at };
             self.history.push_back((self.at, report));
             // Only the newest one that is old enough is ever shown: keep that and the newer ones.
             let shown = self.at - self.traits.report_delay - self.late_reports;
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -1067,10 +1067,11 @@
         if let Back::Answer(_, _, report) | Back::Probe(_, report) = &mut back
             && let Some(server) = self.links.get(&conn).and_then(|link| link.server)
         {
-            let machine = &mut self.machines[server.0 as usize];
-            let noise = machine.traits.report_noise;
+            let noise = self.machines[server.0 as usize].traits.report_noise;
+            // Danger: drawn with each answer, it would make an old report look renewed.
+            let mut draws = Draws::new(report.taken.0, "report", server.0.into());
             for figure in [&mut report.qps, &mut report.in_flight, &mut report.queue, &mut report.util] {
-                *figure *= 1.0 + noise * (2.0 * machine.draws.part() - 1.0);
+                *figure *= 1.0 + noise * (2.0 * draws.part() - 1.0);
             }
         }
         self.queue.push(self.now + delay, Due::Back(conn, back));
