Draw the pair from all servers where reports hold

At fault: policy.rs, choose: SUBSET_SHARE keeps a quiet proxy to a few, lest none be heard of in time; where probes tell what holds that is no reason.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -83,7 +83,7 @@
 const AGAIN_TICKS: f64 = 3.0;
 /// A pair is drawn from so many servers of a zone side at least,
 const SUBSET_LEAST: usize = 3;
-/// and from so many for each own request in a mean deadline: more than that and none is heard of in time.
+/// and from so many for each own request in a mean deadline: beyond that none is heard of in time, unless by probes.
 const SUBSET_SHARE: f64 = 0.25;
 /// A new connection's price, as a share of a mean worth, counts for so many mean services.
 const SETUP_PRICE: f64 = 4.0;
@@ -418,8 +418,8 @@
     fn choose(&mut self, now: Seconds, job: &Job) -> (Option<EndpointId>, Vec<usize>) {
         let requests = self.seen.rate.read(now, self.seen.mean_deadline) * self.seen.mean_deadline;
         let subset = match job.may_have_run() {
-            None => SUBSET_LEAST.max((SUBSET_SHARE * requests) as usize),
-            Some(_) => self.seen.endpoints.len(),
+            None if self.credence() < PROBE_HOLDS => SUBSET_LEAST.max((SUBSET_SHARE * requests) as usize),
+            _ => self.seen.endpoints.len(),
         };
         let side = |side: &[usize], spare: bool| -> Vec<usize> {
             let left = |&index: &usize| !spare || !self.reserved(&self.seen.endpoints[index].entry);
--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -1065,6 +1065,22 @@
     }
 }
 
+/// Danger: a quiet sidecar that keeps to a few servers finds all of them crowded while others stand idle. Where probes tell
+/// what holds, any server can be in the pair.
+#[test]
+fn where_reports_hold_a_quiet_sidecar_asks_any_server() {
+    let mut host = with_fresh_reports(probing(0.001));
+    let mut asked = std::collections::BTreeSet::new();
+    for _ in 0..60 {
+        host.now += 3.0;
+        let pair = probes(&host.ask(SAFE).1);
+        asked.extend(pair.iter().map(|server| server.0));
+        pair.into_iter().for_each(|server| drop(probed(&mut host, server, 0.001, load(0.0, 0.0))));
+        std::mem::take(&mut host.out).into_iter().for_each(|sent| drop(host.serve(sent)));
+    }
+    assert_eq!(asked.len(), 10, "{asked:?}");
+}
+
 /// A request whose body takes its time: it is sent on at once, and its time counts from the last byte.
 #[test]
 fn a_body_that_still_comes_uses_up_no_time() {
