--- a/crates/decide/tests/random.rs
+++ b/crates/decide/tests/random.rs
@@ -22,7 +22,8 @@
     }
 }
 
-fn varied(draw: &mut Draw) -> Settings {
+/// Settings in which each time is so many times the usual.
+fn varied(draw: &mut Draw, scale: f64) -> Settings {
     let mut all = settings();
     let scopes = [DedupScope::All, DedupScope::Zone, DedupScope::Group];
     all.classes[KEYED.0].effect = Effect::Keyed { scope: scopes[draw.below(3) as usize], window: 0.3 };
@@ -38,7 +39,20 @@
     all.weights = if draw.one_in(2) { Weights::Size } else { Weights::Unused };
     all.tenants = vec![Tenant { share: 0.5 }; draw.below(3) as usize];
     all.rules.shed_after_start = draw.one_in(2);
+    all.tick *= scale;
+    let (limits, rules) = (&mut all.limits, &mut all.rules);
+    for time in [&mut limits.max_retry_after, &mut limits.keepalive, &mut limits.connect_timeout] {
+        *time *= scale;
+    }
+    for time in [&mut rules.warm_up, &mut rules.fall, &mut rules.ask_within] {
+        *time *= scale;
+    }
     for class in &mut all.classes {
+        class.target *= scale;
+        class.deadline *= scale;
+        if let Effect::Keyed { window, .. } = &mut class.effect {
+            *window *= scale;
+        }
         class.runs_on = draw.one_in(4).then(|| vec![KindId(draw.below(2) as usize)]);
         class.runs_in = draw.one_in(4).then(|| vec![ZoneId(0), ZoneId(draw.below(3) as usize)]);
     }
@@ -53,6 +67,7 @@
 }
 
 struct Checker {
+    scale: f64,
     settings: Settings,
     open: BTreeMap<JobId, Open>,
     done: BTreeMap<JobId, ()>,
@@ -98,7 +113,7 @@
                     }
                 }
                 if let Some((started, sent)) = self.starts.get_mut(&endpoint)
-                    && now < *started + 2.0
+                    && now < *started + 2.0 * self.scale
                 {
                     *sent += 1;
                     // A hundred mean requests a second x 0.8 x a quarter x two seconds; cheap ones may be more.
@@ -108,7 +123,7 @@
                 self.open.get_mut(&job).expect("an open request").attempts.push((endpoint, now, None));
             }
             Action::Refuse { job, not_before } => {
-                assert!((0.0..=0.2).contains(&not_before));
+                assert!((0.0..=0.2 * self.scale).contains(&not_before));
                 let request = self.open.remove(&job).expect("one final answer");
                 let may_have_run = request.attempts.iter().any(|attempt| !self.never_ran(attempt.2));
                 let effect = self.settings.classes[request.class.0].effect;
@@ -129,12 +144,13 @@
     }
 }
 
-/// Plays one day and returns everything that the balancer did.
-fn play(seed: u64) -> Vec<Action> {
+/// Plays one day in which each time is so many times the usual, and returns everything that the balancer did, in usual times.
+fn play(seed: u64, scale: f64) -> Vec<Action> {
     let mut draw = Draw(Pcg32::seed_from_u64(seed));
-    let settings = varied(&mut draw);
+    let settings = varied(&mut draw, scale);
     let mut balancer = Balancer::new(settings.clone(), seed).expect("legal settings");
     let mut checker = Checker {
+        scale,
         settings,
         open: BTreeMap::new(),
         done: BTreeMap::new(),
@@ -144,25 +160,31 @@
         starts: BTreeMap::new(),
     };
     let (mut now, mut all, mut owed, mut timers) =
-        (50.0, Vec::new(), Vec::new(), Vec::<(Seconds, Token)>::new());
+        (50.0 * scale, Vec::new(), Vec::new(), Vec::<(Seconds, Token)>::new());
     let servers = draw.below(12);
     let mut first = Vec::new();
     for at in 0..servers {
         let zone = ZoneId(draw.below(3) as usize);
         let weight = f64::from(draw.below(4));
-        let started_at = draw.one_in(4).then_some(now - f64::from(draw.below(30)));
+        let started_at = draw.one_in(4).then_some(now - scale * f64::from(draw.below(30)));
         let kind = KindId(draw.below(2) as usize);
         first.push(ListEntry { zone, kind, weight, started_at, ..entry(at) });
     }
+    let mut probes = Vec::new();
     let mut pending = vec![Event::List(ListUpdate::Saved(first))];
     for step in 0..4000 {
-        now += 0.005 * f64::from(1 + if draw.one_in(200) { draw.below(600) } else { 0 });
+        now += scale * 0.005 * f64::from(1 + if draw.one_in(200) { draw.below(600) } else { 0 });
         timers.retain(|&(due, token)| {
             if due <= now {
                 pending.push(Event::Timer(token));
             }
             due > now
         });
+        for endpoint in std::mem::take(&mut probes) {
+            let outcome = if draw.one_in(9) { Outcome::TimedOut } else { Outcome::Served };
+            let report = load(f64::from(draw.below(9)), f64::from(draw.below(5)));
+            pending.push(Event::Probed { endpoint, outcome, rtt: 0.001 * scale, report });
+        }
         let mut still = Vec::new();
         for (job, round, endpoint, sent) in owed.drain(..) {
             let overdue = checker.open.get(&job).is_some_and(|request| now >= request.deadline);
@@ -205,7 +227,7 @@
             let job = JobId(checker.asked);
             checker.asked += 1;
             let tenant = (!checker.settings.tenants.is_empty()).then_some(TenantId(0));
-            let time_left = 0.05 + f64::from(draw.below(40)) / 20.0;
+            let time_left = scale * (0.05 + f64::from(draw.below(40)) / 20.0);
             let class = ClassId(draw.below(3) as usize);
             pending.push(Event::Request(Request { job, time_left, class, tenant }));
         }
@@ -256,12 +278,24 @@
                 if let Action::Timer { delay, token } = action {
                     timers.push((now + delay, token));
                 }
+                if let Action::Probe { endpoint } = action {
+                    probes.push(endpoint);
+                }
                 checker.act(now, action, &mut owed);
-                all.push(action);
+                all.push(match action {
+                    Action::Send { job, endpoint, until } => {
+                        Action::Send { job, endpoint, until: until / scale }
+                    }
+                    Action::Refuse { job, not_before } => {
+                        Action::Refuse { job, not_before: not_before / scale }
+                    }
+                    Action::Timer { delay, token } => Action::Timer { delay: delay / scale, token },
+                    action => action,
+                });
             }
         }
         for (job, request) in &checker.open {
-            assert!(now <= request.deadline + 0.005, "{job:?} is overdue");
+            assert!(now <= request.deadline + 0.005 * scale, "{job:?} is overdue");
         }
     }
     assert!(checker.open.is_empty(), "seed {seed}: left without an answer: {:?}", checker.open.keys());
@@ -272,9 +306,24 @@
 fn random_days_keep_the_rules_and_replay_alike() {
     let mut sends = 0;
     for seed in 0..60 {
-        let actions = play(seed);
+        let actions = play(seed, 1.0);
         sends += actions.iter().filter(|action| matches!(action, Action::Send { .. })).count();
-        assert_eq!(actions, play(seed), "seed {seed} replayed");
+        assert_eq!(actions, play(seed, 1.0), "seed {seed} replayed");
     }
     assert!(sends > 4_000, "{sends} sends");
 }
+
+/// Danger: a constant in seconds that fits one deployment fails another whose jobs live for a twentieth of the time. With
+/// every time multiplied by one factor the same is done; powers of two, so that figures scale to the last bit.
+#[test]
+fn the_same_is_done_whatever_the_scale_of_times() {
+    for seed in 0..24 {
+        let usual = play(seed, 1.0);
+        for power in [-5, -4, -2, -1, 1, 2, 4, 5] {
+            let scaled = play(seed, 2_f64.powi(power));
+            let differs = usual.iter().zip(&scaled).position(|(one, other)| one != other);
+            assert_eq!(differs.map(|at| (&usual[at], &scaled[at])), None, "seed {seed}, 2^{power}");
+            assert_eq!(usual.len(), scaled.len(), "seed {seed}, 2^{power}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulate/tests/any.rs
@@ -0,0 +1,146 @@
+//! Any deployment: drawn settings, a short day each in virtual time. No rule may break, and on a calm day under capacity next
+//! to nothing may be refused.
+//!
+//! The long form: `MOSSHEAD_DEPLOYMENTS=2000 cargo test --release -p mosshead-simulate --test any`.
+
+use mosshead_simulate::brains::Threads;
+use mosshead_simulate::policies::Kind;
+use mosshead_simulate::{Day, play};
+use mosshead_world::draws::Draws;
+use mosshead_world::scenario::Scenario;
+
+/// How many deployments are drawn where the environment does not say: the same ones each time.
+const USUAL: u64 = 40;
+/// No more requests a second than this: a test is to end.
+const MOST_A_SECOND: f64 = 900.0;
+
+/// What a deployment is like; the troubles of its other days are in `troubles`.
+struct Deployment {
+    text: String,
+    troubles: &'static str,
+}
+
+fn deployment(number: u64) -> Deployment {
+    let mut draws = Draws::new(number, "deployment", 0);
+    let (pick, some) = {
+        let draws = std::cell::RefCell::new(&mut draws);
+        let draws = std::rc::Rc::new(draws);
+        let other = draws.clone();
+        (
+            move |of: &[u64]| of[draws.borrow_mut().below(of.len())],
+            move |from: f64, to: f64| from + (to - from) * other.borrow_mut().part(),
+        )
+    };
+    let zones = pick(&[1, 2, 3, 4]);
+    let cores = pick(&[1, 1, 2, 4, 8]);
+    // From 0.1 s to 10 s, evenly by order of magnitude; answers are wanted within a part of that.
+    let deadline = 0.1 * 100_f64.powf(some(0.0, 1.0));
+    let target = deadline * some(0.25, 0.6);
+    let work = target * some(0.08, 0.25);
+    let share = some(0.25, 0.5);
+    let fits = (MOST_A_SECOND * work / (share * cores as f64)).max(2.0) as u64;
+    let nodes = pick(&[2, 4, 7, 12, 25, 60]).min(fits).max(zones).max(2);
+    let class = |name: &str, effect: &str, worth: u64| {
+        let key = if effect == "keyed" {
+            format!(
+                "group = \"{}\"\nwindow = \"{:.0}us\"\n",
+                ["zone", "all"][worth as usize % 2],
+                deadline * 2e6
+            )
+        } else {
+            String::new()
+        };
+        format!(
+            "[[class]]\nname = \"{name}\"\nshare = \"50%\"\nwork = \"{:.0}us\"\nspread = \"0.3..0.9\"\ntarget = \"{:.0}us\"\n\
+             deadline = \"{:.0}us\"\nworth = {worth}\neffect = \"{effect}\"\n{key}\n",
+            work * 1e6,
+            target * 1e6,
+            deadline * 1e6
+        )
+    };
+    let effects = ["safe", "unsafe", "keyed"];
+    let first = class("one", effects[pick(&[0, 1, 2]) as usize], pick(&[1, 2]));
+    let second = class("two", effects[pick(&[0, 1, 2]) as usize], pick(&[4, 9]));
+    let names: Vec<String> = (0..zones).map(|zone| format!("\"z{zone}\"")).collect();
+    let period = pick(&[2, 20, 200, 1500]);
+    let text = format!(
+        "title = \"drawn {number}\"\nabout = \"A drawn deployment.\"\nlength = \"8s\"\ntick = \"{tick}us\"\nzones = [{names}]\n\
+         [load]\nproxies = {proxies}\nshare = \"{share:.0}%\"\nskew = 0.5\n\
+         [clients]\nbackoff = \"{backoff:.0}us\"\npatience = \"100%\"\n\
+         [network]\nsame = \"150us\"\ncross = \"{cross:.0}us\"\n\
+         [discovery]\npushed = {pushed}\nnotice = \"300ms..2s\"\n\
+         [proxy]\nattempts = {attempts}\nsecond_copies = {copies}\nprobes = {probes}\nconnect_timeout = \"150ms\"\n\
+         [rules]\ndrain_grace = \"250ms\"\nfall = \"1500ms\"\n\
+         [[kind]]\nname = \"k\"\ncount = {nodes}\ncores = {cores}\nspeed = \"0.9..1.1\"\nslots_per_core = {slots}\n\
+         queue_per_core = 20\nwarm_up = \"4s\"\nstops_given_up = {stops}\n\
+         connections = {{ cap = 900, round_trips = 1, work = \"100us\" }}\n\
+         reports = {{ period = \"{period}ms\", delay = \"{delay}ms\", noise = \"{noise}%\" }}\nprobe_work = \"50us\"\n{first}{second}",
+        tick = (target * 1e4).clamp(100.0, 5000.0).round(),
+        names = names.join(", "),
+        proxies = pick(&[1, 3, 8]),
+        share = share * 100.0,
+        backoff = target * 3e5,
+        cross = (target * 1e4).clamp(300.0, 6000.0),
+        pushed = pick(&[0, 1]) == 1,
+        attempts = pick(&[1, 2, 5]),
+        copies = pick(&[0, 1]) == 1,
+        probes = pick(&[0, 1, 1]) == 1,
+        slots = pick(&[1, 1, 3]),
+        stops = pick(&[0, 1]) == 1,
+        delay = period / 4,
+        noise = pick(&[0, 3]),
+    );
+    let troubles = [
+        "fault = \"churn\"\nat = \"1s\"\nlength = \"5s\"\nevery = \"1200ms\"\nsize = \"50%\"\n",
+        "fault = \"restart\"\nat = \"2s\"\npart = \"30%\"\ndelay = \"2s\"\n",
+        "fault = \"silent\"\nat = \"2s\"\npart = \"20%\"\nlength = \"3s\"\n",
+        "fault = \"resets\"\nat = \"1s\"\nlength = \"5s\"\npart = \"50%\"\nsize = \"60%\"\nevery = \"200ms\"\n",
+        "fault = \"fast-errors\"\nat = \"1s\"\nlength = \"4s\"\npart = \"30%\"\nsize = \"60%\"\n",
+        "fault = \"discovery-down\"\nat = \"1s\"\nlength = \"4s\"\n\n[[trouble]]\nfault = \"churn\"\nat = \"1s\"\nlength = \"5s\"\n\
+         every = \"2s\"\nsize = \"0%\"\n",
+    ];
+    Deployment { text, troubles: troubles[pick(&[0, 1, 2, 3, 4, 5]) as usize] }
+}
+
+fn day(text: &str, seed: u64) -> Day {
+    let scenario = Scenario::read(text).unwrap_or_else(|fault| panic!("{fault}\n{text}"));
+    play(&scenario, seed, "mosshead", &mut Threads::new(Kind::Mosshead, 1), None, &mut |_, _| {})
+        .expect("a day")
+}
+
+fn count() -> u64 {
+    std::env::var("MOSSHEAD_DEPLOYMENTS").ok().and_then(|count| count.parse().ok()).unwrap_or(USUAL)
+}
+
+/// Danger: constants that fit one deployment refuse most of another's work while its servers idle.
+#[test]
+fn on_a_calm_day_next_to_nothing_is_refused() {
+    let mut worst = Vec::new();
+    for number in 0..count() {
+        let Deployment { text, .. } = deployment(number);
+        let day = day(&text, number);
+        assert!(day.kept, "{}\n{text}", day.violations[0]);
+        let all = &day.ledger.all;
+        assert_eq!(all.open(), 0, "every wish has ended\n{text}");
+        worst.push((all.ended[2] as f64 / all.asked.max(1) as f64, all.asked, number));
+    }
+    worst.sort_by(|one, other| other.0.total_cmp(&one.0));
+    let mean = worst.iter().map(|(share, ..)| share).sum::<f64>() / worst.len() as f64;
+    println!("refused: mean {mean:.4}, worst {:?}", &worst[..worst.len().min(8)]);
+    assert!(
+        worst[0].0 < 0.08 && mean < 0.01,
+        "refused: mean {mean}, share, of how many, which: {:?}",
+        &worst[..5]
+    );
+}
+
+/// Danger: a rule that one deployment's figures keep by luck breaks under another's.
+#[test]
+fn under_trouble_every_rule_is_kept() {
+    for number in 0..count() {
+        let Deployment { text, troubles } = deployment(number);
+        let day = day(&format!("{text}[[trouble]]\n{troubles}"), number);
+        assert!(day.kept, "{}\n{text}{troubles}", day.violations[0]);
+        assert_eq!(day.ledger.all.open(), 0, "every wish has ended\n{text}{troubles}");
+    }
+}
