--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -261,6 +261,9 @@
     started: Time,
     /// It says nothing and hears nothing.
     cut: bool,
+    /// Who has been told of its last start, and the work since then: theirs, and everybody's.
+    informed: BTreeSet<usize>,
+    sent: (f64, f64),
     /// Its share of requests that fail at once.
     failing: f64,
     step: u64,
@@ -400,6 +403,8 @@
                     state: State::Serving,
                     started: Time::ZERO,
                     cut: false,
+                    informed: BTreeSet::new(),
+                    sent: (0.0, 0.0),
                     failing: 0.0,
                     step: 0,
                     links: BTreeSet::new(),
@@ -994,6 +999,9 @@
             self.exchanges.remove(&number);
             return self.send_back(conn, Back::Answer(number, Verdict::Errored, report));
         }
+        let theirs = self.links.get(&conn).is_some_and(|link| machine.informed.contains(&link.proxy));
+        machine.sent.1 += work;
+        machine.sent.0 += if theirs { work } else { 0.0 };
         match running.offer(number, work) {
             Offered::Taken => {
                 let repeat = self.repeated(job, server);
@@ -1007,7 +1015,11 @@
             Offered::Full => self.turn_away(number),
             Offered::Fell => {
                 self.ledger.fell += 1;
-                self.fact(What::Fell { server });
+                // Who was not told of its start cannot spare it.
+                let (theirs, all) = machine.sent;
+                if 3.0 * theirs >= 2.0 * all {
+                    self.fact(What::Fell { server });
+                }
                 self.end(at, true);
             }
         }
@@ -1270,6 +1282,8 @@
         machine.server = Some(Server::start(self.now, machine.traits.clone(), false, limit));
         machine.started = self.now;
         machine.failing = 0.0;
+        machine.informed.clear();
+        machine.sent = (0.0, 0.0);
         let address = machine.address as usize;
         self.addresses[address] = Some(ServerNo(number as u32));
         self.topology += 1;
@@ -1304,6 +1318,12 @@
             missing.sort_unstable();
             news.extend(missing.into_iter().map(|server| (server, State::Deleted)));
         }
+        for shown in lines {
+            let machine = &mut self.machines[shown.server.0 as usize];
+            if machine.started == shown.started {
+                machine.informed.insert(proxy);
+            }
+        }
         for (server, state) in news {
             if self.sides[proxy].told.insert(server, state) != Some(state) {
                 self.fact(What::Told { proxy, server, state });
@@ -1519,7 +1539,13 @@
             let kind = self.machines[old].traits.kind;
             let traits =
                 Traits::draw(&self.scenario.kind[kind], kind, self.machines[old].traits.zone, &mut draws);
-            let reused = self.chance.chance(size).then(|| self.free.pop()).flatten();
+            // An address stays in its zone: whoever still takes it for its former holder's must not be led elsewhere.
+            let home = |address: u32| {
+                let last = self.machines.iter().rev().find(|machine| machine.address == address);
+                last.is_some_and(|last| last.traits.zone == traits.zone)
+            };
+            let near = self.free.iter().rposition(|&address| home(address));
+            let reused = near.filter(|_| self.chance.chance(size)).map(|at| self.free.remove(at));
             let address = reused.unwrap_or_else(|| {
                 self.addresses.push(None);
                 self.addresses.len() as u32 - 1
@@ -1531,6 +1557,8 @@
                 state: State::Serving,
                 started: self.now,
                 cut: false,
+                informed: BTreeSet::new(),
+                sent: (0.0, 0.0),
                 failing: 0.0,
                 step: 0,
                 links: BTreeSet::new(),
