Tell a renewed report by all of its figures

Our emulator rounds reports to whole numbers, which are often equal by chance and were taken for not renewed. At fault: policy.rs, report, compared held and waiting requests alone. A mark over all figures (util, qps) tells a report that was not renewed; equal figures with another mark prove nothing.

--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -385,6 +385,7 @@
                 "queue" => report.queue = Some(value),
                 _ => {}
             }
+            report.mark(value);
         }
         Ok(report)
     }
