--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -83,7 +83,7 @@
 const AGAIN_TICKS: f64 = 3.0;
 /// A pair is drawn from so many servers of a zone side at least,
 const SUBSET_LEAST: usize = 3;
-/// and from so many for each own request in a mean deadline: beyond that none is heard of in time, unless by probes.
+/// and from so many for each own request in a mean deadline: more are heard of in time only by probes.
 const SUBSET_SHARE: f64 = 0.25;
 /// A new connection's price, as a share of a mean worth, counts for so many mean services.
 const SETUP_PRICE: f64 = 4.0;
@@ -111,7 +111,7 @@
 const STRAIN_WAIT: f64 = 0.9;
 /// Danger: learnt over many answers, a trickle hears of a jam when it is over.
 const STRAIN_GAIN: f64 = 1.0 / 32.0;
-/// Beyond this strain, or so many times that of calm, the price of work rises at once, so many times as steeply.
+/// Beyond this strain, or so many times that of calm, the price of work rises at once, so much steeper.
 const STRAIN_FREE: f64 = 0.23;
 const STRAIN_CALM: f64 = 1.2;
 const STRAIN_PRICE: f64 = 20.0;
@@ -566,7 +566,7 @@
     fn request(&mut self, now: Seconds, request: Request, actions: &mut Vec<Action>) {
         let class = &self.settings.classes[request.class.0];
         let stats = &mut self.seen.classes[request.class.0];
-        // First tries are mostly granted the same. A later one gets what is left of the deadline, which tells when
+        // First tries mostly get the same time. A later one gets the rest of the deadline, which tells when
         // the first came. Danger: who merely waits less is refused as late. Late is who came then, unserved.
         let mut first = (request.time_left - stats.usual).abs() < self.settings.tick;
         stats.votes = (stats.votes + if first { 2.0 } else { -1.0 }).min(USUAL_VOTES);
@@ -628,8 +628,8 @@
         // Danger: a queue can outgrow the wanted time before the first late answer tells of it.
         let limit = (WAIT_SHARE * (job.aim - now)).max(self.settings.tick);
         let ahead = (crowding * self.seen.mean_service.value / limit).powi(AHEAD_POWER);
-        // Danger: a hundred that send on until a learnt price tells them to stop jam the fleet for good; but where
-        // a service is much of the wanted time and reports hold, what servers say is the better evidence.
+        // Danger: a hundred that send on until a learnt price tells them to stop jam the fleet for good; but
+        // where a service is much of the wanted time and reports hold, what servers say is better evidence.
         let blind = (1.0 - self.credence().powi(2)).powi(2);
         let free = STRAIN_FREE.max(STRAIN_CALM * self.seen.calm.least);
         let strain = STRAIN_PRICE * blind * (self.strain(now) - free).max(0.0);
