--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -371,20 +371,6 @@
     pub in_flight: Option<f64>,
     /// Requests waiting.
     pub queue: Option<f64>,
-    /// Stands for all figures of the report, also those that nothing here reads: a report that was not renewed has the same.
-    pub mark: u64,
-}
-
-impl LoadReport {
-    /// Whether the figures that are read are the same.
-    pub fn alike(&self, other: &Self) -> bool {
-        (self.in_flight, self.queue) == (other.in_flight, other.queue)
-    }
-
-    /// One more figure of the report, whatever it means. Danger: held and waiting requests alone are often equal by chance.
-    pub fn mark(&mut self, figure: f64) {
-        self.mark = (self.mark.rotate_left(5) ^ figure.to_bits()).wrapping_mul(0x517c_c1b7_2722_0a95);
-    }
 }
 
 /// How an attempt ended.
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -238,6 +238,8 @@
         self.seen.reserve = reserve;
     }
 
+    // What a figure means.
+
     fn size(&self, endpoint: &Endpoint) -> f64 {
         match self.settings.weights {
             Weights::Size if endpoint.entry.weight > 0.0 => endpoint.entry.weight,
@@ -331,12 +333,11 @@
         if since.is_finite() && load > 0.0 {
             // An equal one was not renewed meanwhile, nor will be for as long; an idle one tells nothing.
             let age = self.seen.report_age;
-            let renewed = if report.alike(&endpoint.report) { age } else { age.min(since / 2.0) };
-            let sample = if report == endpoint.report { age + since } else { renewed };
+            let sample = if report == endpoint.report { age + since } else { age.min(since / 2.0) };
             self.seen.report_age += REPORT_GAIN * (sample.min(SAMPLE_CAP * REPORT_AGE) - age);
         }
         // Danger: an old report repeated on each answer is not fresh, but an idle server's never changes.
-        if (report.alike(&endpoint.report) && !faded) || !load.is_finite() {
+        if (report == endpoint.report && !faded) || !load.is_finite() {
             return;
         }
         endpoint.report = report;
