Say once what this change said twice, and look for late tries only where one may be

Read again, behaviour unchanged. policy.rs: late tries were looked up for each request, also for those known as first ones, and the servers not yet asked were listed for each draw. submitter.rs: read_key counted values as the other headers' check did (single), and looked up the class twice for each job. world.rs: hang and steal were one loop (strike), a keyed request's class was found twice (keyed). Tests: one text for a list that is taken up, one ending for a load, drawn deployments without two cells.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -380,19 +380,17 @@
     /// The lower of two distinct candidates drawn at random: the one place where a server is chosen.
     /// With it those of the pair that have to be probed first.
     fn draw(&mut self, now: Seconds, job: &Job, candidates: &[usize]) -> Option<(EndpointId, Vec<usize>)> {
-        let strange: Vec<usize> =
-            candidates.iter().copied().filter(|index| !job.met.contains(index)).collect();
         // The pair that was probed for this job stays its pair.
         let asked: Vec<usize> =
             candidates.iter().copied().filter(|index| job.asked.contains(index)).collect();
-        let candidates = if asked.is_empty() || !job.attempts.is_empty() { candidates } else { &asked };
-        let count = candidates.len() as u64;
+        let from = if asked.is_empty() || !job.attempts.is_empty() { candidates } else { &asked };
+        let count = from.len() as u64;
         if count < 2 {
-            return candidates.first().map(|&index| (EndpointId(index as u32), Vec::new()));
+            return from.first().map(|&index| (EndpointId(index as u32), Vec::new()));
         }
         let first = self.below(count);
         let second = (first + 1 + self.below(count - 1)) % count;
-        let pair = [candidates[first as usize], candidates[second as usize]];
+        let pair = [from[first as usize], from[second as usize]];
         let figures = pair.map(|index| self.figure(&self.seen.endpoints[index], now));
         // The order of the pair is random, so a tie is too.
         let lower = if figures[0] <= figures[1] { pair[0] } else { pair[1] };
@@ -406,8 +404,9 @@
             0 if cheap && due && pair.into_iter().any(stale) => pair.to_vec(),
             // What another one holds costs little to know.
             2 if cheap && due && known && self.crowding(&self.seen.endpoints[lower], now) > CROWDED => {
-                let other = self.below(strange.len() as u64) as usize;
-                strange.get(other).into_iter().copied().collect()
+                let strange = || candidates.iter().copied().filter(|index| !job.met.contains(index));
+                let other = self.below(strange().count() as u64) as usize;
+                strange().nth(other).into_iter().collect()
             }
             _ => Vec::new(),
         };
@@ -580,8 +579,8 @@
             (stats.usual, stats.votes, first) = (request.time_left, 1.0, true);
         }
         let elapsed = (class.deadline - request.time_left).max(0.0);
-        first |= !stats.has_failed(now - elapsed, AGAIN_TICKS * self.settings.tick);
-        let elapsed = elapsed * f64::from(!first);
+        let late = !first && stats.has_failed(now - elapsed, AGAIN_TICKS * self.settings.tick);
+        let elapsed = if late { elapsed } else { 0.0 };
         let aim = now + (class.target - elapsed).min(request.time_left);
         let mut job = Job::new(now, &request, elapsed, aim, self.settings.limits.max_attempts);
         self.seen.mean_worth.add(class.worth, MEAN_GAIN);
--- a/crates/proxy/src/submitter.rs
+++ b/crates/proxy/src/submitter.rs
@@ -475,10 +475,8 @@
     fn read_head(&self, head: &Parts) -> Result<HeadRead, Turned> {
         let bad = |why| Turned(StatusCode::BAD_REQUEST, why);
         let header = |name| {
-            let mut values = head.headers.get_all(name).iter();
-            let value = values.next().map(|value| value.to_str().map_err(|_| bad("a header is not text")));
-            // Danger: of two values the execute node may read the other one.
-            if values.next().is_some() { Err(bad("a header is given twice")) } else { value.transpose() }
+            let value = single(head, name, "a header is given twice")?;
+            value.map(|value| value.to_str().map_err(|_| bad("a header is not text"))).transpose()
         };
         let id = header("x-correlation-id")?.filter(|id| !id.is_empty());
         let id = id.ok_or(bad("X-Correlation-Id is missing"))?.to_owned();
@@ -505,11 +503,11 @@
         };
         let keyed = |term: &Term| matches!(term.effect, Effect::Keyed { .. });
         let keyless = head.method == Method::POST && key.is_none();
-        let other = match keyless && terms.class(class, now).any(keyed) {
+        let other = || match keyless && terms.class(class, now).any(keyed) {
             true => bad("Idempotency-Key is missing"),
             false => Turned(StatusCode::METHOD_NOT_ALLOWED, "the class goes by another method"),
         };
-        let class = terms.class(class, now).find(fits).ok_or(other)?.class;
+        let class = terms.class(class, now).find(fits).ok_or_else(other)?.class;
         let tenant = match header("x-account")? {
             None | Some("") => None,
             Some(name) => Some(terms.tenant(name).ok_or(bad("the account is not known"))?),
@@ -521,17 +519,20 @@
     }
 }
 
+/// A header that is given once at most. Danger: of two values the execute node may read the other one.
+fn single<'a>(head: &'a Parts, name: &str, twice: &'static str) -> Result<Option<&'a HeaderValue>, Turned> {
+    let mut values = head.headers.get_all(name).iter();
+    let value = values.next();
+    if values.next().is_some() { Err(Turned(StatusCode::BAD_REQUEST, twice)) } else { Ok(value) }
+}
+
 /// The idempotency key, if there is one. It need not be text: it passes on byte for byte.
 fn read_key(head: &Parts) -> Result<Option<Bytes>, Turned> {
     let bad = |why| Turned(StatusCode::BAD_REQUEST, why);
-    let mut keys = head.headers.get_all(KEY).iter();
-    match (keys.next(), keys.next()) {
-        (None, _) => Ok(None),
-        // Danger: of two keys the execute node may go by the other one.
-        (_, Some(_)) => Err(bad("Idempotency-Key is given twice")),
-        (Some(key), None) if key.is_empty() => Err(bad("Idempotency-Key is empty")),
-        (Some(key), None) if key.len() > KEY_LIMIT => Err(bad("Idempotency-Key is too long")),
-        (Some(key), None) => Ok(Some(Bytes::copy_from_slice(key.as_bytes()))),
+    match single(head, KEY, "Idempotency-Key is given twice")? {
+        Some(key) if key.is_empty() => Err(bad("Idempotency-Key is empty")),
+        Some(key) if key.len() > KEY_LIMIT => Err(bad("Idempotency-Key is too long")),
+        key => Ok(key.map(|key| Bytes::copy_from_slice(key.as_bytes()))),
     }
 }
 
--- a/crates/proxy/tests/network.rs
+++ b/crates/proxy/tests/network.rs
@@ -267,6 +267,14 @@
 const TO_N9: &str =
     r#"{"version":2,"full":true,"servers":[{"id":"n9","addr":"addr(n9)","state":"SERVING"}]}"#;
 
+/// Discovery answers with that list; it is taken up, and the node on it serves.
+const SENDS_N9: &str = "send 200 body=TO_N9
+     list expect from=2
+     a send GET /slot-lookup
+     n9 expect slot-lookup
+     n9 send 200 body=nine
+     a expect nine";
+
 /// The machine list. Danger: a list that is late, cut or nonsense must not take the old one away.
 #[rstest]
 #[case::saved_list_serves(
@@ -284,12 +292,7 @@
     "a send GET /_health
      a expect 503
      list expect from=1 hold_ms=
-     list send 200 body=TO_N9
-     list expect from=2
-     a send GET /slot-lookup
-     n9 expect slot-lookup
-     n9 send 200 body=nine
-     a expect nine"
+     list SENDS_N9"
 )]
 #[case::health_does_not_wait_for_discovery(
     "send_cap=2",
@@ -302,12 +305,7 @@
 #[case::whole_list_replaces(
     "n1",
     "list expect from=1
-     list send 200 body=TO_N9
-     list expect from=2
-     a send GET /slot-lookup
-     n9 expect slot-lookup
-     n9 send 200 body=nine
-     a expect nine"
+     list SENDS_N9"
 )]
 #[case::address_changes(
     "n1",
@@ -328,12 +326,7 @@
 #[case::an_agent_is_watched(
     "n1 membership_mode=\"push\"",
     "list expect from=1 hold_ms=
-     list send 200 body=TO_N9
-     list expect from=2
-     a send GET /slot-lookup
-     n9 expect slot-lookup
-     n9 send 200 body=nine
-     a expect nine"
+     list SENDS_N9"
 )]
 #[case::an_agent_that_breaks_off(
     "n1 membership_mode=\"push\"",
@@ -393,12 +386,7 @@
      proxy wait machine-list
      list close
      list expect /catalog/members
-     list send 200 body=TO_N9
-     list expect from=2
-     a send GET /slot-lookup
-     n9 expect slot-lookup
-     n9 send 200 body=nine
-     a expect nine"#
+     list SENDS_N9"#
 )]
 #[case::discovery_fails(
     "n1",
@@ -424,7 +412,8 @@
      a expect old"
 )]
 fn the_machine_list(#[case] start: &str, #[case] scenario: &str) {
-    let scenario = scenario.replace("TO_N9", TO_N9).replace("DEEP", &"[".repeat(60_000));
+    let scenario =
+        scenario.replace("SENDS_N9", SENDS_N9).replace("TO_N9", TO_N9).replace("DEEP", &"[".repeat(60_000));
     play(&format!("proxy start {start}\n{scenario}"));
 }
 
@@ -451,12 +440,7 @@
     "list expect from=1
      proxy send nothing
      proxy wait reload failed
-     list send 200 body=TO_N9
-     list expect from=2
-     a send GET /slot-lookup
-     n9 expect slot-lookup
-     n9 send 200 body=nine
-     a expect nine"
+     list SENDS_N9"
 )]
 #[case::stops_all_the_same(
     "list expect from=1
@@ -469,7 +453,8 @@
      proxy expect exit 0"
 )]
 fn a_new_configuration(#[case] scenario: &str) {
-    play(&format!("proxy start n1\n{}", scenario.replace("TO_N9", TO_N9)));
+    let scenario = scenario.replace("SENDS_N9", SENDS_N9).replace("TO_N9", TO_N9);
+    play(&format!("proxy start n1\n{scenario}"));
 }
 
 /// A stop: what is taken is finished, new connections are taken for a while, idle ones closed, exit 0.
--- a/crates/proxy/tests/replace.rs
+++ b/crates/proxy/tests/replace.rs
@@ -134,6 +134,13 @@
         let lost = self.lost.lock().expect("the list");
         lost.iter().take(9).cloned().collect()
     }
+
+    /// It goes on for a while, and then it turns out that nothing was lost.
+    fn loses_nothing(self) {
+        self.goes_on(50);
+        let lost = self.end();
+        assert!(lost.is_empty(), "{lost:?}");
+    }
 }
 
 /// Danger: what waits in a queue that is closed is reset, and what comes meanwhile finds nobody.
@@ -157,9 +164,7 @@
         old.ends_well();
         old = new;
     }
-    load.goes_on(50);
-    let lost = load.end();
-    assert!(lost.is_empty(), "{lost:?}");
+    load.loses_nothing();
     let ran = place.ran.lock().expect("the list");
     assert!(ran.len() > 100, "only {} jobs ran", ran.len());
     let once: std::collections::HashSet<&String> = ran.iter().collect();
@@ -185,9 +190,7 @@
     new.ready();
     old.signal("TERM");
     old.ends_well();
-    load.goes_on(50);
-    let lost = load.end();
-    assert!(lost.is_empty(), "{lost:?}");
+    load.loses_nothing();
     new.signal("TERM");
     new.ends_well();
     assert!(!place.door().exists(), "who stops takes its name along");
@@ -229,9 +232,7 @@
     old.signal("TERM");
     old.wait("stopped");
     old.ends_well();
-    load.goes_on(50);
-    let lost = load.end();
-    assert!(lost.is_empty(), "{lost:?}");
+    load.loses_nothing();
 }
 
 /// What lies under the name is no predecessor: the address is shared, and the new process serves.
@@ -257,9 +258,7 @@
     old.signal("TERM");
     old.ends_well();
     let load = place.load();
-    load.goes_on(50);
-    let lost = load.end();
-    assert!(lost.is_empty(), "{lost:?}");
+    load.loses_nothing();
 }
 
 /// Both together keep the limits of one, also when the old one is full, and the new one can serve all the same.
@@ -285,9 +284,7 @@
     assert!(most <= SOCKETS as usize, "{most} descriptors");
     old.signal("TERM");
     old.ends_well();
-    load.goes_on(50);
-    let lost = load.end();
-    assert!(lost.is_empty(), "{lost:?}");
+    load.loses_nothing();
     drop(crowd);
 }
 
--- a/crates/simulate/tests/any.rs
+++ b/crates/simulate/tests/any.rs
@@ -3,6 +3,8 @@
 //!
 //! The long form: `MOSSHEAD_DEPLOYMENTS=2000 cargo test --release -p mosshead-simulate --test any`.
 
+use std::cell::RefCell;
+
 use mosshead_simulate::brains::Threads;
 use mosshead_simulate::policies::Kind;
 use mosshead_simulate::{Day, play};
@@ -21,16 +23,9 @@
 }
 
 fn deployment(number: u64) -> Deployment {
-    let mut draws = Draws::new(number, "deployment", 0);
-    let (pick, some) = {
-        let draws = std::cell::RefCell::new(&mut draws);
-        let draws = std::rc::Rc::new(draws);
-        let other = draws.clone();
-        (
-            move |of: &[u64]| of[draws.borrow_mut().below(of.len())],
-            move |from: f64, to: f64| from + (to - from) * other.borrow_mut().part(),
-        )
-    };
+    let draws = RefCell::new(Draws::new(number, "deployment", 0));
+    let pick = |of: &[u64]| of[draws.borrow_mut().below(of.len())];
+    let some = |from: f64, to: f64| from + (to - from) * draws.borrow_mut().part();
     let zones = pick(&[1, 2, 3, 4]);
     let cores = pick(&[1, 1, 2, 4, 8]);
     // From 0.1 s to 10 s, evenly by order of magnitude; answers are wanted within a part of that.
--- a/crates/world/src/discovery.rs
+++ b/crates/world/src/discovery.rs
@@ -102,11 +102,10 @@
     pub fn down(&mut self, down: bool, answers: &mut Vec<Answered>) {
         self.down = down;
         if self.pushed && !down {
-            let (old, parked) =
-                std::mem::take(&mut self.parked).into_iter().partition(|(_, call)| self.news(call));
+            let parked = std::mem::take(&mut self.parked);
+            let (due, parked): (Vec<_>, Vec<_>) = parked.into_iter().partition(|(_, call)| self.news(call));
             self.parked = parked;
-            let old: Vec<(Time, Call)> = old;
-            answers.extend(old.into_iter().map(|(_, call)| self.answer(call)));
+            answers.extend(due.into_iter().map(|(_, call)| self.answer(call)));
         } else if down && !self.pushed {
             let line = std::mem::take(&mut self.line).into_iter().map(|(_, call)| call);
             let parked = std::mem::take(&mut self.parked).into_iter().map(|(_, call)| call);
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -9,7 +9,7 @@
 use crate::facts::{Answer, Fact, Verdict, What};
 use crate::ledger::{Ending, Ledger};
 use crate::queue::Queue;
-use crate::scenario::{Effect, Fault, Group, Scenario};
+use crate::scenario::{Class, Effect, Fault, Group, Scenario};
 use crate::server::{Offered, Report, Server, Traits};
 
 /// A booking server, numbered in the order of their making; never used again.
@@ -1027,20 +1027,24 @@
 
     /// The servers that drop each other's repeats of a keyed request, by number; none for a request without a key.
     fn group(&self, job: JobNo, server: ServerNo) -> Option<usize> {
+        Some(match self.keyed(job)?.group {
+            Group::Zone => self.machines[server.0 as usize].traits.zone,
+            Group::All => 0,
+        })
+    }
+
+    /// The class of a request that carries a key.
+    fn keyed(&self, job: JobNo) -> Option<&Class> {
         let class = &self.scenario.class[self.wishes.get(&self.tries.get(&job)?.wish)?.class];
-        match (class.effect, class.group) {
-            (Effect::Keyed, Group::Zone) => Some(self.machines[server.0 as usize].traits.zone),
-            (Effect::Keyed, Group::All) => Some(0),
-            _ => None,
-        }
+        (class.effect == Effect::Keyed).then_some(class)
     }
 
     /// Whether a request's key is known where it has come; from now on it is.
     fn repeated(&mut self, job: JobNo, server: ServerNo) -> bool {
-        let Some(group) = self.group(job, server) else { return false };
-        let wish = self.tries.get(&job).and_then(|held| self.wishes.get(&held.wish));
-        let window = wish.map_or(Time::ZERO, |wish| self.scenario.class[wish.class].window);
-        let now = self.now;
+        let window = self.keyed(job).map(|class| class.window);
+        let (Some(group), Some(window), now) = (self.group(job, server), window, self.now) else {
+            return false;
+        };
         let first = self.keys.entry((job, group)).or_insert(now);
         let known = *first < now && now <= *first + window;
         if now > *first + window {
@@ -1394,7 +1398,7 @@
             .collect();
         let now = self.now;
         match trouble.fault {
-            Fault::Hang => self.hang(&struck, true),
+            Fault::Hang => self.strike(&struck, |server| server.hang(true)),
             Fault::FastErrors => {
                 struck.iter().for_each(|&at| self.machines[at as usize].failing = size);
             }
@@ -1458,11 +1462,11 @@
     fn calm(&mut self, number: usize) {
         let Some(running) = self.running[number].take() else { return };
         match self.scenario.trouble[number].fault {
-            Fault::Hang | Fault::Stalls => self.hang(&running.struck, false),
+            Fault::Hang | Fault::Stalls => self.strike(&running.struck, |server| server.hang(false)),
             Fault::FastErrors => {
                 running.struck.iter().for_each(|&at| self.machines[at as usize].failing = 0.0);
             }
-            Fault::Neighbour => self.steal(&running.struck, 0.0),
+            Fault::Neighbour => self.strike(&running.struck, |server| server.steal(0.0)),
             Fault::LateReports => {
                 for machine in &mut self.machines {
                     if let Some(server) = &mut machine.server {
@@ -1480,21 +1484,12 @@
         }
     }
 
-    fn hang(&mut self, struck: &[u32], hangs: bool) {
-        for &at in struck {
-            self.touch(at as usize);
-            if let Some(server) = &mut self.machines[at as usize].server {
-                server.hang(hangs);
-            }
-            self.reschedule(at as usize);
-        }
-    }
-
-    fn steal(&mut self, struck: &[u32], part: f64) {
+    /// What strikes servers from now on, or leaves them.
+    fn strike(&mut self, struck: &[u32], change: impl Fn(&mut Server)) {
         for &at in struck {
             self.touch(at as usize);
             if let Some(server) = &mut self.machines[at as usize].server {
-                server.steal(part);
+                change(server);
             }
             self.reschedule(at as usize);
         }
@@ -1506,12 +1501,12 @@
         let every = self.chance.time(self.scenario.trouble[number].every);
         let mut at = self.now + every;
         if self.scenario.trouble[number].fault == Fault::Stalls {
-            self.hang(&struck, on);
+            self.strike(&struck, |server| server.hang(on));
             if on {
                 at = self.now + self.chance.time(self.scenario.trouble[number].delay);
             }
         } else {
-            self.steal(&struck, if on { size } else { 0.0 });
+            self.strike(&struck, |server| server.steal(if on { size } else { 0.0 }));
         }
         if at < until {
             self.queue.push(at, Due::Toggle(number, !on));
