--- a/crates/ctl/src/emulate.rs
+++ b/crates/ctl/src/emulate.rs
@@ -32,7 +32,7 @@
 }
 
 /// The proxy that was built together with this program.
-fn beside() -> anyhow::Result<Vec<String>> {
+pub(crate) fn beside() -> anyhow::Result<Vec<String>> {
     let own = std::env::current_exe()?;
     let program = own.parent().unwrap_or(Path::new(".")).join("mosshead");
     if !program.exists() {
@@ -66,6 +66,7 @@
             println!("{}", serde_json::to_string(&played)?);
         } else {
             print(&played, &scenario);
+            days::broken(&played.day).into_iter().for_each(|broken| println!("\n{broken}"));
         }
         Ok(match (played.void, played.day.kept) {
             (true, _) => End::Void,
@@ -75,7 +76,7 @@
     }
 }
 
-fn print(played: &Played, scenario: &mosshead_world::scenario::Scenario) {
+pub(crate) fn print(played: &Played, scenario: &mosshead_world::scenario::Scenario) {
     let day = &played.day;
     println!(
         "\n{} with `{}`, seed {}: {:.1} s, {} proxies, {} requests\n",
@@ -91,9 +92,6 @@
         .map(|usage| format!("{:.1} MB and {} descriptors", usage.memory_mb, usage.descriptors))
         .collect();
     println!("by quarters, the most of any program: {}", quarters.join("; "));
-    if let Some(broken) = days::broken(day) {
-        println!("\n{broken}");
-    }
     if played.void {
         println!("VOID: the machine was late, so this day says nothing of the program");
     }
--- /dev/null
+++ b/crates/ctl/src/fleet_day.rs
@@ -0,0 +1,160 @@
+//! `mossheadctl fleet-day`: many processes of the program, with faults on the ways between them.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Args;
+use mosshead_emulator::Options;
+use mosshead_rig::checks::Peaks;
+use mosshead_rig::{FleetDay, play};
+use mosshead_world::units::Span;
+use tabled::builder::Builder;
+use tabled::settings::{Alignment, Style, object::Columns};
+
+use crate::{BadUse, End, days, emulate, scenarios, simulate};
+
+/// So many breaches are printed.
+const SHOWN: usize = 10;
+
+/// Plays a scenario against many processes of the program, each way between them and the stand-ins through a link.
+#[derive(Args)]
+pub struct Fleet {
+    /// A scenario's name, or a TOML file.
+    #[arg(default_value = "back-herd")]
+    scenario: String,
+    /// The day's seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// So many processes, in place of the scenario's.
+    #[arg(long)]
+    processes: Option<u64>,
+    /// Keeps each process's log, and what crossed the links, in this folder.
+    #[arg(long)]
+    keep: Option<PathBuf>,
+    /// The day is void if one event in a hundred came later than this, in milliseconds.
+    #[arg(long, default_value_t = 10.0)]
+    late_ms: f64,
+    /// One JSON object, on one line.
+    #[arg(long)]
+    json: bool,
+    /// The program and its words; without it the `mosshead` beside this program serves.
+    #[arg(last = true)]
+    command: Vec<String>,
+}
+
+impl Fleet {
+    pub fn run(&self) -> anyhow::Result<End> {
+        let mut scenario = scenarios::read(&self.scenario)?;
+        if let Some(processes) = self.processes {
+            if !(1..=500).contains(&processes) {
+                return Err(BadUse(format!("--processes {processes}: write 1 to 500")).into());
+            }
+            scenario.load.proxies = Span::one(processes);
+        }
+        if !self.late_ms.is_finite() || self.late_ms <= 0.0 {
+            return Err(BadUse(format!("--late-ms {}: write a time above 0", self.late_ms)).into());
+        }
+        let command = if self.command.is_empty() { emulate::beside()? } else { self.command.clone() };
+        let mut options = Options::new(self.seed, command);
+        options.logs = self.keep.clone();
+        options.late_limit = Duration::from_secs_f64(self.late_ms / 1000.0);
+        let bar = simulate::bar(&format!("{} {}", scenario.title, self.seed));
+        let shown = bar.clone();
+        let day = play(&scenario, &options, move |now, length| {
+            shown.set_length(length.0 / 1_000_000);
+            shown.set_position((now.0 / 1_000_000).min(length.0 / 1_000_000));
+        })?;
+        bar.finish_and_clear();
+        if let Some(folder) = &self.keep {
+            std::fs::write(folder.join("crossed.txt"), crossed(&day))?;
+        }
+        if self.json {
+            println!("{}", serde_json::to_string(&day)?);
+        } else {
+            print(&day, &scenario);
+        }
+        Ok(match (day.played.void, day.kept()) {
+            (true, _) => End::Void,
+            (false, true) => End::Kept,
+            (false, false) => End::Broken,
+        })
+    }
+}
+
+/// What crossed the links, a line each.
+fn crossed(day: &FleetDay) -> String {
+    let mut text = String::new();
+    for crossing in &day.record.crossings {
+        let way = crossing.place.map_or(String::new(), |place| format!(" {:?} {}", place.way, place.address));
+        text += &format!(
+            "{:>12.6} proxy {}{way} connection {} {:?}\n",
+            crossing.at.as_seconds(),
+            crossing.proxy,
+            crossing.conn,
+            crossing.what
+        );
+    }
+    for fact in &day.record.facts {
+        text += &format!("{fact}\n");
+    }
+    text
+}
+
+fn print(day: &FleetDay, scenario: &mosshead_world::scenario::Scenario) {
+    emulate::print(&day.played, scenario);
+    let mut rows = vec![
+        [
+            "",
+            "ended",
+            "at",
+            "up again",
+            "full after",
+            "list calls in 1 s",
+            "failed",
+            "first sends in 0.1 s",
+            "resends in 0.1 s",
+            "resends",
+            "connections a node in 0.1 s",
+            "most load of a node",
+        ]
+        .map(str::to_owned)
+        .to_vec(),
+    ];
+    let peaks = |row: &mut Vec<String>, peaks: &Peaks| {
+        row.push(format!("{} of {:.0}", peaks.calls_in_1s, day.discovery_capacity));
+        row.push(peaks.calls_failed.to_string());
+        row.push(peaks.first_sends_in_100ms.to_string());
+        row.push(peaks.resends_in_100ms.to_string());
+        row.push(format!("{} of {}", peaks.resends, peaks.sends));
+        row.push(peaks.connections_a_node_in_100ms.to_string());
+        row.push(format!("{:.2}", peaks.node_load));
+    };
+    let mut before = ["before", "", "", "", ""].map(str::to_owned).to_vec();
+    peaks(&mut before, &day.calm);
+    rows.push(before);
+    for (at, back) in day.returns.iter().enumerate() {
+        let full = back.full_after_s.map_or("not in this day".to_owned(), |after| format!("{after:.2} s"));
+        let mut row = vec![
+            format!("return {}", at + 1),
+            back.proxies.to_string(),
+            format!("{:.2} s", back.ended_s),
+            format!("{:.2} s", back.up_s),
+            full,
+        ];
+        peaks(&mut row, &back.peaks);
+        rows.push(row);
+    }
+    let mut table = Builder::from_iter(rows).build();
+    table.with(Style::markdown()).modify(Columns::new(1..), Alignment::right());
+    println!("\n{table}");
+    for breach in day.breaches.iter().take(SHOWN) {
+        println!("{breach}");
+    }
+    match day.breaches.len() {
+        0 => println!("every law of the links was kept"),
+        count => println!("{count} breaches on the links"),
+    }
+    if let Some(broken) = days::broken(&day.played.day) {
+        println!("\n{broken}");
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -3,6 +3,7 @@
 mod config;
 mod days;
 mod emulate;
+mod fleet_day;
 mod scenarios;
 mod simulate;
 
@@ -29,6 +30,8 @@
     Config(config::Config),
     /// Plays a scenario on loopback against real programs, and judges them by what crossed the sockets.
     Emulate(emulate::Emulate),
+    /// Plays a scenario against many processes with faults between them, and judges by what crossed the links.
+    FleetDay(fleet_day::Fleet),
     /// Lists the scenarios that are built in, or prints one.
     Scenarios(scenarios::Scenarios),
     /// Hosts policies for `simulate --processes`; speaks on standard input and output.
@@ -61,6 +64,7 @@
         Command::Simulate(simulate) => simulate.run(),
         Command::Config(config) => config.run(),
         Command::Emulate(emulate) => emulate.run(),
+        Command::FleetDay(fleet) => fleet.run(),
         Command::Scenarios(scenarios) => scenarios.run(),
         Command::Mind(mind) => mind.run(),
     };
--- a/crates/ctl/src/scenarios.rs
+++ b/crates/ctl/src/scenarios.rs
@@ -8,7 +8,7 @@
 use crate::{BadUse, End};
 
 /// The scenarios of `scenarios/`, by name.
-const BUILT_IN: [(&str, &str); 25] = [
+const BUILT_IN: [(&str, &str); 36] = [
     ("calm", include_str!("../../../scenarios/calm.toml")),
     ("churn", include_str!("../../../scenarios/churn.toml")),
     ("cold-fleet", include_str!("../../../scenarios/cold-fleet.toml")),
@@ -34,6 +34,17 @@
     ("stale-discovery", include_str!("../../../scenarios/stale-discovery.toml")),
     ("surge", include_str!("../../../scenarios/surge.toml")),
     ("wide", include_str!("../../../scenarios/wide.toml")),
+    ("back-ahead", include_str!("../../../scenarios/back-ahead.toml")),
+    ("back-blind", include_str!("../../../scenarios/back-blind.toml")),
+    ("back-cut", include_str!("../../../scenarios/back-cut.toml")),
+    ("back-herd", include_str!("../../../scenarios/back-herd.toml")),
+    ("back-jam", include_str!("../../../scenarios/back-jam.toml")),
+    ("back-lost", include_str!("../../../scenarios/back-lost.toml")),
+    ("back-overbooked", include_str!("../../../scenarios/back-overbooked.toml")),
+    ("back-paused", include_str!("../../../scenarios/back-paused.toml")),
+    ("back-rough", include_str!("../../../scenarios/back-rough.toml")),
+    ("back-twice", include_str!("../../../scenarios/back-twice.toml")),
+    ("back-zone", include_str!("../../../scenarios/back-zone.toml")),
 ];
 
 /// Lists the scenarios that are built in, or prints one.
--- a/crates/emulator/src/discovery.rs
+++ b/crates/emulator/src/discovery.rs
@@ -5,15 +5,18 @@
 use std::time::Duration;
 
 use mosshead_world::discovery::Call;
+use mosshead_world::scenario::Way;
 use mosshead_world::{Input, Shown, State, Time};
 use serde_json::{Value, json};
+use socket2::Socket;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::between::Place;
 use crate::programs;
-use crate::servers::host;
+use crate::servers::{self, host};
 use crate::stage::Stage;
 use crate::wire::{Came, Wire, answer};
 
@@ -55,19 +58,23 @@
     let listener = std::net::TcpListener::bind(SocketAddr::new(host(proxy, 254).into(), 0))?;
     listener.set_nonblocking(true)?;
     let place = listener.local_addr()?;
-    let listener = TcpListener::from_std(listener)?;
+    let mut door = Door::Open(TcpListener::from_std(listener)?);
     // Whoever serves at the old address hears of the move by this being dropped.
     let (moved, old) = watch::channel(());
     stage.programs.discovery_at(proxy, place, moved);
     let stage = stage.clone();
+    let mut reach = stage.reach.subscribe();
     spawn_local(async move {
         let mut gone = old.clone();
         loop {
+            let up = stage.world(|world| world.comes_up(proxy, Way::List, None));
+            door = door.turned(up, place);
             tokio::select! {
-                came = listener.accept() => match came {
-                    Ok((stream, _)) => drop(spawn_local(connection(stage.clone(), proxy, stream, old.clone()))),
+                came = door.accept() => match came {
+                    Ok((stream, _)) => drop(spawn_local(accepted(stage.clone(), proxy, place, stream, old.clone()))),
                     Err(_) => sleep(Duration::from_millis(5)).await,
                 },
+                _ = reach.changed() => {}
                 _ = gone.changed() => return,
             }
         }
@@ -75,6 +82,53 @@
     Ok(())
 }
 
+/// Where discovery listens for a proxy: open, or cut off, where connections never come up.
+enum Door {
+    Open(TcpListener),
+    /// Held, so that the place says nothing.
+    Silent((Socket, Vec<Socket>)),
+    /// The machine would not have it; tried again with the next change.
+    Shut,
+}
+
+impl Door {
+    fn turned(self, up: bool, place: SocketAddr) -> Self {
+        match (self, up) {
+            (Self::Open(listener), true) => Self::Open(listener),
+            (Self::Silent(held), false) => Self::Silent(held),
+            (other, up) => {
+                drop(other);
+                match up {
+                    true => servers::listen(place, 1024)
+                        .and_then(|socket| TcpListener::from_std(socket.into()))
+                        .map_or(Self::Shut, Self::Open),
+                    false => servers::mute(place).map_or(Self::Shut, Self::Silent),
+                }
+            }
+        }
+    }
+
+    async fn accept(&self) -> std::io::Result<(TcpStream, SocketAddr)> {
+        match self {
+            Self::Open(listener) => listener.accept().await,
+            Self::Silent(_) | Self::Shut => std::future::pending().await,
+        }
+    }
+}
+
+async fn accepted(
+    stage: Rc<Stage>,
+    proxy: usize,
+    address: SocketAddr,
+    stream: TcpStream,
+    old: watch::Receiver<()>,
+) {
+    let place = Place { way: Way::List, proxy, server: None, zone: None, address };
+    if let Ok(stream) = stage.between.through(place, stream).await {
+        connection(stage, proxy, stream, old).await;
+    }
+}
+
 /// Discovery moves for this proxy, which is told by SIGHUP.
 pub(crate) fn move_on(stage: &Rc<Stage>, proxy: usize) {
     if listen(stage, proxy).is_ok() {
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -5,6 +5,7 @@
 //! referee judges by that record; the emulator measures how late it was itself, and voids a day on which it
 //! was too late to judge.
 
+mod between;
 mod clients;
 mod clock;
 mod discovery;
@@ -13,5 +14,6 @@
 mod stage;
 pub mod wire;
 
+pub use between::{Between, Place, Process};
 pub use programs::{Usage, Watched};
-pub use stage::{EmulatorError, Lateness, Options, Played, play};
+pub use stage::{EmulatorError, Lateness, Options, Played, play, play_between};
--- a/crates/emulator/src/programs.rs
+++ b/crates/emulator/src/programs.rs
@@ -19,6 +19,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use crate::between::Process;
 use crate::discovery::listing;
 use crate::servers::host;
 use crate::stage::{EmulatorError, Options, Stage};
@@ -136,7 +137,7 @@
 
 /// Writes the configuration of a proxy, whole or not at all.
 fn configure(stage: &Stage, proxy: usize) -> std::io::Result<()> {
-    let (version, lines) = stage.world(|world| world.list());
+    let (version, lines) = stage.world(|world| world.saved(proxy));
     let (place, discovery, life) = {
         let program = &stage.programs.all.borrow()[proxy];
         (program.place, program.discovery, program.life)
@@ -197,6 +198,7 @@
     let program = &mut stage.programs.all.borrow_mut()[proxy];
     program.pid = pid;
     program.watched = Watched { running: true, ordered: false };
+    stage.between.process(proxy, Process::Started);
     Ok(child)
 }
 
@@ -236,7 +238,9 @@
     let child = child.map_err(|error| EmulatorError::Start { command: command.clone(), error })?;
     spawn_local(watch_over(stage.clone(), proxy, child));
     let ready = ready(stage, proxy).await;
-    ready.map_err(|why| EmulatorError::NotReady { proxy, command, within: READY, why })
+    ready.map_err(|why| EmulatorError::NotReady { proxy, command, within: READY, why })?;
+    stage.between.process(proxy, Process::Ready);
+    Ok(())
 }
 
 async fn watch_over(stage: Rc<Stage>, proxy: usize, mut child: Child) {
@@ -252,6 +256,7 @@
         program.watched.ordered
     };
     stage.clients.forget(proxy);
+    stage.between.process(proxy, Process::Ended);
     if ordered && end.is_ok_and(|status| !status.success() && status.code().is_some()) {
         stage.fault(proxy, "a stop by SIGTERM did not end with exit code 0");
     }
@@ -261,10 +266,23 @@
     stage.input(Input::Down { proxy });
 }
 
+/// SIGSTOP: it stands still and does not know it.
+pub(crate) fn pause(stage: &Rc<Stage>, proxy: usize) {
+    stage.programs.signal(proxy, Signal::STOP);
+    stage.between.process(proxy, Process::Signalled("SIGSTOP"));
+}
+
+/// SIGCONT: it goes on.
+pub(crate) fn resume(stage: &Rc<Stage>, proxy: usize) {
+    stage.programs.signal(proxy, Signal::CONT);
+    stage.between.process(proxy, Process::Signalled("SIGCONT"));
+}
+
 /// SIGTERM: it is to finish what it has taken, and exit 0.
 pub(crate) fn stop(stage: &Rc<Stage>, proxy: usize) {
     stage.programs.all.borrow_mut()[proxy].watched.ordered = true;
     stage.programs.signal(proxy, Signal::TERM);
+    stage.between.process(proxy, Process::Signalled("SIGTERM"));
 }
 
 /// SIGKILL: what it held is excused.
@@ -273,6 +291,7 @@
     // The world is told first: what clients see of it is the day's doing.
     stage.input(Input::Down { proxy });
     stage.programs.signal(proxy, Signal::KILL);
+    stage.between.process(proxy, Process::Signalled("SIGKILL"));
 }
 
 /// Starts a program again; one that should have ended by now is ended.
@@ -336,6 +355,8 @@
     let deadlines = stage.world(|world| world.scenario().class.iter().map(|class| class.deadline).max());
     let within = Duration::from_micros((deadlines.unwrap_or_default() + STOP_SLACK).0);
     for proxy in 0..count {
+        // One that stands still would not hear of its end.
+        stage.programs.signal(proxy, Signal::CONT);
         stop(stage, proxy);
     }
     let until = Instant::now() + within;
--- a/crates/emulator/src/servers.rs
+++ b/crates/emulator/src/servers.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use mosshead_world::facts::Verdict;
+use mosshead_world::scenario::Way;
 use mosshead_world::server::Report;
 use mosshead_world::{Conn, Input, Opening};
 use socket2::{Domain, SockRef, Socket, Type};
@@ -14,6 +15,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::{AbortHandle, spawn_local};
 
+use crate::between::Place;
 use crate::clients::answer_body;
 use crate::stage::{Say, Stage};
 use crate::wire::{Came, Message, Wire, answer};
@@ -60,9 +62,15 @@
     if stage.servers.seen.replace(topology) == topology {
         return;
     }
+    stage.reach.send_modify(|changes| *changes += 1);
     for address in 0..addresses {
         let who = stage.world(|world| world.at_address(address));
         for proxy in 0..stage.servers.proxies {
+            let who = who.map(|(server, cut)| {
+                let reached =
+                    stage.world(|world| world.comes_up(proxy, Way::Nodes, Some(world.traits(server).zone)));
+                (server, cut || !reached)
+            });
             let mut doors = stage.servers.doors.borrow_mut();
             let door = doors.entry((proxy, address)).or_insert(Door::Shut);
             match (who, &*door) {
@@ -86,14 +94,20 @@
     }
 }
 
-fn bind(stage: &Stage, proxy: usize, address: u32, backlog: i32) -> std::io::Result<Socket> {
-    let place = stage.servers.places.borrow().get(&(proxy, address)).copied();
-    let fresh = SocketAddr::new(IpAddr::V4(host(proxy, (address % 250) as u8 + 1)), 0);
+/// Listens at a place, also where others listened before.
+pub(crate) fn listen(place: SocketAddr, backlog: i32) -> std::io::Result<Socket> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
-    socket.bind(&place.unwrap_or(fresh).into())?;
+    socket.bind(&place.into())?;
     socket.listen(backlog)?;
+    Ok(socket)
+}
+
+fn bind(stage: &Stage, proxy: usize, address: u32, backlog: i32) -> std::io::Result<Socket> {
+    let place = stage.servers.places.borrow().get(&(proxy, address)).copied();
+    let fresh = SocketAddr::new(IpAddr::V4(host(proxy, (address % 250) as u8 + 1)), 0);
+    let socket = listen(place.unwrap_or(fresh), backlog)?;
     if let Some(place) = socket.local_addr()?.as_socket() {
         stage.servers.places.borrow_mut().insert((proxy, address), place);
     }
@@ -107,7 +121,7 @@
     let accept = async move {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => drop(spawn_local(connection(stage.clone(), proxy, address, stream))),
+                Ok((stream, _)) => drop(spawn_local(accepted(stage.clone(), proxy, address, stream))),
                 // Descriptors are short: whoever connects waits.
                 Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
             }
@@ -116,6 +130,16 @@
     Door::Open(spawn_local(accept).abort_handle())
 }
 
+async fn accepted(stage: Rc<Stage>, proxy: usize, address: u32, stream: TcpStream) {
+    let server = stage.world(|world| world.at_address(address).map(|(server, _)| server));
+    let zone = server.map(|server| stage.world(|world| world.traits(server).zone));
+    let address_there = stage.servers.place(proxy, address);
+    let place = Place { way: Way::Nodes, proxy, server, zone, address: address_there };
+    if let Ok(stream) = stage.between.through(place, stream).await {
+        connection(stage, proxy, address, stream).await;
+    }
+}
+
 /// A machine that says nothing: once the queue of a listener is full, the kernel drops what comes.
 fn silence(stage: &Rc<Stage>, proxy: usize, address: u32) -> Door {
     let Ok(queue) = bind(stage, proxy, address, 0) else { return Door::Shut };
@@ -123,6 +147,12 @@
     Door::Silent { _fill: fill(place), _queue: queue }
 }
 
+/// A place that says nothing, for as long as this is held.
+pub(crate) fn mute(place: SocketAddr) -> std::io::Result<(Socket, Vec<Socket>)> {
+    let queue = listen(place, 0)?;
+    Ok((queue, fill(place)))
+}
+
 /// Connections that nobody accepts.
 fn fill(place: SocketAddr) -> Vec<Socket> {
     let one = |_| {
--- a/crates/emulator/src/stage.rs
+++ b/crates/emulator/src/stage.rs
@@ -17,9 +17,10 @@
 use serde::Serialize;
 use thiserror::Error;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::between::{Between, Nothing};
 use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::programs::{Programs, Usage};
@@ -132,6 +133,9 @@
     pub(crate) clients: Clients,
     pub(crate) servers: Servers,
     pub(crate) programs: Programs,
+    pub(crate) between: Rc<dyn Between>,
+    /// Counts the changes of who can be reached.
+    pub(crate) reach: watch::Sender<u64>,
     next: Cell<u64>,
     pub(crate) seed: u64,
 }
@@ -208,6 +212,9 @@
             Output::Start(proxy) => programs::restart(self, proxy),
             Output::Move(proxy) => discovery::move_on(self, proxy),
             Output::Rude(proxy, how) => clients::rude(self, proxy, how),
+            Output::Pause(proxy) => programs::pause(self, proxy),
+            Output::Resume(proxy) => programs::resume(self, proxy),
+            Output::Ways(ways, on) => self.between.ways(&ways, on),
             // A kernel brings connections up and refuses them.
             Output::Opened(_) | Output::Refused(_) => {}
         }
@@ -243,6 +250,16 @@
     scenario: &Scenario,
     options: &Options,
     progress: impl Fn(Time, Time) + 'static,
+) -> Result<Played, EmulatorError> {
+    play_between(scenario, options, Rc::new(Nothing), progress)
+}
+
+/// The same, with somebody on the ways between the programs and the stand-ins.
+pub fn play_between(
+    scenario: &Scenario,
+    options: &Options,
+    between: Rc<dyn Between>,
+    progress: impl Fn(Time, Time) + 'static,
 ) -> Result<Played, EmulatorError> {
     let machine = |what| move |error| EmulatorError::Machine { what, error };
     if options.command.is_empty() {
@@ -257,8 +274,9 @@
         let folder = tempfile::tempdir().map_err(machine("a folder for configurations"))?;
         let programs = Programs::new(count, options, folder.path().to_owned(), length);
         let late = Histogram::new_with_bounds(1, 60_000_000, 3).map_err(io::Error::other);
+        let listener = between.clone();
         let stage = Rc::new(Stage {
-            judge: RefCell::new(Judge::new(scenario, None)),
+            judge: RefCell::new(Judge::new(scenario, Some(Box::new(move |fact| listener.fact(fact))))),
             world: RefCell::new(world),
             began: Cell::new(None),
             clock: Clock::start().map_err(machine("a thread for the clock"))?,
@@ -268,6 +286,8 @@
             clients: Clients::new(count),
             servers: Servers::new(count),
             programs,
+            between: between.clone(),
+            reach: watch::Sender::new(0),
             next: Cell::new(0),
             seed: options.seed,
         });
@@ -278,7 +298,9 @@
         for proxy in 0..count {
             programs::start(&stage, proxy).await?;
         }
-        stage.began.set(Some(Instant::now()));
+        let began = Instant::now();
+        stage.began.set(Some(began));
+        between.begin(began);
         for proxy in 0..count {
             stage.input(Input::Up { proxy });
         }
--- a/crates/emulator/src/wire.rs
+++ b/crates/emulator/src/wire.rs
@@ -99,7 +99,7 @@
                     self.buffer.advance(taken);
                     break message;
                 }
-                Err(()) => return Came::Broken,
+                Err(NoMessage) => return Came::Broken,
                 Ok(None) if self.buffer.len() > HEAD_LIMIT => return Came::Broken,
                 Ok(None) => match self.more().await {
                     Ok(0) | Err(_) if self.buffer.is_empty() => return Came::Closed,
@@ -133,13 +133,19 @@
     End,
 }
 
-type Parsed = Result<Option<((Message, usize), usize)>, ()>;
+/// A message without its body, the body's length, and how many bytes the head takes; nothing while it is not whole.
+pub type Parsed = Result<Option<((Message, usize), usize)>, NoMessage>;
 
-fn parse(bytes: &[u8], answer: bool) -> Parsed {
+/// Bytes that are no message of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoMessage;
+
+/// Reads the head that stands at the beginning of these bytes.
+pub fn parse(bytes: &[u8], answer: bool) -> Parsed {
     let mut lines = [httparse::EMPTY_HEADER; LINES];
     let (mut message, taken) = if answer {
         let mut head = httparse::Response::new(&mut lines);
-        match head.parse(bytes).map_err(drop)? {
+        match head.parse(bytes).map_err(|_| NoMessage)? {
             httparse::Status::Partial => return Ok(None),
             httparse::Status::Complete(taken) => {
                 let status = head.code.unwrap_or_default();
@@ -148,7 +154,7 @@
         }
     } else {
         let mut head = httparse::Request::new(&mut lines);
-        match head.parse(bytes).map_err(drop)? {
+        match head.parse(bytes).map_err(|_| NoMessage)? {
             httparse::Status::Partial => return Ok(None),
             httparse::Status::Complete(taken) => {
                 let (method, target) = (head.method.unwrap_or_default(), head.path.unwrap_or_default());
@@ -159,15 +165,15 @@
     };
     // Neither side of the platform sends a body without its length.
     if message.header("transfer-encoding").is_some() {
-        return Err(());
+        return Err(NoMessage);
     }
     // Of two lengths nobody can tell which holds.
     let lengths = message.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("content-length"));
     if lengths.count() > 1 {
-        return Err(());
+        return Err(NoMessage);
     }
     let length = match message.header("content-length") {
-        Some(length) => length.trim().parse().map_err(drop)?,
+        Some(length) => length.trim().parse().map_err(|_| NoMessage)?,
         None => 0,
     };
     message.body = Vec::new();
--- /dev/null
+++ b/crates/proxy/tests/fleet.rs
@@ -0,0 +1,56 @@
+//! Twelve processes of the program with faults on the ways between them: what crossed the links is judged, never
+//! what a process says.
+
+use std::time::Duration;
+
+use mosshead_emulator::Options;
+use mosshead_rig::{FleetDay, play};
+use mosshead_world::scenario::Scenario;
+use rstest::rstest;
+
+/// A machine that was late is asked again; it neither passes nor fails a day.
+const TRIES: usize = 4;
+
+fn day(name: &str, text: &str) -> FleetDay {
+    let scenario = Scenario::read(text).expect("a scenario");
+    let command = vec![env!("CARGO_BIN_EXE_mosshead").to_owned(), "serve".to_owned()];
+    let mut options = Options::new(1, command);
+    // Tests share the machine: one event in a hundred may be this late.
+    options.late_limit = Duration::from_millis(50);
+    for _ in 0..TRIES {
+        let day = play(&scenario, &options, |_, _| {}).expect("a day");
+        if !day.played.void {
+            return day;
+        }
+        eprintln!("{name}: void, {:?}", day.played.lateness);
+    }
+    panic!("{name}: this machine was late {TRIES} times, and tells nothing of the program");
+}
+
+fn kept(name: &str, text: &str) -> FleetDay {
+    let day = day(name, text);
+    assert!(day.played.day.kept, "{name}: {:?}", day.played.day.violations);
+    assert_eq!(day.breaches, [], "{name}");
+    day
+}
+
+macro_rules! scenario {
+    ($name:literal) => {
+        ($name, include_str!(concat!("../../../scenarios/", $name, ".toml")))
+    };
+}
+
+#[rstest]
+#[case::herd(scenario!("back-herd"))]
+#[case::jam(scenario!("back-jam"))]
+#[case::twice(scenario!("back-twice"))]
+#[case::overbooked(scenario!("back-overbooked"))]
+#[case::blind(scenario!("back-blind"))]
+#[case::lost(scenario!("back-lost"))]
+#[case::cut(scenario!("back-cut"))]
+#[case::zone(scenario!("back-zone"))]
+#[case::paused(scenario!("back-paused"))]
+#[case::rough(scenario!("back-rough"))]
+fn every_rule_is_kept(#[case] (name, text): (&str, &str)) {
+    kept(name, text);
+}
--- /dev/null
+++ b/crates/rig/src/checks.rs
@@ -0,0 +1,371 @@
+//! The checkers. Each reads the record of what crossed the links, and nothing else.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::net::SocketAddr;
+
+use mosshead_emulator::Process;
+use mosshead_world::facts::What;
+use mosshead_world::scenario::{Effect, Scenario, Way};
+use mosshead_world::{ServerNo, Time};
+use serde::Serialize;
+
+use crate::record::{Crossed, Crossing, Record};
+
+/// What a checker holds a fleet to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Law {
+    /// What must not run twice leaves a proxy whole once, unless the earlier attempt provably never ran.
+    SentOnce,
+    /// A list that is held never gives way to an older one.
+    ListGoesForward,
+    /// Nothing new leaves for a server past the grace after the proxy read that it drains or has gone.
+    KeepsDrains,
+}
+
+impl fmt::Display for Law {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Law::SentOnce => "what must not run twice leaves a proxy whole once",
+            Law::ListGoesForward => "a list that is held never gives way to an older one",
+            Law::KeepsDrains => "nothing new leaves for a server that was read to drain or to have gone",
+        })
+    }
+}
+
+/// A law that was broken.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Breach {
+    /// Which law.
+    pub law: Law,
+    /// When, in seconds of the day.
+    pub at_s: f64,
+    /// By whom.
+    pub proxy: usize,
+    /// What crossed.
+    pub what: String,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "BROKEN at {:.6} s by proxy {}: {}: {}", self.at_s, self.proxy, self.law, self.what)
+    }
+}
+
+fn breach(law: Law, crossing: &Crossing, what: String) -> Breach {
+    Breach { law, at_s: crossing.at.as_seconds(), proxy: crossing.proxy, what }
+}
+
+/// All laws, over one record.
+pub fn all(record: &Record, scenario: &Scenario) -> Vec<Breach> {
+    let mut found = sent_once(record, scenario);
+    found.extend(list_goes_forward(record));
+    found.extend(keeps_drains(record, scenario.rules.drain_grace));
+    found.sort_by(|one, other| one.at_s.total_cmp(&other.at_s));
+    found
+}
+
+/// See [`Law::SentOnce`].
+pub fn sent_once(record: &Record, scenario: &Scenario) -> Vec<Breach> {
+    let single =
+        |name: &str| scenario.class.iter().any(|class| class.name == name && class.effect == Effect::Unsafe);
+    // The connections on which an attempt left that may have run.
+    let mut may_have_run: HashMap<&str, Vec<u64>> = HashMap::new();
+    let mut found = Vec::new();
+    for (crossing, _) in record.of(Way::Nodes) {
+        match &crossing.what {
+            Crossed::Sent { id, class, .. } if single(class) => {
+                let earlier = may_have_run.entry(id).or_default();
+                if let Some(first) = earlier.first() {
+                    let what = format!("{class} {id} on connection {}, after {first}", crossing.conn);
+                    found.push(breach(Law::SentOnce, crossing, what));
+                }
+                earlier.push(crossing.conn);
+            }
+            Crossed::Answered { id, status: 503 | 504, unprocessed: true } => {
+                if let Some(earlier) = may_have_run.get_mut(id.as_str()) {
+                    earlier.retain(|conn| *conn != crossing.conn);
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// See [`Law::ListGoesForward`]. A call without a version asks for the whole list, and is no step back.
+pub fn list_goes_forward(record: &Record) -> Vec<Breach> {
+    let mut held: HashMap<usize, u64> = HashMap::new();
+    let mut found = Vec::new();
+    for crossing in &record.crossings {
+        match crossing.what {
+            Crossed::Process(Process::Started) => _ = held.remove(&crossing.proxy),
+            Crossed::Call { from: Some(from) } => {
+                let before = held.insert(crossing.proxy, from);
+                if let Some(before) = before.filter(|before| *before > from) {
+                    let what = format!("it goes on from version {from}, and had {before}");
+                    found.push(breach(Law::ListGoesForward, crossing, what));
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// See [`Law::KeepsDrains`]. What came while a proxy stood still counts from when it goes on.
+pub fn keeps_drains(record: &Record, grace: Time) -> Vec<Breach> {
+    /// What one life of a proxy has read of a server.
+    struct Known {
+        address: SocketAddr,
+        serving: bool,
+        since: Time,
+    }
+    let mut known: HashMap<usize, BTreeMap<&str, Known>> = HashMap::new();
+    let stops = pauses(record);
+    let mut found = Vec::new();
+    for crossing in &record.crossings {
+        let list = known.entry(crossing.proxy).or_default();
+        match &crossing.what {
+            Crossed::Process(Process::Started) => list.clear(),
+            Crossed::Listed { status: 200, full, lines, .. } => {
+                let since = crossing.at;
+                if *full {
+                    let missing = list
+                        .iter_mut()
+                        .filter(|(id, known)| known.serving && lines.iter().all(|line| line.id != **id));
+                    missing.for_each(|(_, known)| (known.serving, known.since) = (false, since));
+                }
+                for line in lines {
+                    let before = list.get(line.id.as_str());
+                    let same = before.is_some_and(|before| before.serving == line.serving);
+                    let since = before.filter(|_| same).map_or(since, |before| before.since);
+                    list.insert(&line.id, Known { address: line.address, serving: line.serving, since });
+                }
+            }
+            Crossed::Sent { id, began, .. } => {
+                let Some(place) = crossing.place else { continue };
+                let mut there = list.iter().filter(|(_, known)| known.address == place.address).peekable();
+                if there.peek().is_none() || there.clone().any(|(_, known)| known.serving) {
+                    continue;
+                }
+                let Some((server, last)) = there.max_by_key(|(_, known)| known.since) else { continue };
+                let since = stops
+                    .iter()
+                    .filter(|(proxy, from, until)| {
+                        *proxy == crossing.proxy && *from <= last.since && last.since < *until
+                    })
+                    .map(|(_, _, until)| *until)
+                    .fold(last.since, Time::max);
+                if *began > since + grace {
+                    let what = format!("{id} to {server}, read {} before its first byte", *began - since);
+                    found.push(breach(Law::KeepsDrains, crossing, what));
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// When proxies stood still: who, from when, until when.
+fn pauses(record: &Record) -> Vec<(usize, Time, Time)> {
+    let mut stops: Vec<(usize, Time, Time)> = Vec::new();
+    for fact in &record.facts {
+        match fact.what {
+            What::Paused { proxy } => stops.push((proxy, fact.at, Time::NEVER)),
+            What::Resumed { proxy } => {
+                let open =
+                    stops.iter_mut().rev().find(|(of, _, until)| *of == proxy && *until == Time::NEVER);
+                open.into_iter().for_each(|(_, _, until)| *until = fact.at);
+            }
+            _ => {}
+        }
+    }
+    stops
+}
+
+/// The most that happened within a span of this length, and when that span began. The instants are in order.
+pub fn most_within(instants: &[Time], span: Time) -> (usize, Time) {
+    let mut most = (0, Time::ZERO);
+    let mut first = 0;
+    for (at, instant) in instants.iter().enumerate() {
+        while instants[first] + span <= *instant {
+            first += 1;
+        }
+        if at + 1 - first > most.0 {
+            most = (at + 1 - first, instants[first]);
+        }
+    }
+    most
+}
+
+/// How much of everything there was at worst, from some instant on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Peaks {
+    /// Calls for the list that left within a second.
+    pub calls_in_1s: usize,
+    /// Within a tenth of a second.
+    pub calls_in_100ms: usize,
+    /// Answers to them that were none.
+    pub calls_failed: usize,
+    /// First attempts that left within a tenth of a second.
+    pub first_sends_in_100ms: usize,
+    /// Further attempts that left within a tenth of a second, and all of them.
+    pub resends_in_100ms: usize,
+    /// See `resends_in_100ms`.
+    pub resends: usize,
+    /// All attempts.
+    pub sends: usize,
+    /// New connections to one server within a tenth of a second.
+    pub connections_a_node_in_100ms: usize,
+    /// Attempts that left for one server within a quarter of a second, as a multiple of what it can do in that.
+    pub node_load: f64,
+}
+
+/// The peaks of a record from an instant on; `capacity` says how many requests a second a server can do.
+pub fn peaks(record: &Record, from: Time, capacity: impl Fn(ServerNo) -> f64) -> Peaks {
+    let quarter = Time::ms(250);
+    let tenth = Time::ms(100);
+    let mut peaks = Peaks::default();
+    let (mut calls, mut first, mut further) = (Vec::new(), Vec::new(), Vec::new());
+    let mut opened: BTreeMap<ServerNo, Vec<Time>> = BTreeMap::new();
+    let mut sent: BTreeMap<ServerNo, Vec<Time>> = BTreeMap::new();
+    let mut ids: HashMap<&str, usize> = HashMap::new();
+    for crossing in &record.crossings {
+        let server = crossing.place.and_then(|place| place.server);
+        if let Crossed::Sent { id, .. } = &crossing.what {
+            *ids.entry(id).or_default() += 1;
+        }
+        if crossing.at < from {
+            continue;
+        }
+        match &crossing.what {
+            Crossed::Call { .. } => calls.push(crossing.at),
+            Crossed::Listed { status, .. } if *status != 200 => peaks.calls_failed += 1,
+            Crossed::Sent { id, .. } => {
+                let resend = ids.get(id.as_str()).is_some_and(|count| *count > 1);
+                if resend { &mut further } else { &mut first }.push(crossing.at);
+                server.into_iter().for_each(|server| sent.entry(server).or_default().push(crossing.at));
+            }
+            Crossed::Opened => {
+                server.into_iter().for_each(|server| opened.entry(server).or_default().push(crossing.at));
+            }
+            _ => {}
+        }
+    }
+    peaks.calls_in_1s = most_within(&calls, Time::ms(1000)).0;
+    peaks.calls_in_100ms = most_within(&calls, tenth).0;
+    peaks.first_sends_in_100ms = most_within(&first, tenth).0;
+    peaks.resends_in_100ms = most_within(&further, tenth).0;
+    (peaks.resends, peaks.sends) = (further.len(), first.len() + further.len());
+    peaks.connections_a_node_in_100ms =
+        opened.values().map(|times| most_within(times, tenth).0).max().unwrap_or_default();
+    let loads = sent.iter().map(|(server, times)| {
+        most_within(times, quarter).0 as f64
+            / (capacity(*server) * quarter.as_seconds()).max(f64::MIN_POSITIVE)
+    });
+    peaks.node_load = loads.fold(0.0, f64::max);
+    peaks
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::Line;
+    use mosshead_emulator::Place;
+    use mosshead_world::facts::Fact;
+
+    const DAY: &str = r#"
+title = "t"
+about = "t"
+length = "4s"
+zones = ["a"]
+[load]
+proxies = 1
+rate = "80/s"
+[[kind]]
+name = "small"
+count = 1
+cores = 1
+[[class]]
+name = "book-lesson"
+share = "100%"
+work = "40ms"
+target = "500ms"
+deadline = "1500ms"
+worth = 10
+effect = "unsafe"
+"#;
+
+    fn place(way: Way) -> Place {
+        let server = (way == Way::Nodes).then_some(ServerNo(0));
+        Place { way, proxy: 0, server, zone: None, address: "127.0.0.1:9".parse().expect("an address") }
+    }
+
+    fn crossing(at: u64, way: Way, conn: u64, what: Crossed) -> Crossing {
+        let place = (!matches!(what, Crossed::Process(_))).then_some(place(way));
+        Crossing { at: Time::ms(at), proxy: 0, place, conn, what }
+    }
+
+    fn sent(at: u64, conn: u64) -> Crossing {
+        let (id, class) = ("a".to_owned(), "book-lesson".to_owned());
+        crossing(at, Way::Nodes, conn, Crossed::Sent { id, class, began: Time::ms(at) })
+    }
+
+    fn listed(at: u64, serving: bool) -> Crossing {
+        let line = Line { id: "s-0".to_owned(), address: place(Way::Nodes).address, serving };
+        let lines = vec![line];
+        crossing(at, Way::List, 9, Crossed::Listed { status: 200, version: 3, full: false, lines })
+    }
+
+    fn record(crossings: Vec<Crossing>) -> Record {
+        Record { crossings, facts: Vec::new() }
+    }
+
+    /// Guards the law against a second booking: only a whole answer that it never ran allows another attempt.
+    #[test]
+    fn a_second_whole_attempt_is_found() {
+        let scenario = Scenario::read(DAY).expect("a scenario");
+        let answered = |status, unprocessed| {
+            crossing(2, Way::Nodes, 1, Crossed::Answered { id: "a".to_owned(), status, unprocessed })
+        };
+        assert_eq!(sent_once(&record(vec![sent(1, 1), answered(503, true), sent(3, 2)]), &scenario), []);
+        for between in [answered(503, false), answered(500, true), crossing(2, Way::Nodes, 1, Crossed::Ended)]
+        {
+            let found = sent_once(&record(vec![sent(1, 1), between, sent(3, 2)]), &scenario);
+            assert_eq!(found.len(), 1, "{found:?}");
+        }
+    }
+
+    /// Guards against an old list taken for new; another life begins with the list that it finds.
+    #[test]
+    fn a_list_that_goes_back_is_found() {
+        let call = |at, from| crossing(at, Way::List, 1, Crossed::Call { from: Some(from) });
+        let started = crossing(2, Way::All, 0, Crossed::Process(Process::Started));
+        assert_eq!(list_goes_forward(&record(vec![call(1, 7), started, call(3, 4)])), []);
+        assert_eq!(list_goes_forward(&record(vec![call(1, 7), call(3, 4)])).len(), 1);
+    }
+
+    /// Guards the drains, also of a proxy that stood still when it was told.
+    #[test]
+    fn a_send_past_the_grace_is_found() {
+        let grace = Time::ms(500);
+        assert_eq!(keeps_drains(&record(vec![listed(1, true), listed(10, false), sent(505, 1)]), grace), []);
+        let late = record(vec![listed(1, true), listed(10, false), sent(511, 1)]);
+        assert_eq!(keeps_drains(&late, grace).len(), 1);
+        assert_eq!(keeps_drains(&record(vec![listed(10, false), listed(20, true), sent(900, 1)]), grace), []);
+        let fact = |at, what| Fact { at: Time::ms(at), what };
+        let facts = vec![fact(5, What::Paused { proxy: 0 }), fact(300, What::Resumed { proxy: 0 })];
+        assert_eq!(keeps_drains(&Record { facts, ..late }, grace), []);
+    }
+
+    /// Guards every bound: the fullest span, wherever it begins.
+    #[test]
+    fn the_fullest_span_is_found() {
+        let at: Vec<Time> = [0, 90, 100, 101, 150, 400].into_iter().map(Time::ms).collect();
+        assert_eq!(most_within(&at, Time::ms(100)), (4, Time::ms(90)));
+        assert_eq!(most_within(&[], Time::ms(100)).0, 0);
+    }
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,15 @@
+//! Fleets of real processes with faults between them.
+//!
+//! A day of the emulator is played against many processes of the program, and every way between one of them and
+//! a stand-in leads through a link that this package holds ([`links`]): it can be cut in one direction or both, go
+//! silent without a close, be slow, narrow, deaf, or be reset. What crossed the links is recorded as it crossed
+//! ([`record`]), with the starts and ends of processes on the same time line, and the checkers ([`checks`],
+//! [`service`]) read that record alone, never a program's word.
+
+pub mod checks;
+pub mod day;
+pub mod links;
+pub mod record;
+pub mod service;
+
+pub use day::{FleetDay, play};
--- a/crates/simulate/src/host.rs
+++ b/crates/simulate/src/host.rs
@@ -3,7 +3,7 @@
 //! Connections are pooled, opened, given up and closed as `execute_node` does it; the list is watched as
 //! `machine_list` does it; jobs are answered as `module` does it.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use mosshead_decide::interface::*;
 use mosshead_world::discovery::Call;
@@ -94,6 +94,13 @@
     conn: Conn,
 }
 
+/// What waits for a proxy that stands still: all of it has come to its machine, none of it to its process.
+#[derive(Default)]
+struct Kept {
+    outputs: Vec<Output>,
+    dues: Vec<Due>,
+}
+
 /// All virtual proxies of a day, and the world they live in.
 pub(crate) struct Host<'a> {
     world: World,
@@ -106,6 +113,7 @@
     jobs: HashMap<JobNo, Held>,
     attempts: HashMap<(JobNo, u32), Attempt>,
     pending: BTreeSet<usize>,
+    stopped: BTreeMap<usize, Kept>,
     turn_at: Option<Time>,
     next_conn: u64,
     next_probe: u64,
@@ -134,6 +142,7 @@
             jobs: HashMap::new(),
             attempts: HashMap::new(),
             pending: BTreeSet::new(),
+            stopped: BTreeMap::new(),
             turn_at: None,
             next_conn: 0,
             next_probe: 0,
@@ -182,7 +191,7 @@
         if self.proxies[at].up {
             self.shut(at);
         }
-        let (version, list) = self.world.list();
+        let (version, list) = self.world.saved(at);
         let proxy = &mut self.proxies[at];
         let life = proxy.life + 1;
         *proxy = Proxy { up: true, life, version, ..Proxy::default() };
@@ -209,6 +218,7 @@
         let life = proxy.life;
         *proxy = Proxy { life, ..Proxy::default() };
         self.pending.remove(&at);
+        self.stopped.remove(&at);
         self.world.input(self.now, Input::Down { proxy: at });
     }
 
@@ -218,6 +228,10 @@
         }
         self.proxies[proxy].mail.push(event);
         self.pending.insert(proxy);
+        self.turn_soon();
+    }
+
+    fn turn_soon(&mut self) {
         if self.turn_at.is_none() {
             let at = self.now.up_to(self.world.scenario().tick);
             self.turn_at = Some(at);
@@ -226,6 +240,18 @@
     }
 
     fn due(&mut self, due: Due) -> Result<(), BrainError> {
+        let job = |job: &JobNo| self.jobs.get(job).map(|held| held.proxy);
+        let line = |conn: &Conn| self.lines.get(conn).map(|line| line.proxy);
+        let whose = match &due {
+            Due::Turn => None,
+            Due::Timer { proxy, .. } | Due::CallLate { proxy, .. } | Due::Agent { proxy, .. } => Some(*proxy),
+            Due::Until { job: no, .. } | Due::Deadline(no) => job(no),
+            Due::Connect(conn) | Due::ProbeLate(conn) => line(conn),
+        };
+        if let Some(kept) = whose.and_then(|proxy| self.stopped.get_mut(&proxy)) {
+            kept.dues.push(due);
+            return Ok(());
+        }
         match due {
             Due::Turn => self.turn()?,
             Due::Timer { proxy, life, token } => {
@@ -281,7 +307,8 @@
 
     fn turn(&mut self) -> Result<(), BrainError> {
         self.turn_at = None;
-        let pending = std::mem::take(&mut self.pending);
+        let mut pending = std::mem::take(&mut self.pending);
+        pending.retain(|proxy| !self.stopped.contains_key(proxy));
         let mail: Vec<_> = pending
             .into_iter()
             .map(|proxy| (proxy, std::mem::take(&mut self.proxies[proxy].mail)))
@@ -297,6 +324,19 @@
     }
 
     fn output(&mut self, output: Output) -> Result<(), BrainError> {
+        let line = |conn: &Conn| self.lines.get(conn).map(|line| line.proxy);
+        let whose = match &output {
+            Output::Job(job) => Some(job.proxy),
+            Output::Withdrawn { proxy, .. } | Output::Stop(proxy) => Some(*proxy),
+            Output::Opened(conn) | Output::Refused(conn) | Output::Reset(conn) => line(conn),
+            Output::Answered { conn, .. } | Output::Probed { conn, .. } => line(conn),
+            Output::Listed(call, _) => Some(call.proxy),
+            _ => None,
+        };
+        if let Some(kept) = whose.and_then(|proxy| self.stopped.get_mut(&proxy)) {
+            kept.outputs.push(output);
+            return Ok(());
+        }
         match output {
             Output::Job(job) => self.job(job),
             Output::Withdrawn { job, proxy } => {
@@ -350,8 +390,26 @@
                 }
             }
             Output::Start(proxy) => self.boot(proxy)?,
-            // Neither has a meaning without sockets.
-            Output::Move(_) | Output::Rude(..) => {}
+            Output::Pause(proxy) => {
+                if self.proxies[proxy].up {
+                    self.stopped.insert(proxy, Kept::default());
+                }
+            }
+            Output::Resume(proxy) => self.resume(proxy)?,
+            // The world keeps what is cut off; the others have no meaning without sockets.
+            Output::Move(_) | Output::Rude(..) | Output::Ways(..) => {}
+        }
+        Ok(())
+    }
+
+    /// All that has come meanwhile is read at once.
+    fn resume(&mut self, proxy: usize) -> Result<(), BrainError> {
+        let Some(Kept { outputs, dues }) = self.stopped.remove(&proxy) else { return Ok(()) };
+        outputs.into_iter().try_for_each(|output| self.output(output))?;
+        dues.into_iter().try_for_each(|due| self.due(due))?;
+        if !self.proxies[proxy].mail.is_empty() {
+            self.pending.insert(proxy);
+            self.turn_soon();
         }
         Ok(())
     }
--- a/crates/units/src/units.rs
+++ b/crates/units/src/units.rs
@@ -181,7 +181,7 @@
     };
 }
 
-written!(Time, Part, PerSecond, Span<Time>, Span<Part>, Span<PerSecond>, Span<f64>, Span<u64>);
+written!(Time, Part, PerSecond, Span<Time>, Span<Part>, Span<PerSecond>, Span<Bytes>, Span<f64>, Span<u64>);
 
 #[cfg(test)]
 mod tests {
--- a/crates/world/src/facts.rs
+++ b/crates/world/src/facts.rs
@@ -161,6 +161,23 @@
         /// The day's troubles wanted it so.
         ordered: bool,
     },
+    /// A proxy stands still, as the day's troubles want it.
+    Paused {
+        /// Which.
+        proxy: usize,
+    },
+    /// It goes on.
+    Resumed {
+        /// Which.
+        proxy: usize,
+    },
+    /// A trouble of ways begins or ends.
+    Trouble {
+        /// Which, in the scenario's order from 0.
+        number: usize,
+        /// It begins.
+        on: bool,
+    },
     /// Something a proxy owed was missing.
     Fault {
         /// Which proxy.
@@ -234,6 +251,11 @@
             What::Down { proxy, ordered } => {
                 write!(f, "proxy {proxy} is down{}", if ordered { ", as ordered" } else { " BY ITSELF" })
             }
+            What::Paused { proxy } => write!(f, "proxy {proxy} stands still"),
+            What::Resumed { proxy } => write!(f, "proxy {proxy} goes on"),
+            What::Trouble { number, on } => {
+                write!(f, "trouble {} of ways {}", number + 1, if on { "begins" } else { "ends" })
+            }
             What::Fault { proxy, what } => write!(f, "proxy {proxy}: {what}"),
         }
     }
@@ -278,6 +300,9 @@
             What::Up { proxy } => (15, proxy as u64, 0, 0, 0),
             What::Down { proxy, ordered } => (16, proxy as u64, ordered.into(), 0, 0),
             What::Fault { proxy, what } => (17, proxy as u64, what.len() as u64, 0, 0),
+            What::Paused { proxy } => (18, proxy as u64, 0, 0, 0),
+            What::Resumed { proxy } => (19, proxy as u64, 0, 0, 0),
+            What::Trouble { number, on } => (20, number as u64, on.into(), 0, 0),
         };
         let mut bytes = [0; 48];
         for (at, word) in [fact.at.0, tag, a, b, c, d].into_iter().enumerate() {
--- a/crates/world/src/ledger.rs
+++ b/crates/world/src/ledger.rs
@@ -27,6 +27,9 @@
 pub const ENDINGS: [Ending; 6] =
     [Ending::InTime, Ending::Late, Ending::Refused, Ending::Failed, Ending::Unanswered, Ending::Unreachable];
 
+/// The length of the spans in [`Ledger::quarters`].
+pub const QUARTER: Time = Time::ms(250);
+
 /// Counts by ending.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Counts {
@@ -75,6 +78,9 @@
     pub tenants: Vec<Counts>,
     /// By the second in which the wish came.
     pub seconds: Vec<Counts>,
+    /// Worth asked for and earned, by the quarter of a second in which the wish came.
+    #[serde(skip)]
+    pub quarters: Vec<(f64, f64)>,
     /// Tries that proxies were sent.
     pub tries: u64,
     /// Attempts that reached a server.
@@ -119,6 +125,7 @@
 
     pub(crate) fn ask(&mut self, at: Time, class: usize, tenant: Option<usize>, worth: f64) {
         self.of(at, class, tenant, |counts| counts.ask(worth));
+        self.quarter(at).0 += worth;
     }
 
     pub(crate) fn end(
@@ -130,6 +137,15 @@
         worth: f64,
     ) {
         self.of(asked, class, tenant, |counts| counts.end(ending, worth));
+        self.quarter(asked).1 += if ending == Ending::InTime { worth } else { 0.0 };
+    }
+
+    fn quarter(&mut self, at: Time) -> &mut (f64, f64) {
+        let quarter = (at.0 / QUARTER.0) as usize;
+        if self.quarters.len() <= quarter {
+            self.quarters.resize(quarter + 1, (0.0, 0.0));
+        }
+        &mut self.quarters[quarter]
     }
 
     /// The worth of the day, from 0 to 1: 45 % the whole, 5 % the worst ten seconds, 20 % the worst class,
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -15,9 +15,12 @@
 pub mod referee;
 pub mod scenario;
 pub mod server;
+pub mod trouble;
 mod world;
 
 /// Figures with their units.
 pub use mosshead_units as units;
 pub use mosshead_units::Time;
-pub use world::{Conn, Input, Job, JobNo, Listed, Opening, Output, ServerNo, Shown, State, True, World};
+pub use world::{
+    Change, Conn, Input, Job, JobNo, Listed, Opening, Output, ServerNo, Shown, State, True, Ways, World,
+};
--- a/crates/world/src/referee.rs
+++ b/crates/world/src/referee.rs
@@ -111,6 +111,8 @@
     answered: Option<(Answer, Time)>,
     /// Nothing is owed any more: it was answered, its client left early, or its proxy went down.
     over: bool,
+    /// Its proxy was killed, or stood still, while it held this.
+    excused: bool,
     ran: u32,
     facts: Vec<Fact>,
 }
@@ -128,6 +130,8 @@
     /// Jobs in the order in which they may be forgotten.
     leaving: VecDeque<(Time, JobNo)>,
     told: HashMap<(usize, ServerNo), (State, Time)>,
+    /// Who stands still, since when.
+    paused: HashMap<usize, Time>,
     counts: BTreeMap<Rule, u64>,
     violations: Vec<Violation>,
 }
@@ -145,6 +149,7 @@
             records: HashMap::new(),
             leaving: VecDeque::new(),
             told: HashMap::new(),
+            paused: HashMap::new(),
             counts: BTreeMap::new(),
             violations: Vec::new(),
         }
@@ -191,8 +196,11 @@
         match fact.what {
             What::Taken { job, proxy, effect, class, deadline } => {
                 let (attempts, facts) = (Vec::new(), vec![*fact]);
-                let (answered, over, ran) = (None, false, 0);
-                let record = Record { proxy, effect, class, deadline, attempts, answered, over, ran, facts };
+                // Who stands still owes nothing.
+                let (answered, over, ran) = (None, self.paused.contains_key(&proxy), 0);
+                let excused = over;
+                let record =
+                    Record { proxy, effect, class, deadline, attempts, answered, over, excused, ran, facts };
                 self.records.insert(job, record);
                 self.leaving.push_back((deadline + REMEMBERED, job));
             }
@@ -245,9 +253,8 @@
             }
             What::Up { proxy } => self.told.retain(|(of, _), _| *of != proxy),
             What::Down { proxy, ordered } => {
-                for record in self.records.values_mut().filter(|record| record.proxy == proxy) {
-                    record.over = true;
-                }
+                self.paused.remove(&proxy);
+                self.excuse(proxy);
                 if !ordered {
                     self.broken(Rule::Alive, at, None, format!("proxy {proxy} ended by itself"));
                 }
@@ -255,10 +262,32 @@
             What::Fault { proxy, what } => {
                 self.broken(Rule::Alive, at, None, format!("proxy {proxy}: {what}"));
             }
-            What::Arrived { .. } | What::Started { .. } | What::Ended { .. } | What::Jammed { .. } => {}
+            What::Paused { proxy } => {
+                self.paused.insert(proxy, at);
+                self.excuse(proxy);
+            }
+            What::Resumed { proxy } => {
+                // What came while it stood still it can only read now.
+                if let Some(since) = self.paused.remove(&proxy) {
+                    let own =
+                        self.told.iter_mut().filter(|((of, _), (_, told))| *of == proxy && *told >= since);
+                    own.for_each(|(_, (_, told))| *told = at);
+                }
+            }
+            What::Arrived { .. }
+            | What::Started { .. }
+            | What::Ended { .. }
+            | What::Jammed { .. }
+            | What::Trouble { .. } => {}
         }
     }
 
+    /// What a proxy holds now it no longer owes.
+    fn excuse(&mut self, proxy: usize) {
+        let held = self.records.values_mut().filter(|record| record.proxy == proxy && !record.over);
+        held.for_each(|record| (record.over, record.excused) = (true, true));
+    }
+
     fn ended(&mut self, job: JobNo, conn: Conn, end: End) {
         if let Some(record) = self.records.get_mut(&job) {
             let out = |attempt: &&mut Attempt| attempt.conn == conn && attempt.end == End::Out;
@@ -312,6 +341,10 @@
     fn answered(&mut self, at: Time, job: JobNo, answer: Answer) {
         let Some(record) = self.records.get_mut(&job) else { return };
         if let Some((first, _)) = record.answered {
+            // Danger: an answer that was under way as its proxy was killed comes after the kill has settled the try.
+            if first == Answer::Broken && record.excused {
+                return;
+            }
             let what = format!("a second answer, {answer:?}, after {first:?}");
             return self.broken(Rule::OneAnswer, at, Some(job), what);
         }
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -6,6 +6,8 @@
 use crate::Time;
 use crate::units::{Part, PerSecond, Span};
 
+pub use crate::trouble::{After, Fault, Flow, Saved, Trouble, Way};
+
 /// What is wrong with a scenario: the message names the line and the key.
 #[derive(Debug, Error)]
 pub enum ScenarioError {
@@ -486,82 +488,6 @@
     Span::one(Part(1.0))
 }
 
-/// What can go wrong.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Fault {
-    /// Servers take requests and answer none.
-    Hang,
-    /// Servers fail so many requests at once (`size`: which share).
-    FastErrors,
-    /// Servers stand still for `delay`, again and again (`every`).
-    Stalls,
-    /// So many requests (`size`) cost many times their work (`times`).
-    Heavy,
-    /// Another program takes a share of the machine (`size`), on and off (`every`).
-    Neighbour,
-    /// Load reports come later (`delay`).
-    LateReports,
-    /// The list comes later (`delay`).
-    StaleDiscovery,
-    /// Discovery answers nobody.
-    DiscoveryDown,
-    /// Servers are replaced one after the other (`every`): they drain, and new ones start cold.
-    Churn,
-    /// Servers' processes die and start again cold after `delay`.
-    Restart,
-    /// Machines vanish without a word, and are back after the trouble's length.
-    Silent,
-    /// Connections are reset, so often (`every`).
-    Resets,
-    /// So many answers (`size`) arrive spoilt.
-    Spoilt,
-    /// Discovery moves and proxies get SIGHUP (on loopback).
-    Moved,
-    /// Proxies are stopped by SIGTERM and start again.
-    Stop,
-    /// Proxies are killed and start again.
-    Kill,
-    /// The load is so many times the usual (`times`).
-    Surge,
-}
-
-/// A trouble: when, how long, who, how bad.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Trouble {
-    /// What goes wrong.
-    pub fault: Fault,
-    /// When it starts.
-    pub at: Span<Time>,
-    /// How long it lasts.
-    #[serde(default = "instant")]
-    pub length: Span<Time>,
-    /// The part of the servers, or of the proxies, that it strikes.
-    #[serde(default = "whole")]
-    pub part: Span<Part>,
-    /// How bad it is, as a share.
-    #[serde(default = "whole")]
-    pub size: Span<Part>,
-    /// How many times the usual.
-    #[serde(default = "burst_size")]
-    pub times: Span<f64>,
-    /// A delay that it brings.
-    #[serde(default = "instant")]
-    pub delay: Span<Time>,
-    /// How often it repeats.
-    #[serde(default = "second")]
-    pub every: Span<Time>,
-}
-
-fn instant() -> Span<Time> {
-    Span::one(Time::ZERO)
-}
-
-fn second() -> Span<Time> {
-    Span::one(Time::ms(1000))
-}
-
 impl Scenario {
     /// Reads and checks a scenario.
     pub fn read(text: &str) -> Result<Self, ScenarioError> {
@@ -686,6 +612,18 @@
             if trouble.every.lo < Time::ms(1) {
                 return fail(&format!("trouble {}: every", at + 1), "write at least `1ms`");
             }
+            for (key, zone) in [("zone", &trouble.zone), ("to", &trouble.to)] {
+                if zone.as_ref().is_some_and(|zone| !self.zones.contains(zone)) {
+                    let known = format!("write one of {}", self.zones.join(", "));
+                    return fail(&format!("trouble {}: {key}", at + 1), &known);
+                }
+            }
+            if trouble.after == After::Up && at == 0 {
+                return fail("trouble 1: after", "there is no trouble before it");
+            }
+            if trouble.fault == Fault::Narrow && trouble.bytes.lo.0 == 0 {
+                return fail(&format!("trouble {}: bytes", at + 1), "write how many pass in a second");
+            }
         }
         Ok(())
     }
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -1,6 +1,6 @@
 //! The world: it holds the parts, carries messages between them in time, and makes things go wrong.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use crate::Time;
 use crate::clients::{self, Load, Stream};
@@ -9,9 +9,16 @@
 use crate::facts::{Answer, Fact, Verdict, What};
 use crate::ledger::{Ending, Ledger};
 use crate::queue::Queue;
-use crate::scenario::{Class, Effect, Fault, Group, Scenario};
+use crate::scenario::{After, Class, Effect, Fault, Flow, Group, Saved, Scenario, Way};
 use crate::server::{Offered, Report, Server, Traits};
 
+mod network;
+mod told;
+mod troubles;
+mod ways;
+
+pub use ways::{Change, Ways};
+
 /// A booking server, numbered in the order of their making; never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerNo(pub u32);
@@ -200,6 +207,12 @@
     Move(usize),
     /// A client on loopback is rude to a proxy, in one of the ways that the host knows.
     Rude(usize, u64),
+    /// A proxy stands still from now on.
+    Pause(usize),
+    /// It goes on.
+    Resume(usize),
+    /// Something is wrong with ways from now on, or no longer.
+    Ways(Ways, bool),
 }
 
 /// The true state of a server, for an oracle and for charts.
@@ -318,10 +331,15 @@
     /// What it was told of each server.
     told: HashMap<ServerNo, State>,
     asked: Time,
+    /// It stands still, and takes itself for running.
+    paused: bool,
+    /// The list that it finds at its next start, and how old that is.
+    saved: (Saved, Time),
 }
 
 struct Running {
     struck: Vec<u32>,
+    proxies: Vec<usize>,
     size: f64,
     times: f64,
     until: Time,
@@ -382,6 +400,11 @@
     facts: Vec<Fact>,
     done: Vec<(Time, u64)>,
     topology: u64,
+    amiss: Vec<ways::Amiss>,
+    /// Earlier lists, each with the instant from which discovery showed it and its version.
+    lists: VecDeque<(Time, u64, Vec<Shown>)>,
+    /// Troubles that begin once all proxies are up.
+    wait_for_up: Vec<usize>,
 }
 
 impl World {
@@ -499,6 +522,9 @@
             facts: Vec::new(),
             done: Vec::new(),
             topology: 0,
+            amiss: Vec::new(),
+            lists: VecDeque::new(),
+            wait_for_up: Vec::new(),
             machines,
             scenario: scenario.clone(),
         };
@@ -510,7 +536,11 @@
                 world.queue.push(at, Due::Arrive(proxy));
             }
         }
+        world.remember_list();
         for number in 0..world.scenario.trouble.len() {
+            if world.scenario.trouble[number].after == After::Up {
+                continue;
+            }
             let mut draws = Draws::new(seed, "trouble", number as u64);
             let at = draws.time(world.scenario.trouble[number].at);
             world.queue.push(at, Due::Trouble(number));
@@ -542,6 +572,12 @@
         self.sides[proxy].zone
     }
 
+    /// The work of a request on a standard core, in the mean.
+    pub fn mean_work(&self) -> f64 {
+        let sum: f64 = self.class_weights.iter().sum();
+        self.works.iter().zip(&self.class_weights).map(|(work, part)| work.0 * part / sum).sum()
+    }
+
     /// What a server is like.
     pub fn traits(&self, server: ServerNo) -> &Traits {
         &self.machines[server.0 as usize].traits
@@ -664,12 +700,18 @@
                 }
             }
             Due::Ask(call) => {
+                if !self.passes(call.proxy, Way::List, None, Flow::To) {
+                    return;
+                }
                 let mut answers = Vec::new();
                 self.discovery.advance(self.now, &mut answers);
                 self.discovery.call(self.now, call, &mut answers);
                 self.spread(answers);
             }
             Due::Listed(call, listed) => {
+                if !self.passes(call.proxy, Way::List, None, Flow::Back) {
+                    return;
+                }
                 if let Some((_, full, lines)) = &listed {
                     self.tell(call.proxy, *full, lines);
                 }
@@ -680,10 +722,11 @@
                 let mut answers = Vec::new();
                 self.discovery.advance(self.now, &mut answers);
                 self.discovery.change(shown, &mut answers);
+                self.remember_list();
                 self.spread(answers);
             }
             Due::Trouble(number) => self.trouble(number, out),
-            Due::Calm(number) => self.calm(number),
+            Due::Calm(number) => self.calm(number, out),
             Due::Toggle(number, on) => self.toggle(number, on),
             Due::Replace(number) => self.replace(number),
             Due::Reset(number) => self.reset(number),
@@ -738,18 +781,21 @@
                 self.ledger.asked_discovery += 1;
                 self.sides[call.proxy].asked = self.now;
                 let delay = self.jittered(self.scenario.network.same.lo);
+                let delay = delay + self.slower(call.proxy, Way::List, None);
                 self.queue.push(self.now + delay, Due::Ask(call));
             }
             Input::Forget { proxy, number } => self.discovery.forget(proxy, Some(number)),
             Input::Answer { job, answer } => self.answer(job, answer),
             Input::Up { proxy } => {
-                let (_, list) = self.discovery.list();
+                let (_, list) = self.saved(proxy);
                 self.sides[proxy].up = true;
                 self.sides[proxy].stopping = false;
+                self.sides[proxy].saved = (Saved::Kept, Time::ZERO);
                 self.sides[proxy].asked = self.now;
                 self.sides[proxy].told.clear();
                 self.fact(What::Up { proxy });
                 self.tell(proxy, true, &list);
+                self.all_up();
             }
             Input::Down { proxy } => {
                 let ordered = self.sides[proxy].stopping;
@@ -870,290 +916,6 @@
         }
     }
 
-    // The network.
-
-    fn jittered(&mut self, delay: Time) -> Time {
-        delay.times(1.0 + self.jitter * self.net.part())
-    }
-
-    fn link_delay(&mut self, conn: Conn) -> Option<Time> {
-        let link = self.links.get(&conn)?;
-        let zone = match link.server {
-            Some(server) => self.machines[server.0 as usize].traits.zone,
-            None => match self.addresses.get(link.address as usize).copied().flatten() {
-                Some(server) => self.machines[server.0 as usize].traits.zone,
-                None => 0,
-            },
-        };
-        let delay = self.delays[self.sides[link.proxy].zone][zone];
-        Some(self.jittered(delay))
-    }
-
-    fn open(&mut self, conn: Conn, proxy: usize, address: u32, how: Opening) {
-        self.ledger.opened += 1;
-        let link = Link { proxy, address, server: None, first: true, how, out: None, used: self.now };
-        self.links.insert(conn, link);
-        match how {
-            Opening::Accepted => self.bind(conn),
-            Opening::Virtual => {
-                if let Some(delay) = self.link_delay(conn) {
-                    self.queue.push(self.now + delay, Due::Knock(conn));
-                }
-            }
-        }
-    }
-
-    /// The connection is with whoever listens at its address now.
-    fn bind(&mut self, conn: Conn) {
-        let Some(link) = self.links.get_mut(&conn) else { return };
-        let at = self.addresses.get(link.address as usize).copied().flatten();
-        link.server = at;
-        if let Some(server) = at {
-            let machine = &mut self.machines[server.0 as usize];
-            machine.links.insert(conn);
-            if let Some(server) = &mut machine.server {
-                server.connections(true);
-            }
-        }
-    }
-
-    fn knock(&mut self, conn: Conn) {
-        let Some(link) = self.links.get(&conn) else { return };
-        let at = self.addresses.get(link.address as usize).copied().flatten();
-        let Some(delay) = self.link_delay(conn) else { return };
-        let running = at.filter(|server| self.machines[server.0 as usize].server.is_some());
-        let Some(server) = running else {
-            return self.queue.push(self.now + delay, Due::Back(conn, Back::Refused));
-        };
-        let machine = &self.machines[server.0 as usize];
-        if !machine.cut {
-            let trips = machine.traits.round_trips.max(1);
-            self.bind(conn);
-            self.queue.push(self.now + delay.times((2 * trips - 1) as f64), Due::Back(conn, Back::Opened));
-        }
-    }
-
-    fn request(&mut self, conn: Conn, job: JobNo, intact: bool) {
-        let Some(link) = self.links.get_mut(&conn) else { return };
-        let Some(server) = link.server else { return };
-        let exchange = self.next_exchange;
-        self.next_exchange += 1;
-        let first = std::mem::take(&mut link.first);
-        link.out = Some(exchange);
-        link.used = self.now;
-        let accepted = link.how == Opening::Accepted;
-        self.ledger.attempts += 1;
-        let group = self.group(job, server).unwrap_or_default();
-        self.fact(What::Written { job, server, conn, intact, group });
-        let traits = &self.machines[server.0 as usize].traits;
-        let (extra, trips) = (traits.connection_work, traits.round_trips);
-        let wish = self.tries.get(&job).map(|held| held.wish);
-        // Whose client has left needs work all the same: as much as the mean.
-        let own = wish.and_then(|wish| self.wishes.get(&wish)).map_or(self.works[0].0, |wish| wish.work);
-        let work = own + if first { extra } else { 0.0 };
-        self.jobs_out.insert(exchange, job);
-        self.exchanges
-            .insert(exchange, Exchange { job, conn, server, work, abandoned: false, repeat: false });
-        let Some(mut delay) = self.link_delay(conn) else { return };
-        if first && accepted {
-            delay += delay.times((2 * trips) as f64);
-        }
-        self.queue.push(self.now + delay, Due::Reach(exchange));
-    }
-
-    /// The connections that a request or a probe finds at its server: none where the process has gone, and
-    /// `None` where nobody will ever answer.
-    fn hears(&self, conn: Conn, server: ServerNo) -> Option<bool> {
-        let machine = &self.machines[server.0 as usize];
-        match machine.cut {
-            true => None,
-            false => Some(machine.server.is_some() && machine.links.contains(&conn)),
-        }
-    }
-
-    fn reach(&mut self, number: u64) {
-        let Some(exchange) = self.exchanges.get(&number) else { return };
-        let (conn, server, work, job) = (exchange.conn, exchange.server, exchange.work, exchange.job);
-        match self.hears(conn, server) {
-            None => {
-                self.exchanges.remove(&number);
-                return;
-            }
-            Some(false) => {
-                self.exchanges.remove(&number);
-                return self.send_back(conn, Back::Reset);
-            }
-            Some(true) => {}
-        }
-        let at = server.0 as usize;
-        self.touch(at);
-        let machine = &mut self.machines[at];
-        let Some(running) = &mut machine.server else { return };
-        let full = running.connected() > machine.traits.connections;
-        if machine.state != State::Serving || full {
-            return self.turn_away(number);
-        }
-        if machine.failing > 0.0 && machine.draws.chance(machine.failing) {
-            let report = running.report();
-            self.fact(What::Arrived { job, server });
-            self.exchanges.remove(&number);
-            return self.send_back(conn, Back::Answer(number, Verdict::Errored, report));
-        }
-        let theirs = self.links.get(&conn).is_some_and(|link| machine.informed.contains(&link.proxy));
-        machine.sent.1 += work;
-        machine.sent.0 += if theirs { work } else { 0.0 };
-        match running.offer(number, work) {
-            Offered::Taken => {
-                let repeat = self.repeated(job, server);
-                if let Some(exchange) = self.exchanges.get_mut(&number) {
-                    exchange.repeat = repeat;
-                }
-                self.ledger.work += work;
-                self.fact(What::Arrived { job, server });
-                self.reschedule(at);
-            }
-            Offered::Full => self.turn_away(number),
-            Offered::Fell => {
-                self.ledger.fell += 1;
-                // Who was not told of its start cannot spare it.
-                let (theirs, all) = machine.sent;
-                if 3.0 * theirs >= 2.0 * all {
-                    self.fact(What::Fell { server });
-                }
-                self.end(at, true);
-            }
-        }
-    }
-
-    /// The servers that drop each other's repeats of a keyed request, by number; none for a request without a key.
-    fn group(&self, job: JobNo, server: ServerNo) -> Option<usize> {
-        Some(match self.keyed(job)?.group {
-            Group::Zone => self.machines[server.0 as usize].traits.zone,
-            Group::All => 0,
-        })
-    }
-
-    /// The class of a request that carries a key.
-    fn keyed(&self, job: JobNo) -> Option<&Class> {
-        let class = &self.scenario.class[self.wishes.get(&self.tries.get(&job)?.wish)?.class];
-        (class.effect == Effect::Keyed).then_some(class)
-    }
-
-    /// Whether a request's key is known where it has come; from now on it is.
-    fn repeated(&mut self, job: JobNo, server: ServerNo) -> bool {
-        let window = self.keyed(job).map(|class| class.window);
-        let (Some(group), Some(window), now) = (self.group(job, server), window, self.now) else {
-            return false;
-        };
-        let first = self.keys.entry((job, group)).or_insert(now);
-        let known = *first < now && now <= *first + window;
-        if now > *first + window {
-            *first = now;
-        }
-        known
-    }
-
-    fn turn_away(&mut self, number: u64) {
-        let Some(exchange) = self.exchanges.remove(&number) else { return };
-        let running = self.machines[exchange.server.0 as usize].server.as_ref();
-        let report = running.map(Server::report).unwrap_or_default();
-        self.send_back(exchange.conn, Back::Answer(number, Verdict::TurnedAway, report));
-    }
-
-    fn reach_probe(&mut self, conn: Conn, number: u64) {
-        let Some(server) = self.links.get(&conn).and_then(|link| link.server) else { return };
-        match self.hears(conn, server) {
-            None => {}
-            Some(false) => self.send_back(conn, Back::Reset),
-            Some(true) => {
-                let at = server.0 as usize;
-                self.touch(at);
-                if let Some(running) = &mut self.machines[at].server {
-                    running.probe();
-                    let report = running.report();
-                    self.send_back(conn, Back::Probe(number, report));
-                }
-                self.reschedule(at);
-            }
-        }
-    }
-
-    fn send_back(&mut self, conn: Conn, mut back: Back) {
-        let Some(delay) = self.link_delay(conn) else { return };
-        if let Back::Answer(_, _, report) | Back::Probe(_, report) = &mut back
-            && let Some(server) = self.links.get(&conn).and_then(|link| link.server)
-        {
-            let noise = self.machines[server.0 as usize].traits.report_noise;
-            // Danger: drawn with each answer, it would make an old report look renewed.
-            let mut draws = Draws::new(report.taken.0, "report", server.0.into());
-            for figure in [&mut report.qps, &mut report.in_flight, &mut report.queue, &mut report.util] {
-                *figure *= 1.0 + noise * (2.0 * draws.part() - 1.0);
-            }
-        }
-        self.queue.push(self.now + delay, Due::Back(conn, back));
-    }
-
-    fn back(&mut self, conn: Conn, back: Back, out: &mut Vec<Output>) {
-        let Some(link) = self.links.get_mut(&conn) else { return };
-        // Danger: what a machine sent before it was cut off still arrives; what comes later does not.
-        match back {
-            Back::Opened => out.push(Output::Opened(conn)),
-            Back::Refused => {
-                self.links.remove(&conn);
-                out.push(Output::Refused(conn));
-            }
-            Back::Reset => {
-                let lost = link.out.take();
-                self.unlink(conn);
-                if let Some(lost) = lost {
-                    if let Some(exchange) = self.exchanges.get_mut(&lost) {
-                        exchange.abandoned = true;
-                    }
-                    if let Some(job) = self.jobs_out.remove(&lost) {
-                        self.fact(What::Came { job, conn, verdict: Verdict::Reset });
-                    }
-                }
-                out.push(Output::Reset(conn));
-            }
-            Back::Answer(number, verdict, report) => {
-                if link.out != Some(number) {
-                    return;
-                }
-                link.out = None;
-                link.used = self.now;
-                if let Some(job) = self.jobs_out.remove(&number) {
-                    self.fact(What::Came { job, conn, verdict });
-                    out.push(Output::Answered { conn, job, verdict, report });
-                }
-            }
-            Back::Probe(number, report) => out.push(Output::Probed { conn, number, report }),
-        }
-    }
-
-    fn unlink(&mut self, conn: Conn) -> Option<Link> {
-        let link = self.links.remove(&conn)?;
-        if let Some(server) = link.server {
-            let machine = &mut self.machines[server.0 as usize];
-            if machine.links.remove(&conn)
-                && let Some(running) = &mut machine.server
-            {
-                running.connections(false);
-            }
-        }
-        Some(link)
-    }
-
-    fn close(&mut self, conn: Conn) {
-        let delay = self.link_delay(conn);
-        let Some(link) = self.unlink(conn) else { return };
-        if let (Some(number), Some(delay)) = (link.out, delay) {
-            if let Some(job) = self.jobs_out.remove(&number) {
-                self.fact(What::GaveUp { job, conn });
-            }
-            self.queue.push(self.now + delay, Due::Bye(number));
-        }
-    }
-
     // Servers.
 
     fn reschedule(&mut self, number: usize) {
@@ -1295,297 +1057,4 @@
         self.list_change(number as u32, false);
         self.reschedule(number);
     }
-
-    // Discovery.
-
-    fn spread(&mut self, answers: Vec<Answered>) {
-        for (call, listed) in answers {
-            let delay = self.jittered(self.scenario.network.same.lo);
-            self.queue.push(self.now + delay, Due::Listed(call, listed));
-        }
-        self.discovery_step += 1;
-        let next = self.discovery.next();
-        if next < Time::NEVER {
-            self.queue.push(next, Due::Discovery(self.discovery_step));
-        }
-    }
-
-    /// A proxy has the list, or counts as having it.
-    fn tell(&mut self, proxy: usize, full: bool, lines: &[Shown]) {
-        let side = &mut self.sides[proxy];
-        let mut news: Vec<(ServerNo, State)> =
-            lines.iter().map(|shown| (shown.server, shown.state)).collect();
-        if full {
-            let listed: BTreeSet<ServerNo> = lines.iter().map(|shown| shown.server).collect();
-            let mut missing: Vec<ServerNo> =
-                side.told.keys().filter(|server| !listed.contains(server)).copied().collect();
-            missing.sort_unstable();
-            news.extend(missing.into_iter().map(|server| (server, State::Deleted)));
-        }
-        for shown in lines {
-            let machine = &mut self.machines[shown.server.0 as usize];
-            if machine.started == shown.started {
-                machine.informed.insert(proxy);
-            }
-        }
-        for (server, state) in news {
-            if self.sides[proxy].told.insert(server, state) != Some(state) {
-                self.fact(What::Told { proxy, server, state });
-            }
-        }
-    }
-
-    /// Once a second: idle connections end, and who neither watches nor asks counts as told.
-    fn second(&mut self) {
-        for number in 0..self.machines.len() {
-            let keepalive = self.machines[number].traits.keepalive;
-            let old: Vec<Conn> = self.machines[number]
-                .links
-                .iter()
-                .filter(|conn| {
-                    self.links
-                        .get(conn)
-                        .is_some_and(|link| link.out.is_none() && link.used + keepalive <= self.now)
-                })
-                .copied()
-                .collect();
-            for conn in old {
-                self.machines[number].links.remove(&conn);
-                if let Some(server) = &mut self.machines[number].server {
-                    server.connections(false);
-                }
-                self.send_back(conn, Back::Reset);
-            }
-        }
-        self.keys.retain(|(job, _), _| self.tries.contains_key(job));
-        let (_, list) = self.discovery.list();
-        for proxy in 0..self.sides.len() {
-            let within =
-                if self.scenario.discovery.pushed { AGENT_WITHIN } else { self.scenario.rules.ask_within };
-            let silent = self.sides[proxy].asked + within <= self.now;
-            if self.sides[proxy].up && silent && !self.discovery.asks(proxy) {
-                self.tell(proxy, true, &list);
-            }
-        }
-        if !self.over() {
-            self.queue.push(self.now + Time::ms(1000), Due::Second);
-        }
-    }
-
-    // What goes wrong.
-
-    fn trouble(&mut self, number: usize, out: &mut Vec<Output>) {
-        let trouble = self.scenario.trouble[number].clone();
-        let mut draws = Draws::new(self.chance.bits(), "strike", number as u64);
-        let until = self.now + draws.time(trouble.length);
-        let size = draws.within(trouble.size.map(|part| part.0));
-        let delay = draws.time(trouble.delay);
-        let times = draws.within(trouble.times);
-        let part = draws.within(trouble.part.map(|part| part.0));
-        let some = |mut all: Vec<u32>, draws: &mut Draws| {
-            draws.shuffle(&mut all);
-            let count = ((all.len() as f64 * part).round() as usize).clamp(all.len().min(1), all.len());
-            all.truncate(count);
-            all
-        };
-        let serving = self.machines.iter().enumerate().filter(|(_, machine)| {
-            machine.state == State::Serving && machine.server.is_some() && !machine.cut
-        });
-        let struck = some(serving.map(|(number, _)| number as u32).collect(), &mut draws);
-        let proxies: Vec<usize> = some((0..self.sides.len() as u32).collect(), &mut draws)
-            .into_iter()
-            .map(|proxy| proxy as usize)
-            .collect();
-        let now = self.now;
-        match trouble.fault {
-            Fault::Hang => self.strike(&struck, |server| server.hang(true)),
-            Fault::FastErrors => {
-                struck.iter().for_each(|&at| self.machines[at as usize].failing = size);
-            }
-            Fault::Neighbour | Fault::Stalls => self.queue.push(now, Due::Toggle(number, true)),
-            Fault::LateReports => {
-                for machine in &mut self.machines {
-                    if let Some(server) = &mut machine.server {
-                        server.late_reports(delay);
-                    }
-                }
-            }
-            Fault::StaleDiscovery => self.stale += delay,
-            Fault::DiscoveryDown => {
-                let mut answers = Vec::new();
-                self.discovery.down(true, &mut answers);
-                self.spread(answers);
-            }
-            Fault::Churn => self.queue.push(now, Due::Replace(number)),
-            Fault::Restart => {
-                for &at in &struck {
-                    self.end(at as usize, false);
-                    self.queue.push(now + delay.max(Time::ms(100)), Due::Starts(at));
-                }
-            }
-            Fault::Silent => {
-                for &at in &struck {
-                    self.touch(at as usize);
-                    self.machines[at as usize].cut = true;
-                    self.topology += 1;
-                    self.machines[at as usize].state = State::Deleted;
-                    self.list_change(at, true);
-                    self.machines[at as usize].state = State::Serving;
-                    self.queue.push(until, Due::Returns(at));
-                }
-            }
-            Fault::Resets => self.queue.push(now, Due::Reset(number)),
-            Fault::Moved => out.extend(proxies.iter().map(|&proxy| Output::Move(proxy))),
-            Fault::Stop | Fault::Kill => {
-                for &proxy in &proxies {
-                    self.sides[proxy].stopping = true;
-                    self.sides[proxy].up = false;
-                    out.push(match trouble.fault {
-                        Fault::Stop => Output::Stop(proxy),
-                        _ => Output::Kill(proxy),
-                    });
-                    // No sooner than the longest deadline: by then every job that was taken is over.
-                    let deadlines = self.scenario.class.iter().map(|class| class.deadline);
-                    let longest = match trouble.fault {
-                        Fault::Stop => deadlines.max().unwrap_or_default() + Time::ms(700),
-                        _ => Time::ms(500),
-                    };
-                    self.queue.push(now + delay.max(longest), Due::StartProxy(proxy));
-                }
-            }
-            Fault::Spoilt | Fault::Surge | Fault::Heavy => {}
-        }
-        self.running[number] = Some(Running { struck, size, times, until, delay });
-        self.queue.push(until, Due::Calm(number));
-    }
-
-    fn calm(&mut self, number: usize) {
-        let Some(running) = self.running[number].take() else { return };
-        match self.scenario.trouble[number].fault {
-            Fault::Hang | Fault::Stalls => self.strike(&running.struck, |server| server.hang(false)),
-            Fault::FastErrors => {
-                running.struck.iter().for_each(|&at| self.machines[at as usize].failing = 0.0);
-            }
-            Fault::Neighbour => self.strike(&running.struck, |server| server.steal(0.0)),
-            Fault::LateReports => {
-                for machine in &mut self.machines {
-                    if let Some(server) = &mut machine.server {
-                        server.late_reports(Time::ZERO);
-                    }
-                }
-            }
-            Fault::StaleDiscovery => self.stale = self.stale - running.delay,
-            Fault::DiscoveryDown => {
-                let mut answers = Vec::new();
-                self.discovery.down(false, &mut answers);
-                self.spread(answers);
-            }
-            _ => {}
-        }
-    }
-
-    /// What strikes servers from now on, or leaves them.
-    fn strike(&mut self, struck: &[u32], change: impl Fn(&mut Server)) {
-        for &at in struck {
-            self.touch(at as usize);
-            if let Some(server) = &mut self.machines[at as usize].server {
-                change(server);
-            }
-            self.reschedule(at as usize);
-        }
-    }
-
-    fn toggle(&mut self, number: usize, on: bool) {
-        let Some(running) = &self.running[number] else { return };
-        let (struck, size, until) = (running.struck.clone(), running.size, running.until);
-        let every = self.chance.time(self.scenario.trouble[number].every);
-        let mut at = self.now + every;
-        if self.scenario.trouble[number].fault == Fault::Stalls {
-            self.strike(&struck, |server| server.hang(on));
-            if on {
-                at = self.now + self.chance.time(self.scenario.trouble[number].delay);
-            }
-        } else {
-            self.strike(&struck, |server| server.steal(if on { size } else { 0.0 }));
-        }
-        if at < until {
-            self.queue.push(at, Due::Toggle(number, !on));
-        }
-    }
-
-    /// One server drains, and a new one starts under a new id.
-    fn replace(&mut self, number: usize) {
-        let Some(running) = &self.running[number] else { return };
-        let (until, size) = (running.until, running.size);
-        let serving: Vec<usize> = (0..self.machines.len())
-            .filter(|&at| {
-                let machine = &self.machines[at];
-                machine.state == State::Serving && machine.server.is_some() && !machine.cut
-            })
-            .collect();
-        // The oldest first, so that a day's fleet is renewed as a whole.
-        if let Some(&old) = serving.first() {
-            self.machines[old].state = State::Draining;
-            self.list_change(old as u32, false);
-            let limit = self.chance.time(crate::units::Span { lo: Time::ms(4000), hi: Time::ms(9000) });
-            self.queue.push(self.now + limit, Due::Ends(old as u32));
-            let new = self.machines.len();
-            let mut draws = Draws::new(self.chance.bits(), "replacement", new as u64);
-            let kind = self.machines[old].traits.kind;
-            let traits =
-                Traits::draw(&self.scenario.kind[kind], kind, self.machines[old].traits.zone, &mut draws);
-            // An address stays in its zone: whoever still takes it for its former holder's must not be led elsewhere.
-            let home = |address: u32| {
-                let last = self.machines.iter().rev().find(|machine| machine.address == address);
-                last.is_some_and(|last| last.traits.zone == traits.zone)
-            };
-            let near = self.free.iter().rposition(|&address| home(address));
-            let reused = near.filter(|_| self.chance.chance(size)).map(|at| self.free.remove(at));
-            let address = reused.unwrap_or_else(|| {
-                self.addresses.push(None);
-                self.addresses.len() as u32 - 1
-            });
-            self.machines.push(Machine {
-                traits,
-                server: None,
-                address,
-                state: State::Serving,
-                started: self.now,
-                cut: false,
-                informed: BTreeSet::new(),
-                sent: (0.0, 0.0),
-                failing: 0.0,
-                step: 0,
-                links: BTreeSet::new(),
-                draws,
-            });
-            self.start(new);
-        }
-        let at = self.now + self.chance.time(self.scenario.trouble[number].every);
-        if at < until {
-            self.queue.push(at, Due::Replace(number));
-        }
-    }
-
-    fn reset(&mut self, number: usize) {
-        let Some(running) = &self.running[number] else { return };
-        let (until, size, struck) = (running.until, running.size, running.struck.clone());
-        if !struck.is_empty() {
-            let at = struck[self.chance.below(struck.len())] as usize;
-            let links: Vec<Conn> = self.machines[at].links.iter().copied().collect();
-            for conn in links {
-                if self.chance.chance(size) {
-                    self.machines[at].links.remove(&conn);
-                    if let Some(server) = &mut self.machines[at].server {
-                        server.connections(false);
-                    }
-                    self.send_back(conn, Back::Reset);
-                }
-            }
-        }
-        let at = self.now + self.chance.time(self.scenario.trouble[number].every);
-        if at < until {
-            self.queue.push(at, Due::Reset(number));
-        }
-    }
 }
