Spread failed calls for the list by the fleet's size, and shed when the list says fewer serve

In the rig 59 calls failed where discovery answers 5 a second.

Cause (trial trace over all logs): policy.rs let a failed call come again after 0.25 to 0.75 s; discovery works through failed calls all the same, so it was busy with callers who had given up. The refused jobs had only met nodes of an old list that no longer run. With lists in time the fleet then jammed what was left of it: strain is learnt from answers, and 18 of 60 nodes drain within 2 s.

--- /dev/null
+++ b/crates/comeback/src/pace.rs
@@ -0,0 +1,36 @@
+//! When the list is called for again after a call has failed.
+
+/// Callers that failed together come back at one for this share of the time allowed between calls: nobody knows how
+/// many calls the directory answers, so few are reckoned with.
+const EACH: f64 = 0.02;
+/// The first wait is at least this share of that time in the mean,
+const LEAST: f64 = 0.05;
+/// and at most this one,
+const MOST: f64 = 0.4;
+/// doubled with each failure in a row so many times at most: nobody may go without asking for four times that time.
+const DOUBLINGS: u32 = 2;
+
+/// The pace of one caller.
+///
+/// Danger: a directory that works through calls in turn also works through those whose callers have given up. A fleet
+/// whose failed calls come again too soon keeps it busy with these, and hardly anybody is ever answered.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    failures: u32,
+}
+
+impl Pace {
+    /// A call was answered.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+    }
+
+    /// A call has failed: the wait before the next one. `within` is the time allowed between calls, `fleet` how many call,
+    /// as far as that is known, `chance` a draw from 0 to 1.
+    pub fn failed(&mut self, within: f64, fleet: f64, chance: f64) -> f64 {
+        let doubled = f64::from(1_u32 << self.failures.min(DOUBLINGS));
+        self.failures = self.failures.saturating_add(1);
+        let share = (EACH * fleet).clamp(LEAST, MOST);
+        within * share * doubled * (0.5 + chance)
+    }
+}
--- a/crates/ctl/src/fleet_day.rs
+++ b/crates/ctl/src/fleet_day.rs
@@ -6,8 +6,9 @@
 use clap::Args;
 use mosshead_emulator::Options;
 use mosshead_rig::checks::Peaks;
-use mosshead_rig::{FleetDay, play};
-use mosshead_world::units::Span;
+use mosshead_rig::{FleetDay, play, play_virtual};
+use mosshead_world::scenario::Scenario;
+use mosshead_world::units::{PerSecond, Span};
 use tabled::builder::Builder;
 use tabled::settings::{Alignment, Style, object::Columns};
 
@@ -28,6 +29,12 @@
     /// So many processes, in place of the scenario's.
     #[arg(long)]
     processes: Option<u64>,
+    /// So many times the scenario's servers, and calls that discovery answers.
+    #[arg(long, default_value_t = 1.0)]
+    times: f64,
+    /// In virtual time, with up to 5,000 instances in place of processes.
+    #[arg(long = "virtual", conflicts_with_all = ["keep", "command"])]
+    in_virtual_time: bool,
     /// Keeps each process's log, and what crossed the links, in this folder.
     #[arg(long)]
     keep: Option<PathBuf>,
@@ -46,11 +53,22 @@
     pub fn run(&self) -> anyhow::Result<End> {
         let mut scenario = scenarios::read(&self.scenario)?;
         if let Some(processes) = self.processes {
-            if !(1..=500).contains(&processes) {
-                return Err(BadUse(format!("--processes {processes}: write 1 to 500")).into());
+            let most = if self.in_virtual_time { 5000 } else { 500 };
+            if !(1..=most).contains(&processes) {
+                return Err(BadUse(format!("--processes {processes}: write 1 to {most}")).into());
             }
             scenario.load.proxies = Span::one(processes);
         }
+        if !(0.1..=1000.0).contains(&self.times) {
+            return Err(BadUse(format!("--times {}: write 0.1 to 1000", self.times)).into());
+        }
+        for kind in &mut scenario.kind {
+            kind.count = kind.count.map(|count| ((count as f64 * self.times).round() as u64).max(1));
+        }
+        scenario.discovery.capacity = scenario.discovery.capacity.map(|rate| PerSecond(rate.0 * self.times));
+        if self.in_virtual_time {
+            return self.virtually(&scenario);
+        }
         if !self.late_ms.is_finite() || self.late_ms <= 0.0 {
             return Err(BadUse(format!("--late-ms {}: write a time above 0", self.late_ms)).into());
         }
@@ -81,6 +99,32 @@
     }
 }
 
+impl Fleet {
+    fn virtually(&self, scenario: &Scenario) -> anyhow::Result<End> {
+        let bar = simulate::bar(&format!("{} {}", scenario.title, self.seed));
+        let day = play_virtual(scenario, self.seed, 1, &mut |now, length| {
+            bar.set_length(length.0 / 1_000_000);
+            bar.set_position((now.0 / 1_000_000).min(length.0 / 1_000_000));
+        })?;
+        bar.finish_and_clear();
+        if self.json {
+            println!("{}", serde_json::to_string(&day)?);
+        } else {
+            println!("{}", days::whole(&day.day, scenario));
+            for back in &day.returns {
+                let full =
+                    back.full_after_s.map_or("never in this day".to_owned(), |after| format!("{after:.2} s"));
+                println!(
+                    "{} ended at {:.2} s, all up at {:.2} s, full service after {full}; at most {:.2} times what a server can do",
+                    back.proxies, back.ended_s, back.up_s, back.peaks.node_load
+                );
+            }
+            days::broken(&day.day).into_iter().for_each(|broken| println!("\n{broken}"));
+        }
+        Ok(if day.day.kept { End::Kept } else { End::Broken })
+    }
+}
+
 /// What crossed the links, a line each.
 fn crossed(day: &FleetDay) -> String {
     let mut text = String::new();
@@ -100,7 +144,7 @@
     text
 }
 
-fn print(day: &FleetDay, scenario: &mosshead_world::scenario::Scenario) {
+fn print(day: &FleetDay, scenario: &Scenario) {
     emulate::print(&day.played, scenario);
     let mut rows = vec![
         [
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -202,6 +202,8 @@
 pub struct Settings {
     /// The zone that this sidecar lives in.
     pub zone: ZoneId,
+    /// How many sidecars there are, as far as that is known; 1 otherwise.
+    pub fleet: f64,
     /// How many kinds of machine there are.
     pub machine_kinds: usize,
     /// The request classes.
@@ -281,6 +283,7 @@
         let mut not_negative = |name, value: f64| {
             figures.push((name, value, value.is_finite() && value >= 0.0, "finite and not below 0"));
         };
+        not_negative("fleet", self.fleet);
         not_negative("limits.max_retry_after", self.limits.max_retry_after);
         not_negative("rules.warm_up", self.rules.warm_up);
         not_negative("cross_zone_price", self.cross_zone_price);
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -89,8 +89,6 @@
 const SETUP_PRICE: f64 = 4.0;
 /// A request without a candidate looks again after so many ticks.
 const HOLD_TICKS: f64 = 4.0;
-/// A failed call for the list is repeated after this share of the limit on asking, doubled each time.
-const WATCH_BACKOFF: f64 = 0.05;
 /// The pair is probed before a first try where two probes cost less than this share of a mean worth,
 const PROBE_CHEAP: f64 = 0.05;
 /// where less than this is left of what either's report says,
@@ -116,6 +114,8 @@
 const STRAIN_PRICE: f64 = 20.0;
 /// What is known of it fades within so many mean deadlines.
 const STRAIN_LIFE: f64 = 10.0;
+/// It counts as many times more as the ready servers can do less, by the list, than while answers came.
+const STRAIN_LOST: f64 = 3.0;
 /// The timer of the subscription; requests count from 1.
 const WATCH_TOKEN: u64 = 0;
 
@@ -195,10 +195,9 @@
         match update {
             ListUpdate::Failed if !asking => return,
             ListUpdate::Failed => {
-                // Danger: all sidecars calling again at once keep a slow directory down; spread and back off.
-                let doubled = f64::from(1 << self.seen.watch_failures.min(3));
-                self.seen.watch_failures += 1;
-                let delay = self.settings.rules.ask_within * WATCH_BACKOFF * doubled * (0.5 + self.chance());
+                let chance = self.chance();
+                let delay =
+                    self.seen.pace.failed(self.settings.rules.ask_within, self.settings.fleet, chance);
                 return actions.push(Action::Timer { delay, token: Token(WATCH_TOKEN) });
             }
             ListUpdate::Changes(entries) => {
@@ -210,7 +209,7 @@
             }
             ListUpdate::Full(entries) => self.seen.replace(now, entries, &mut self.rng),
         }
-        self.seen.watch_failures = 0;
+        self.seen.pace.answered();
         self.order(now);
     }
 
@@ -224,6 +223,7 @@
             ready.iter().map(|index| of(&self.seen.endpoints[*index])).sum()
         };
         let (able, size) = (sum(&|other| self.capacity(other, now)), sum(&|other| self.size(other)));
+        self.seen.strain.listed(able);
         let rules = &self.settings.rules;
         // Danger: where most of the fleet is cold, a share of what it can do now is more than the server can.
         let fleet = able.max(size * COLD_LOAD / rules.fall_multiple).max(f64::MIN_POSITIVE);
@@ -643,8 +643,9 @@
 
     /// The strain by now. Danger: who sends nothing never hears that a jam is over.
     fn strain(&self, now: Seconds) -> f64 {
-        let (strain, at) = self.seen.strain;
-        strain * ((at - now) / (STRAIN_LIFE * self.seen.mean_deadline)).exp()
+        // Danger: servers that drain or start cold leave their work to fewer, who jam before an answer tells.
+        let lost = self.seen.strain.lost().min(STRAIN_LOST);
+        self.seen.strain.read(now, STRAIN_LIFE * self.seen.mean_deadline) * lost
     }
 
     /// Refuses early, by those odds.
@@ -835,8 +836,7 @@
         if let Some((class, _)) = attempt.as_ref().filter(|_| missed || end == Outcome::Served) {
             let share = (rtt / self.settings.classes[class.0].target).min(1.0);
             let sample = if missed { STRAIN_MISS } else { share };
-            let strain = self.strain(now);
-            self.seen.strain = (strain + STRAIN_GAIN * (sample - strain), now);
+            self.seen.strain.add(now, STRAIN_LIFE * self.seen.mean_deadline, sample, STRAIN_GAIN);
         }
         // Danger: full servers turn away whoever comes next; worth has to decide before them.
         let tells =
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use mosshead_comeback::Pace;
 use rand_core::RngCore;
 
 use crate::Balancer;
@@ -68,8 +69,7 @@
     /// The share of attempts that fail, wherever they go.
     pub(crate) failures: Mean,
     pub(crate) mean_worth: Mean,
-    /// The share of the wanted time that the last answers took, as of some instant.
-    pub(crate) strain: (f64, Seconds),
+    pub(crate) strain: Strain,
     pub(crate) mean_deadline: Seconds,
     pub(crate) least_target: Seconds,
     /// Retries and second copies that the budget has left.
@@ -80,7 +80,8 @@
     /// Ready servers that some class is bound to, as a share of the fleet's size; that class's share of the work.
     pub(crate) reserve: f64,
     pub(crate) bound: Mean,
-    pub(crate) watch_failures: i32,
+    /// When the list is called for again.
+    pub(crate) pace: Pace,
 }
 
 impl Memory {
@@ -110,7 +111,7 @@
             mean_service: Mean::new(mean(|class| class.target / WAITING), 0.0),
             report_age: 0.0,
             failures: Mean::new(0.0, 64.0),
-            strain: (0.0, 0.0),
+            strain: Strain::default(),
             mean_worth: Mean::new(mean(|class| class.worth), 0.0),
             mean_deadline: mean(|class| class.deadline),
             least_target: all.iter().map(|class| class.target).fold(f64::INFINITY, f64::min),
@@ -119,7 +120,7 @@
             markets: markets(all),
             reserve: 1.0,
             bound: Mean::default(),
-            watch_failures: 0,
+            pace: Pace::default(),
         }
     }
 
@@ -323,6 +324,43 @@
     }
 }
 
+/// The share of the wanted time that the last answers took, and what the ready servers could do meanwhile.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Strain {
+    value: f64,
+    at: Seconds,
+    /// What they can do by the list, now and while the answers came.
+    able: f64,
+    usual: f64,
+}
+
+impl Strain {
+    /// The list says that they can do this much now.
+    pub(crate) fn listed(&mut self, able: f64) {
+        self.able = able;
+        if self.usual == 0.0 {
+            self.usual = able;
+        }
+    }
+
+    /// What is known fades with `life`.
+    pub(crate) fn read(&self, now: Seconds, life: Seconds) -> f64 {
+        self.value * ((self.at - now) / life).exp()
+    }
+
+    /// An answer took this share.
+    pub(crate) fn add(&mut self, now: Seconds, life: Seconds, share: f64, gain: f64) {
+        let before = self.read(now, life);
+        (self.value, self.at) = (before + gain * (share - before), now);
+        self.usual += gain * (self.able - self.usual);
+    }
+
+    /// How many times less they can do now than while the answers came.
+    pub(crate) fn lost(&self) -> f64 {
+        (self.usual / self.able.max(f64::MIN_POSITIVE)).max(1.0)
+    }
+}
+
 /// How many own attempts a server may have at once: fewer after late answers, slowly more after others.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Room {
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -15,6 +15,7 @@
 pub fn settings() -> Settings {
     Settings {
         zone: ZoneId(0),
+        fleet: 1.0,
         machine_kinds: 1,
         classes: vec![
             class(Effect::Safe),
--- a/crates/rig/src/checks.rs
+++ b/crates/rig/src/checks.rs
@@ -248,7 +248,7 @@
 }
 
 /// The peaks of a record from an instant on; `capacity` says how many requests a second a server can do.
-pub fn peaks(record: &Record, from: Time, capacity: impl Fn(ServerNo) -> f64) -> Peaks {
+pub fn peaks(record: &Record, from: Time, capacity: &impl Fn(ServerNo) -> f64) -> Peaks {
     let quarter = Time::ms(250);
     let tenth = Time::ms(100);
     let mut peaks = Peaks::default();
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -12,4 +12,4 @@
 pub mod record;
 pub mod service;
 
-pub use day::{FleetDay, play};
+pub use day::{FleetDay, VirtualDay, play, play_virtual};
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -185,6 +185,7 @@
     let price = |name| info.find("prices")?.map_or(Ok(0.0), |prices| prices.number_or(name, 0.0));
     let settings = Settings {
         zone,
+        fleet: info.number_or("group_size", 1.0)?,
         machine_kinds,
         classes: (info.get("classes")?.items()?.iter())
             .map(|class| read_class(class, &mut zones, &mut kinds))
