Call for the list once, not again and again, after a standstill

Need: on reading the change once more: for 0.1 s after a process goes on, each failed call for the list led to another at once, so a discovery that refuses was called without end.

Change: one such call a standstill (module.rs, ask_at_once).

--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -219,8 +219,15 @@
     order: u64,
     /// Events that an action led to at once: the module is told once it has said all.
     events: VecDeque<Event>,
-    /// For how long the process last stood still, and when it went on.
-    stood: Option<(Duration, Instant)>,
+    stood: Option<Stood>,
+}
+
+/// The last time that the process stood still.
+struct Stood {
+    long: Duration,
+    went_on: Instant,
+    /// The list was called for again since.
+    asked: bool,
 }
 
 impl Actor {
@@ -274,9 +281,9 @@
         }
         match &mut self.stood {
             // The first timer that is looked at need not be the one that waited longest.
-            Some((stood, went_on)) if now < *went_on + AWAKE => *stood = late.max(*stood),
+            Some(stood) if now < stood.went_on + AWAKE => stood.long = late.max(stood.long),
             _ => {
-                self.stood = Some((late, now));
+                self.stood = Some(Stood { long: late, went_on: now, asked: false });
                 say!(stood_s = format!("{:.3}", late.as_secs_f64()), "went on");
             }
         }
@@ -284,8 +291,15 @@
 
     /// How long what is read now may have waited for this process: nobody else knows that it stood still.
     fn may_have_waited(&self) -> Seconds {
-        let stood = self.stood.filter(|(_, went_on)| went_on.elapsed() < AWAKE);
-        stood.map_or(0.0, |(stood, _)| stood.as_secs_f64())
+        let stood = self.stood.as_ref().filter(|stood| stood.went_on.elapsed() < AWAKE);
+        stood.map_or(0.0, |stood| stood.long.as_secs_f64())
+    }
+
+    /// Whether a call for the list that has failed just now may have been answered while the process stood still: what
+    /// it would have told counts as told. Danger: one that fails at once would be called without end.
+    fn ask_at_once(&mut self) -> bool {
+        let awake = self.may_have_waited() > 0.0;
+        awake && self.stood.as_mut().is_some_and(|stood| !std::mem::replace(&mut stood.asked, true))
     }
 
     /// Where lists are pushed they come by themselves in the module's eyes: the watch on the agent is this wire's.
@@ -331,9 +345,7 @@
             Mail::List(None) => {
                 // Danger: with discovery down from the start, nobody would ever be let in.
                 self.module.control.set_ready();
-                if self.may_have_waited() > 0.0 {
-                    // Danger: a call that ran out of time while the process stood still may have been answered: what it
-                    // would have told counts as told.
+                if self.ask_at_once() {
                     return self.list.watch();
                 }
                 self.tell(Event::List(ListUpdate::Failed));
