--- a/crates/ctl/src/emulate.rs
+++ b/crates/ctl/src/emulate.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use clap::Args;
+use indicatif::ProgressBar;
 use mosshead_emulator::{Options, Played, play};
+use mosshead_world::Time;
 
 use crate::{BadUse, End, days, scenarios, simulate};
 
@@ -32,7 +34,7 @@
 }
 
 /// The proxy that was built together with this program.
-pub(crate) fn beside() -> anyhow::Result<Vec<String>> {
+fn beside() -> anyhow::Result<Vec<String>> {
     let own = std::env::current_exe()?;
     let program = own.parent().unwrap_or(Path::new(".")).join("mosshead");
     if !program.exists() {
@@ -45,22 +47,38 @@
     Ok(vec![program.display().to_string(), "serve".to_owned()])
 }
 
+/// What a day on loopback is played with.
+pub(crate) fn options(
+    seed: u64,
+    command: &[String],
+    logs: &Option<PathBuf>,
+    late_ms: f64,
+) -> anyhow::Result<Options> {
+    if !late_ms.is_finite() || late_ms <= 0.0 {
+        return Err(BadUse(format!("--late-ms {late_ms}: write a time above 0")).into());
+    }
+    let command = if command.is_empty() { beside()? } else { command.to_vec() };
+    let mut options = Options::new(seed, command);
+    options.logs.clone_from(logs);
+    options.late_limit = Duration::from_secs_f64(late_ms / 1000.0);
+    Ok(options)
+}
+
+/// Shows on a bar how far a day has come.
+pub(crate) fn shows(bar: &ProgressBar) -> impl Fn(Time, Time) + 'static {
+    let bar = bar.clone();
+    move |now, length| {
+        bar.set_length(length.0 / 1_000_000);
+        bar.set_position((now.0 / 1_000_000).min(length.0 / 1_000_000));
+    }
+}
+
 impl Emulate {
     pub fn run(&self) -> anyhow::Result<End> {
         let scenario = scenarios::read(&self.scenario)?;
-        if !self.late_ms.is_finite() || self.late_ms <= 0.0 {
-            return Err(BadUse(format!("--late-ms {}: write a time above 0", self.late_ms)).into());
-        }
-        let command = if self.command.is_empty() { beside()? } else { self.command.clone() };
-        let mut options = Options::new(self.seed, command);
-        options.logs = self.logs.clone();
-        options.late_limit = Duration::from_secs_f64(self.late_ms / 1000.0);
+        let options = options(self.seed, &self.command, &self.logs, self.late_ms)?;
         let bar = simulate::bar(&format!("{} {}", scenario.title, self.seed));
-        let shown = bar.clone();
-        let played = play(&scenario, &options, move |now, length| {
-            shown.set_length(length.0 / 1_000_000);
-            shown.set_position((now.0 / 1_000_000).min(length.0 / 1_000_000));
-        })?;
+        let played = play(&scenario, &options, shows(&bar))?;
         bar.finish_and_clear();
         if self.json {
             println!("{}", serde_json::to_string(&played)?);
--- a/crates/ctl/src/fleet_day.rs
+++ b/crates/ctl/src/fleet_day.rs
@@ -1,10 +1,8 @@
 //! `mossheadctl fleet-day`: many processes of the program, with faults on the ways between them.
 
 use std::path::PathBuf;
-use std::time::Duration;
 
 use clap::Args;
-use mosshead_emulator::Options;
 use mosshead_rig::checks::Peaks;
 use mosshead_rig::{FleetDay, play, play_virtual};
 use mosshead_world::scenario::Scenario;
@@ -69,19 +67,9 @@
         if self.in_virtual_time {
             return self.virtually(&scenario);
         }
-        if !self.late_ms.is_finite() || self.late_ms <= 0.0 {
-            return Err(BadUse(format!("--late-ms {}: write a time above 0", self.late_ms)).into());
-        }
-        let command = if self.command.is_empty() { emulate::beside()? } else { self.command.clone() };
-        let mut options = Options::new(self.seed, command);
-        options.logs = self.keep.clone();
-        options.late_limit = Duration::from_secs_f64(self.late_ms / 1000.0);
+        let options = emulate::options(self.seed, &self.command, &self.keep, self.late_ms)?;
         let bar = simulate::bar(&format!("{} {}", scenario.title, self.seed));
-        let shown = bar.clone();
-        let day = play(&scenario, &options, move |now, length| {
-            shown.set_length(length.0 / 1_000_000);
-            shown.set_position((now.0 / 1_000_000).min(length.0 / 1_000_000));
-        })?;
+        let day = play(&scenario, &options, emulate::shows(&bar))?;
         bar.finish_and_clear();
         if let Some(folder) = &self.keep {
             std::fs::write(folder.join("crossed.txt"), crossed(&day))?;
@@ -102,10 +90,7 @@
 impl Fleet {
     fn virtually(&self, scenario: &Scenario) -> anyhow::Result<End> {
         let bar = simulate::bar(&format!("{} {}", scenario.title, self.seed));
-        let day = play_virtual(scenario, self.seed, 1, &mut |now, length| {
-            bar.set_length(length.0 / 1_000_000);
-            bar.set_position((now.0 / 1_000_000).min(length.0 / 1_000_000));
-        })?;
+        let day = play_virtual(scenario, self.seed, 1, &mut emulate::shows(&bar))?;
         bar.finish_and_clear();
         if self.json {
             println!("{}", serde_json::to_string(&day)?);
