--- /dev/null
+++ b/crates/catchment/src/lib.rs
@@ -0,0 +1,1 @@
+//! The register of servers: sources, versions, and what a puller lacks.
--- /dev/null
+++ b/crates/cistern/src/lib.rs
@@ -0,0 +1,1 @@
+//! An append-only file of checksummed records, rewritten when it gets long.
--- /dev/null
+++ b/crates/culvert/src/lib.rs
@@ -0,0 +1,1 @@
+//! Calls between own processes: a pair of types, one handler.
--- /dev/null
+++ b/crates/ripple/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership: probes in turn, second opinions, suspicion before removal.
--- /dev/null
+++ b/crates/sluice/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data plane on sockets: clients, requests, streams, hand-overs.
--- /dev/null
+++ b/crates/works/src/bin/mosshead-reservoir.rs
@@ -0,0 +1,2 @@
+//! A machine of the core.
+fn main() {}
--- /dev/null
+++ b/crates/works/src/bin/mosshead-sluice.rs
@@ -0,0 +1,2 @@
+//! The proxy of the fleet.
+fn main() {}
--- /dev/null
+++ b/crates/works/src/lib.rs
@@ -0,0 +1,1 @@
+//! The programs of the fleet: thin, settings and logs.
