--- /dev/null
+++ b/crates/sluice/src/attempt.rs
@@ -0,0 +1,190 @@
+//! One send to one server, and what it proves.
+
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response::Parts;
+use hyper::{Method, Request, StatusCode, Uri};
+use mosshead_weir::Fault;
+use tokio::time::{Duration, Instant, timeout, timeout_at};
+
+use crate::links::{Opened, ServerLink};
+use crate::view::Sluice;
+
+/// An answer that is held is at most this long.
+const HELD: usize = 4 * 1024 * 1024;
+/// What is left of an answer that nobody wants is read for so long, for the connection's sake.
+const REST: Duration = Duration::from_millis(200);
+
+pub(crate) const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt-id");
+const SEAL: HeaderName = HeaderName::from_static("x-server-seal");
+const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
+
+/// A client's request as it is passed on.
+#[derive(Clone, Debug)]
+pub(crate) struct Message {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) id: Option<HeaderValue>,
+}
+
+/// Which server, and how many connections to it this proxy may have.
+#[derive(Clone, Debug)]
+pub(crate) struct Server {
+    pub(crate) id: Rc<str>,
+    pub(crate) address: SocketAddrV4,
+    pub(crate) most: usize,
+}
+
+/// What came of a send.
+pub(crate) enum Sent {
+    /// The head of the answer to this very request.
+    Answer { head: Parts, body: Incoming, link: ServerLink },
+    /// It never arrived whole.
+    NotSent(Fault),
+    /// The server says that it did not run and never will.
+    NeverRan(StatusCode),
+    /// It may have run.
+    Broken,
+    /// Nothing came in time; it may have run.
+    Late,
+}
+
+fn number(value: u64) -> HeaderValue {
+    HeaderValue::from(value)
+}
+
+impl Message {
+    fn request(&self, server: &Server, left: u64, extra: &[(&'static str, HeaderValue)]) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let headers = request.headers_mut();
+        *headers = self.headers.clone();
+        headers.remove(CONTENT_LENGTH);
+        if !self.body.is_empty() || self.method != Method::GET {
+            headers.insert(CONTENT_LENGTH, number(self.body.len() as u64));
+        }
+        headers.insert("x-deadline-ms", number(left.max(1)));
+        if let Ok(id) = HeaderValue::from_str(&server.id) {
+            headers.insert("x-target-instance", id);
+        }
+        for (name, value) in extra {
+            headers.insert(*name, value.clone());
+        }
+        request
+    }
+}
+
+pub(crate) fn kept(head: &Parts) -> Option<Duration> {
+    let value = head.headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+impl Sluice {
+    /// Sends once. `until`: for how long the head of an answer is waited for.
+    pub(crate) async fn send(
+        self: &Rc<Self>,
+        server: &Server,
+        message: &Message,
+        deadline: u64,
+        until: Instant,
+        extra: &[(&'static str, HeaderValue)],
+    ) -> Sent {
+        for _ in 0..4 {
+            let (mut link, reused) = match self.links.idle(&server.id) {
+                Some(link) => (link, true),
+                None => {
+                    let left = until.saturating_duration_since(Instant::now());
+                    match self.links.open(&server.id, server.address, server.most, left).await {
+                        Opened::Link(link) => (link, false),
+                        Opened::TooMany => return Sent::NotSent(Fault::Full),
+                        Opened::Unreachable => return Sent::NotSent(Fault::Unreachable),
+                    }
+                }
+            };
+            if !link.ready().await {
+                if reused {
+                    continue;
+                }
+                return Sent::NotSent(Fault::Broken);
+            }
+            let request = message.request(server, deadline.saturating_sub(self.now()), extra);
+            let answer = timeout_at(until, link.send(request, message.body.len())).await;
+            let response = match answer {
+                Err(_) if link.written.whole() => return Sent::Late,
+                Err(_) => return Sent::NotSent(Fault::Unreachable),
+                Ok(Err(_)) if link.written.whole() => return Sent::Broken,
+                // Danger: only what has not left whole never ran; a server may begin with the last byte.
+                Ok(Err(_)) if reused => continue,
+                Ok(Err(_)) => return Sent::NotSent(Fault::Broken),
+                Ok(Ok(response)) => response,
+            };
+            let (head, body) = response.into_parts();
+            // Danger: an answer in excess to an earlier request may stand where this one's is due.
+            if message.id.is_some() && head.headers.get(ATTEMPT) != message.id.as_ref() {
+                return Sent::Broken;
+            }
+            if head.status == StatusCode::MISDIRECTED_REQUEST || head.headers.contains_key(NOT_EXECUTED) {
+                let status = head.status;
+                self.spare(&server.id, link, head, body);
+                return Sent::NeverRan(status);
+            }
+            return Sent::Answer { head, body, link };
+        }
+        Sent::NotSent(Fault::Broken)
+    }
+
+    /// Reads what is left of an answer aside, and keeps the connection.
+    pub(crate) fn spare(self: &Rc<Self>, id: &Rc<str>, mut link: ServerLink, head: Parts, mut body: Incoming) {
+        let (sluice, id) = (self.clone(), id.clone());
+        tokio::task::spawn_local(async move {
+            let rest = async {
+                while let Some(frame) = body.frame().await {
+                    if frame.is_err() {
+                        return false;
+                    }
+                }
+                link.ready().await
+            };
+            if timeout(REST, rest).await == Ok(true) {
+                sluice.links.put(&id, link, kept(&head));
+            }
+        });
+    }
+
+    /// The whole answer; `None` where it broke off or was too late or too long.
+    pub(crate) async fn whole(
+        self: &Rc<Self>,
+        id: &Rc<str>,
+        head: &Parts,
+        body: Incoming,
+        mut link: ServerLink,
+        until: Instant,
+    ) -> Option<Bytes> {
+        // Danger: without a length or chunks, what broke off looks whole.
+        let framed = head.headers.contains_key(CONTENT_LENGTH)
+            || head.headers.contains_key(hyper::header::TRANSFER_ENCODING)
+            || head.status == StatusCode::NO_CONTENT;
+        if !framed || head.headers.contains_key(hyper::header::CONTENT_ENCODING) {
+            return None;
+        }
+        let body = timeout_at(until, Limited::new(body, HELD).collect()).await.ok()?.ok()?.to_bytes();
+        if timeout(Duration::from_millis(2), link.ready()).await == Ok(true) {
+            self.links.put(id, link, kept(head));
+        }
+        Some(body)
+    }
+}
+
+/// Whether a success bears the server's stamp.
+pub(crate) fn sealed(head: &Parts) -> bool {
+    head.headers.contains_key(SEAL)
+}
--- /dev/null
+++ b/crates/sluice/src/forward.rs
@@ -0,0 +1,337 @@
+//! A client's request, from its last byte to its final answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HOST, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
+use mosshead_mains::{Config, Route, RouteType, Service};
+use mosshead_weir::{Ask, Fault};
+use tokio::time::{Duration, timeout};
+
+use crate::answer::{Cut, Out, own, passed_on};
+use crate::attempt::{ATTEMPT, Message, Sent, Server, sealed};
+use crate::prompt::{Handle, Unread, ask, refusal};
+use crate::view::{Running, Sluice, Under, add};
+
+/// Bytes of bodies that may be held at once.
+const HELD_MOST: usize = 96 * 1024 * 1024;
+/// A server that never got the request is replaced by another so many times.
+const UNSENT_MOST: u32 = 4;
+
+/// What stands fixed for one request.
+pub(crate) struct Job {
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<Service>,
+    pub(crate) message: Message,
+    pub(crate) ask: Option<Ask>,
+    pub(crate) deadline: u64,
+    pub(crate) priority: HeaderValue,
+    /// It may run more than once.
+    pub(crate) repeatable: bool,
+}
+
+/// Bytes that are held, until let go of.
+struct HeldBytes(Rc<Sluice>, usize);
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.0.held.set(self.0.held.get().saturating_sub(self.1));
+    }
+}
+
+impl Sluice {
+    /// The final answer to a client's request. `Err`: the connection ends without one.
+    pub(crate) async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Out>, Cut> {
+        let under = Under::way(&self);
+        let (head, body) = request.into_parts();
+        let Some(config) = self.config() else {
+            return Ok(own(StatusCode::SERVICE_UNAVAILABLE, Some(0.3)));
+        };
+        let expected = body.size_hint().lower() as usize;
+        if expected > config.limits.max_body_bytes {
+            return Ok(own(StatusCode::PAYLOAD_TOO_LARGE, None));
+        }
+        if self.held.get() + expected > HELD_MOST {
+            return Ok(own(StatusCode::SERVICE_UNAVAILABLE, Some(0.5)));
+        }
+        let came = Limited::new(body, config.limits.max_body_bytes).collect();
+        let patience = Duration::from_millis(config.limits.idle_timeout_ms.max(config.limits.header_timeout_ms));
+        let body = match timeout(patience, came).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                return Ok(own(StatusCode::PAYLOAD_TOO_LARGE, None));
+            }
+            Ok(Err(_)) => return Err(Cut),
+            Err(_) => return Ok(own(StatusCode::REQUEST_TIMEOUT, None)),
+        };
+        add(&self.counts.requests);
+        self.held.set(self.held.get() + body.len());
+        let held = HeldBytes(self.clone(), body.len());
+        let mut answer = match self.job(&head, body) {
+            Err(status) => own(status, None),
+            Ok(job) => match &job.ask {
+                Some(_) => self.prompted(job, under).await?,
+                None => self.plain(job).await?,
+            },
+        };
+        drop(held);
+        if self.stopping() {
+            answer.headers_mut().insert(hyper::header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(answer)
+    }
+
+    fn job(self: &Rc<Self>, head: &Parts, body: Bytes) -> Result<Job, StatusCode> {
+        // Danger: the configuration may have changed while the body came; the newest one holds.
+        let config: Arc<Config> = self.config().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+        let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+        let host = host.or_else(|| head.uri.authority().map(|authority| authority.as_str())).unwrap_or_default();
+        let route = config.find(host, head.uri.path()).ok_or(StatusCode::NOT_FOUND)?.clone();
+        let service = self.pick(&config, &route).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+        let mut headers = passed_on(&head.headers);
+        // Danger: what a client says of stages, handles or instances is not the system's word.
+        for name in ["x-serving-stage", "kv-from", "x-target-instance", "priority", "expect-version", "expect"] {
+            headers.remove(name);
+        }
+        let wait = head.headers.get("x-deadline-ms").and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
+        let wait = wait.filter(|wait| wait.is_finite() && *wait >= 0.0).map_or(u64::MAX, |wait| wait as u64);
+        let deadline = self.now() + wait.min(route.timeout_ms);
+        let uri = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let uri = uri.parse().map_err(|_| StatusCode::BAD_REQUEST)?;
+        let id = head.headers.get(ATTEMPT).cloned();
+        let ask = service.engine.as_ref().and_then(|_| ask(&head.headers));
+        let message = Message { method: head.method.clone(), uri, headers, body, id };
+        let repeatable = match route.route_type {
+            RouteType::Idempotent => true,
+            RouteType::NonIdempotent => false,
+            RouteType::Streaming => route.resume,
+        };
+        let priority = HeaderValue::from(u16::from(route.priority.min(9)));
+        self.weir.borrow_mut().asked(self.now(), &service.name);
+        Ok(Job { route, service, message, ask, deadline, priority, repeatable })
+    }
+
+    /// The service of a request: by weight, where a route has several.
+    fn pick(&self, config: &Config, route: &Route) -> Option<Arc<Service>> {
+        let sum: f64 = route.backends.iter().map(|backend| backend.1).sum();
+        let mut lot = self.weir.borrow_mut().chance() * sum;
+        let open = || route.backends.iter().filter(|backend| backend.1 > 0.0);
+        let drawn = open().find(|backend| {
+            lot -= backend.1;
+            lot < 0.0
+        });
+        config.services.get(&drawn.or_else(|| open().last())?.0).cloned()
+    }
+
+    pub(crate) fn server(&self, job: &Job, id: &Rc<str>) -> Option<Server> {
+        let weir = self.weir.borrow();
+        let address = weir.board().get(id)?.server.address;
+        let share = 2.0 * f64::from(job.service.max_connections) / self.proxies.get().max(2) as f64;
+        Some(Server { id: id.clone(), address, most: (share as usize).max(6) })
+    }
+
+    /// What a request is told that has not run: at once, with the time to come back.
+    pub(crate) fn refuse(&self, job: &Job) -> Response<Out> {
+        add(&self.counts.refused);
+        let wait = 0.05 + self.weir.borrow_mut().chance() * job.route.target_latency_ms as f64 / 4000.0;
+        own(StatusCode::SERVICE_UNAVAILABLE, Some(wait))
+    }
+
+    /// What a request is told that may have run.
+    pub(crate) fn fail(&self) -> Response<Out> {
+        add(&self.counts.failed);
+        own(StatusCode::BAD_GATEWAY, None)
+    }
+
+    pub(crate) fn over(&self, job: &Job) -> bool {
+        self.now() + 2 >= job.deadline
+    }
+
+    /// A request whose answer is held whole before it is passed on.
+    async fn plain(self: &Rc<Self>, job: Job) -> Result<Response<Out>, Cut> {
+        let (mut avoid, mut arrived, mut unsent, mut ran) = (Vec::new(), 0_u32, 0, false);
+        let mut last: Option<Response<Out>> = None;
+        loop {
+            let give_up = |last: Option<Response<Out>>| match last {
+                Some(answer) => answer,
+                None if ran => self.fail(),
+                None => self.refuse(&job),
+            };
+            if self.over(&job) || unsent > UNSENT_MOST || arrived >= job.route.retry_count {
+                return Ok(give_up(last));
+            }
+            let now = self.now();
+            let id = self.weir.borrow_mut().one(now, &job.service.name, &avoid);
+            let Some((id, server)) = id.and_then(|id| self.server(&job, &id).map(|server| (id, server))) else {
+                return Ok(give_up(last));
+            };
+            if arrived > 0 && !self.weir.borrow_mut().repeat(now, &job.service.name) {
+                self.weir.borrow_mut().unknown(&id);
+                return Ok(give_up(last));
+            }
+            let running = Running::new(self, &id);
+            let until = self.at(job.deadline);
+            let priority = [("priority", job.priority.clone())];
+            avoid.push(id.clone());
+            match self.send(&server, &job.message, job.deadline, until, &priority).await {
+                Sent::Answer { head, body, link } => {
+                    arrived += 1;
+                    ran = true;
+                    let success = head.status.is_success();
+                    if success && !sealed(&head) {
+                        running.failed(Fault::Broken);
+                    } else if let Some(body) = self.whole(&id, &head, body, link, until).await {
+                        let mut answer = Response::new(Out::Whole(Some(body)));
+                        *answer.status_mut() = head.status;
+                        *answer.headers_mut() = passed_on(&head.headers);
+                        answer.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+                        if success {
+                            running.served();
+                            add(&self.counts.served);
+                            return Ok(answer);
+                        }
+                        running.failed(Fault::Failed);
+                        // Danger: these promise that the request never ran; without the server's proof they lie.
+                        let promise = matches!(head.status.as_u16(), 408 | 421 | 429 | 503);
+                        last = (!promise || job.repeatable).then_some(answer);
+                    } else {
+                        running.failed(Fault::Broken);
+                    }
+                    if !job.repeatable {
+                        return Ok(last.unwrap_or_else(|| self.fail()));
+                    }
+                }
+                Sent::NotSent(fault) => {
+                    running.failed(fault);
+                    unsent += 1;
+                }
+                Sent::NeverRan(status) => {
+                    running.failed(refusal(status));
+                    arrived += 1;
+                }
+                Sent::Broken | Sent::Late => {
+                    running.failed(Fault::Broken);
+                    arrived += 1;
+                    ran = true;
+                    if !job.repeatable {
+                        return Ok(self.fail());
+                    }
+                }
+            }
+        }
+    }
+
+    /// A request with a prompt: the pair, the hand-over, the run.
+    async fn prompted(self: &Rc<Self>, job: Job, under: Under) -> Result<Response<Out>, Cut> {
+        let Some(ask) = job.ask.clone() else { return Ok(self.refuse(&job)) };
+        let (mut avoid, mut arrived, mut unsent, mut ran) = (Vec::new(), 0_u32, 0, false);
+        let mut reads = 0_u32;
+        let mut under = Some(under);
+        loop {
+            if self.over(&job) || unsent > UNSENT_MOST || arrived >= job.route.retry_count {
+                return Ok(if ran { self.fail() } else { self.refuse(&job) });
+            }
+            let now = self.now();
+            let pair = self.weir.borrow_mut().pair(now, &job.service.name, &ask, &avoid);
+            let Some(pair) = pair else {
+                return Ok(if ran { self.fail() } else { self.refuse(&job) });
+            };
+            if arrived > 0 && !self.weir.borrow_mut().repeat(now, &job.service.name) {
+                self.weir.borrow_mut().unknown(&pair.runner);
+                return Ok(if ran { self.fail() } else { self.refuse(&job) });
+            }
+            let mut handle: Option<Handle> = None;
+            if let Some(reader) = pair.reader.as_ref().and_then(|id| self.server(&job, id)) {
+                let granted = reads == 0 || self.weir.borrow_mut().repeat(now, &job.service.name);
+                if granted {
+                    match self.read_prompt(&reader, &job.message, &ask, job.deadline, &job.priority).await {
+                        Ok(read) => {
+                            reads += 1;
+                            handle = Some(read);
+                        }
+                        Err(unread) => {
+                            self.weir.borrow_mut().unknown(&pair.runner);
+                            unsent += 1;
+                            reads += u32::from(!matches!(unread, Unread::NotSent));
+                            avoid.push(reader.id.clone());
+                            continue;
+                        }
+                    }
+                } else {
+                    self.weir.borrow_mut().unknown(&reader.id);
+                }
+            }
+            let Some(server) = self.server(&job, &pair.runner) else {
+                unsent += 1;
+                avoid.push(pair.runner.clone());
+                continue;
+            };
+            let mut again = false;
+            loop {
+                match self.run(&job, &ask, &server, handle.take(), None).await {
+                    Ran::Stream(start) => {
+                        if let Some(under) = under.take() {
+                            return Ok(self.clone().pass_on(job, ask, start, under));
+                        }
+                        return Err(Cut);
+                    }
+                    Ran::Other(answer) => {
+                        ran = true;
+                        arrived += 1;
+                        if !job.repeatable || arrived >= job.route.retry_count {
+                            return Ok(answer);
+                        }
+                        avoid.push(server.id.clone());
+                    }
+                    Ran::Lapsed if !again && !self.over(&job) => {
+                        // The memory could not be had: the same server reads the prompt itself.
+                        again = true;
+                        let now = self.now();
+                        if self.weir.borrow_mut().repeat(now, &job.service.name) {
+                            continue;
+                        }
+                        return Ok(self.refuse(&job));
+                    }
+                    Ran::Lapsed | Ran::Refused => {
+                        arrived += 1;
+                        avoid.push(server.id.clone());
+                    }
+                    Ran::NotSent => {
+                        unsent += 1;
+                        avoid.push(server.id.clone());
+                    }
+                    Ran::Broken => {
+                        ran = true;
+                        arrived += 1;
+                        if !job.repeatable {
+                            return Ok(self.fail());
+                        }
+                        avoid.push(server.id.clone());
+                    }
+                }
+                break;
+            }
+        }
+    }
+}
+
+/// What came of a run.
+pub(crate) enum Ran {
+    /// Its stream begins.
+    Stream(crate::stream::Start),
+    /// An answer that is no stream of events; it ran.
+    Other(Response<Out>),
+    /// The memory could not be had, or the server is full: it never ran.
+    Lapsed,
+    /// It never ran.
+    Refused,
+    /// It never arrived.
+    NotSent,
+    /// It may have run.
+    Broken,
+}
--- /dev/null
+++ b/crates/sluice/src/prompt.rs
@@ -0,0 +1,154 @@
+//! The reading of a prompt by one server for another: the handle, and that it is freed where nobody takes it.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Uri};
+use mosshead_weir::{Ask, Fault};
+use tinyjson::JsonValue;
+use tokio::time::{Duration, Instant};
+
+use crate::attempt::{Message, Sent, Server};
+use crate::view::{Reading, Sluice, add};
+
+/// The parts of a prompt, as its request names them. `None`: it names none, or they make no sense.
+pub(crate) fn ask(headers: &HeaderMap) -> Option<Ask> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let tokens: f64 = text("x-token-count")?.split(',').next()?.trim().parse().ok()?;
+    let mut parts = Vec::new();
+    for part in text("x-prompt-prefix").unwrap_or_default().split(',').take(64) {
+        if let Some((id, count)) = part.trim().split_once(':')
+            && let (Ok(id), Ok(count)) = (u64::from_str_radix(id, 16), count.parse::<f64>())
+            && count.is_finite()
+        {
+            parts.push((id, count.max(0.0)));
+        }
+    }
+    let model = text("x-model-name").unwrap_or_default().to_owned();
+    let named: f64 = parts.iter().map(|part| part.1).sum();
+    (tokens.is_finite() && tokens >= 0.0).then(|| Ask { tokens: tokens.max(named), parts, model })
+}
+
+/// What a server keeps of a prompt until another takes it. Let go of untaken, it is freed.
+pub(crate) struct Handle {
+    sluice: Rc<Sluice>,
+    server: Server,
+    handle: String,
+    taken: Cell<bool>,
+}
+
+impl Handle {
+    /// How the server that generates finds it.
+    pub(crate) fn from(&self) -> Option<HeaderValue> {
+        HeaderValue::from_str(&format!("{}/{}", self.server.address, self.handle)).ok()
+    }
+
+    pub(crate) fn address(&self) -> SocketAddrV4 {
+        self.server.address
+    }
+
+    pub(crate) fn reader(&self) -> &Rc<str> {
+        &self.server.id
+    }
+
+    /// It has been taken, or has lapsed.
+    pub(crate) fn gone(&self) {
+        self.taken.set(true);
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        if self.taken.get() {
+            return;
+        }
+        let (sluice, server) = (self.sluice.clone(), self.server.clone());
+        let Ok(uri) = format!("/kv-handle/{}", self.handle).parse::<Uri>() else { return };
+        add(&sluice.counts.freed);
+        tokio::task::spawn_local(async move {
+            let headers = HeaderMap::new();
+            let message = Message { method: Method::DELETE, uri, headers, body: Bytes::new(), id: None };
+            let until = Instant::now() + Duration::from_millis(500);
+            let deadline = sluice.now() + 500;
+            if let Sent::Answer { head, body, link } = sluice.send(&server, &message, deadline, until, &[]).await {
+                sluice.spare(&server.id, link, head, body);
+            }
+        });
+    }
+}
+
+/// How a reading went wrong.
+pub(crate) enum Unread {
+    /// The server did not take it up.
+    Refused,
+    /// It never arrived.
+    NotSent,
+    /// No answer, or none that makes sense.
+    Lost,
+}
+
+impl Sluice {
+    /// Has the prompt read. It does not run by that, and may be asked for again.
+    pub(crate) async fn read_prompt(
+        self: &Rc<Self>,
+        server: &Server,
+        message: &Message,
+        ask: &Ask,
+        deadline: u64,
+        priority: &HeaderValue,
+    ) -> Result<Handle, Unread> {
+        let _reading = Reading::new(self, &server.id, ask.own());
+        let until = self.at(deadline);
+        let stage = [("x-serving-stage", HeaderValue::from_static("prefill")), ("priority", priority.clone())];
+        match self.send(server, message, deadline, until, &stage).await {
+            Sent::Answer { head, body, link } if head.status.is_success() => {
+                let body = self.whole(&server.id, &head, body, link, until).await;
+                let handle = body.and_then(|body| handle(&body)).ok_or_else(|| {
+                    self.fault(&server.id, Fault::Broken);
+                    Unread::Lost
+                })?;
+                self.weir.borrow_mut().served(&server.id);
+                add(&self.counts.handed);
+                let taken = Cell::new(false);
+                Ok(Handle { sluice: self.clone(), server: server.clone(), handle, taken })
+            }
+            Sent::Answer { head, body, link } => {
+                self.spare(&server.id, link, head, body);
+                self.fault(&server.id, Fault::Failed);
+                Err(Unread::Lost)
+            }
+            Sent::NeverRan(status) => {
+                self.fault(&server.id, refusal(status));
+                Err(Unread::Refused)
+            }
+            Sent::NotSent(fault) => {
+                self.fault(&server.id, fault);
+                Err(Unread::NotSent)
+            }
+            Sent::Broken | Sent::Late => {
+                self.fault(&server.id, Fault::Broken);
+                Err(Unread::Lost)
+            }
+        }
+    }
+}
+
+/// What it says of a server that it turned a request away.
+pub(crate) fn refusal(status: hyper::StatusCode) -> Fault {
+    if status == hyper::StatusCode::MISDIRECTED_REQUEST { Fault::Elsewhere } else { Fault::Full }
+}
+
+fn handle(body: &[u8]) -> Option<String> {
+    if body.len() > 4096 {
+        return None;
+    }
+    let value: JsonValue = std::str::from_utf8(body).ok()?.parse().ok()?;
+    let fields: &HashMap<String, JsonValue> = value.get()?;
+    let handle: &String = fields.get("prefill_handle")?.get()?;
+    let plain = handle.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
+    (plain && !handle.is_empty() && handle.len() <= 128).then(|| handle.clone())
+}
--- /dev/null
+++ b/crates/sluice/src/stream.rs
@@ -0,0 +1,216 @@
+//! Streams: events are passed on as they come; where the route says so, a stream goes on at another server.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+use mosshead_weir::{Ask, Fault};
+use tokio::sync::mpsc;
+use tokio::time::{Duration, timeout, timeout_at};
+
+use crate::answer::{Cut, Out, passed_on};
+use crate::attempt::{Sent, Server, kept, sealed};
+use crate::events::Splitter;
+use crate::forward::{Job, Ran};
+use crate::links::ServerLink;
+use crate::prompt::{Handle, refusal};
+use crate::view::{Reading, Running, Sluice, Under, add};
+
+/// So many pieces wait for a client that does not read.
+const WAITING: usize = 16;
+/// A stream is taken up at another server so many times.
+const RESUMED_MOST: u32 = 3;
+
+/// A stream whose head has come.
+pub(crate) struct Start {
+    head: Parts,
+    body: Incoming,
+    link: ServerLink,
+    server: Server,
+    running: Running,
+    reading: Option<Reading>,
+    framed: bool,
+}
+
+/// How a run's stream ended.
+enum End {
+    Complete,
+    Broken,
+    /// The client has gone.
+    Left,
+    /// Its time is over.
+    Over,
+}
+
+impl Sluice {
+    /// Sends the request to the server that generates.
+    pub(crate) async fn run(
+        self: &Rc<Self>,
+        job: &Job,
+        ask: &Ask,
+        server: &Server,
+        handle: Option<Handle>,
+        after: Option<u64>,
+    ) -> Ran {
+        let running = Running::new(self, &server.id);
+        let reading = handle.is_none().then(|| Reading::new(self, &server.id, 2.0 * ask.own()));
+        let mut extra = vec![("priority", job.priority.clone())];
+        extra.extend(handle.as_ref().and_then(Handle::from).map(|from| ("kv-from", from)));
+        extra.extend(after.map(|after| ("last-event-id", HeaderValue::from(after))));
+        let until = self.at(job.deadline);
+        match self.send(server, &job.message, job.deadline, until, &extra).await {
+            Sent::Answer { head, body, link } => {
+                handle.iter().for_each(Handle::gone);
+                if !head.status.is_success() {
+                    running.failed(Fault::Failed);
+                    let Some(body) = self.whole(&server.id, &head, body, link, until).await else {
+                        return Ran::Broken;
+                    };
+                    // Danger: these promise that the request never ran; without the server's proof they lie.
+                    if matches!(head.status.as_u16(), 408 | 421 | 429 | 503) {
+                        return Ran::Broken;
+                    }
+                    let mut answer = Response::new(Out::Whole(Some(body)));
+                    *answer.status_mut() = head.status;
+                    *answer.headers_mut() = passed_on(&head.headers);
+                    answer.headers_mut().remove(CONTENT_LENGTH);
+                    return Ran::Other(answer);
+                }
+                if !sealed(&head) || head.headers.contains_key(CONTENT_ENCODING) {
+                    running.failed(Fault::Broken);
+                    return Ran::Broken;
+                }
+                let framed = head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
+                Ran::Stream(Start { head, body, link, server: server.clone(), running, reading, framed })
+            }
+            Sent::NeverRan(status) => match handle {
+                Some(handle) if status.as_u16() == 503 => {
+                    let now = self.now();
+                    self.weir.borrow_mut().lapsed(now, handle.reader());
+                    Ran::Lapsed
+                }
+                _ => {
+                    running.failed(refusal(status));
+                    Ran::Refused
+                }
+            },
+            Sent::NotSent(fault) => {
+                running.failed(fault);
+                Ran::NotSent
+            }
+            Sent::Broken | Sent::Late => {
+                handle.iter().for_each(Handle::gone);
+                running.failed(Fault::Broken);
+                Ran::Broken
+            }
+        }
+    }
+
+    /// The answer with the stream in it. A task of its own passes the events on.
+    pub(crate) fn pass_on(self: Rc<Self>, job: Job, ask: Ask, start: Start, under: Under) -> Response<Out> {
+        let (to, from) = mpsc::channel(WAITING);
+        let mut answer = Response::new(Out::Flows(from));
+        *answer.status_mut() = start.head.status;
+        *answer.headers_mut() = passed_on(&start.head.headers);
+        answer.headers_mut().remove(CONTENT_LENGTH);
+        tokio::task::spawn_local(async move {
+            self.clone().flow(job, ask, start, to).await;
+            drop(under);
+        });
+        answer
+    }
+
+    async fn flow(self: Rc<Self>, job: Job, ask: Ask, start: Start, to: mpsc::Sender<Result<Bytes, Cut>>) {
+        let mut splitter = Splitter::default();
+        let mut avoid = vec![start.server.id.clone()];
+        let mut end = self.one_run(&job, start, &mut splitter, &to).await;
+        let mut resumed = 0;
+        while matches!(end, End::Broken) && job.route.resume && resumed < RESUMED_MOST && !self.over(&job) {
+            splitter.forget_rest();
+            resumed += 1;
+            let now = self.now();
+            if !self.weir.borrow_mut().repeat(now, &job.service.name) {
+                break;
+            }
+            let pair = self.weir.borrow_mut().pair(now, &job.service.name, &ask, &avoid);
+            let Some(pair) = pair else { break };
+            pair.reader.iter().for_each(|id| self.weir.borrow_mut().unknown(id));
+            let Some(server) = self.server(&job, &pair.runner) else { break };
+            avoid.push(server.id.clone());
+            if let Ran::Stream(start) = self.run(&job, &ask, &server, None, splitter.last()).await {
+                add(&self.counts.resumed);
+                end = self.one_run(&job, start, &mut splitter, &to).await;
+            }
+        }
+        match end {
+            End::Complete => add(&self.counts.served),
+            End::Left => {}
+            End::Broken | End::Over => {
+                add(&self.counts.failed);
+                // Danger: the answer must not look complete.
+                let _ = timeout(Duration::from_secs(1), to.send(Err(Cut))).await;
+            }
+        }
+    }
+
+    /// Passes on the events of one run.
+    async fn one_run(
+        self: &Rc<Self>,
+        job: &Job,
+        start: Start,
+        splitter: &mut Splitter,
+        to: &mpsc::Sender<Result<Bytes, Cut>>,
+    ) -> End {
+        let Start { head, mut body, mut link, server, running, mut reading, framed } = start;
+        let until = self.at(job.deadline);
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = to.closed() => return End::Left,
+                frame = timeout_at(until, body.frame()) => frame,
+            };
+            let data = match frame {
+                Err(_) => return End::Over,
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => data,
+                    Err(_) => continue,
+                },
+                Ok(None) if framed => {
+                    let rest = splitter.rest();
+                    if !rest.is_empty() && to.send(Ok(rest)).await.is_err() {
+                        return End::Left;
+                    }
+                    running.served();
+                    if timeout(Duration::from_millis(2), link.ready()).await == Ok(true) {
+                        self.links.put(&server.id, link, kept(&head));
+                    }
+                    return End::Complete;
+                }
+                // Danger: without a length or chunks, what broke off looks whole.
+                Ok(None) | Ok(Some(Err(_))) => {
+                    running.failed(Fault::Broken);
+                    return End::Broken;
+                }
+            };
+            reading.take();
+            let Some(events) = splitter.push(&data) else {
+                running.failed(Fault::Broken);
+                return End::Broken;
+            };
+            for (id, event) in events {
+                let last = splitter.last();
+                if id.is_some() && last.is_some() && id <= last {
+                    continue;
+                }
+                if to.send(Ok(event)).await.is_err() {
+                    return End::Left;
+                }
+                splitter.passed(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sluice/src/view.rs
@@ -0,0 +1,208 @@
+//! What one proxy works with: the configuration in force, the board, its connections.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use mosshead_catchment::Server;
+use mosshead_mains::Config;
+use mosshead_weir::{Fault, Millis, Terms, Weir};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tokio::time::{Duration, Instant};
+
+use crate::links::Links;
+
+/// What has been answered since the start.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Requests read whole.
+    pub requests: Cell<u64>,
+    /// Answers of servers passed on whole.
+    pub served: Cell<u64>,
+    /// Refused: never ran.
+    pub refused: Cell<u64>,
+    /// Failed: may have run.
+    pub failed: Cell<u64>,
+    /// Streams that went on at another server.
+    pub resumed: Cell<u64>,
+    /// Prompts handed over.
+    pub handed: Cell<u64>,
+    /// Handles freed untaken.
+    pub freed: Cell<u64>,
+}
+
+pub(crate) fn add(count: &Cell<u64>) {
+    count.set(count.get() + 1);
+}
+
+/// One proxy's data plane.
+pub struct Sluice {
+    config: ArcSwapOption<Config>,
+    pub(crate) weir: RefCell<Weir<Pcg64Mcg>>,
+    pub(crate) links: Links,
+    start: Instant,
+    stopping: Cell<bool>,
+    /// Requests under way.
+    pub(crate) open: Cell<usize>,
+    /// Bytes of bodies held.
+    pub(crate) held: Cell<usize>,
+    pub(crate) proxies: Cell<usize>,
+    /// What has been answered.
+    pub counts: Counts,
+}
+
+impl Sluice {
+    /// A proxy in `zone` that knows nothing yet.
+    pub fn new(terms: Terms, zone: &str, seed: u64) -> Rc<Self> {
+        Rc::new(Self {
+            config: ArcSwapOption::empty(),
+            weir: RefCell::new(Weir::new(terms, zone, Pcg64Mcg::seed_from_u64(seed))),
+            links: Links::default(),
+            start: Instant::now(),
+            stopping: Cell::new(false),
+            open: Cell::new(0),
+            held: Cell::new(0),
+            proxies: Cell::new(1),
+            counts: Counts::default(),
+        })
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.start.elapsed().as_millis() as Millis
+    }
+
+    pub(crate) fn at(&self, at: Millis) -> Instant {
+        self.start + Duration::from_millis(at)
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.config.load_full()
+    }
+
+    /// Another configuration is in force. One that is not newer changes nothing: a proxy never goes back within a life.
+    pub fn configure(&self, config: Arc<Config>) -> bool {
+        let newer = self.config().is_none_or(|old| old.revision < config.revision);
+        if newer {
+            self.config.store(Some(config));
+        }
+        newer
+    }
+
+    /// The register's present list.
+    pub fn list<'a>(&self, servers: impl Iterator<Item = &'a Server>) {
+        self.weir.borrow_mut().list(servers);
+        let weir = self.weir.borrow();
+        self.links.keep(|id| weir.board().get(id).is_some());
+    }
+
+    /// How many proxies share what all may spend.
+    pub fn proxies(&self, count: usize) {
+        self.proxies.set(count.max(1));
+        self.weir.borrow_mut().proxies(count);
+    }
+
+    /// The process ends soon: clients are told to go elsewhere.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Whether it ends soon.
+    pub fn stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Requests under way.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Ready: a configuration is in force, and for some service of its routes there are servers.
+    pub fn ready(&self) -> bool {
+        if self.stopping() {
+            return false;
+        }
+        let Some(config) = self.config() else { return false };
+        let weir = self.weir.borrow();
+        config.services.keys().any(|service| weir.board().serves(service))
+    }
+
+    pub(crate) fn fault(&self, id: &str, fault: Fault) {
+        let now = self.now();
+        self.weir.borrow_mut().failed(now, id, fault);
+    }
+}
+
+/// Counts a request as under way until it is let go of.
+pub(crate) struct Under {
+    sluice: Rc<Sluice>,
+}
+
+impl Under {
+    pub(crate) fn way(sluice: &Rc<Sluice>) -> Self {
+        sluice.open.set(sluice.open.get() + 1);
+        Self { sluice: sluice.clone() }
+    }
+}
+
+impl Drop for Under {
+    fn drop(&mut self) {
+        self.sluice.open.set(self.sluice.open.get().saturating_sub(1));
+    }
+}
+
+/// A prompt that is being read at a server, on the board until it is let go of.
+pub(crate) struct Reading {
+    sluice: Rc<Sluice>,
+    id: Rc<str>,
+    tokens: f64,
+}
+
+impl Reading {
+    pub(crate) fn new(sluice: &Rc<Sluice>, id: &Rc<str>, tokens: f64) -> Self {
+        sluice.weir.borrow_mut().reads(id, tokens);
+        Self { sluice: sluice.clone(), id: id.clone(), tokens }
+    }
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.sluice.weir.borrow_mut().has_read(&self.id, self.tokens);
+    }
+}
+
+/// A request that runs at a server, on the board until it is let go of.
+pub(crate) struct Running {
+    sluice: Rc<Sluice>,
+    id: Rc<str>,
+    told: Cell<bool>,
+}
+
+impl Running {
+    pub(crate) fn new(sluice: &Rc<Sluice>, id: &Rc<str>) -> Self {
+        sluice.weir.borrow_mut().runs(id);
+        Self { sluice: sluice.clone(), id: id.clone(), told: Cell::new(false) }
+    }
+
+    pub(crate) fn served(&self) {
+        self.told.set(true);
+        self.sluice.weir.borrow_mut().served(&self.id);
+    }
+
+    pub(crate) fn failed(&self, fault: Fault) {
+        self.told.set(true);
+        self.sluice.fault(&self.id, fault);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut weir = self.sluice.weir.borrow_mut();
+        weir.has_run(&self.id);
+        if !self.told.get() {
+            weir.unknown(&self.id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/works/src/calls.rs
@@ -0,0 +1,145 @@
+//! The calls between the fleet's own processes: pairs of a call and its answer.
+
+use std::net::SocketAddrV4;
+
+use minicbor::{Decode, Encode};
+use mosshead_catchment::{Delta, Vector};
+use mosshead_culvert::Call;
+use mosshead_headworks::{Member, Message};
+
+/// What is newer than this? Answered when something is, or after `wait_ms`.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Pull {
+    /// Who asks: the machine's name and the life of its process.
+    #[n(0)]
+    pub name: String,
+    /// Drawn anew at each start.
+    #[n(1)]
+    pub life: u64,
+    /// A proxy asks, not a machine of the core.
+    #[n(2)]
+    pub proxy: bool,
+    /// The configuration it has.
+    #[n(3)]
+    pub revision: u64,
+    /// What it has of the register.
+    #[n(4)]
+    pub vector: Vector,
+    /// It wants the register's entries, not only word of them.
+    #[n(5)]
+    pub entries: bool,
+    /// The longest time to wait for news.
+    #[n(6)]
+    pub wait_ms: u64,
+}
+
+/// The news.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Pulled {
+    /// The newest configuration that the answerer knows to be committed.
+    #[n(0)]
+    pub revision: u64,
+    /// Entries of the register above the asker's vector.
+    #[n(1)]
+    pub delta: Delta,
+    /// The register has entries that the asker lacks.
+    #[n(2)]
+    pub behind: bool,
+    /// The core's machines.
+    #[n(3)]
+    pub cores: Vec<SocketAddrV4>,
+    /// Proxies that asked lately.
+    #[n(4)]
+    pub proxies: u32,
+    /// The answerer lately heard from more than half of the core.
+    #[n(5)]
+    pub current: bool,
+    /// The answerer lacks entries that the asker has.
+    #[n(6)]
+    pub wants: bool,
+}
+
+impl Call for Pull {
+    const NAME: &'static str = "Pull";
+    type Answer = Pulled;
+}
+
+/// The configuration, from what the asker has.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Fetch {
+    /// What it has; 0: nothing.
+    #[n(0)]
+    pub revision: u64,
+}
+
+/// The way to the newest configuration.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Fetched {
+    /// Where the way leads.
+    #[n(0)]
+    pub revision: u64,
+    /// Patches in order; or else
+    #[n(1)]
+    pub patches: Vec<String>,
+    /// the whole.
+    #[n(2)]
+    pub whole: Option<String>,
+}
+
+impl Call for Fetch {
+    const NAME: &'static str = "Fetch";
+    type Answer = Fetched;
+}
+
+/// Entries of the register that the other should have: urgent ones, or all after it lost its memory.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Hand {
+    /// The entries.
+    #[n(0)]
+    pub delta: Delta,
+}
+
+/// Taken.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Handed {
+    /// Something in it was new.
+    #[n(0)]
+    pub changed: bool,
+}
+
+impl Call for Hand {
+    const NAME: &'static str = "Hand";
+    type Answer = Handed;
+}
+
+/// Which servers a core machine still hears.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Hears {
+    /// The source.
+    #[n(0)]
+    pub source: u64,
+    /// Servers by the hash of their id, with the sequence last heard.
+    #[n(1)]
+    pub digest: Vec<(u64, u64)>,
+}
+
+impl Call for Hears {
+    const NAME: &'static str = "Hears";
+    type Answer = Handed;
+}
+
+/// A message of the control state's machines.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Epoch {
+    /// Who sends it.
+    #[n(0)]
+    pub from: Member,
+    /// The message.
+    #[n(1)]
+    pub message: Message,
+}
+
+impl Call for Epoch {
+    const NAME: &'static str = "Epoch";
+    type Answer = ();
+}
--- /dev/null
+++ b/crates/works/src/control.rs
@@ -0,0 +1,243 @@
+//! What servers and the operator call: heartbeats and the configuration, HTTP/1.1 with JSON.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue, LOCATION, RETRY_AFTER};
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use mosshead_catchment::{Model, OperState, Server, Stage};
+use mosshead_headworks::Verdict;
+use mosshead_mains::Config;
+use tinyjson::JsonValue;
+use tokio::net::TcpListener;
+use tokio::time::{Duration, sleep, timeout};
+
+use crate::core::Core;
+
+/// The largest configuration.
+const LONGEST: usize = 8 * 1024 * 1024;
+/// Connections at once.
+const MOST: usize = 3000;
+
+type Answer = Response<Full<Bytes>>;
+
+fn answer(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+fn later() -> Answer {
+    let mut answer = answer(StatusCode::SERVICE_UNAVAILABLE, "{\"code\":\"C01\"}");
+    answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("0.2"));
+    answer
+}
+
+/// Takes connections for as long as it is polled.
+pub async fn serve(core: Rc<Core>, listener: TcpListener) {
+    let open = Rc::new(std::cell::Cell::new(0_usize));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) if open.get() < MOST => stream,
+            Ok(_) => continue,
+            Err(_) => {
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        open.set(open.get() + 1);
+        let (core, open) = (core.clone(), open.clone());
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let core = core.clone();
+                async move { Ok::<_, Infallible>(handle(core, request).await) }
+            });
+            let connection = Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(Duration::from_secs(20))
+                .serve_connection(TokioIo::new(stream), service);
+            let _ = connection.await;
+            open.set(open.get().saturating_sub(1));
+        });
+    }
+}
+
+async fn handle(core: Rc<Core>, request: Request<Incoming>) -> Answer {
+    let (head, body) = request.into_parts();
+    let path = head.uri.path().to_owned();
+    let body = match timeout(Duration::from_secs(10), Limited::new(body, LONGEST).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) => return answer(StatusCode::PAYLOAD_TOO_LARGE, "{\"code\":\"C02\"}"),
+        Err(_) => return answer(StatusCode::REQUEST_TIMEOUT, "{\"code\":\"C03\"}"),
+    };
+    if let Some(id) = path.strip_prefix("/Instances.Keepalive/") {
+        return match beat(id, &body) {
+            Some(server) => taken(core.beat(server).await),
+            None => answer(StatusCode::BAD_REQUEST, "{\"code\":\"C04\"}"),
+        };
+    }
+    if let Some(id) = path.strip_prefix("/Instances.Deregister/") {
+        return taken(core.deregister(id).await);
+    }
+    match (&head.method, path.as_str()) {
+        (&Method::POST, "/Configuration.Replace" | "/Configuration.Modify") => {
+            let whole = path == "/Configuration.Replace";
+            let base = head.headers.get("x-base-revision").and_then(|value| value.to_str().ok()?.trim().parse().ok());
+            change(&core, whole, base, &body, &path).await
+        }
+        (&Method::GET, "/Configuration.Show") => show(&core, &path).await,
+        (&Method::GET, "/Status" | "/status") => answer(StatusCode::OK, core.status()),
+        _ => answer(StatusCode::NOT_FOUND, "{\"code\":\"C05\"}"),
+    }
+}
+
+fn taken(handed: bool) -> Answer {
+    if handed { answer(StatusCode::OK, "{}") } else { later() }
+}
+
+/// The one that decides on the configuration, as far as it is known here.
+fn elsewhere(core: &Core, primary: Option<std::net::SocketAddrV4>, path: &str) -> Answer {
+    let Some(primary) = primary.filter(|primary| *primary != core.settings.internal()) else { return later() };
+    let Some(own) = core.settings.control_plane else { return later() };
+    let mut answer = answer(StatusCode::TEMPORARY_REDIRECT, "{\"code\":\"C06\"}");
+    if let Ok(to) = HeaderValue::from_str(&format!("http://{}:{}{path}", primary.ip(), own.port())) {
+        answer.headers_mut().insert(LOCATION, to);
+    }
+    answer
+}
+
+async fn change(core: &Rc<Core>, whole: bool, base: Option<u64>, body: &[u8], path: &str) -> Answer {
+    let bad = |fault: String| answer(StatusCode::BAD_REQUEST, format!("{{\"fault\":{}}}", quoted(&fault)));
+    if !core.is_primary() {
+        return elsewhere(core, core.primary(), path);
+    }
+    let Some(base) = base else { return bad("C07 X-Base-Revision is missing".into()) };
+    let Some(revision) = revision(body) else { return bad("M01 can't be read whole".into()) };
+    let digest = digest(path, base, body);
+    let current = core.config();
+    if core.took(revision, digest) {
+        // Asked of the others all the same: one that was cut off may know only old times.
+        return match core.change(base, revision, Vec::new(), digest).await {
+            Verdict::Taken { .. } => answer(StatusCode::OK, format!("{{\"revision\":{revision}}}")),
+            Verdict::NotPrimary { primary } => elsewhere(core, primary, path),
+            _ => later(),
+        };
+    }
+    if current.as_ref().map_or(0, |current| current.revision) != base {
+        return stale(current.map_or(0, |current| current.revision));
+    }
+    let config = match (whole, current.as_ref()) {
+        (true, current) => Config::replaced(current.map(|current| &**current), body),
+        (false, Some(current)) => current.changed(body),
+        (false, None) => return stale(0),
+    };
+    let config = match config {
+        Ok(config) => config,
+        Err(fault) => return bad(fault.to_string()),
+    };
+    let text = config.text().as_bytes().to_vec();
+    match core.change(base, config.revision, text, digest).await {
+        Verdict::Taken { revision } => answer(StatusCode::OK, format!("{{\"revision\":{revision}}}")),
+        Verdict::Stale { current } => stale(current),
+        Verdict::NotPrimary { primary } => elsewhere(core, primary, path),
+        Verdict::Unavailable | Verdict::Current { .. } => later(),
+    }
+}
+
+fn stale(current: u64) -> Answer {
+    answer(StatusCode::PRECONDITION_FAILED, format!("{{\"code\":\"C08\",\"revision\":{current}}}"))
+}
+
+async fn show(core: &Rc<Core>, path: &str) -> Answer {
+    if !core.is_primary() {
+        return elsewhere(core, core.primary(), path);
+    }
+    match core.read().await {
+        Verdict::Current { state } if state.revision > 0 => answer(StatusCode::OK, state.body.to_vec()),
+        Verdict::Current { .. } => answer(StatusCode::NOT_FOUND, "{\"code\":\"C09\"}"),
+        Verdict::NotPrimary { primary } => elsewhere(core, primary, path),
+        _ => later(),
+    }
+}
+
+/// Text as a JSON string.
+fn quoted(text: &str) -> String {
+    JsonValue::from(text.to_owned()).stringify().unwrap_or_else(|_| "\"\"".into())
+}
+
+/// The revision that a change bears, before it is read whole.
+fn revision(body: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(body).ok()?;
+    let at = Config::read_revision(text)?;
+    Some(at)
+}
+
+/// What tells a repeat of a call from another one.
+pub fn digest(path: &str, base: u64, body: &[u8]) -> u64 {
+    let parts = [path.as_bytes(), &base.to_be_bytes(), body];
+    parts.iter().flat_map(|part| part.iter()).fold(0xcbf2_9ce4_8422_2325, |sum, byte| {
+        (sum ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3).rotate_left(5)
+    })
+}
+
+type Fields = HashMap<String, JsonValue>;
+
+fn text(fields: &Fields, name: &str) -> Option<String> {
+    fields.get(name)?.get::<String>().cloned()
+}
+
+fn whole(fields: &Fields, name: &str) -> Option<u64> {
+    let value = *fields.get(name)?.get::<f64>()?;
+    (value.is_finite() && value >= 0.0).then_some(value as u64)
+}
+
+/// A server's heartbeat, read by hand.
+pub fn beat(id: &str, body: &[u8]) -> Option<Server> {
+    if id.is_empty() || id.len() > 200 || body.len() > 256 * 1024 {
+        return None;
+    }
+    let value: JsonValue = std::str::from_utf8(body).ok()?.parse().ok()?;
+    let fields: &Fields = value.get()?;
+    let state = match text(fields, "oper_state").as_deref() {
+        Some("draining") => OperState::Draining,
+        _ => OperState::Up,
+    };
+    let stage = match text(fields, "stage").as_deref() {
+        Some("prefill") => Some(Stage::Prefill),
+        Some("decode") => Some(Stage::Decode),
+        _ => None,
+    };
+    let listed = fields.get("model_list").and_then(|list| list.get::<Vec<JsonValue>>());
+    let mut models = Vec::new();
+    for model in listed.map(Vec::as_slice).unwrap_or_default().iter().take(256) {
+        let Some(model) = model.get::<Fields>() else { continue };
+        let adapters = model.get("adapter_list").and_then(|list| list.get::<Vec<JsonValue>>());
+        let adapters = adapters.map(Vec::as_slice).unwrap_or_default().iter();
+        let adapters = adapters.filter_map(|adapter| adapter.get::<String>().cloned()).take(4096).collect();
+        let name = text(model, "name").unwrap_or_default();
+        models.push(Model { name, revision: whole(model, "revision").unwrap_or(0), adapters });
+    }
+    Some(Server {
+        id: id.to_owned(),
+        service: text(fields, "backend_service")?,
+        address: text(fields, "address")?.parse().ok()?,
+        zone: text(fields, "zone").unwrap_or_default(),
+        software: text(fields, "revision").unwrap_or_default(),
+        slots: whole(fields, "slots").unwrap_or(1).min(u64::from(u32::MAX)) as u32,
+        state,
+        silent: false,
+        warmup_left_ms: whole(fields, "warmup_left_ms").unwrap_or(0),
+        stage,
+        models,
+        sequence: whole(fields, "sequence").unwrap_or(0),
+    })
+}
--- a/crates/works/src/lib.rs
+++ b/crates/works/src/lib.rs
@@ -1,1 +1,11 @@
-//! The programs of the fleet: thin, settings and logs.
+//! The programs of the fleet: what each one is put together from. Thin: the planes are libraries of their own.
+
+pub mod calls;
+pub mod command;
+pub mod control;
+pub mod core;
+pub mod gossip;
+pub mod log;
+pub mod proxy;
+pub mod puller;
+pub mod settings;
--- /dev/null
+++ b/crates/works/src/log.rs
@@ -0,0 +1,18 @@
+//! Logs: short sentences with a fixed prefix for each part, to standard output.
+
+use std::sync::Arc;
+
+use spdlog::formatter::{PatternFormatter, pattern};
+use spdlog::sink::{Sink, StdStream, StdStreamSink};
+use spdlog::{LevelFilter, Logger};
+
+/// Sets the process's log up. A log that can't be had is done without.
+pub fn start(detailed: bool) {
+    let Ok(sink) = StdStreamSink::builder().std_stream(StdStream::Stdout).build() else { return };
+    sink.set_formatter(Box::new(PatternFormatter::new(pattern!("{time} {level} {payload}{eol}"))));
+    let Ok(logger) = Logger::builder().sink(Arc::new(sink)).build() else { return };
+    let level = if detailed { spdlog::Level::Debug } else { spdlog::Level::Info };
+    logger.set_level_filter(LevelFilter::MoreSevereEqual(level));
+    logger.set_flush_level_filter(LevelFilter::All);
+    spdlog::set_default_logger(Arc::new(logger));
+}
