--- /dev/null
+++ b/crates/mains/src/limits.rs
@@ -0,0 +1,58 @@
+//! What a client may send, and how long it may take or stay idle.
+
+use tinyjson::JsonValue;
+
+use crate::fault::Fault;
+use crate::value::Object;
+
+/// The bounds for clients. No value is below its floor: a limit of nothing would shut every client out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// The longest head of a request.
+    pub max_header_bytes: usize,
+    /// The longest body of a request.
+    pub max_body_bytes: usize,
+    /// How long a client may take for the head of a request.
+    pub header_timeout_ms: u64,
+    /// How long a connection may stay without a request.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            max_header_bytes: 16 << 10,
+            max_body_bytes: 4 << 20,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+impl Limits {
+    /// The lowest value of each limit.
+    pub const FLOORS: Limits = Limits {
+        max_header_bytes: 1 << 10,
+        max_body_bytes: 1 << 10,
+        header_timeout_ms: 100,
+        idle_timeout_ms: 100,
+    };
+
+    pub(crate) fn read(value: &JsonValue, place: &str) -> Result<Limits, Fault> {
+        let object = Object::new(value, place)?;
+        let (usual, floors) = (Limits::default(), Limits::FLOORS);
+        let bytes = |key, usual: usize, floor: usize| -> Result<usize, Fault> {
+            let given = object.count(key, u64::MAX)?;
+            Ok(given.map_or(usual, |given| usize::try_from(given).unwrap_or(usize::MAX)).max(floor))
+        };
+        let time = |key, usual: u64, floor: u64| -> Result<u64, Fault> {
+            Ok(object.count(key, u64::MAX)?.unwrap_or(usual).max(floor))
+        };
+        Ok(Limits {
+            max_header_bytes: bytes("max_header_bytes", usual.max_header_bytes, floors.max_header_bytes)?,
+            max_body_bytes: bytes("max_body_bytes", usual.max_body_bytes, floors.max_body_bytes)?,
+            header_timeout_ms: time("header_timeout_ms", usual.header_timeout_ms, floors.header_timeout_ms)?,
+            idle_timeout_ms: time("idle_timeout_ms", usual.idle_timeout_ms, floors.idle_timeout_ms)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/mains/src/route.rs
@@ -0,0 +1,156 @@
+//! A route: where a request goes, and what may be done with it.
+
+use tinyjson::JsonValue;
+
+use crate::fault::{Cause, Fault};
+use crate::value::{MAX_WHOLE, Object};
+
+/// What may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RouteType {
+    /// A request may run more than once.
+    Idempotent,
+    /// A request runs at most once; also where the type is absent or unknown.
+    NonIdempotent,
+    /// A request is answered by a stream of events, and runs at most once unless it may be resumed.
+    Streaming,
+}
+
+/// One of `route_entries`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// The host that it is for, in lower case and without a port.
+    pub host: String,
+    /// What its paths begin with.
+    pub prefix: String,
+    /// What may be repeated.
+    pub route_type: RouteType,
+    /// The longest that the operator wants a request held; above 0.
+    pub timeout_ms: u64,
+    /// The time within which an answer earns its full worth; the timeout when it is not given.
+    pub target_latency_ms: u64,
+    /// Its rank, 0 is highest; 5 when it is not given.
+    pub priority: u8,
+    /// Services and their weights. Danger: a weight may be 0, and no request may go there; [`Route::draw`] minds it.
+    pub backends: Vec<(String, f64)>,
+    /// The most servers that one try may be sent to, at least 1.
+    pub retry_count: u32,
+    /// Whether its requests name the parts of a prompt.
+    pub persistence: bool,
+    /// Whether a stream may be continued at another server.
+    pub resume: bool,
+    /// The longest pause between events that keeps an answer in time; 0 when it is not given.
+    pub gap_aim_ms: u64,
+}
+
+impl Route {
+    /// Whether a request may run more than once.
+    pub fn may_repeat(&self) -> bool {
+        match self.route_type {
+            RouteType::Idempotent => true,
+            RouteType::NonIdempotent => false,
+            RouteType::Streaming => self.resume,
+        }
+    }
+
+    /// The service for a request, by weight; `unit` is a random number from 0 to 1.
+    pub fn draw(&self, unit: f64) -> Option<&str> {
+        let sum: f64 = self.backends.iter().map(|(_, weight)| weight).sum();
+        let mut left = unit.clamp(0.0, 1.0) * sum;
+        let mut last = None;
+        for (service, weight) in &self.backends {
+            if *weight > 0.0 {
+                last = Some(service.as_str());
+                if left < *weight {
+                    break;
+                }
+                left -= weight;
+            }
+        }
+        last
+    }
+
+    pub(crate) fn read(value: &JsonValue, place: &str) -> Result<Route, Fault> {
+        let object = Object::new(value, place)?;
+        let name = object.name("name")?.to_owned();
+        let host = host_name(object.name("host_header")?).into_owned();
+        if host.is_empty() {
+            return Err(object.fault("host_header", Cause::Missing));
+        }
+        let prefix = object.name("path_prefix")?.to_owned();
+        if !prefix.starts_with('/') {
+            return Err(object.fault("path_prefix", Cause::OutOfRange("begin with a slash")));
+        }
+        let timeout_ms = match object.count("timeout_ms", u64::MAX)? {
+            None => return Err(object.fault("timeout_ms", Cause::Missing)),
+            Some(0) => return Err(object.fault("timeout_ms", Cause::OutOfRange("be above 0"))),
+            Some(given) => given,
+        };
+        let retry_count = object.count("retry_count", u64::from(u32::MAX))?.unwrap_or(1).max(1);
+        let priority = object.count("priority", u64::from(u8::MAX))?.unwrap_or(5);
+        Ok(Route {
+            name,
+            host,
+            prefix,
+            route_type: match object.string("route_type")? {
+                Some("idempotent") => RouteType::Idempotent,
+                Some("streaming") => RouteType::Streaming,
+                _ => RouteType::NonIdempotent,
+            },
+            timeout_ms,
+            target_latency_ms: object
+                .count("target_latency_ms", u64::MAX)?
+                .filter(|given| *given > 0)
+                .unwrap_or(timeout_ms),
+            priority: u8::try_from(priority).unwrap_or(u8::MAX),
+            backends: backends(&object)?,
+            retry_count: u32::try_from(retry_count).unwrap_or(u32::MAX),
+            persistence: object.flag("persistence")?,
+            resume: object.flag("resume")?,
+            gap_aim_ms: object.count("gap_aim_ms", u64::MAX)?.unwrap_or(0),
+        })
+    }
+}
+
+fn backends(object: &Object<'_>) -> Result<Vec<(String, f64)>, Fault> {
+    let single = object.string("backend_service")?.filter(|name| !name.is_empty());
+    let weighted = object.list("weighted_backends")?;
+    let mut found = Vec::with_capacity(weighted.map_or(1, <[JsonValue]>::len));
+    let mut sum = 0.0;
+    for (at, value) in weighted.unwrap_or_default().iter().enumerate() {
+        let place = object.place(&format!("weighted_backends[{at}]"));
+        let backend = Object::new(value, &place)?;
+        let weight = backend.number("weight")?.unwrap_or(1.0);
+        sum += weight;
+        if weight > MAX_WHOLE {
+            return Err(backend.fault("weight", Cause::OutOfRange("be at most 2^53")));
+        }
+        found.push((backend.name("backend_service")?.to_owned(), weight));
+    }
+    match single {
+        Some(name) if found.is_empty() => found.push((name.to_owned(), 1.0)),
+        None if weighted.is_none() => return Err(object.fault("backend_service", Cause::Missing)),
+        _ if sum <= 0.0 => return Err(object.fault("weighted_backends", Cause::NoWeight)),
+        // Named beside the weights, it must be known as they must, but takes no request.
+        Some(name) => found.push((name.to_owned(), 0.0)),
+        None => {}
+    }
+    Ok(found)
+}
+
+/// A host in lower case, without its port.
+pub(crate) fn host_name(host: &str) -> std::borrow::Cow<'_, str> {
+    let host = host.trim_ascii();
+    let bare = match (host.starts_with('['), host.find(']'), host.rsplit_once(':')) {
+        (true, Some(end), _) => host.get(..=end).unwrap_or(host),
+        (_, _, Some((bare, port))) if port.bytes().all(|byte| byte.is_ascii_digit()) => bare,
+        _ => host,
+    };
+    if bare.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        bare.to_ascii_lowercase().into()
+    } else {
+        bare.into()
+    }
+}
--- /dev/null
+++ b/crates/mains/src/value.rs
@@ -0,0 +1,104 @@
+//! Fields of `tinyjson` values, read by hand, each fault with its place.
+
+use std::collections::HashMap;
+
+use tinyjson::JsonValue;
+
+use crate::fault::{Cause, Fault};
+
+/// The greatest whole number that every reader of JSON keeps exact.
+pub(crate) const MAX_WHOLE: f64 = 9_007_199_254_740_992.0;
+
+pub(crate) fn parse(text: &str, place: &str) -> Result<JsonValue, Fault> {
+    text.parse().map_err(|fault: tinyjson::JsonParseError| Cause::not_whole(fault.to_string()).at(place))
+}
+
+/// A number without a fraction, from 0 to 2^53: what a revision may be.
+pub(crate) fn whole(value: &JsonValue, place: &str) -> Result<u64, Fault> {
+    match value {
+        JsonValue::Number(number) if (0.0..=MAX_WHOLE).contains(number) && number.fract() == 0.0 => {
+            Ok(*number as u64)
+        }
+        JsonValue::Number(_) => Err(Cause::OutOfRange("be a whole number from 0 to 2^53").at(place)),
+        _ => Err(Cause::WrongType("a number").at(place)),
+    }
+}
+
+/// An object at its place. A field that is null counts as absent.
+#[derive(Clone, Copy)]
+pub(crate) struct Object<'a> {
+    map: &'a HashMap<String, JsonValue>,
+    place: &'a str,
+}
+
+impl<'a> Object<'a> {
+    pub(crate) fn new(value: &'a JsonValue, place: &'a str) -> Result<Self, Fault> {
+        match value {
+            JsonValue::Object(map) => Ok(Object { map, place }),
+            _ => Err(Cause::WrongType("an object").at(place)),
+        }
+    }
+
+    pub(crate) fn place(&self, key: &str) -> String {
+        if self.place.is_empty() { key.to_owned() } else { format!("{}.{key}", self.place) }
+    }
+
+    pub(crate) fn fault(&self, key: &str, cause: Cause) -> Fault {
+        cause.at(self.place(key))
+    }
+
+    pub(crate) fn get(&self, key: &str) -> Option<&'a JsonValue> {
+        self.map.get(key).filter(|value| !matches!(value, JsonValue::Null))
+    }
+
+    pub(crate) fn string(&self, key: &str) -> Result<Option<&'a str>, Fault> {
+        match self.get(key) {
+            None => Ok(None),
+            Some(JsonValue::String(text)) => Ok(Some(text)),
+            Some(_) => Err(self.fault(key, Cause::WrongType("a string"))),
+        }
+    }
+
+    /// A string that must be there and hold something.
+    pub(crate) fn name(&self, key: &str) -> Result<&'a str, Fault> {
+        self.string(key)?.filter(|text| !text.is_empty()).ok_or_else(|| self.fault(key, Cause::Missing))
+    }
+
+    pub(crate) fn flag(&self, key: &str) -> Result<bool, Fault> {
+        match self.get(key) {
+            None => Ok(false),
+            Some(JsonValue::Boolean(flag)) => Ok(*flag),
+            Some(_) => Err(self.fault(key, Cause::WrongType("true or false"))),
+        }
+    }
+
+    pub(crate) fn list(&self, key: &str) -> Result<Option<&'a [JsonValue]>, Fault> {
+        match self.get(key) {
+            None => Ok(None),
+            Some(JsonValue::Array(list)) => Ok(Some(list)),
+            Some(_) => Err(self.fault(key, Cause::WrongType("a list"))),
+        }
+    }
+
+    /// A number that isn't below 0.
+    pub(crate) fn number(&self, key: &str) -> Result<Option<f64>, Fault> {
+        match self.get(key) {
+            None => Ok(None),
+            Some(JsonValue::Number(number)) if number.is_finite() && *number >= 0.0 => Ok(Some(*number)),
+            Some(JsonValue::Number(_)) => {
+                Err(self.fault(key, Cause::OutOfRange("be finite and not below 0")))
+            }
+            Some(_) => Err(self.fault(key, Cause::WrongType("a number"))),
+        }
+    }
+
+    /// A number that isn't below 0, up to the next whole one and at most `most`.
+    pub(crate) fn count(&self, key: &str, most: u64) -> Result<Option<u64>, Fault> {
+        Ok(self.number(key)?.map(|number| (number.min(MAX_WHOLE).ceil() as u64).min(most)))
+    }
+
+    /// Seconds of the operator, milliseconds here.
+    pub(crate) fn seconds(&self, key: &str) -> Result<Option<u64>, Fault> {
+        Ok(self.number(key)?.map(|number| (number * 1000.0).min(MAX_WHOLE).round() as u64))
+    }
+}
--- /dev/null
+++ b/crates/mains/tests/read.rs
@@ -0,0 +1,91 @@
+//! What is read of a valid configuration.
+
+mod common;
+
+use common::{WHOLE, read, whole};
+use mosshead_mains::{Config, Limits, RouteType};
+
+#[test]
+fn the_example_is_read_whole() {
+    let config = whole();
+    assert_eq!(config.revision, 7);
+    let [first, second] = config.routes.as_ref() else { panic!("two routes") };
+    assert_eq!((first.name.as_str(), first.host.as_str()), ("r-1", "ficu95.example"));
+    assert_eq!((first.prefix.as_str(), first.route_type), ("/pufi791/", RouteType::Streaming));
+    assert_eq!((first.timeout_ms, first.target_latency_ms, first.priority), (2500, 300, 0));
+    assert_eq!(first.backends, [("huvo11a".to_owned(), 1.0)]);
+    assert_eq!((first.retry_count, first.persistence, first.resume, first.gap_aim_ms), (2, true, true, 200));
+    assert_eq!(second.backends, [("huvo11a".to_owned(), 90.0), ("wuno96b".to_owned(), 10.0)]);
+    assert_eq!((second.retry_count, second.route_type), (1, RouteType::NonIdempotent));
+    assert!(first.may_repeat() && !second.may_repeat());
+    let service = config.service("huvo11a").expect("a service");
+    assert_eq!((service.health_path.as_str(), service.max_connections), ("/health", 360));
+    let engine = service.engine.as_ref().expect("an engine");
+    assert_eq!((engine.slots, engine.cache_tokens, engine.token_size_bytes), (64, 648_485, 163_840));
+    assert_eq!((engine.link_mbps, engine.stride), (1_700_000.0, 9));
+    assert_eq!((engine.handle_ttl_ms, engine.stage_switch_ms), (5000, 860));
+    assert_eq!(engine.models, ["m"]);
+    assert!(config.services["wuno96b"].engine.is_none());
+    assert_eq!(config.limits, Limits::default());
+}
+
+#[test]
+fn the_text_is_kept_but_for_white_space() {
+    let config = whole();
+    let text = config.text();
+    assert!(
+        text.starts_with(r#"{"revision":7,"route_entries":[{"name":"r-1","host_header":"Ficu95.example","#)
+    );
+    assert!(text.contains(r#""link_mbps":1700000.0,"#), "numbers are spelled as sent");
+    assert!(text.contains(r#""colour":"blue""#), "unknown fields of items stay");
+    assert!(text.ends_with(r#""later":{"big":12345678901234567890,"text":"a b\t\u0041"}}"#));
+    assert_eq!(Config::read(text.as_bytes()).as_ref(), Ok(&config));
+}
+
+#[test]
+fn absent_fields_have_defaults() {
+    let config = read(
+        r#"{"revision":1.0,"route_entries":[{"name":"r","host_header":"h:8080","path_prefix":"/","timeout_ms":0.5,
+            "backend_service":"s","resume":null,"weighted_backends":[]}],"backend_services":[{"name":"s"}]}"#,
+    )
+    .expect("valid");
+    let route = &config.routes[0];
+    assert_eq!((route.host.as_str(), route.timeout_ms, route.target_latency_ms), ("h", 1, 1));
+    assert_eq!((route.route_type, route.priority, route.retry_count), (RouteType::NonIdempotent, 5, 1));
+    assert!(!route.persistence && !route.resume && route.gap_aim_ms == 0);
+    let service = &config.services["s"];
+    assert_eq!((service.health_path.as_str(), service.max_connections), ("/health", 64));
+    assert_eq!(config.limits, Limits::default());
+}
+
+#[test]
+fn limits_have_floors() {
+    let text = WHOLE.replace("16384,", "0,").replace("15000}", "1}").replace("4194304", "5e5");
+    let limits = read(&text).expect("valid").limits;
+    assert_eq!(limits.max_header_bytes, Limits::FLOORS.max_header_bytes);
+    assert_eq!(limits.idle_timeout_ms, Limits::FLOORS.idle_timeout_ms);
+    assert_eq!((limits.max_body_bytes, limits.header_timeout_ms), (500_000, 3000));
+}
+
+#[test]
+fn a_weight_of_nothing_is_never_drawn() {
+    let text = WHOLE.replace("\"weight\":90", "\"weight\":0.0");
+    let config = read(&text).expect("one weight may be 0");
+    let route = &config.routes[1];
+    for unit in [0.0, 0.3, 1.0, -1.0, 2.0, f64::NAN] {
+        assert_eq!(route.draw(unit), Some("wuno96b"));
+    }
+    let both = whole();
+    assert_eq!(both.routes[1].draw(0.89), Some("huvo11a"));
+    assert_eq!(both.routes[1].draw(0.91), Some("wuno96b"));
+}
+
+#[test]
+fn a_service_beside_the_weights_takes_nothing() {
+    let text =
+        WHOLE.replace("\"weighted_backends\":[", "\"backend_service\":\"wuno96b\",\"weighted_backends\":[");
+    let text = text.replace(",{\"backend_service\":\"wuno96b\",\"weight\":10}", "");
+    let config = read(&text).expect("valid");
+    assert_eq!(config.routes[1].backends, [("huvo11a".to_owned(), 90.0), ("wuno96b".to_owned(), 0.0)]);
+    assert_eq!(config.routes[1].draw(1.0), Some("huvo11a"));
+}
