Register of servers by source and version, first form

Cause: the core machines and proxies need one list of servers that survives the loss of any of them. Change: mosshead-catchment holds entries under (source, version), joined by one total order, and answers a version vector with what a puller lacks; silence is marked by the source that heard a server last, or adopted from a lost one.

--- /dev/null
+++ b/crates/catchment/src/catchment.rs
@@ -0,0 +1,470 @@
+//! The register of one process.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::{BuildHasherDefault, DefaultHasher};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use crate::record::Record;
+use crate::sources::Sources;
+use crate::{Delta, Entry, Fault, OperState, Server, SourceId, Vector};
+
+/// The most servers that are held, tombstones apart.
+pub const MOST_SERVERS: usize = 32_768;
+/// The most tombstones that are held; the oldest go first.
+pub const MOST_TOMBSTONES: usize = 16_384;
+/// How long a tombstone is held.
+pub const TOMBSTONE_MS: u64 = 120_000;
+
+/// With more sources than this in use, entries of lost sources are taken over when their server is heard.
+const MANY_SOURCES: usize = 16;
+/// How often a register that differs from another's may ask for everything.
+const DOUBT_MS: u64 = 10_000;
+
+/// The sequence of a deregistration: nothing comes after it.
+const LAST: u64 = u64::MAX;
+
+/// What a beat or a deregistration has done.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// It made a new version.
+    pub changed: bool,
+    /// The server is draining or gone, and only this source is known to have it: hand it to another core process
+    /// (see [`Catchment::held`]) before the acknowledgement. Stays so, over repeats, until that is done.
+    pub urgent: bool,
+    /// It was older than what is known, and changed nothing.
+    pub stale: bool,
+    /// It was not taken in at all.
+    pub refused: Option<Fault>,
+}
+
+/// The register of servers of one process.
+#[derive(Clone, Debug)]
+pub struct Catchment {
+    pub(crate) me: SourceId,
+    pub(crate) keepalive_ms: u64,
+    pub(crate) is_follower: bool,
+    pub(crate) records: HashMap<Arc<str>, Record, BuildHasherDefault<DefaultHasher>>,
+    pub(crate) sources: Sources,
+    pub(crate) timers: BTreeSet<(u64, Arc<str>)>,
+    pub(crate) tombstones: BTreeSet<(u64, Arc<str>)>,
+    pub(crate) last_tick: Option<u64>,
+    pub(crate) awake_since: u64,
+    by_service: BTreeMap<String, BTreeSet<Arc<str>>>,
+    by_address: BTreeMap<SocketAddrV4, BTreeSet<Arc<str>>>,
+    version: u64,
+    held: u64,
+    fingerprint: u64,
+    doubted_at: Option<u64>,
+}
+
+impl Catchment {
+    /// The register of a core process. `me` has to be drawn anew at every start.
+    pub fn new(me: SourceId, keepalive_ms: u64) -> Catchment {
+        Catchment {
+            me,
+            keepalive_ms: keepalive_ms.max(1),
+            is_follower: false,
+            records: HashMap::default(),
+            sources: Sources::default(),
+            timers: BTreeSet::new(),
+            tombstones: BTreeSet::new(),
+            last_tick: None,
+            awake_since: 0,
+            by_service: BTreeMap::new(),
+            by_address: BTreeMap::new(),
+            version: 0,
+            held: 0,
+            fingerprint: 0,
+            doubted_at: None,
+        }
+    }
+
+    /// The register of a process that hears no servers (a proxy): it marks nobody silent.
+    pub fn follower(me: SourceId, keepalive_ms: u64) -> Catchment {
+        Catchment { is_follower: true, ..Catchment::new(me, keepalive_ms) }
+    }
+
+    /// Takes in a beat of a server.
+    pub fn beat(&mut self, now: u64, mut server: Server) -> Heard {
+        if let Err(fault) = server.check() {
+            return Heard { refused: Some(fault), ..Heard::default() };
+        }
+        server.silent = false;
+        server.sequence = server.sequence.min(LAST - 1);
+        let sequence = server.sequence;
+        let Some(record) = self.records.get_mut(server.id.as_str()) else {
+            return self.first_beat(now, server);
+        };
+        if sequence < record.heard_sequence {
+            let urgent = self.is_pending(&server.id);
+            return Heard { stale: true, urgent, ..Heard::default() };
+        }
+        let known = &record.entry;
+        if sequence == record.heard_sequence {
+            // A repeat. It may only go down in life.
+            if server.state <= known.server.state {
+                let urgent = self.is_pending(&server.id);
+                return Heard { urgent, ..Heard::default() };
+            }
+        }
+        record.heard_sequence = sequence;
+        record.heard_at = now;
+        record.heard_by = self.me;
+        record.direct_at = Some(now);
+        let says_new = !known.server.says_same(&server);
+        let moved = known.server.address != server.address;
+        let (source, version) = (known.source, known.version);
+        // An entry that others can't be given, or of which there are too many owners.
+        let orphan = version > self.sources.known(source)
+            || (self.sources.with_entries() > MANY_SOURCES && self.is_lost(now, source));
+        if !says_new && !orphan {
+            let urgent = self.is_pending(&server.id);
+            return Heard { urgent, ..Heard::default() };
+        }
+        let id = server.id.clone();
+        self.publish(now, server);
+        if moved {
+            self.shadow(now, &id);
+        }
+        Heard { changed: true, urgent: self.is_pending(&id), ..Heard::default() }
+    }
+
+    fn first_beat(&mut self, now: u64, server: Server) -> Heard {
+        if self.is_full() && !server.is_gone() {
+            return Heard { refused: Some(Fault::Full), ..Heard::default() };
+        }
+        let id = server.id.clone();
+        self.publish(now, server);
+        if let Some(record) = self.records.get_mut(id.as_str()) {
+            record.direct_at = Some(now);
+        }
+        self.shadow(now, &id);
+        Heard { changed: true, urgent: self.is_pending(&id), ..Heard::default() }
+    }
+
+    /// Takes in the end of a server. No beat of this instance counts any more.
+    pub fn deregister(&mut self, now: u64, id: &str) -> Heard {
+        let mut server = match self.records.get(id) {
+            Some(record) if record.entry.server.sequence == LAST && record.entry.server.is_gone() => {
+                return Heard { urgent: self.is_pending(id), ..Heard::default() };
+            }
+            Some(record) => record.entry.server.clone(),
+            None => Server {
+                id: id.to_owned(),
+                service: String::new(),
+                address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+                zone: String::new(),
+                software: String::new(),
+                slots: 0,
+                state: OperState::Gone,
+                silent: false,
+                warmup_left_ms: 0,
+                stage: None,
+                models: Vec::new(),
+                sequence: LAST,
+            },
+        };
+        if let Err(fault) = server.check() {
+            return Heard { refused: Some(fault), ..Heard::default() };
+        }
+        server.state = OperState::Gone;
+        server.silent = false;
+        server.sequence = LAST;
+        self.publish(now, server);
+        Heard { changed: true, urgent: self.is_pending(id), ..Heard::default() }
+    }
+
+    /// A core process other than this one has shown this vector: what it covers need not be handed over again.
+    pub fn held(&mut self, theirs: &Vector) {
+        self.held = self.held.max(theirs.get(self.me).min(self.version));
+    }
+
+    /// Whether another core process is known to hold every change made here.
+    pub fn is_all_held(&self) -> bool {
+        self.held >= self.version
+    }
+
+    /// The last version that was made here.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// What has been seen of each source.
+    pub fn vector(&self) -> Vector {
+        self.sources.vector()
+    }
+
+    /// Whether the puller names a source of which nothing is known here. Ask it to hand over.
+    pub fn unknown(&self, theirs: &Vector) -> bool {
+        theirs.0.iter().any(|(&id, &version)| version > 0 && id != self.me && !self.sources.is_known(id))
+    }
+
+    /// Whether the puller has seen more of any source than this process.
+    pub fn behind(&self, theirs: &Vector) -> bool {
+        theirs.0.iter().any(|(&id, &version)| id != self.me && version > self.sources.known(id))
+    }
+
+    /// At most `most` (one at least) entries above the vector. The delta's vector covers what it holds.
+    pub fn lacking(&self, theirs: &Vector, most: usize) -> Delta {
+        let most = most.max(1);
+        let mut delta = Delta { fingerprint: self.fingerprint, ..Delta::default() };
+        for (source, known) in self.sources.each() {
+            let base = theirs.get(source);
+            let mut covered = base;
+            for (version, id) in self.sources.above(source, base) {
+                if delta.entries.len() >= most {
+                    delta.more = true;
+                    break;
+                }
+                if let Some(record) = self.records.get(id) {
+                    delta.entries.push(record.entry.clone());
+                    covered = version;
+                }
+            }
+            if !delta.more {
+                covered = known;
+            }
+            if base > 0 {
+                delta.since.0.insert(source, base);
+            }
+            if covered > 0 {
+                delta.vector.0.insert(source, covered);
+            }
+            if delta.more {
+                break;
+            }
+        }
+        delta
+    }
+
+    /// Takes in what another process gave. Returns whether anything changed.
+    pub fn merge(&mut self, now: u64, delta: Delta) -> bool {
+        let mut changed = false;
+        for entry in delta.entries {
+            changed |= self.merge_entry(now, entry);
+        }
+        for (&source, &version) in &delta.vector.0 {
+            // Danger: a claim over a gap would hide what lies in it for good.
+            if source != self.me && self.sources.known(source) >= delta.since.get(source) {
+                self.sources.claim(now, source, version);
+            }
+        }
+        self.sources.trim(now, self.me);
+        let may_doubt = self.doubted_at.is_none_or(|at| now.saturating_sub(at) >= DOUBT_MS);
+        if !delta.more && may_doubt && delta.fingerprint != self.fingerprint && self.vector() == delta.vector
+        {
+            self.doubted_at = Some(now);
+            self.sources.forget(self.me);
+        }
+        changed
+    }
+
+    fn merge_entry(&mut self, now: u64, entry: Entry) -> bool {
+        if entry.server.check().is_err() || (entry.source == self.me && entry.version > self.version) {
+            return false;
+        }
+        let Some(record) = self.records.get_mut(entry.server.id.as_str()) else {
+            if self.is_full() && !entry.server.is_gone() {
+                return false;
+            }
+            self.put(now, entry);
+            return true;
+        };
+        if !entry.supersedes(&record.entry) {
+            return false;
+        }
+        let sequence = entry.server.sequence;
+        if record.heard_by == self.me && record.heard_sequence > sequence && !self.is_follower {
+            // Beats that made no version have come here since: the entry is late.
+            if !record.entry.server.says_same(&entry.server) {
+                let mut server = record.entry.server.clone();
+                server.sequence = record.heard_sequence;
+                self.publish(now, server);
+                return true;
+            }
+        }
+        if sequence > record.heard_sequence {
+            record.heard_sequence = sequence;
+            record.heard_at = now;
+            record.heard_by = entry.source;
+        }
+        self.put(now, entry);
+        true
+    }
+
+    /// The servers that have not gone, by service and id.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> + '_ {
+        self.by_service.values().flatten().filter_map(|id| self.get(id))
+    }
+
+    /// The servers of a service that have not gone, by id.
+    pub fn by_service(&self, service: &str) -> impl Iterator<Item = &Server> + '_ {
+        self.by_service.get(service).into_iter().flatten().filter_map(|id| self.get(id))
+    }
+
+    /// The servers at an address that have not gone. Where there are several, all but one have ended; those
+    /// that a newer one was seen to replace are silent.
+    pub fn by_address(&self, address: SocketAddrV4) -> impl Iterator<Item = &Server> + '_ {
+        self.by_address.get(&address).into_iter().flatten().filter_map(|id| self.get(id))
+    }
+
+    /// A server by its id; also a gone one, while its tombstone is held.
+    pub fn get(&self, id: &str) -> Option<&Server> {
+        self.records.get(id).map(|record| &record.entry.server)
+    }
+
+    /// All entries, tombstones too, by source and version.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> + '_ {
+        self.sources.instances().filter_map(|id| self.records.get(id)).map(|record| &record.entry)
+    }
+
+    /// How many servers have not gone.
+    pub fn len(&self) -> usize {
+        self.records.len().saturating_sub(self.tombstones.len())
+    }
+
+    /// Whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Equal where the entries are: by source, version, instance and sequence, tombstones left out.
+    pub fn fingerprint(&self) -> u64 {
+        self.fingerprint
+    }
+
+    /// Who this is.
+    pub fn me(&self) -> SourceId {
+        self.me
+    }
+
+    fn is_full(&self) -> bool {
+        self.len() >= MOST_SERVERS
+    }
+
+    /// Whether the server is leaving, and only this process is known to hold that.
+    fn is_pending(&self, id: &str) -> bool {
+        self.records.get(id).is_some_and(|record| {
+            let entry = &record.entry;
+            entry.server.state != OperState::Up && entry.source == self.me && entry.version > self.held
+        })
+    }
+
+    /// Servers that were at the address of this newcomer have ended.
+    fn shadow(&mut self, now: u64, id: &str) {
+        let Some(address) = self.get(id).filter(|server| !server.is_gone()).map(|server| server.address)
+        else {
+            return;
+        };
+        let ended: Vec<Arc<str>> = self
+            .by_address
+            .get(&address)
+            .into_iter()
+            .flatten()
+            .filter(|other| &***other != id && self.get(other).is_some_and(|server| !server.silent))
+            .cloned()
+            .collect();
+        for other in ended {
+            self.mark(now, &other, |server| server.silent = true);
+        }
+    }
+
+    /// Makes a version of what is known, with a mark.
+    pub(crate) fn mark(&mut self, now: u64, id: &str, set: impl FnOnce(&mut Server)) {
+        let Some(record) = self.records.get(id) else { return };
+        let mut server = record.entry.server.clone();
+        // Danger: a sequence that was only told by a digest may stand for a state that is not known here; a mark
+        // that carried it would undo a drain.
+        if record.heard_by == self.me {
+            server.sequence = record.heard_sequence;
+        }
+        set(&mut server);
+        self.publish(now, server);
+    }
+
+    // Danger: what is published has to supersede the present entry, or nobody else takes it in.
+    pub(crate) fn publish(&mut self, now: u64, server: Server) {
+        self.version = self.version.saturating_add(1);
+        self.sources.claim(now, self.me, self.version);
+        self.put(now, Entry { server, source: self.me, version: self.version });
+    }
+
+    fn put(&mut self, now: u64, mut entry: Entry) {
+        if entry.server.is_gone() {
+            entry.server.models.clear();
+        }
+        let id: Arc<str> = match self.records.get_key_value(entry.server.id.as_str()) {
+            Some((id, _)) => id.clone(),
+            None => Arc::from(entry.server.id.as_str()),
+        };
+        self.unindex(&id);
+        self.index(now, &id, &entry);
+        match self.records.get_mut(&id) {
+            Some(record) => {
+                let before = &record.entry.server;
+                if before.silent != entry.server.silent || before.state != entry.server.state {
+                    record.since = now;
+                }
+                record.heard_sequence = record.heard_sequence.max(entry.server.sequence);
+                record.entry = entry;
+            }
+            None => {
+                self.records.insert(id.clone(), Record::new(now, entry));
+            }
+        }
+        if let Some(record) = self.records.get(&id).filter(|record| record.entry.server.is_gone()) {
+            self.tombstones.insert((record.since, id.clone()));
+        }
+        self.arm(&id);
+        while self.tombstones.len() > MOST_TOMBSTONES {
+            let Some((_, oldest)) = self.tombstones.first().cloned() else { break };
+            self.drop_record(&oldest);
+        }
+    }
+
+    fn index(&mut self, now: u64, id: &Arc<str>, entry: &Entry) {
+        self.sources.insert(now, entry.source, entry.version, id.clone());
+        if entry.server.is_gone() {
+            return;
+        }
+        self.fingerprint ^= entry.fingerprint();
+        self.by_service.entry(entry.server.service.clone()).or_default().insert(id.clone());
+        self.by_address.entry(entry.server.address).or_default().insert(id.clone());
+    }
+
+    fn unindex(&mut self, id: &Arc<str>) {
+        let Some(record) = self.records.get(id) else { return };
+        let entry = &record.entry;
+        // Two instances under one number can only come from outside; the later one owns the place.
+        if self.sources.instance(entry.source, entry.version) == Some(id) {
+            self.sources.remove(entry.source, entry.version);
+        }
+        if entry.server.is_gone() {
+            self.tombstones.remove(&(record.since, id.clone()));
+            return;
+        }
+        self.fingerprint ^= entry.fingerprint();
+        if let Some(ids) = self.by_service.get_mut(&entry.server.service) {
+            ids.remove(id);
+            if ids.is_empty() {
+                self.by_service.remove(&entry.server.service);
+            }
+        }
+        if let Some(ids) = self.by_address.get_mut(&entry.server.address) {
+            ids.remove(id);
+            if ids.is_empty() {
+                self.by_address.remove(&entry.server.address);
+            }
+        }
+    }
+
+    pub(crate) fn drop_record(&mut self, id: &Arc<str>) {
+        self.unindex(id);
+        if let Some(record) = self.records.remove(id)
+            && let Some(at) = record.timer
+        {
+            self.timers.remove(&(at, id.clone()));
+        }
+    }
+}
--- a/crates/catchment/src/lib.rs
+++ b/crates/catchment/src/lib.rs
@@ -1,1 +1,22 @@
 //! The register of servers: sources, versions, and what a puller lacks.
+//!
+//! Every core process is a *source* with a random [`SourceId`] for its life. It numbers the changes of what it
+//! heard; a beat that says nothing new makes no number. A puller shows a version [`Vector`] and is given the
+//! entries above it as a [`Delta`]. Entries are joined by one total order (see [`Entry::supersedes`]), so that
+//! all processes come to the same register whatever the order in which deltas arrive.
+//!
+//! Nothing here does I/O or reads a clock: `now` is milliseconds of any steady clock, never set back.
+
+mod catchment;
+mod delta;
+mod record;
+mod server;
+mod silence;
+mod sources;
+mod vector;
+
+pub use catchment::{Catchment, Heard, MOST_SERVERS, MOST_TOMBSTONES, TOMBSTONE_MS};
+pub use delta::{Delta, Entry};
+pub use server::{Fault, Model, OperState, Server, Stage};
+pub use silence::{GONE_MS, LOST_MS};
+pub use vector::{MOST_IN_VECTOR, SourceId, Vector};
--- /dev/null
+++ b/crates/catchment/src/record.rs
@@ -0,0 +1,34 @@
+//! What one process holds of one server.
+
+use crate::{Entry, SourceId};
+
+#[derive(Clone, Debug)]
+pub(crate) struct Record {
+    pub entry: Entry,
+    /// Highest sequence known by any way; never below the entry's.
+    pub heard_sequence: u64,
+    /// When the last sign of life came to be known here.
+    pub heard_at: u64,
+    /// Who heard the beat `heard_sequence`.
+    pub heard_by: SourceId,
+    /// When a beat last came to this very process.
+    pub direct_at: Option<u64>,
+    /// Since when the entry has been silent or gone.
+    pub since: u64,
+    /// When the timer goes off that stands for this record.
+    pub timer: Option<u64>,
+}
+
+impl Record {
+    pub fn new(now: u64, entry: Entry) -> Record {
+        Record {
+            heard_sequence: entry.server.sequence,
+            heard_at: now,
+            heard_by: entry.source,
+            direct_at: None,
+            since: now,
+            timer: None,
+            entry,
+        }
+    }
+}
