Store of checksummed records and calls between own processes: a first version

Need: the control state must survive losses of power, and the fleet's processes must call each other. Change: cistern keeps records in a file of a disk (a folder, or one in memory that loses power), with a thread that syncs in groups; culvert pairs calls with answers over HTTP/1.1 or without a network.

--- /dev/null
+++ b/crates/cistern/src/fault.rs
@@ -0,0 +1,73 @@
+use std::io;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// What went wrong, numbered.
+    #[derive(Debug)]
+    pub enum Fault {
+        /// 701: a file or the folder can't be read.
+        Read(cause: io::Error) {
+            display("can't read the store: {cause}")
+            source(cause)
+        }
+        /// 702: a write was refused; a full disk is told by its kind.
+        Write(cause: io::Error) {
+            display("can't write to the store: {cause}")
+            source(cause)
+        }
+        /// 703: a sync failed, so nothing since the last good one counts as kept.
+        Sync(cause: io::Error) {
+            display("can't sync the store: {cause}")
+            source(cause)
+        }
+        /// 704: a file can't be created, renamed or removed.
+        Name(cause: io::Error) {
+            display("can't change the store's folder: {cause}")
+            source(cause)
+        }
+        /// 705: the record, or the file with it, would be over its bound.
+        TooLong(length: u64) {
+            display("{length} bytes are too many for the store")
+        }
+        /// 706: the keeper's queue is full.
+        Busy {
+            display("the store's queue is full")
+        }
+        /// 707: the keeper's thread has ended.
+        Closed {
+            display("the store is closed")
+        }
+        /// 708: the keeper's thread can't be started.
+        Thread(cause: io::Error) {
+            display("can't start the store's thread: {cause}")
+            source(cause)
+        }
+    }
+}
+
+impl Fault {
+    /// The number of the fault, for logs and the table in the docs.
+    pub fn code(&self) -> u16 {
+        match self {
+            Fault::Read(_) => 701,
+            Fault::Write(_) => 702,
+            Fault::Sync(_) => 703,
+            Fault::Name(_) => 704,
+            Fault::TooLong(_) => 705,
+            Fault::Busy => 706,
+            Fault::Closed => 707,
+            Fault::Thread(_) => 708,
+        }
+    }
+
+    /// Whether the disk refused because it is full.
+    pub fn is_full(&self) -> bool {
+        match self {
+            Fault::Write(cause) | Fault::Sync(cause) | Fault::Name(cause) => {
+                cause.kind() == io::ErrorKind::StorageFull
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cistern/src/store.rs
@@ -0,0 +1,336 @@
+use std::io;
+use std::path::Path;
+
+use crate::record::{self, Mark, Scan};
+use crate::{Disk, DiskFile, FRAME, Fault, Folder, HEADER, MAX_FILE, MAX_RECORD};
+
+/// Records in order, kept over the losses of a disk.
+pub trait Store {
+    /// Adds a record. It counts as kept only after a [`Store::sync`] that succeeded. After a fault it may still be
+    /// found when the store is opened again, until a later sync succeeds.
+    fn append(&mut self, record: &[u8]) -> Result<(), Fault>;
+    /// Makes the records so far last. After a fault those added since the last good sync are no longer in the store:
+    /// whoever wants them adds them again.
+    fn sync(&mut self) -> Result<(), Fault>;
+    /// Puts these records in place of all others and makes them last; all or none of it happens. After a fault the
+    /// store holds what it held, but when it is opened again with no good sync in between, either may be found.
+    fn rewrite(&mut self, records: &[Vec<u8>]) -> Result<(), Fault>;
+    /// The bytes taken by the records so far.
+    fn length(&self) -> u64;
+}
+
+/// The store in a file of a [`Disk`]: `state.N`, the newest complete N wins.
+#[derive(Debug)]
+pub struct Cistern<D: Disk = Folder> {
+    disk: D,
+    file: D::File,
+    generation: u64,
+    next_generation: u64,
+    /// The end of the records that are in the file.
+    good: Mark,
+    /// The end of those that a sync has covered.
+    synced: Mark,
+    life: u64,
+    tail: Tail,
+    /// Something in the file was changed since the last good sync.
+    unsynced: bool,
+    /// Generations that a failed rewrite may have left under their names.
+    ghosts: Vec<u64>,
+    ignored: u64,
+    buffer: Vec<u8>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Tail {
+    /// The file ends where its records end.
+    Clean,
+    /// Bytes of this process may stand behind the records.
+    Torn,
+    /// Bytes of an earlier process stand behind the records.
+    Foreign,
+}
+
+const BUFFER: usize = 256 << 10;
+
+impl Cistern<Folder> {
+    /// Opens the store in a folder; the records are those that were kept.
+    pub fn open(folder: &Path) -> Result<(Cistern, Vec<Vec<u8>>), Fault> {
+        Cistern::open_on(Folder::new(folder).map_err(Fault::Name)?)
+    }
+}
+
+impl<D: Disk> Cistern<D> {
+    /// Opens the store on a disk; the records are those that were kept.
+    pub fn open_on(mut disk: D) -> Result<(Cistern<D>, Vec<Vec<u8>>), Fault> {
+        let names = disk.names().map_err(Fault::Read)?;
+        let mut generations: Vec<u64> = names.iter().filter_map(|name| generation_of(name)).collect();
+        generations.sort_unstable();
+        let next = names.iter().filter_map(|name| number_of(name)).max().unwrap_or(0).saturating_add(1);
+        let Some((generation, file, found, length)) = newest(&mut disk, &generations)? else {
+            let (file, mark) = publish(&mut disk, next, 1, &[]).map_err(|(fault, _)| fault)?;
+            return Ok((Cistern::with(disk, file, next, mark, 1), Vec::new()));
+        };
+        let Scan { records, mark, .. } = found;
+        let mut store = Cistern::with(disk, file, generation, mark, mark.life.saturating_add(1));
+        store.next_generation = next;
+        store.ignored = length.saturating_sub(mark.offset);
+        if store.ignored > 0 {
+            store.tail = Tail::Foreign;
+            // A disk that refuses writes can still be read from: the next append tries again.
+            let _ = store.mend();
+        }
+        // Danger: what is read may be in the caches only, and the name may be: whoever opens counts it as kept.
+        store.file.sync().map_err(Fault::Sync)?;
+        for name in names.iter().filter(|name| number_of(name).is_some() && **name != name_of(generation)) {
+            let _ = store.disk.remove(name);
+        }
+        store.disk.sync().map_err(Fault::Sync)?;
+        Ok((store, records))
+    }
+
+    fn with(disk: D, file: D::File, generation: u64, mark: Mark, life: u64) -> Cistern<D> {
+        Cistern {
+            disk,
+            file,
+            generation,
+            next_generation: generation.saturating_add(1),
+            good: mark,
+            synced: mark,
+            life,
+            tail: Tail::Clean,
+            unsynced: false,
+            ghosts: Vec::new(),
+            ignored: 0,
+            buffer: Vec::new(),
+        }
+    }
+
+    /// The bytes behind the last good record that were ignored at the opening.
+    pub fn ignored(&self) -> u64 {
+        self.ignored
+    }
+
+    /// Cuts off what stands behind the records.
+    fn mend(&mut self) -> Result<(), Fault> {
+        if self.tail == Tail::Clean {
+            return Ok(());
+        }
+        self.unsynced = true;
+        self.file.set_length(self.good.offset).map_err(Fault::Write)?;
+        if self.tail == Tail::Foreign {
+            // Danger: the bytes may bear the life that this process writes with, so the cut must last first.
+            self.file.sync().map_err(Fault::Sync)?;
+        }
+        self.tail = Tail::Clean;
+        Ok(())
+    }
+
+    /// Something of this life may stand behind `mark`: later records get a higher one.
+    fn fall_back(&mut self, mark: Mark) {
+        self.good = mark;
+        self.life = self.life.saturating_add(1);
+        if self.tail == Tail::Clean {
+            self.tail = Tail::Torn;
+        }
+        // At once, so that a process that starts after this one was killed doesn't find it either.
+        let _ = self.mend();
+    }
+
+    /// Removes, for good, what failed rewrites left.
+    fn lay_ghosts(&mut self) -> Result<(), Fault> {
+        if self.ghosts.is_empty() {
+            return Ok(());
+        }
+        for ghost in &self.ghosts {
+            for name in [name_of(*ghost), new_name_of(*ghost)] {
+                match self.disk.remove(&name) {
+                    Err(cause) if cause.kind() != io::ErrorKind::NotFound => return Err(Fault::Name(cause)),
+                    _ => {}
+                }
+            }
+        }
+        self.disk.sync().map_err(Fault::Sync)?;
+        self.ghosts.clear();
+        Ok(())
+    }
+}
+
+impl<D: Disk> Store for Cistern<D> {
+    fn append(&mut self, record: &[u8]) -> Result<(), Fault> {
+        let length = checked_length(record)?;
+        let end = self.good.offset.saturating_add((FRAME + record.len()) as u64);
+        if end > MAX_FILE {
+            return Err(Fault::TooLong(end));
+        }
+        self.mend()?;
+        self.buffer.clear();
+        let mark = record::put_record(&self.good, self.life, length, record, &mut self.buffer);
+        self.unsynced = true;
+        let written = self.file.write(self.good.offset, &self.buffer);
+        if self.buffer.capacity() > BUFFER {
+            self.buffer = Vec::new();
+        }
+        match written {
+            Ok(()) => {
+                self.good = mark;
+                Ok(())
+            }
+            Err(cause) => {
+                self.fall_back(self.good);
+                Err(Fault::Write(cause))
+            }
+        }
+    }
+
+    fn sync(&mut self) -> Result<(), Fault> {
+        let _ = self.mend();
+        // Danger: while a newer generation may come back, what is written to this one may be lost.
+        let mut result = self.lay_ghosts();
+        if result.is_ok() && self.unsynced {
+            result = self.file.sync().map_err(Fault::Sync);
+        }
+        match result {
+            Ok(()) => {
+                self.synced = self.good;
+                // A tail that could not be cut off is still to be.
+                self.unsynced = self.tail != Tail::Clean;
+                Ok(())
+            }
+            Err(fault) => {
+                self.fall_back(self.synced);
+                Err(fault)
+            }
+        }
+    }
+
+    fn rewrite(&mut self, records: &[Vec<u8>]) -> Result<(), Fault> {
+        let generation = self.next_generation;
+        self.next_generation = generation.saturating_add(1);
+        match publish(&mut self.disk, generation, self.life, records) {
+            Ok((file, mark)) => {
+                let before = std::mem::replace(&mut self.generation, generation);
+                self.file = file;
+                self.good = mark;
+                self.synced = mark;
+                self.tail = Tail::Clean;
+                self.unsynced = false;
+                // Those that stay are older, so they never win.
+                for old in self.ghosts.drain(..).chain([before]) {
+                    let _ = self.disk.remove(&name_of(old));
+                }
+                Ok(())
+            }
+            Err((fault, named)) => {
+                if named {
+                    self.ghosts.push(generation);
+                    let _ = self.lay_ghosts();
+                }
+                Err(fault)
+            }
+        }
+    }
+
+    fn length(&self) -> u64 {
+        self.good.offset
+    }
+}
+
+type Found<D> = (u64, <D as Disk>::File, Scan, u64);
+
+/// The newest complete generation; if there is none, the newest with a header.
+fn newest<D: Disk>(disk: &mut D, generations: &[u64]) -> Result<Option<Found<D>>, Fault> {
+    let mut partial = None;
+    for generation in generations.iter().rev() {
+        // Danger: a file that can't be read now may be the newest, so an older one must not stand in for it.
+        let mut file = disk.open(&name_of(*generation)).map_err(Fault::Read)?;
+        let bytes = file.read(MAX_FILE.saturating_add(1)).map_err(Fault::Read)?;
+        let Some(found) = record::scan(&bytes, *generation) else {
+            continue;
+        };
+        let length = bytes.len() as u64;
+        if found.complete {
+            return Ok(Some((*generation, file, found, length)));
+        }
+        partial = partial.or(Some((*generation, file, found, length)));
+    }
+    Ok(partial)
+}
+
+/// Writes a generation that lasts. The fault comes with whether it may be there under its name.
+fn publish<D: Disk>(
+    disk: &mut D,
+    generation: u64,
+    life: u64,
+    records: &[Vec<u8>],
+) -> Result<(D::File, Mark), (Fault, bool)> {
+    let new_name = new_name_of(generation);
+    let written = write_new(disk, &new_name, generation, life, records);
+    let (file, mark) = written.map_err(|fault| {
+        let _ = disk.remove(&new_name);
+        (fault, false)
+    })?;
+    disk.rename(&new_name, &name_of(generation)).map_err(|cause| (Fault::Name(cause), true))?;
+    disk.sync().map_err(|cause| (Fault::Sync(cause), true))?;
+    Ok((file, mark))
+}
+
+fn write_new<D: Disk>(
+    disk: &mut D,
+    name: &str,
+    generation: u64,
+    life: u64,
+    records: &[Vec<u8>],
+) -> Result<(D::File, Mark), Fault> {
+    let total = records.iter().fold(HEADER as u64, |total, record| {
+        total.saturating_add(FRAME as u64).saturating_add(record.len() as u64)
+    });
+    let base = u32::try_from(records.len()).map_err(|_| Fault::TooLong(total))?;
+    if total > MAX_FILE {
+        return Err(Fault::TooLong(total));
+    }
+    let mut file = disk.create(name).map_err(Fault::Name)?;
+    let mut buffer = Vec::new();
+    let mut written = 0;
+    let mut mark = record::put_header(generation, base, &mut buffer);
+    for record in records {
+        let length = checked_length(record)?;
+        mark = record::put_record(&mark, life, length, record, &mut buffer);
+        if buffer.len() >= BUFFER {
+            file.write(written, &buffer).map_err(Fault::Write)?;
+            written = mark.offset;
+            buffer.clear();
+        }
+    }
+    if !buffer.is_empty() {
+        file.write(written, &buffer).map_err(Fault::Write)?;
+    }
+    file.sync().map_err(Fault::Sync)?;
+    Ok((file, mark))
+}
+
+fn checked_length(record: &[u8]) -> Result<u32, Fault> {
+    let length = record.len();
+    u32::try_from(length)
+        .ok()
+        .filter(|_| length <= MAX_RECORD)
+        .ok_or_else(|| Fault::TooLong(u64::try_from(length).unwrap_or(u64::MAX)))
+}
+
+fn name_of(generation: u64) -> String {
+    format!("state.{generation}")
+}
+
+fn new_name_of(generation: u64) -> String {
+    format!("state.{generation}.new")
+}
+
+/// The generation that a name stands for.
+fn generation_of(name: &str) -> Option<u64> {
+    let number = name.strip_prefix("state.")?.parse::<u64>().ok()?;
+    (name == name_of(number)).then_some(number)
+}
+
+/// The same, also of one that has not got its name yet.
+fn number_of(name: &str) -> Option<u64> {
+    generation_of(name.strip_suffix(".new").unwrap_or(name))
+}
--- /dev/null
+++ b/crates/culvert/src/call.rs
@@ -0,0 +1,55 @@
+use std::future::Future;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use minicbor::{Decode, Decoder, Encode};
+
+use crate::CallFault;
+
+/// The longest body of a call or an answer, in bytes.
+pub(crate) const MAX_BODY: usize = 8 << 20;
+
+/// A question of one process to another, paired with its answer.
+pub trait Call: Encode<()> + for<'bytes> Decode<'bytes, ()> + 'static {
+    /// What the call is named on the wire; letters, digits, `-` and `/`.
+    const NAME: &'static str;
+    /// Whether it does no harm when it arrives twice. If not, it always gets a connection of its own: on one that
+    /// was kept, nobody could tell whether it had arrived.
+    const REPEATABLE: bool = true;
+    /// What is answered.
+    type Answer: Encode<()> + for<'bytes> Decode<'bytes, ()> + 'static;
+}
+
+/// Who calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// The other end of the connection; the port is any.
+    pub address: SocketAddrV4,
+}
+
+/// What carries calls.
+pub trait Transport {
+    /// Calls, and waits for the answer no longer than `within`.
+    ///
+    /// Danger: after [`CallFault::Timeout`], [`CallFault::Lost`], [`CallFault::Garbled`] and
+    /// [`CallFault::TooLong`], and when the future is dropped, the call may have been handled, or may be yet.
+    fn call<C: Call>(
+        &self,
+        to: SocketAddrV4,
+        call: &C,
+        within: Duration,
+    ) -> impl Future<Output = Result<C::Answer, CallFault>>;
+}
+
+/// None: it would be too long, or can't be encoded.
+pub(crate) fn encode<T: Encode<()>>(value: &T) -> Result<Vec<u8>, CallFault> {
+    let bytes = minicbor::to_vec(value).map_err(|_| CallFault::Garbled)?;
+    if bytes.len() > MAX_BODY { Err(CallFault::TooLong) } else { Ok(bytes) }
+}
+
+/// None: the bytes are not just one such value.
+pub(crate) fn decode<T: for<'bytes> Decode<'bytes, ()>>(bytes: &[u8]) -> Option<T> {
+    let mut decoder = Decoder::new(bytes);
+    let value = decoder.decode().ok()?;
+    (decoder.position() == bytes.len()).then_some(value)
+}
--- a/crates/culvert/src/lib.rs
+++ b/crates/culvert/src/lib.rs
@@ -1,1 +1,21 @@
 //! Calls between own processes: a pair of types, one handler.
+//!
+//! A [`Call`] is `POST /NAME` with a minicbor body over HTTP/1.1, its answer 200 with a minicbor body, a
+//! [`Refusal`] another status with the number in the header [`CODE_HEADER`]. [`serve`] answers by [`Handlers`];
+//! [`Caller`] calls over the network and [`Loopback`] without one, both as a [`Transport`]. Everything runs on one
+//! thread, in a `tokio::task::LocalSet`.
+
+mod call;
+mod caller;
+mod fault;
+mod handlers;
+mod loopback;
+mod pool;
+mod server;
+
+pub use call::{Call, Peer, Transport};
+pub use caller::Caller;
+pub use fault::{CODE_HEADER, CallFault, Refusal};
+pub use handlers::{Handlers, Limits};
+pub use loopback::Loopback;
+pub use server::serve;
--- /dev/null
+++ b/crates/culvert/src/server.rs
@@ -0,0 +1,142 @@
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, Id, JoinSet};
+
+use crate::fault::CODE_HEADER;
+use crate::{Handlers, Limits, Peer, Refusal};
+
+/// A peer that doesn't acknowledge for so long is gone.
+pub(crate) const USER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// After a failed accept, which may be for want of descriptors.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// A connection as the server sees it.
+#[derive(Default)]
+struct Seat {
+    busy: Cell<bool>,
+    /// When it was last busy or new, as a count.
+    turn: Cell<u64>,
+}
+
+/// Answers calls until it is dropped, which closes its connections; handlers that run go on. Needs a `LocalSet`.
+pub async fn serve(listener: TcpListener, handlers: Rc<Handlers>) {
+    let limits = handlers.bounds();
+    let turns = Rc::new(Cell::new(0));
+    let mut tasks = JoinSet::new();
+    let mut seats: HashMap<Id, (Rc<Seat>, AbortHandle)> = HashMap::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(ended) = tasks.join_next_with_id() => {
+                seats.remove(&ended.map_or_else(|fault| fault.id(), |(id, ())| id));
+                continue;
+            }
+        };
+        let full = seats.len() >= limits.connections.max(1);
+        // For want of descriptors, too, the oldest idle one goes.
+        if full || accepted.is_err() {
+            let idle = seats.iter().filter(|(_, (seat, _))| !seat.busy.get());
+            let oldest = idle.min_by_key(|(_, (seat, _))| seat.turn.get()).map(|(id, _)| *id);
+            match oldest.and_then(|id| seats.remove(&id)) {
+                Some((_, task)) => task.abort(),
+                None if full => continue,
+                None => {}
+            }
+        }
+        let Ok((stream, SocketAddr::V4(address))) = accepted else {
+            tokio::time::sleep(ACCEPT_AGAIN).await;
+            continue;
+        };
+        let seat = Rc::new(Seat::default());
+        seat.turn.set(next(&turns));
+        let connection =
+            connection(stream, address, Rc::clone(&handlers), Rc::clone(&seat), Rc::clone(&turns));
+        let task = tasks.spawn_local(connection);
+        seats.insert(task.id(), (seat, task));
+    }
+}
+
+fn next(turns: &Cell<u64>) -> u64 {
+    turns.set(turns.get().saturating_add(1));
+    turns.get()
+}
+
+/// Small writes go at once, and a silent peer is given up.
+pub(crate) fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
+async fn connection(
+    stream: TcpStream,
+    address: SocketAddrV4,
+    handlers: Rc<Handlers>,
+    seat: Rc<Seat>,
+    turns: Rc<Cell<u64>>,
+) {
+    // Without these options it is only slower.
+    let _ = tune(&stream);
+    let limits = handlers.bounds();
+    let service = service_fn(move |request| {
+        let (handlers, seat, turns) = (Rc::clone(&handlers), Rc::clone(&seat), Rc::clone(&turns));
+        async move {
+            seat.busy.set(true);
+            let answer = answer(request, &handlers, limits, Peer { address }).await;
+            seat.turn.set(next(&turns));
+            seat.busy.set(false);
+            Ok::<_, Infallible>(response(answer))
+        }
+    });
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_within)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    handlers: &Handlers,
+    limits: Limits,
+    peer: Peer,
+) -> Result<Vec<u8>, Refusal> {
+    let (head, body) = request.into_parts();
+    if head.method != Method::POST {
+        return Err(Refusal::Unknown);
+    }
+    let body = tokio::time::timeout(limits.body_within, Limited::new(body, limits.body).collect())
+        .await
+        .map_err(|_| Refusal::Slow)?
+        .map_err(|fault| if fault.is::<LengthLimitError>() { Refusal::TooLong } else { Refusal::Garbled })?
+        .to_bytes();
+    let path = head.uri.path();
+    handlers.answer(path.strip_prefix('/').unwrap_or(path), &body, peer).await
+}
+
+fn response(answer: Result<Vec<u8>, Refusal>) -> Response<Full<Bytes>> {
+    match answer {
+        Ok(body) => Response::new(Full::new(Bytes::from(body))),
+        Err(refusal) => {
+            let mut response = Response::new(Full::default());
+            *response.status_mut() =
+                StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            response.headers_mut().insert(CODE_HEADER, HeaderValue::from(refusal.code()));
+            response
+        }
+    }
+}
