--- a/crates/sluice/src/links.rs
+++ b/crates/sluice/src/links.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use mosshead_conduit::Link;
+use mosshead_conduit::{Link, Opening, Side};
 use tokio::time::{Duration, Instant};
 
 pub(crate) type ServerLink = Link<Full<Bytes>>;
@@ -23,6 +23,9 @@
 /// A machine that acknowledges nothing for so long is dark.
 const DARK: Duration = Duration::from_millis(400);
 
+/// Ends of these connections are not logged one by one.
+const SERVER: Side = Side { name: "server", log: |_| {} };
+
 /// Counts a connection as open until it is closed.
 struct Held(Rc<Cell<usize>>);
 
@@ -71,7 +74,8 @@
         }
         open.set(open.get() + 1);
         let held = Held(open);
-        match Link::open_within(to.into(), CONNECT.min(left), Some(DARK), held).await {
+        let how = Opening { within: CONNECT.min(left), user_timeout: Some(DARK) };
+        match Link::open(SERVER, to.into(), how, held).await {
             Some(link) => Opened::Link(link),
             None => Opened::Unreachable,
         }
--- /dev/null
+++ b/crates/weir/tests/plan.rs
@@ -0,0 +1,168 @@
+//! Whom requests go to.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use mosshead_catchment::{OperState, Server, Stage};
+use mosshead_weir::{Ask, BudgetTerms, Fault, Terms, Weir};
+use rand_pcg::Pcg64Mcg;
+
+fn server(id: &str, service: &str, stage: Option<Stage>) -> Server {
+    Server {
+        id: id.into(),
+        service: service.into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: "here".into(),
+        software: "v1".into(),
+        slots: 64,
+        state: OperState::Up,
+        silent: false,
+        warmup_left_ms: 0,
+        stage,
+        models: Vec::new(),
+        sequence: 1,
+    }
+}
+
+fn weir(servers: &[Server]) -> Weir<Pcg64Mcg> {
+    let budget = BudgetTerms { ratio: 0.2, extra: 52.0, window: 10_000 };
+    let mut weir = Weir::new(Terms::new(budget), "here", Pcg64Mcg::new(7));
+    weir.list(servers.iter());
+    weir
+}
+
+fn engines() -> Vec<Server> {
+    let readers = (0..4).map(|at| server(&format!("r{at}"), "llm", Some(Stage::Prefill)));
+    let runners = (0..5).map(|at| server(&format!("d{at}"), "llm", Some(Stage::Decode)));
+    readers.chain(runners).collect()
+}
+
+fn prompt(tokens: f64, shared: u64) -> Ask {
+    let parts = vec![(1, 500.0), (shared, 4000.0), (999, tokens - 4500.0)];
+    Ask { tokens, parts, model: "m".into() }
+}
+
+#[test]
+fn the_lower_of_two_gets_the_request() {
+    let servers = [server("a", "s", None), server("b", "s", None)];
+    let mut weir = weir(&servers);
+    (0..3).for_each(|_| weir.runs("a"));
+    for _ in 0..50 {
+        assert_eq!(weir.one(0, "s", &[]).as_deref(), Some("b"));
+    }
+    (0..3).for_each(|_| weir.has_run("a"));
+    weir.runs("b");
+    assert_eq!(weir.one(0, "s", &[]).as_deref(), Some("a"));
+}
+
+#[test]
+fn with_one_ready_server_it_goes_there_and_with_none_nowhere() {
+    let mut weir = weir(&[server("a", "s", None)]);
+    assert_eq!(weir.one(0, "s", &[]).as_deref(), Some("a"));
+    assert_eq!(weir.one(0, "s", &[Rc::from("a")]), None);
+    assert_eq!(weir.one(0, "other", &[]), None);
+}
+
+#[test]
+fn ties_fall_evenly_over_all() {
+    let servers: Vec<_> = (0..5).map(|at| server(&format!("s{at}"), "s", None)).collect();
+    let mut weir = weir(&servers);
+    let mut counts: HashMap<Rc<str>, u32> = HashMap::new();
+    for _ in 0..5000 {
+        *counts.entry(weir.one(0, "s", &[]).expect("one")).or_default() += 1;
+    }
+    assert!(counts.len() == 5 && counts.values().all(|count| (850..1150).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn draining_and_gone_servers_get_nothing() {
+    let mut servers = [server("a", "s", None), server("b", "s", None), server("c", "s", None)];
+    servers[0].state = OperState::Draining;
+    servers[1].state = OperState::Gone;
+    let mut weir = weir(&servers);
+    assert!((0..100).all(|_| weir.one(0, "s", &[]).as_deref() == Some("c")));
+    servers[2].state = OperState::Draining;
+    weir.list(servers.iter());
+    assert_eq!(weir.one(0, "s", &[]), None);
+}
+
+#[test]
+fn a_server_that_fails_fast_is_left_alone_though_it_looks_idle() {
+    let servers = [server("a", "s", None), server("b", "s", None), server("c", "s", None)];
+    let mut weir = weir(&servers);
+    weir.runs("b");
+    weir.runs("c");
+    (0..3).for_each(|_| weir.failed(10, "a", Fault::Failed));
+    assert!((0..100).all(|_| weir.one(20, "s", &[]).as_deref() != Some("a")));
+}
+
+#[test]
+fn silent_servers_are_the_last_resort() {
+    let mut servers = [server("a", "s", None), server("b", "s", None)];
+    servers[0].silent = true;
+    let mut weir = weir(&servers);
+    assert!((0..50).all(|_| weir.one(0, "s", &[]).as_deref() == Some("b")));
+    assert_eq!(weir.one(0, "s", &[Rc::from("b")]).as_deref(), Some("a"));
+}
+
+#[test]
+fn prompts_that_share_a_part_meet_at_the_same_two_readers() {
+    let mut weir = weir(&engines());
+    let mut seen = std::collections::HashSet::new();
+    for _ in 0..200 {
+        let pair = weir.pair(0, "llm", &prompt(60_000.0, 77), &[]).expect("a pair");
+        if let Some(reader) = pair.reader {
+            weir.reads(&reader, 1000.0);
+            seen.insert(reader);
+        }
+    }
+    assert_eq!(seen.len(), 2);
+}
+
+#[test]
+fn all_proxies_draw_the_same_homes() {
+    let reader = |seed| {
+        let budget = BudgetTerms { ratio: 0.2, extra: 52.0, window: 10_000 };
+        let mut weir = Weir::new(Terms::new(budget), "here", Pcg64Mcg::new(seed));
+        weir.list(engines().iter());
+        let mut seen: Vec<_> = (0..60)
+            .filter_map(|_| {
+                let reader = weir.pair(0, "llm", &prompt(60_000.0, 5), &[])?.reader?;
+                weir.reads(&reader, 10.0);
+                Some(reader)
+            })
+            .collect();
+        seen.sort();
+        seen.dedup();
+        seen
+    };
+    assert_eq!(reader(1), reader(2));
+}
+
+#[test]
+fn a_short_prompt_is_read_where_it_is_generated_and_a_long_one_is_handed_over() {
+    let mut weir = weir(&engines());
+    let short = Ask { tokens: 200.0, parts: vec![(1, 200.0)], model: "m".into() };
+    assert_eq!(weir.pair(0, "llm", &short, &[]).expect("a pair").reader, None);
+    assert!(weir.pair(0, "llm", &prompt(60_000.0, 5), &[]).expect("a pair").reader.is_some());
+}
+
+#[test]
+fn without_readers_those_that_generate_read_themselves() {
+    let servers: Vec<_> = engines().into_iter().filter(|one| one.stage == Some(Stage::Decode)).collect();
+    let mut weir = weir(&servers);
+    let pair = weir.pair(0, "llm", &prompt(60_000.0, 5), &[]).expect("a pair");
+    assert_eq!(pair.reader, None);
+}
+
+#[test]
+fn a_server_that_leaves_the_list_is_counted_down_and_forgotten() {
+    let servers = [server("a", "s", None), server("b", "s", None)];
+    let mut weir = weir(&servers);
+    weir.runs("a");
+    weir.list(servers[1..].iter());
+    assert!(weir.board().get("a").is_some(), "a request is still out there");
+    weir.has_run("a");
+    weir.list(servers[1..].iter());
+    assert!(weir.board().get("a").is_none());
+}
--- a/crates/works/src/calls.rs
+++ b/crates/works/src/calls.rs
@@ -57,6 +57,9 @@
     /// The answerer lacks entries that the asker has.
     #[n(6)]
     pub wants: bool,
+    /// The source that the answerer is.
+    #[n(7)]
+    pub source: u64,
 }
 
 impl Call for Pull {
@@ -118,9 +121,9 @@
     /// The source.
     #[n(0)]
     pub source: u64,
-    /// Servers by the hash of their id, with the sequence last heard.
+    /// Servers by id, with the sequence last heard.
     #[n(1)]
-    pub digest: Vec<(u64, u64)>,
+    pub digest: Vec<(String, u64)>,
 }
 
 impl Call for Hears {
--- a/crates/works/src/control.rs
+++ b/crates/works/src/control.rs
@@ -176,9 +176,20 @@
 
 /// The revision that a change bears, before it is read whole.
 fn revision(body: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(body).ok()?;
-    let at = Config::read_revision(text)?;
-    Some(at)
+    // Danger: a reader that recurses must not be led deep.
+    let mut depth = 0_u32;
+    for byte in body {
+        depth = match byte {
+            b'[' | b'{' => depth + 1,
+            b']' | b'}' => depth.saturating_sub(1),
+            _ => depth,
+        };
+        if depth > 64 {
+            return None;
+        }
+    }
+    let value: JsonValue = std::str::from_utf8(body).ok()?.parse().ok()?;
+    whole(value.get()?, "revision")
 }
 
 /// What tells a repeat of a call from another one.
--- a/crates/works/src/core.rs
+++ b/crates/works/src/core.rs
@@ -9,10 +9,10 @@
 
 use mosshead_catchment::{Catchment, Delta, Heard, Server, SourceId, Vector};
 use mosshead_cistern::{Cistern, Done, Keeper, Store};
-use mosshead_culvert::{Caller, Handlers};
+use mosshead_culvert::{Caller, Handlers, Transport};
 use mosshead_headworks::{Input, Member, MemberId, Message, Node, Output, Settings as NodeSettings, State, Verdict};
 use mosshead_mains::Config;
-use mosshead_ripple::{Peer, Ripple, Settings as RippleSettings};
+use mosshead_ripple::{Ripple, Settings as RippleSettings};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::net::TcpListener;
@@ -23,7 +23,7 @@
 use crate::calls::{Epoch, Fetch, Fetched, Hand, Handed, Hears, Pull, Pulled};
 use crate::control;
 use crate::gossip::Gossip;
-use crate::proxy::FLEET;
+use crate::proxy::{FLEET, peer};
 use crate::puller::millis;
 use crate::settings::Settings;
 
@@ -103,7 +103,7 @@
     pub fn took(&self, revision: u64, digest: u64) -> bool {
         let node = self.node.borrow();
         let state = node.as_ref().and_then(|node| node.committed());
-        state.is_some_and(|state| state.taken.contains(&(revision, digest)))
+        state.is_some_and(|state| state.taken.iter().any(|call| call.revision == revision && call.digest == digest))
     }
 
     async fn ask(self: &Rc<Self>, input: impl FnOnce(u64) -> Input) -> Verdict {
@@ -249,7 +249,7 @@
         let node = self.node.borrow();
         let mut all: Vec<SocketAddrV4> = node.iter().flat_map(|node| node.members().iter().map(|member| member.address)).collect();
         let ripple = self.gossip.ripple.borrow();
-        all.extend(ripple.members().filter(|(peer, _)| peer.core).map(|(peer, _)| peer.address));
+        all.extend(ripple.members().filter(|(peer, health)| peer.core && health.lives()).map(|(peer, _)| peer.address));
         if all.is_empty() {
             all = self.settings.internal_seeds();
         }
@@ -261,6 +261,8 @@
     async fn pull(self: Rc<Self>, call: Pull) -> Pulled {
         if call.proxy {
             self.askers.borrow_mut().insert(call.name.clone(), Instant::now());
+        } else {
+            self.register.borrow_mut().held(&call.vector);
         }
         let until = Instant::now() + Duration::from_millis(call.wait_ms.min(2000));
         let mut news = self.news.subscribe();
@@ -279,12 +281,12 @@
         let all = register.lacking(&call.vector, PAGE);
         let behind = !all.entries.is_empty();
         let delta = if call.entries { all } else { Delta::default() };
-        let wants = self.start.elapsed() < NEW && register.unknown(&call.vector);
+        let wants = self.start.elapsed() < NEW && register.behind(&call.vector);
         drop(register);
         let revision = self.config.borrow().as_ref().map_or(0, |config| config.revision);
         let current = self.node.borrow().as_ref().is_some_and(|node| node.in_touch(self.now()));
         let cores = self.all();
-        Pulled { revision, delta, behind, cores, proxies: self.proxies(), current, wants }
+        Pulled { revision, delta, behind, cores, proxies: self.proxies(), current, wants, source: self.life }
     }
 
     fn hand(&self, delta: Delta) -> bool {
@@ -323,8 +325,13 @@
         for other in others {
             let (core, to) = (self.clone(), to.clone());
             tokio::task::spawn_local(async move {
-                let delta = core.register.borrow().own_since(64);
-                let _ = to.send(core.caller.call(other, &Hand { delta }, URGENT).await.is_ok());
+                let (delta, version) = core.latest();
+                let handed = core.caller.call(other, &Hand { delta }, URGENT).await.is_ok();
+                if handed {
+                    let shown = Vector([(SourceId(core.life), version)].into());
+                    core.register.borrow_mut().held(&shown);
+                }
+                let _ = to.send(handed);
             });
         }
         drop(to);
@@ -336,6 +343,14 @@
         false
     }
 
+    /// The latest entries of this machine's own, and their last version.
+    fn latest(&self) -> (Delta, u64) {
+        let register = self.register.borrow();
+        let (mut vector, version) = (register.vector(), register.version());
+        vector.0.insert(SourceId(self.life), version.saturating_sub(64));
+        (register.lacking(&vector, 128), version)
+    }
+
     /// Keeps up with the other machines of the core.
     async fn follow(self: Rc<Self>, other: SocketAddrV4) {
         let mut failures = 0;
@@ -347,8 +362,7 @@
                 Ok(pulled) => {
                     failures = 0;
                     self.hand(pulled.delta);
-                    let source = self.register.borrow().contact(self.now(), other);
-                    let _ = source;
+                    self.register.borrow_mut().contact(self.now(), SourceId(pulled.source));
                     if pulled.wants {
                         let delta = self.register.borrow().lacking(&Vector::default(), 5000);
                         let _ = self.caller.call(other, &Hand { delta }, MESSAGE).await;
@@ -370,7 +384,7 @@
     async fn tell_heard(self: Rc<Self>) {
         loop {
             sleep(Duration::from_millis(500)).await;
-            let digest = self.register.borrow().alive(self.now());
+            let digest = self.register.borrow().alive(self.now().saturating_sub(1200));
             let call = Hears { source: self.life, digest };
             for other in self.others() {
                 let (core, call) = (self.clone(), call.clone());
@@ -433,27 +447,18 @@
 
 fn handlers(core: &Rc<Core>) -> Handlers {
     let (pull, fetch, hand, hears, epoch) = (core.clone(), core.clone(), core.clone(), core.clone(), core.clone());
-    Handlers::default()
-        .on::<Pull, _, _>(move |call, _| {
-            let core = pull.clone();
-            async move { Ok(core.pull(call).await) }
-        })
-        .on::<Fetch, _, _>(move |call, _| {
-            let fetched = fetch.fetch(call.revision);
-            async move { Ok(fetched) }
-        })
-        .on::<Hand, _, _>(move |call, _| {
-            let changed = hand.hand(call.delta);
-            async move { Ok(Handed { changed }) }
-        })
-        .on::<Hears, _, _>(move |call, _| {
-            let now = hears.now();
-            hears.register.borrow_mut().heard_by(now, SourceId(call.source), &call.digest);
-            async move { Ok(Handed { changed: false }) }
+    Handlers::new()
+        .on::<Pull>(async move |call, _| Ok(pull.clone().pull(call).await))
+        .on::<Fetch>(async move |call, _| Ok(fetch.fetch(call.revision)))
+        .on::<Hand>(async move |call, _| Ok(Handed { changed: hand.hand(call.delta) }))
+        .on::<Hears>(async move |call, _| {
+            let digest = call.digest.iter().map(|(id, sequence)| (id.as_str(), *sequence));
+            hears.register.borrow_mut().heard_by(hears.now(), SourceId(call.source), digest);
+            Ok(Handed { changed: false })
         })
-        .on::<Epoch, _, _>(move |call, _| {
+        .on::<Epoch>(async move |call, _| {
             epoch.step(Input::Message { from: call.from, message: call.message });
-            async move { Ok(()) }
+            Ok(())
         })
 }
 
@@ -463,9 +468,10 @@
     let folder = settings.data_directory.clone().ok_or_else(|| missing("data_directory"))?;
     let mut rng = Pcg64Mcg::from_os_rng();
     let life: u64 = rng.random();
-    let peer = Peer::new(&settings.node_name, life, settings.internal(), true, &settings.zone);
+    let peer = peer(&settings, life, true);
     let ripple = RippleSettings { fleet: FLEET, ..RippleSettings::default() };
     let ripple = Ripple::new(peer, settings.internal_seeds(), ripple, Pcg64Mcg::from_rng(&mut rng));
+    let ripple = ripple.map_err(std::io::Error::other)?;
     let gossip = Gossip::bind(settings.internal(), ripple).await?;
     tokio::task::spawn_local(gossip.clone().run());
     let register = RefCell::new(Catchment::new(SourceId(life), settings.keepalive_ms));
@@ -477,7 +483,7 @@
         keeper: RefCell::default(),
         log_length: Cell::new(0),
         register,
-        caller: Caller::default(),
+        caller: Caller::new(),
         asks: RefCell::default(),
         next_ask: Cell::new(1),
         config: RefCell::default(),
--- a/crates/works/src/proxy.rs
+++ b/crates/works/src/proxy.rs
@@ -65,6 +65,12 @@
     Terms::new(BudgetTerms { ratio, extra, window })
 }
 
+/// This process as others of the fleet know it.
+pub fn peer(settings: &Settings, life: u64, core: bool) -> Peer {
+    let (name, zone) = (settings.node_name.clone(), settings.zone.clone());
+    Peer { name, life, address: settings.internal(), core, zone }
+}
+
 async fn listen(address: std::net::SocketAddrV4) -> std::io::Result<TcpListener> {
     let mut tries = 0;
     loop {
@@ -85,17 +91,18 @@
     let mut rng = Pcg64Mcg::from_os_rng();
     let life: u64 = rng.random();
     let sluice = Sluice::new(terms(&settings), &settings.zone, rng.random());
-    let register = Rc::new(RefCell::new(Catchment::new(SourceId(life), settings.keepalive_ms)));
-    let peer = Peer::new(&settings.node_name, life, settings.internal(), false, &settings.zone);
+    let register = Rc::new(RefCell::new(Catchment::follower(SourceId(life), settings.keepalive_ms)));
+    let peer = peer(&settings, life, false);
     let ripple = RippleSettings { fleet: FLEET, ..RippleSettings::default() };
     let ripple = Ripple::new(peer, settings.internal_seeds(), ripple, Pcg64Mcg::from_rng(&mut rng));
+    let ripple = ripple.map_err(std::io::Error::other)?;
     let gossip = Gossip::bind(settings.internal(), ripple).await?;
     tokio::task::spawn_local(gossip.clone().run());
     let (register_of, gossip_of) = (register.clone(), gossip.clone());
     let takes = Takes { sluice: sluice.clone(), register: register_of, told: Cell::new(1), gossip: gossip_of };
     let takes = Rc::new(takes);
     let seeds = settings.internal_seeds();
-    let puller = Puller::new(&settings.node_name, life, Caller::default(), takes.clone(), register.clone(), &seeds);
+    let puller = Puller::new(&settings.node_name, life, Caller::new(), takes.clone(), register.clone(), &seeds);
     for slot in 0..SLOTS {
         tokio::task::spawn_local(puller.clone().run(slot));
     }
@@ -122,7 +129,7 @@
                 takes.listed();
                 takes.proxies(takes.told.get());
                 let cores: Vec<_> = gossip.ripple.borrow().members()
-                    .filter(|(peer, _)| peer.core).map(|(peer, _)| peer.address).collect();
+                    .filter(|(peer, health)| peer.core && health.lives()).map(|(peer, _)| peer.address).collect();
                 puller.learn(&cores);
                 if turns.is_multiple_of(4) {
                     reread(&path, &puller, &gossip);
