Membership of the fleet: probes, second opinions, suspicion, repair

The proxies and the core have to know each other from three seed addresses only. A member without I/O takes datagrams and the time in and gives datagrams and events out.

--- /dev/null
+++ b/crates/ripple/src/claims.rs
@@ -0,0 +1,165 @@
+//! What is made of claims about others and about oneself.
+
+use crate::journal::Event;
+use crate::peer::Health;
+use crate::ripple::Ripple;
+use crate::wire::{Claim, INCARNATION_MAX};
+
+/// How a claim came.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Via {
+    /// From the member itself.
+    Direct,
+    /// As news from another.
+    Rumour,
+    /// In an answer to an asking: the teller has known it for long, so it isn't passed on as news.
+    Page,
+}
+
+const RECHECKS_MAX: usize = 256;
+
+impl Ripple {
+    /// Takes a claim in.
+    pub(crate) fn hear(&mut self, claim: &Claim, via: Via) {
+        if claim.name == self.me.name {
+            return self.hear_of_me(claim);
+        }
+        let Some((key, health)) = self.roster.get(&claim.name).map(|record| (record.key(), record.health))
+        else {
+            return self.hear_of_stranger(claim, via);
+        };
+        if claim.key() > key {
+            match claim.health {
+                Health::Alive => self.enter(claim, via),
+                // Believed only as far as a suspicion: the member may have refuted it already.
+                Health::Suspect | Health::Dead if claim.health == Health::Suspect || health.lives() => {
+                    self.enter(claim, Via::Page);
+                    self.suspect(&claim.name);
+                }
+                Health::Suspect | Health::Dead => {
+                    self.roster.put(claim.peer(), claim.incarnation, health);
+                }
+                Health::Left => {
+                    self.roster.put(claim.peer(), claim.incarnation, health);
+                    self.bury(&claim.name, Health::Left);
+                }
+            }
+        } else if claim.key() == key {
+            match (health, claim.health) {
+                (Health::Alive, Health::Suspect) => self.suspect(&claim.name),
+                (Health::Suspect, Health::Dead) => self.bury(&claim.name, Health::Dead),
+                // Danger: to believe this would spread the losses of one side of a cut to the other when it heals.
+                // The member is asked itself, and refutes if it can.
+                (Health::Alive, Health::Dead) => self.ring.recheck(&claim.name),
+                (Health::Alive | Health::Suspect | Health::Dead, Health::Left) => {
+                    self.bury(&claim.name, Health::Left);
+                }
+                (Health::Dead, Health::Alive | Health::Suspect) if via != Via::Direct => {
+                    self.ask_dead(&claim.name);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Declares a member suspect and tells it.
+    pub(crate) fn suspect(&mut self, name: &str) {
+        if self.roster.get(name).is_none_or(|record| record.health != Health::Alive) {
+            return;
+        }
+        self.roster.set_health(name, Health::Suspect);
+        let until = self.now + self.settings.suspect_ms(self.roster.size());
+        self.suspects.insert(name.to_owned(), until);
+        self.journal.append(Event::Suspected(name.to_owned()));
+        self.rumours.push(name);
+    }
+
+    /// Declares a member dead or left and tells it.
+    pub(crate) fn bury(&mut self, name: &str, health: Health) {
+        let Some(record) = self.roster.get(name) else { return };
+        let (lived, address) = (record.health.lives(), record.peer.address);
+        self.roster.set_health(name, health);
+        self.suspects.remove(name);
+        self.roster.bury(name, self.now + self.settings.remember_ms);
+        if health == Health::Dead {
+            self.contacts.lose(address);
+        } else {
+            self.contacts.found(address);
+        }
+        if lived {
+            let event = if health == Health::Dead { Event::Died } else { Event::Left };
+            self.journal.append(event(name.to_owned()));
+            self.changes += 1;
+            self.changed_at = self.now;
+            self.rumours.push(name);
+        }
+    }
+
+    /// The claim that the sender of one should know, if more is believed of it than it says itself.
+    pub(crate) fn above(&self, claim: &Claim) -> Option<Claim> {
+        let record = self.roster.get(&claim.name)?;
+        let above = (record.key(), record.health) > (claim.key(), claim.health);
+        (above && claim.health != Health::Left).then(|| record.claim())
+    }
+
+    fn hear_of_stranger(&mut self, claim: &Claim, via: Via) {
+        // Dead that one hasn't known, or has forgotten, are let lie; a suspect is believed only in a list.
+        let wanted = match claim.health {
+            Health::Alive => true,
+            Health::Suspect => via == Via::Page,
+            Health::Dead | Health::Left => false,
+        };
+        if wanted && self.roster.has_room() {
+            self.enter(claim, via);
+            if claim.health == Health::Suspect {
+                self.suspect(&claim.name);
+            }
+        }
+    }
+
+    /// A higher claim that the member lives.
+    fn enter(&mut self, claim: &Claim, via: Via) {
+        let peer = claim.peer();
+        let old = self.roster.get(&claim.name);
+        let known = old.is_some_and(|record| record.health.lives() && record.peer == peer);
+        if let Some(record) = old.filter(|record| record.peer.address != peer.address) {
+            self.contacts.found(record.peer.address);
+        }
+        self.contacts.found(peer.address);
+        self.roster.put(peer.clone(), claim.incarnation, Health::Alive);
+        let suspected = self.suspects.remove(&claim.name).is_some();
+        if !known {
+            self.journal.append(Event::Joined(peer));
+            self.ring.insert(&claim.name, &mut *self.generator);
+        } else if suspected {
+            self.journal.append(Event::Refuted(claim.name.clone()));
+        }
+        self.changes += 1;
+        self.changed_at = self.now;
+        if via != Via::Page {
+            self.rumours.push(&claim.name);
+        }
+    }
+
+    fn hear_of_me(&mut self, claim: &Claim) {
+        let same = claim.life == self.me.life;
+        if self.leaving || (same && !self.settings.refutes) {
+            return;
+        }
+        // One's own former word, or an older life that is overridden already.
+        if (same && claim.health == Health::Alive) || claim.key() < (self.incarnation, self.me.life) {
+            return;
+        }
+        self.incarnation = claim.incarnation.saturating_add(1).min(INCARNATION_MAX);
+        self.roster.put(self.me.clone(), self.incarnation, Health::Alive);
+        self.changed_at = self.now;
+        self.refuted = true;
+    }
+
+    /// Others say that one held for dead lives: it is asked, and refutes if it can.
+    fn ask_dead(&mut self, name: &str) {
+        if self.rechecks.len() < RECHECKS_MAX && !self.rechecks.iter().any(|known| known == name) {
+            self.rechecks.push_back(name.to_owned());
+        }
+    }
+}
