Make the programs of the fleet build on their packages

Names and signatures as the packages have them; the host of the control state rewrites its log when the state asks for it.

--- a/crates/sluice/src/prompt.rs
+++ b/crates/sluice/src/prompt.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::collections::HashMap;
-use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -47,10 +46,6 @@
         HeaderValue::from_str(&format!("{}/{}", self.server.address, self.handle)).ok()
     }
 
-    pub(crate) fn address(&self) -> SocketAddrV4 {
-        self.server.address
-    }
-
     pub(crate) fn reader(&self) -> &Rc<str> {
         &self.server.id
     }
--- a/crates/works/src/core.rs
+++ b/crates/works/src/core.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 
 use mosshead_catchment::{Catchment, Delta, Heard, Server, SourceId, Vector};
-use mosshead_cistern::{Cistern, Done, Keeper, Store};
-use mosshead_culvert::{Caller, Handlers, Transport};
-use mosshead_headworks::{Input, Member, MemberId, Message, Node, Output, Settings as NodeSettings, State, Verdict};
+use mosshead_cistern::{Cistern, Done, Keeper};
+use mosshead_culvert::{Caller, Handlers};
+use mosshead_headworks::{Input, Message, Node, Output, Settings as NodeSettings, State, Verdict};
 use mosshead_mains::Config;
 use mosshead_ripple::{Ripple, Settings as RippleSettings};
 use rand::{Rng, SeedableRng};
@@ -33,8 +33,8 @@
 const MESSAGE: Duration = Duration::from_millis(900);
 /// So many messages are on the way to one machine.
 const MESSAGES: usize = 8;
-/// The log on disk is rewritten beyond this.
-const LONG: u64 = 12 * 1024 * 1024;
+/// So many writes wait for the disk.
+const WRITES: usize = 256;
 /// Steps of the configuration that are kept for those that pull, and their length together.
 const STEPS: usize = 64;
 const STEPS_LENGTH: usize = 4 * 1024 * 1024;
@@ -61,7 +61,6 @@
     start: Instant,
     node: RefCell<Option<Node>>,
     keeper: RefCell<Option<Keeper>>,
-    log_length: Cell<u64>,
     register: RefCell<Catchment>,
     caller: Caller,
     asks: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
@@ -151,11 +150,9 @@
         match output {
             Output::Send { to, message } => self.send(to, message),
             Output::Write { token, record } => {
-                self.log_length.set(self.log_length.get() + record.len() as u64 + 32);
                 let queued = self.keeper.borrow().as_ref().is_some_and(|keeper| keeper.append(token, record).is_ok());
                 if !queued {
-                    let core = self.clone();
-                    tokio::task::spawn_local(async move { core.step(Input::WriteFailed { token }) });
+                    self.write_failed(token);
                 }
             }
             Output::Answer { ask, result } => {
@@ -164,13 +161,29 @@
                 }
             }
             Output::Committed { state } => self.committed(&state),
-            Output::Primary { ballot, primary } => {
-                spdlog::info!("headworks: primary {primary} under round {}.", ballot.round);
+            Output::Rewrite { token, record } => {
+                let queued = self.keeper.borrow().as_ref().is_some_and(|keeper| keeper.rewrite(token, vec![record]).is_ok());
+                if !queued {
+                    self.write_failed(token);
+                }
+            }
+            Output::Primary { ballot, .. } => {
+                spdlog::info!("headworks: this machine is primary under round {}.", ballot.round);
+                self.tell();
+            }
+            Output::Deposed => {
+                spdlog::info!("headworks: this machine is primary no more.");
                 self.tell();
             }
         }
     }
 
+    /// Tells of a write that could not even be asked for, after what is under way now.
+    fn write_failed(self: &Rc<Self>, token: u64) {
+        let core = self.clone();
+        tokio::task::spawn_local(async move { core.step(Input::WriteFailed { token }) });
+    }
+
     fn send(self: &Rc<Self>, to: SocketAddrV4, message: Message) {
         let mut under_way = self.under_way.borrow_mut();
         let count = under_way.entry(to).or_default();
@@ -416,31 +429,20 @@
             self.config.borrow().as_ref().map_or(0, |config| config.revision),
             self.register.borrow().len(),
             self.gossip.count(false),
-            self.log_length.get(),
+            self.keeper.borrow().as_ref().map_or(0, Keeper::length),
         )
     }
 }
 
-/// The member that a disk is, and what it remembers. Waits for a disk that is in trouble.
-fn open_disk(folder: &Path, fresh: u64) -> (u64, Cistern, Vec<Vec<u8>>) {
+/// Opens the log. Waits for a disk that is in trouble.
+fn open_disk(folder: &Path) -> (Cistern, Vec<Vec<u8>>) {
     loop {
-        let opened = (|| {
-            let (mut own, records) = Cistern::open(&folder.join("member")).ok()?;
-            let known = records.first().and_then(|record| Some(u64::from_be_bytes(record.get(..8)?.try_into().ok()?)));
-            let id = match known {
-                Some(id) => id,
-                None => {
-                    own.append(&fresh.to_be_bytes()).ok()?;
-                    own.sync().ok()?;
-                    fresh
-                }
-            };
-            let (log, records) = Cistern::open(&folder.join("headworks")).ok()?;
-            Some((id, log, records))
-        })();
-        match opened {
-            Some(opened) => return opened,
-            None => std::thread::sleep(std::time::Duration::from_millis(200)),
+        match Cistern::open(&folder.join("headworks")) {
+            Ok(opened) => return opened,
+            Err(fault) => {
+                spdlog::warn!("cistern: {fault}. Trying again.");
+                std::thread::sleep(std::time::Duration::from_millis(200));
+            }
         }
     }
 }
@@ -481,7 +483,6 @@
         start: Instant::now(),
         node: RefCell::default(),
         keeper: RefCell::default(),
-        log_length: Cell::new(0),
         register,
         caller: Caller::new(),
         asks: RefCell::default(),
@@ -499,7 +500,7 @@
         tokio::task::spawn_local(control::serve(core.clone(), TcpListener::bind(address).await?));
     }
     tokio::task::spawn_local(core.clone().tell_heard());
-    tokio::task::spawn_local(open(core.clone(), folder, rng.random(), rng.random()));
+    tokio::task::spawn_local(open(core.clone(), folder, rng.random()));
     spdlog::info!("reservoir: {} listens.", settings.node_name);
     let mut hangup = signal(SignalKind::hangup())?;
     let mut term = signal(SignalKind::terminate())?;
@@ -521,7 +522,6 @@
                     for other in core.others() {
                         followed.entry(other).or_insert_with(|| tokio::task::spawn_local(core.clone().follow(other)));
                     }
-                    core.rewrite();
                 }
                 if turns.is_multiple_of(80) {
                     reread(&core, &path);
@@ -553,46 +553,32 @@
     }
 }
 
-impl Core {
-    fn rewrite(&self) {
-        if self.log_length.get() < LONG {
-            return;
-        }
-        let snapshot = self.node.borrow().as_ref().map(Node::snapshot);
-        if let (Some(snapshot), Some(keeper)) = (snapshot, self.keeper.borrow().as_ref()) {
-            self.log_length.set(snapshot.len() as u64);
-            let _ = keeper.rewrite(u64::MAX, vec![snapshot]);
-        }
-    }
-}
-
 /// Opens the disk aside: it may hang for seconds while the rest of the machine serves.
-async fn open(core: Rc<Core>, folder: PathBuf, fresh: u64, seed: u64) {
+async fn open(core: Rc<Core>, folder: PathBuf, seed: u64) {
     let (to, from) = oneshot::channel();
     std::thread::spawn(move || {
-        let _ = to.send(open_disk(&folder, fresh));
+        let _ = to.send(open_disk(&folder));
     });
-    let Ok((id, log, records)) = from.await else { return };
-    let me = Member { id: MemberId(id), address: core.settings.internal() };
-    spdlog::info!("reservoir: member {id:x}, {} records on disk.", records.len());
-    core.log_length.set(log.length());
+    let Ok((log, records)) = from.await else { return };
+    spdlog::info!("cistern: {} records on disk.", records.len());
     let (done, mut finished) = mpsc::unbounded_channel::<Done>();
-    let keeper = Keeper::start(log, move |it| {
+    let keeper = Keeper::start(log, WRITES, move |it| {
         let _ = done.send(it);
     });
-    core.keeper.replace(Some(keeper));
+    match keeper {
+        Ok(keeper) => core.keeper.replace(Some(keeper)),
+        Err(fault) => {
+            spdlog::error!("cistern: {fault}. This machine keeps no control state.");
+            return;
+        }
+    };
     let (failures, seeds) = (core.settings.node_failures, core.settings.internal_seeds());
-    let settings = NodeSettings::new(me, failures, core.settings.bootstrap, seeds);
+    let settings = NodeSettings::new(core.settings.internal(), failures, core.settings.bootstrap, seeds);
     let node = Node::new(settings, &records, core.now(), seed);
     core.node.replace(Some(node));
     core.step(Input::Tick);
     while let Some(done) = finished.recv().await {
-        if done.token != u64::MAX {
-            core.step(if done.ok {
-                Input::Written { token: done.token }
-            } else {
-                Input::WriteFailed { token: done.token }
-            });
-        }
+        let token = done.token;
+        core.step(if done.ok { Input::Written { token } } else { Input::WriteFailed { token } });
     }
 }
--- a/crates/works/src/log.rs
+++ b/crates/works/src/log.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 
 use spdlog::formatter::{PatternFormatter, pattern};
-use spdlog::sink::{Sink, StdStream, StdStreamSink};
+use spdlog::sink::{StdStream, StdStreamSink};
 use spdlog::{LevelFilter, Logger};
 
 /// Sets the process's log up. A log that can't be had is done without.
 pub fn start(detailed: bool) {
-    let Ok(sink) = StdStreamSink::builder().std_stream(StdStream::Stdout).build() else { return };
-    sink.set_formatter(Box::new(PatternFormatter::new(pattern!("{time} {level} {payload}{eol}"))));
+    let format = PatternFormatter::new(pattern!("{time} {level} {payload}{eol}"));
+    let sink = StdStreamSink::builder().std_stream(StdStream::Stdout).formatter(format).build();
+    let Ok(sink) = sink else { return };
     let Ok(logger) = Logger::builder().sink(Arc::new(sink)).build() else { return };
     let level = if detailed { spdlog::Level::Debug } else { spdlog::Level::Info };
     logger.set_level_filter(LevelFilter::MoreSevereEqual(level));
--- a/crates/works/src/puller.rs
+++ b/crates/works/src/puller.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use mosshead_catchment::{Catchment, Vector};
-use mosshead_culvert::{Caller, Transport};
+use mosshead_culvert::Caller;
 use mosshead_mains::Config;
 use tokio::time::{Duration, Instant, sleep};
 
