--- a/crates/mains/src/build.rs
+++ b/crates/mains/src/build.rs
@@ -63,7 +63,8 @@
 }
 
 fn write(draft: &Draft<'_>) -> (String, Vec<Field>) {
-    let mut text = String::from("{");
+    let mut text = String::with_capacity(draft.length());
+    text.push('{');
     let mut fields = Vec::with_capacity(draft.parts.len());
     for (key, part) in &draft.parts {
         if text.len() > 1 {
--- a/crates/mains/src/config.rs
+++ b/crates/mains/src/config.rs
@@ -94,7 +94,7 @@
         for (key, value) in draft::object(text, "body")? {
             match key.as_ref() {
                 REVISION => revision = Some(value::whole(&value::parse(value, REVISION)?, REVISION)?),
-                "upsert" if value != "null" => upsert = draft::object(value, "upsert")?,
+                "upsert" if value != "null" => upsert = draft::lists(value, "upsert")?,
                 "withdraw" if value != "null" => withdraw = draft::object(value, "withdraw")?,
                 key => drop(value::parse(value, key)?),
             }
@@ -107,14 +107,17 @@
             let names = draft::names(value, &format!("withdraw.{list}"))?;
             draft.withdraw(&list, &HashSet::from_iter(names));
         }
-        for (key, value) in upsert {
+        for (key, value, elements) in upsert {
             let place = format!("upsert.{key}");
-            if value.starts_with('[') {
-                let items = draft::items(&key, value, &place)?;
-                draft.upsert(key, items, &place)?;
-            } else {
-                let part = draft::part(&key, value, &place)?;
-                draft.set(key, part);
+            match elements {
+                Some(elements) => {
+                    let items = draft::items(&key, elements, &place)?;
+                    draft.upsert(key, items, &place)?;
+                }
+                None => {
+                    let part = draft::part(&key, value, None, &place)?;
+                    draft.set(key, part);
+                }
             }
         }
         draft.set(REVISION.into(), Part::Plain(revision.to_string().into()));
--- a/crates/mains/src/draft.rs
+++ b/crates/mains/src/draft.rs
@@ -50,8 +50,8 @@
     /// From a text that has passed the guard.
     pub(crate) fn read(text: &'a str) -> Result<Self, Fault> {
         let mut draft = Draft::default();
-        for (key, value) in object(text, "body")? {
-            let part = part(&key, value, &key)?;
+        for (key, value, elements) in lists(text, "body")? {
+            let part = part(&key, value, elements, &key)?;
             draft.parts.push((key, part));
         }
         Ok(draft)
@@ -90,6 +90,15 @@
         self.parts.iter().find(|(own, _)| own == key).map(|(_, part)| part)
     }
 
+    /// About as long as its text.
+    pub(crate) fn length(&self) -> usize {
+        let part = |part: &Part<'_>| match part {
+            Part::Plain(text) => text.len(),
+            Part::Items(items) => items.iter().map(|item| item.text.len() + 1).sum(),
+        };
+        self.parts.iter().map(|(key, own)| key.len() + 6 + part(own)).sum::<usize>() + 2
+    }
+
     /// Sets a field, in its place or at the end.
     pub(crate) fn set(&mut self, key: Cow<'a, str>, part: Part<'a>) {
         match self.parts.iter_mut().find(|(own, _)| *own == key) {
@@ -140,7 +149,7 @@
 pub(crate) fn object<'a>(text: &'a str, place: &str) -> Result<Vec<(Cow<'a, str>, &'a str)>, Fault> {
     match scan::fields(text) {
         Some(fields) => Ok(fields),
-        None => Err(not(text, place, "an object")),
+        None => Err(value::not(text, place, "an object")),
     }
 }
 
@@ -148,7 +157,7 @@
 pub(crate) fn list<'a>(text: &'a str, place: &str) -> Result<Vec<&'a str>, Fault> {
     match scan::elements(text) {
         Some(elements) => Ok(elements),
-        None => Err(not(text, place, "a list")),
+        None => Err(value::not(text, place, "a list")),
     }
 }
 
@@ -165,45 +174,48 @@
     Ok(found)
 }
 
-/// Why a text isn't what it was taken for.
-fn not(text: &str, place: &str, wanted: &'static str) -> Fault {
-    match value::parse(text, place) {
-        Err(fault) => fault,
-        Ok(_) => Cause::WrongType(wanted).at(place),
-    }
+/// The fields of an object, each as [`part`] and [`items`] take it.
+pub(crate) fn lists<'a>(text: &'a str, place: &str) -> Result<Vec<scan::Listed<'a>>, Fault> {
+    scan::lists(text).ok_or_else(|| value::not(text, place, "an object"))
 }
 
 /// A top-level field. Of unknown lists, those whose items have names of their own can be changed by item.
-pub(crate) fn part<'a>(key: &str, text: &'a str, place: &str) -> Result<Part<'a>, Fault> {
+pub(crate) fn part<'a>(
+    key: &str,
+    text: &'a str,
+    elements: Option<Vec<&'a str>>,
+    place: &str,
+) -> Result<Part<'a>, Fault> {
     let known = matches!(key, ROUTES | SERVICES);
-    if known || (!matches!(key, REVISION | LIMITS) && text.starts_with('[')) {
-        match items(key, text, place) {
+    match elements {
+        None if known => return Err(value::not(text, place, "a list")),
+        Some(elements) if !matches!(key, REVISION | LIMITS) => match items(key, elements, place) {
             Ok(items) => return Ok(Part::Items(items)),
             Err(fault) if known || matches!(fault.cause, Cause::NotWhole(..)) => return Err(fault),
             Err(_) => {}
-        }
+        },
+        _ => {}
     }
     value::parse(text, place)?;
     Ok(Part::Plain(scan::minify(text)))
 }
 
 /// A list of items, each with a name of its own.
-pub(crate) fn items<'a>(list: &str, text: &'a str, place: &str) -> Result<Vec<Item<'a>>, Fault> {
-    let elements = self::list(text, place)?;
+pub(crate) fn items<'a>(list: &str, elements: Vec<&'a str>, place: &str) -> Result<Vec<Item<'a>>, Fault> {
     let mut found: Vec<Item<'a>> = Vec::with_capacity(elements.len());
     let mut seen: HashSet<String> = HashSet::with_capacity(elements.len());
     for (at, text) in elements.into_iter().enumerate() {
         let place = format!("{place}[{at}]");
-        let value = value::parse(text, &place)?;
-        let object = Object::new(&value, &place)?;
+        let fields = value::fields(text, &place)?;
+        let object = Object::new(&fields, &place);
         let name = object.name("name")?;
         if !seen.insert(name.to_owned()) {
             let name = crate::fault::brief(name.to_owned());
             return Err(object.fault("name", Cause::SameName(name)));
         }
         let meaning = match list {
-            ROUTES => Meaning::Route(Arc::new(Route::read(&value, &place)?)),
-            SERVICES => Meaning::Service(Arc::new(Service::read(&value, &place)?)),
+            ROUTES => Meaning::Route(Arc::new(Route::read(&object)?)),
+            SERVICES => Meaning::Service(Arc::new(Service::read(&object)?)),
             _ => Meaning::Unknown,
         };
         found.push(Item { name: Cow::Owned(name.to_owned()), text: scan::minify(text), meaning });
--- a/crates/mains/src/limits.rs
+++ b/crates/mains/src/limits.rs
@@ -39,7 +39,7 @@
     };
 
     pub(crate) fn read(value: &JsonValue, place: &str) -> Result<Limits, Fault> {
-        let object = Object::new(value, place)?;
+        let object = Object::within(value, place)?;
         let (usual, floors) = (Limits::default(), Limits::FLOORS);
         let bytes = |key, usual: usize, floor: usize| -> Result<usize, Fault> {
             let given = object.count(key, u64::MAX)?;
--- a/crates/mains/src/patch.rs
+++ b/crates/mains/src/patch.rs
@@ -52,8 +52,9 @@
         for (list, value) in object(fields.remove("withdraw"), "withdraw")? {
             draft.withdraw(&list, &draft::names(value, "withdraw")?.into_iter().collect());
         }
-        for (list, value) in object(fields.remove("upsert"), "upsert")? {
-            let items = draft::items(&list, value, "upsert")?;
+        for (list, value, elements) in lists(fields.remove("upsert"), "upsert")? {
+            let elements = elements.ok_or_else(|| value::not(value, "upsert", "a list"))?;
+            let items = draft::items(&list, elements, "upsert")?;
             draft.upsert(list, items, "upsert")?;
         }
         for (list, value) in object(fields.remove("order"), "order")? {
@@ -70,8 +71,8 @@
             let names: HashSet<Cow<'_, str>> = draft::names(value, "drop")?.into_iter().collect();
             draft.parts.retain(|(key, _)| !names.contains(key));
         }
-        for (key, value) in object(fields.remove("set"), "set")? {
-            let part = draft::part(&key, value, &key)?;
+        for (key, value, elements) in lists(fields.remove("set"), "set")? {
+            let part = draft::part(&key, value, elements, &key)?;
             draft.set(key, part);
         }
         if let Some(value) = fields.remove("fields") {
@@ -185,6 +186,10 @@
     text.map_or(Ok(Vec::new()), |text| draft::object(text, place))
 }
 
+fn lists<'a>(text: Option<&'a str>, place: &str) -> Result<Vec<scan::Listed<'a>>, Fault> {
+    text.map_or(Ok(Vec::new()), |text| draft::lists(text, place))
+}
+
 /// Brings things into the order of their names.
 fn arrange<T>(things: &mut [T], names: &[Cow<'_, str>], name: impl Fn(&T) -> &str) -> Result<(), Fault> {
     let at: HashMap<&str, usize> = names.iter().enumerate().map(|(at, name)| (name.as_ref(), at)).collect();
--- a/crates/mains/src/route.rs
+++ b/crates/mains/src/route.rs
@@ -72,8 +72,7 @@
         last
     }
 
-    pub(crate) fn read(value: &JsonValue, place: &str) -> Result<Route, Fault> {
-        let object = Object::new(value, place)?;
+    pub(crate) fn read(object: &Object<'_>) -> Result<Route, Fault> {
         let name = object.name("name")?.to_owned();
         let host = host_name(object.name("host_header")?).into_owned();
         if host.is_empty() {
@@ -105,7 +104,7 @@
                 .filter(|given| *given > 0)
                 .unwrap_or(timeout_ms),
             priority: u8::try_from(priority).unwrap_or(u8::MAX),
-            backends: backends(&object)?,
+            backends: backends(object)?,
             retry_count: u32::try_from(retry_count).unwrap_or(u32::MAX),
             persistence: object.flag("persistence")?,
             resume: object.flag("resume")?,
@@ -121,7 +120,7 @@
     let mut sum = 0.0;
     for (at, value) in weighted.unwrap_or_default().iter().enumerate() {
         let place = object.place(&format!("weighted_backends[{at}]"));
-        let backend = Object::new(value, &place)?;
+        let backend = Object::within(value, &place)?;
         let weight = backend.number("weight")?.unwrap_or(1.0);
         sum += weight;
         if weight > MAX_WHOLE {
--- a/crates/mains/src/scan.rs
+++ b/crates/mains/src/scan.rs
@@ -84,6 +84,7 @@
     let mut at = start + 1;
     while let Some(&byte) = bytes.get(at) {
         match byte {
+            b' '..=b'!' | b'#'..=b'[' | b']'.. => at += 1,
             b'"' => return Ok(at + 1),
             b'\\' if bytes.get(at + 1) == Some(&b'u') => {
                 let hex = bytes.get(at + 2..at + 6).ok_or(CUT)?;
@@ -94,8 +95,7 @@
                 at += 6;
             }
             b'\\' => at += 2,
-            0..0x20 => return Err("a string with a control character"),
-            _ => at += 1,
+            _ => return Err("a string with a control character"),
         }
     }
     Err(CUT)
@@ -121,10 +121,14 @@
 
 /// A text without the white space between its values.
 pub(crate) fn minify(text: &str) -> Cow<'_, str> {
+    let bytes = text.as_bytes();
+    // Mostly there is none at all; without an early end this is quick.
+    if !bytes.iter().fold(false, |found, byte| found | is_space(*byte)) {
+        return Cow::Borrowed(text);
+    }
     let mut out: Option<String> = None;
     let mut kept = 0;
     let mut at = 0;
-    let bytes = text.as_bytes();
     while let Some(&byte) = bytes.get(at) {
         if byte == b'"' {
             at = string_end(text, at).unwrap_or(bytes.len());
@@ -207,6 +211,20 @@
         self.text.get(start..self.at).filter(|value| !value.is_empty())
     }
 
+    /// The elements of an array that begins here.
+    fn elements(&mut self) -> Option<Vec<&'a str>> {
+        let mut found = Vec::new();
+        if !self.take(b'[') {
+            return None;
+        }
+        let mut more = !self.take(b']');
+        while more {
+            found.push(self.value()?);
+            more = self.goes_on(b']')?;
+        }
+        Some(found)
+    }
+
     fn end(&mut self) -> bool {
         self.space();
         self.at == self.text.len()
@@ -218,34 +236,51 @@
     }
 }
 
+/// A key, its value, and the elements of the value if it is an array.
+pub(crate) type Listed<'a> = (Cow<'a, str>, &'a str, Option<Vec<&'a str>>);
+
 /// The keys and values of an object; nothing when it isn't one.
 pub(crate) fn fields(text: &str) -> Option<Vec<(Cow<'_, str>, &str)>> {
-    let mut cursor = Cursor { text, at: 0 };
-    let mut found = Vec::new();
-    if !cursor.take(b'{') {
-        return None;
-    }
-    let mut more = !cursor.take(b'}');
-    while more {
-        let key = unquote(cursor.value()?)?;
-        let value = cursor.take(b':').then(|| cursor.value())??;
-        found.push((key, value));
-        more = cursor.goes_on(b'}')?;
-    }
-    cursor.end().then_some(found)
+    each_field(text, |cursor, key| Some((key, cursor.value()?)))
+}
+
+/// The same with the elements of the values, in one go.
+pub(crate) fn lists(text: &str) -> Option<Vec<Listed<'_>>> {
+    each_field(text, |cursor, key| {
+        cursor.space();
+        if cursor.peek() != Some(b'[') {
+            return Some((key, cursor.value()?, None));
+        }
+        let start = cursor.at;
+        let elements = cursor.elements()?;
+        Some((key, text.get(start..cursor.at)?, Some(elements)))
+    })
 }
 
 /// The elements of an array; nothing when it isn't one.
 pub(crate) fn elements(text: &str) -> Option<Vec<&str>> {
+    let mut cursor = Cursor { text, at: 0 };
+    let found = cursor.elements()?;
+    cursor.end().then_some(found)
+}
+
+fn each_field<'a, T>(
+    text: &'a str,
+    mut read: impl FnMut(&mut Cursor<'a>, Cow<'a, str>) -> Option<T>,
+) -> Option<Vec<T>> {
     let mut cursor = Cursor { text, at: 0 };
     let mut found = Vec::new();
-    if !cursor.take(b'[') {
+    if !cursor.take(b'{') {
         return None;
     }
-    let mut more = !cursor.take(b']');
+    let mut more = !cursor.take(b'}');
     while more {
-        found.push(cursor.value()?);
-        more = cursor.goes_on(b']')?;
+        let key = unquote(cursor.value()?)?;
+        if !cursor.take(b':') {
+            return None;
+        }
+        found.push(read(&mut cursor, key)?);
+        more = cursor.goes_on(b'}')?;
     }
     cursor.end().then_some(found)
 }
--- a/crates/mains/src/service.rs
+++ b/crates/mains/src/service.rs
@@ -40,8 +40,7 @@
 }
 
 impl Service {
-    pub(crate) fn read(value: &JsonValue, place: &str) -> Result<Service, Fault> {
-        let object = Object::new(value, place)?;
+    pub(crate) fn read(object: &Object<'_>) -> Result<Service, Fault> {
         let engine = match object.get("engine") {
             None => None,
             Some(value) => Some(Engine::read(value, &object.place("engine"))?),
@@ -53,7 +52,7 @@
                 .filter(|path| !path.is_empty())
                 .unwrap_or("/health")
                 .to_owned(),
-            max_connections: small(&object, "max_connections")?.unwrap_or(64),
+            max_connections: small(object, "max_connections")?.unwrap_or(64),
             engine,
         })
     }
@@ -61,7 +60,7 @@
 
 impl Engine {
     fn read(value: &JsonValue, place: &str) -> Result<Engine, Fault> {
-        let object = Object::new(value, place)?;
+        let object = Object::within(value, place)?;
         let models = object.list("model_list")?.unwrap_or_default();
         Ok(Engine {
             slots: small(&object, "slots")?.unwrap_or(1),
--- a/crates/mains/src/value.rs
+++ b/crates/mains/src/value.rs
@@ -1,10 +1,11 @@
 //! Fields of `tinyjson` values, read by hand, each fault with its place.
 
-use std::collections::HashMap;
+use std::borrow::Cow;
 
 use tinyjson::JsonValue;
 
 use crate::fault::{Cause, Fault};
+use crate::scan;
 
 /// The greatest whole number that every reader of JSON keeps exact.
 pub(crate) const MAX_WHOLE: f64 = 9_007_199_254_740_992.0;
@@ -24,17 +25,40 @@
     }
 }
 
+/// An object, parsed field by field: quicker than a map of its own for each of many small ones.
+pub(crate) type Fields<'a> = Vec<(Cow<'a, str>, JsonValue)>;
+
+/// The fields of an object in a text.
+pub(crate) fn fields<'a>(text: &'a str, place: &str) -> Result<Fields<'a>, Fault> {
+    let Some(fields) = scan::fields(text) else { return Err(not(text, place, "an object")) };
+    fields.into_iter().map(|(key, value)| Ok((key, parse(value, place)?))).collect()
+}
+
+/// Why a text isn't what it was taken for.
+pub(crate) fn not(text: &str, place: &str, wanted: &'static str) -> Fault {
+    match parse(text, place) {
+        Err(fault) => fault,
+        Ok(_) => Cause::WrongType(wanted).at(place),
+    }
+}
+
 /// An object at its place. A field that is null counts as absent.
-#[derive(Clone, Copy)]
 pub(crate) struct Object<'a> {
-    map: &'a HashMap<String, JsonValue>,
+    fields: Vec<(&'a str, &'a JsonValue)>,
     place: &'a str,
 }
 
 impl<'a> Object<'a> {
-    pub(crate) fn new(value: &'a JsonValue, place: &'a str) -> Result<Self, Fault> {
+    pub(crate) fn new(fields: &'a Fields<'_>, place: &'a str) -> Self {
+        Object { fields: fields.iter().map(|(key, value)| (key.as_ref(), value)).collect(), place }
+    }
+
+    /// An object within a value.
+    pub(crate) fn within(value: &'a JsonValue, place: &'a str) -> Result<Self, Fault> {
         match value {
-            JsonValue::Object(map) => Ok(Object { map, place }),
+            JsonValue::Object(map) => {
+                Ok(Object { fields: map.iter().map(|(key, value)| (key.as_str(), value)).collect(), place })
+            }
             _ => Err(Cause::WrongType("an object").at(place)),
         }
     }
@@ -48,7 +72,8 @@
     }
 
     pub(crate) fn get(&self, key: &str) -> Option<&'a JsonValue> {
-        self.map.get(key).filter(|value| !matches!(value, JsonValue::Null))
+        let (_, value) = self.fields.iter().find(|(own, _)| *own == key)?;
+        (!matches!(value, JsonValue::Null)).then_some(*value)
     }
 
     pub(crate) fn string(&self, key: &str) -> Result<Option<&'a str>, Fault> {
--- /dev/null
+++ b/crates/mains/tests/modify.rs
@@ -0,0 +1,143 @@
+//! `Configuration.Modify`.
+
+mod common;
+
+use common::{Items, Sample, SampleChange, read, same, whole};
+use mosshead_mains::{Config, Fault, Limits, MAX_BYTES};
+use quickcheck::quickcheck;
+
+fn modify(text: &str) -> Result<Config, Fault> {
+    whole().changed(text.as_bytes())
+}
+
+const ROUTE: &str =
+    r#"{"name":"r-9","host_header":"h","path_prefix":"/","timeout_ms":1,"backend_service":"wuno96b"}"#;
+
+#[test]
+fn items_are_replaced_in_place_and_added_at_the_end() {
+    let first = ROUTE.replace("r-9", "r-1").replace("\"/\"", "\"/n/\"");
+    let config = modify(&format!(
+        r#"{{"revision":9,"upsert":{{"route_entries":[{ROUTE},{first}]}},"withdraw":{{"route_entries":["r-2","r-0"]}}}}"#
+    ))
+    .expect("valid");
+    assert_eq!(config.revision, 9);
+    assert!(config.routes.iter().map(|route| route.name.as_str()).eq(["r-1", "r-9"]));
+    assert_eq!(config.routes[0].prefix, "/n/");
+    assert!(
+        config.text().starts_with(&format!(r#"{{"revision":9,"route_entries":[{first},{ROUTE}],"backend_"#))
+    );
+    assert!(config.text().ends_with(r#""text":"a b\t\u0041"}}"#));
+    same(&config, &read(config.text()).expect("valid"));
+}
+
+#[test]
+fn an_item_withdrawn_and_put_in_again_is_at_the_end() {
+    let second = ROUTE.replace("r-9", "r-1");
+    let config = modify(&format!(
+        r#"{{"revision":9,"upsert":{{"route_entries":[{second}]}},"withdraw":{{"route_entries":["r-1"]}}}}"#
+    ))
+    .expect("valid");
+    assert!(config.routes.iter().map(|route| route.name.as_str()).eq(["r-2", "r-1"]));
+}
+
+#[test]
+fn limits_and_unknown_lists_are_changed() {
+    let config = modify(
+        r#"{"revision":9,"upsert":{"limits":{"max_header_bytes":20000},"walls":[{"name":"a"},{"name":"b","x":1}]},
+            "withdraw":null,"why":"x"}"#,
+    )
+    .expect("valid");
+    assert_eq!(config.limits, Limits { max_header_bytes: 20_000, ..Limits::default() });
+    let config = config
+        .changed(br#"{"revision":10,"upsert":{"walls":[{"name":"b","x":2}]},"withdraw":{"walls":["a"],"doors":["a"]}}"#)
+        .expect("valid");
+    assert!(config.text().contains(r#""walls":[{"name":"b","x":2}]"#));
+    assert!(config.text().contains(r#""limits":{"max_header_bytes":20000}"#));
+    same(&config, &read(config.text()).expect("valid"));
+}
+
+#[test]
+fn a_change_is_checked_whole() {
+    let at = |text: &str| modify(text).map_err(|fault| (fault.code(), fault.place)).expect_err("refused");
+    let is = |text: &str, code: u16, place: &str| assert_eq!(at(text), (code, place.to_owned()), "{text}");
+    is(r#"{"revision":9,"withdraw":{"backend_services":["wuno96b"]}}"#, 9, "route_entries[1]");
+    let one = |route: &str| format!(r#"{{"revision":9,"upsert":{{"route_entries":[{route}]}}}}"#);
+    is(&one(&ROUTE.replace("wuno96b", "w")), 9, "route_entries[2]");
+    is(
+        &one(&ROUTE.replace("\"h\"", "\"ficu95.example\"").replace("\"/\"", "\"/lohu930/\"")),
+        10,
+        "route_entries[2]",
+    );
+    is(&one(&ROUTE.replace(":1", ":0")), 7, "upsert.route_entries[0].timeout_ms");
+    is(&one(&format!("{ROUTE},{ROUTE}")), 13, "upsert.route_entries[1].name");
+    is(&one("{}"), 8, "upsert.route_entries[0].name");
+    is(r#"{"upsert":{}}"#, 8, "revision");
+    is(r#"{"revision":null}"#, 6, "revision");
+    is(r#"{"revision":9,"upsert":[]}"#, 6, "upsert");
+    is(r#"{"revision":9,"withdraw":{"route_entries":"r-1"}}"#, 6, "withdraw.route_entries");
+    is(r#"{"revision":9,"withdraw":{"route_entries":[1]}}"#, 6, "withdraw.route_entries[0]");
+    is(r#"{"revision":9,"upsert":{"route_entries":{}}}"#, 6, "upsert.route_entries");
+    is(r#"{"revision":9,"upsert":{"later":[{"name":"a"}]}}"#, 6, "upsert.later");
+    is(r#"{"revision":9,"upsert":{"limits":[]}}"#, 6, "upsert.limits");
+    is(r#"{"revision":9,"upsert":{"limits":{"max_body_bytes":-1}}}"#, 7, "limits.max_body_bytes");
+    is(r#"{"revision":9,"upsert":{"route_entries":[]},"why":nothing}"#, 3, "why");
+    assert_eq!(at(r#"{"revision":9,"revision":10}"#).0, 5);
+    assert_eq!(at(r#"{"revision":9"#).0, 3);
+    is("[]", 6, "body");
+}
+
+#[test]
+fn a_service_moves_with_its_routes() {
+    let text = r#"{"revision":9,"upsert":{"backend_services":[{"name":"new"}],"route_entries":[
+        {"name":"r-2","host_header":"ficu95.example","path_prefix":"/lohu930/","timeout_ms":5,"backend_service":"new"}]},
+        "withdraw":{"backend_services":["wuno96b"]}}"#;
+    let config = modify(text).expect("valid");
+    assert!(config.services.keys().eq(["huvo11a", "new"]));
+    assert_eq!(config.routes[1].backends, [("new".to_owned(), 1.0)]);
+}
+
+fn change(list: &mut Items, upsert: &Items, withdraw: &[String]) {
+    list.retain(|(name, _)| !withdraw.contains(name));
+    for (name, text) in upsert {
+        match list.iter_mut().find(|(own, _)| own == name) {
+            Some(own) => own.1 = text.clone(),
+            None => list.push((name.clone(), text.clone())),
+        }
+    }
+}
+
+quickcheck! {
+    /// Modify gives what Replace gives with the same lists, or both refuse for the same cause.
+    fn modify_is_replace_of_the_changed_lists(sample: Sample, changes: SampleChange) -> bool {
+        let before = read(&sample.text()).expect("samples are valid");
+        let mut after = sample.clone();
+        after.revision += 1 + sample.revision % 3;
+        change(&mut after.routes, &changes.routes, &changes.gone_routes);
+        change(&mut after.services, &changes.services, &changes.gone_services);
+        let modified = before.changed(changes.text(after.revision).as_bytes());
+        let replaced = Config::replaced(Some(&before), after.text().as_bytes());
+        match (modified, replaced) {
+            (Ok(modified), Ok(replaced)) => {
+                same(&modified, &replaced);
+                true
+            }
+            (Err(one), Err(other)) => one == other,
+            (one, other) => panic!("{one:?} and {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_change_may_not_make_the_whole_too_long() {
+    let upsert = |key: &str| {
+        let big = "x".repeat(MAX_BYTES * 2 / 3);
+        format!(r#"{{"revision":9,"upsert":{{"{key}":"{big}"}}}}"#)
+    };
+    let config = modify(&upsert("one")).expect("there is room");
+    let fault = config.changed(upsert("two").replace(":9", ":10").as_bytes()).expect_err("no room");
+    assert_eq!((fault.code(), fault.place.as_str()), (1, "body"));
+    let smaller = config.changed(br#"{"revision":11,"upsert":{"one":1}}"#).expect("valid");
+    for (from, to) in [(&config, &smaller), (&smaller, &config)] {
+        same(&from.patched(&from.patch(to)).expect("fits"), to);
+    }
+}
