Find routes whose host was written with two colons

A bent text of the property test had the host "c.example::80": one colon was cut off when the route was read and another when it was looked up, so a route that is there was not found. Now all from the first colon (or after the bracket) is the port, and what comes out comes out again.

--- a/crates/mains/src/route.rs
+++ b/crates/mains/src/route.rs
@@ -140,13 +140,14 @@
 }
 
 /// A host in lower case, without its port.
+///
+/// Danger: what comes out must come out again when it is put in, or a route that is there is not found.
 pub(crate) fn host_name(host: &str) -> std::borrow::Cow<'_, str> {
-    let host = host.trim_ascii();
-    let bare = match (host.starts_with('['), host.find(']'), host.rsplit_once(':')) {
-        (true, Some(end), _) => host.get(..=end).unwrap_or(host),
-        (_, _, Some((bare, port))) if port.bytes().all(|byte| byte.is_ascii_digit()) => bare,
-        _ => host,
-    };
+    let bare = match (host.trim_ascii_start().starts_with('['), host.find(']')) {
+        (true, Some(end)) => host.get(..=end).unwrap_or(host),
+        _ => host.split_once(':').map_or(host, |(bare, _)| bare),
+    }
+    .trim_ascii();
     if bare.bytes().any(|byte| byte.is_ascii_uppercase()) {
         bare.to_ascii_lowercase().into()
     } else {
--- a/crates/mains/tests/find.rs
+++ b/crates/mains/tests/find.rs
@@ -77,6 +77,25 @@
     assert_eq!(name(&config, "g", "/a/b/"), None);
 }
 
+#[test]
+fn a_host_is_found_however_its_port_is_written() {
+    for host in [
+        "C.example::80",
+        "c.example:80:81",
+        "c.example:",
+        "c.example:x",
+        " c.example :80",
+        "[C::1]:80",
+        "[c:80",
+    ] {
+        let config = routes(&[(host.to_owned(), "/".to_owned())]);
+        let own = config.routes[0].host.clone();
+        assert_eq!(name(&config, &own, "/"), Some("r0"), "{host} as {own}");
+        assert_eq!(name(&config, host, "/"), Some("r0"), "{host}");
+        assert_eq!(name(&config, &format!("{own}:443"), "/"), Some("r0"), "{host}");
+    }
+}
+
 fn naive<'a>(config: &'a Config, host: &str, path: &str) -> Option<&'a Route> {
     config
         .routes
