Test the store and the calls by contracts, damage and losses of power

Change: an opening writes a generation of its own, and a body that is too long is refused at its header.

--- a/crates/cistern/src/record.rs
+++ b/crates/cistern/src/record.rs
@@ -16,7 +16,7 @@
 const MAGIC: [u8; 8] = *b"cistern1";
 
 /// The end of the records so far.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Mark {
     /// Bytes up to here.
     pub offset: u64,
--- a/crates/cistern/src/store.rs
+++ b/crates/cistern/src/store.rs
@@ -31,7 +31,10 @@
     /// The end of those that a sync has covered.
     synced: Mark,
     life: u64,
-    tail: Tail,
+    /// What was found at the opening is known to last.
+    kept: bool,
+    /// Something may stand behind the good records.
+    torn: bool,
     /// Something in the file was changed since the last good sync.
     unsynced: bool,
     /// Generations that a failed rewrite may have left under their names.
@@ -40,32 +43,27 @@
     buffer: Vec<u8>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Tail {
-    /// The file ends where its records end.
-    Clean,
-    /// Bytes of this process may stand behind the records.
-    Torn,
-    /// Bytes of an earlier process stand behind the records.
-    Foreign,
-}
-
 const BUFFER: usize = 256 << 10;
+/// Generations are below it; far above what can be counted to.
+const LAST: u64 = 1 << 63;
 
 impl Cistern<Folder> {
-    /// Opens the store in a folder; the records are those that were kept.
+    /// Opens the store in a folder, and gives the records found; see [`Cistern::is_kept`].
     pub fn open(folder: &Path) -> Result<(Cistern, Vec<Vec<u8>>), Fault> {
         Cistern::open_on(Folder::new(folder).map_err(Fault::Name)?)
     }
 }
 
 impl<D: Disk> Cistern<D> {
-    /// Opens the store on a disk; the records are those that were kept.
+    /// Opens the store on a disk, and gives the records found; see [`Cistern::is_kept`].
     pub fn open_on(mut disk: D) -> Result<(Cistern<D>, Vec<Vec<u8>>), Fault> {
         let names = disk.names().map_err(Fault::Read)?;
         let mut generations: Vec<u64> = names.iter().filter_map(|name| generation_of(name)).collect();
         generations.sort_unstable();
         let next = names.iter().filter_map(|name| number_of(name)).max().unwrap_or(0).saturating_add(1);
+        if next >= LAST {
+            return Err(Fault::Name(io::Error::from(io::ErrorKind::InvalidInput)));
+        }
         let Some((generation, file, found, length)) = newest(&mut disk, &generations)? else {
             let (file, mark) = publish(&mut disk, next, 1, &[]).map_err(|(fault, _)| fault)?;
             return Ok((Cistern::with(disk, file, next, mark, 1), Vec::new()));
@@ -74,17 +72,13 @@
         let mut store = Cistern::with(disk, file, generation, mark, mark.life.saturating_add(1));
         store.next_generation = next;
         store.ignored = length.saturating_sub(mark.offset);
-        if store.ignored > 0 {
-            store.tail = Tail::Foreign;
-            // A disk that refuses writes can still be read from: the next append tries again.
-            let _ = store.mend();
-        }
-        // Danger: what is read may be in the caches only, and the name may be: whoever opens counts it as kept.
-        store.file.sync().map_err(Fault::Sync)?;
-        for name in names.iter().filter(|name| number_of(name).is_some() && **name != name_of(generation)) {
-            let _ = store.disk.remove(name);
+        store.kept = false;
+        // A disk that refuses writes can still be read from.
+        if store.replace(&records).is_ok() {
+            for name in names.iter().filter(|name| number_of(name).is_some()) {
+                let _ = store.disk.remove(name);
+            }
         }
-        store.disk.sync().map_err(Fault::Sync)?;
         Ok((store, records))
     }
 
@@ -97,7 +91,8 @@
             good: mark,
             synced: mark,
             life,
-            tail: Tail::Clean,
+            kept: true,
+            torn: false,
             unsynced: false,
             ghosts: Vec::new(),
             ignored: 0,
@@ -105,33 +100,73 @@
         }
     }
 
+    /// Whether the records that were found at the opening are known to last. If not, because the disk refused, they
+    /// do after the next good sync, which may be called at any time.
+    pub fn is_kept(&self) -> bool {
+        self.kept
+    }
+
     /// The bytes behind the last good record that were ignored at the opening.
     pub fn ignored(&self) -> u64 {
         self.ignored
     }
 
-    /// Cuts off what stands behind the records.
-    fn mend(&mut self) -> Result<(), Fault> {
-        if self.tail == Tail::Clean {
+    /// Danger: what an earlier process left may be in the caches only, and if a sync has failed there, no later one
+    /// covers it. So this process writes all of it again, and never adds to a file that it has not begun.
+    fn keep(&mut self) -> Result<(), Fault> {
+        if self.kept {
             return Ok(());
         }
-        self.unsynced = true;
-        self.file.set_length(self.good.offset).map_err(Fault::Write)?;
-        if self.tail == Tail::Foreign {
-            // Danger: the bytes may bear the life that this process writes with, so the cut must last first.
-            self.file.sync().map_err(Fault::Sync)?;
+        let bytes = self.file.read(self.good.offset).map_err(Fault::Read)?;
+        match record::scan(&bytes, self.generation) {
+            Some(found) if found.mark == self.good => self.replace(&found.records),
+            _ => Err(Fault::Read(io::Error::from(io::ErrorKind::InvalidData))),
+        }
+    }
+
+    /// Cuts off what stands behind the records.
+    fn mend(&mut self) -> Result<(), Fault> {
+        if self.torn {
+            self.unsynced = true;
+            self.file.set_length(self.good.offset).map_err(Fault::Write)?;
+            self.torn = false;
         }
-        self.tail = Tail::Clean;
         Ok(())
     }
 
+    fn replace(&mut self, records: &[Vec<u8>]) -> Result<(), Fault> {
+        let generation = self.next_generation;
+        self.next_generation = generation.saturating_add(1);
+        match publish(&mut self.disk, generation, self.life, records) {
+            Ok((file, mark)) => {
+                let before = std::mem::replace(&mut self.generation, generation);
+                self.file = file;
+                self.good = mark;
+                self.synced = mark;
+                self.kept = true;
+                self.torn = false;
+                self.unsynced = false;
+                // Those that stay are older, so they never win.
+                for old in self.ghosts.drain(..).chain([before]) {
+                    let _ = self.disk.remove(&name_of(old));
+                }
+                Ok(())
+            }
+            Err((fault, named)) => {
+                if named {
+                    self.ghosts.push(generation);
+                    let _ = self.lay_ghosts();
+                }
+                Err(fault)
+            }
+        }
+    }
+
     /// Something of this life may stand behind `mark`: later records get a higher one.
     fn fall_back(&mut self, mark: Mark) {
         self.good = mark;
         self.life = self.life.saturating_add(1);
-        if self.tail == Tail::Clean {
-            self.tail = Tail::Torn;
-        }
+        self.torn = true;
         // At once, so that a process that starts after this one was killed doesn't find it either.
         let _ = self.mend();
     }
@@ -162,6 +197,7 @@
         if end > MAX_FILE {
             return Err(Fault::TooLong(end));
         }
+        self.keep()?;
         self.mend()?;
         self.buffer.clear();
         let mark = record::put_record(&self.good, self.life, length, record, &mut self.buffer);
@@ -183,6 +219,7 @@
     }
 
     fn sync(&mut self) -> Result<(), Fault> {
+        self.keep()?;
         let _ = self.mend();
         // Danger: while a newer generation may come back, what is written to this one may be lost.
         let mut result = self.lay_ghosts();
@@ -193,7 +230,7 @@
             Ok(()) => {
                 self.synced = self.good;
                 // A tail that could not be cut off is still to be.
-                self.unsynced = self.tail != Tail::Clean;
+                self.unsynced = self.torn;
                 Ok(())
             }
             Err(fault) => {
@@ -204,30 +241,7 @@
     }
 
     fn rewrite(&mut self, records: &[Vec<u8>]) -> Result<(), Fault> {
-        let generation = self.next_generation;
-        self.next_generation = generation.saturating_add(1);
-        match publish(&mut self.disk, generation, self.life, records) {
-            Ok((file, mark)) => {
-                let before = std::mem::replace(&mut self.generation, generation);
-                self.file = file;
-                self.good = mark;
-                self.synced = mark;
-                self.tail = Tail::Clean;
-                self.unsynced = false;
-                // Those that stay are older, so they never win.
-                for old in self.ghosts.drain(..).chain([before]) {
-                    let _ = self.disk.remove(&name_of(old));
-                }
-                Ok(())
-            }
-            Err((fault, named)) => {
-                if named {
-                    self.ghosts.push(generation);
-                    let _ = self.lay_ghosts();
-                }
-                Err(fault)
-            }
-        }
+        self.replace(records)
     }
 
     fn length(&self) -> u64 {
@@ -327,7 +341,7 @@
 /// The generation that a name stands for.
 fn generation_of(name: &str) -> Option<u64> {
     let number = name.strip_prefix("state.")?.parse::<u64>().ok()?;
-    (name == name_of(number)).then_some(number)
+    (number < LAST && name == name_of(number)).then_some(number)
 }
 
 /// The same, also of one that has not got its name yet.
--- /dev/null
+++ b/crates/cistern/tests/recovery.rs
@@ -0,0 +1,168 @@
+//! What is found in a file that was damaged.
+
+use mosshead_cistern::{Cistern, FRAME, HEADER, MemoryDisk, Store};
+use quickcheck::quickcheck;
+
+const SIZES: [usize; 6] = [5, 0, 17, 1, 40, 3];
+
+fn sample() -> Vec<Vec<u8>> {
+    SIZES.iter().enumerate().map(|(number, size)| vec![number as u8 + 1; *size]).collect()
+}
+
+/// The bytes of a file with the sample in it, a part of it from a rewrite.
+fn file() -> Vec<u8> {
+    let disk = MemoryDisk::new();
+    let (mut store, _) = Cistern::open_on(disk.clone()).unwrap();
+    let sample = sample();
+    store.rewrite(&sample[..2]).unwrap();
+    for record in &sample[2..] {
+        store.append(record).unwrap();
+    }
+    store.sync().unwrap();
+    disk.contents("state.2").unwrap()
+}
+
+/// Opens a disk with these bytes, appends, opens again.
+fn recovered(bytes: Vec<u8>) -> Vec<Vec<u8>> {
+    let disk = MemoryDisk::new();
+    disk.put("state.2", bytes);
+    let (mut store, found) = Cistern::open_on(disk.clone()).unwrap();
+    store.append(b"behind").unwrap();
+    store.sync().unwrap();
+    drop(store);
+    let (store, again) = Cistern::open_on(disk).unwrap();
+    assert_eq!(store.ignored(), 0);
+    assert_eq!(again[..found.len()], found);
+    assert_eq!(again[found.len()..], [b"behind".to_vec()]);
+    found
+}
+
+/// How many records end at or before an offset.
+fn whole_before(offset: usize) -> usize {
+    let mut end = HEADER;
+    SIZES
+        .iter()
+        .take_while(|size| {
+            end += FRAME + **size;
+            end <= offset
+        })
+        .count()
+}
+
+#[test]
+fn every_cut_leaves_the_records_in_front_of_it() {
+    let file = file();
+    for cut in 0..=file.len() {
+        let found = recovered(file[..cut].to_vec());
+        assert_eq!(found, sample()[..whole_before(cut)], "cut at {cut}");
+    }
+}
+
+#[test]
+fn every_flipped_bit_ends_the_records() {
+    let file = file();
+    for bit in 0..file.len() * 8 {
+        let mut damaged = file.clone();
+        damaged[bit / 8] ^= 1 << (bit % 8);
+        let found = recovered(damaged);
+        let whole = if bit / 8 < HEADER { 0 } else { whole_before(bit / 8) };
+        assert_eq!(found, sample()[..whole], "bit {bit}");
+    }
+}
+
+#[test]
+fn every_hole_ends_the_records() {
+    let file = file();
+    for start in (0..file.len()).step_by(3) {
+        for end in (start + 1..=file.len()).step_by(7) {
+            let mut damaged = file.clone();
+            damaged[start..end].fill(0);
+            if damaged == file {
+                continue;
+            }
+            let found = recovered(damaged);
+            assert!(sample().starts_with(&found), "hole {start}..{end}");
+            assert!(
+                found.len() >= if start < HEADER { 0 } else { whole_before(start) },
+                "hole {start}..{end}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_record_in_the_wrong_place_ends_the_records() {
+    let file = file();
+    let ends: Vec<usize> = SIZES
+        .iter()
+        .scan(HEADER, |end, size| {
+            *end += FRAME + size;
+            Some(*end)
+        })
+        .collect();
+    // One is missing; one is there twice; two are exchanged.
+    let part = |from: usize, to: usize| file[ends[from]..ends[to]].to_vec();
+    let head = file[..ends[1]].to_vec();
+    for tail in [part(2, 5), [part(1, 2), part(1, 2)].concat(), [part(2, 3), part(1, 2), part(3, 5)].concat()]
+    {
+        let found = recovered([head.clone(), tail.clone()].concat());
+        let whole = if tail.starts_with(&part(1, 2)) { 3 } else { 2 };
+        assert_eq!(found, sample()[..whole]);
+    }
+}
+
+#[test]
+fn the_records_of_another_generation_do_not_count() {
+    let file = file();
+    let disk = MemoryDisk::new();
+    disk.put("state.3", file);
+    assert!(Cistern::open_on(disk).unwrap().1.is_empty());
+}
+
+#[test]
+fn the_newest_complete_generation_wins() {
+    let old = file();
+    let disk = MemoryDisk::new();
+    disk.put("state.2", old.clone());
+    let (mut store, _) = Cistern::open_on(disk.clone()).unwrap();
+    let newer: Vec<Vec<u8>> = (0..4).map(|number| vec![number; 8]).collect();
+    store.rewrite(&newer).unwrap();
+    drop(store);
+    assert_eq!(disk.list(), ["state.4"]);
+    let new = disk.contents("state.4").unwrap();
+    for cut in 0..=new.len() {
+        let disk = MemoryDisk::new();
+        disk.put("state.2", old.clone());
+        disk.put("state.4", new[..cut].to_vec());
+        let (mut store, found) = Cistern::open_on(disk.clone()).unwrap();
+        assert_eq!(found, if cut == new.len() { newer.clone() } else { sample() }, "cut at {cut}");
+        assert_eq!(disk.list().len(), 1);
+        store.rewrite(&[b"next".to_vec()]).unwrap();
+        assert_eq!(disk.list(), ["state.6"]);
+    }
+}
+
+#[test]
+fn numbers_that_can_not_be_counted_to_are_no_generations() {
+    for number in [u64::MAX, 1 << 63] {
+        let disk = MemoryDisk::new();
+        disk.put(&format!("state.{number}"), file());
+        assert!(Cistern::open_on(disk.clone()).unwrap().1.is_empty());
+        assert_eq!(disk.list(), ["state.1".to_owned(), format!("state.{number}")]);
+    }
+    let disk = MemoryDisk::new();
+    disk.put(&format!("state.{}", (1u64 << 63) - 1), file());
+    assert_eq!(Cistern::open_on(disk).unwrap_err().code(), 704);
+}
+
+quickcheck! {
+    fn any_bytes_are_borne(bytes: Vec<u8>, name: u8) -> bool {
+        let disk = MemoryDisk::new();
+        disk.put(&format!("state.{name}"), bytes);
+        Cistern::open_on(disk).unwrap().1.is_empty()
+    }
+
+    fn any_tail_is_borne(tail: Vec<u8>) -> bool {
+        recovered([file(), tail].concat()) == sample()
+    }
+}
--- a/crates/culvert/src/caller.rs
+++ b/crates/culvert/src/caller.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
@@ -12,6 +12,7 @@
 use crate::call::{MAX_BODY, decode, encode};
 use crate::fault::CODE_HEADER;
 use crate::pool::{Connection, Pool};
+use crate::server::collect;
 use crate::{Call, CallFault, Refusal, Transport};
 
 /// In place of a time limit that no clock holds.
@@ -74,13 +75,9 @@
         response: Response<Incoming>,
     ) -> Result<Bytes, CallFault> {
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_BODY)
-            .collect()
+        let body = collect(body, MAX_BODY)
             .await
-            .map_err(
-                |fault| if fault.is::<LengthLimitError>() { CallFault::TooLong } else { CallFault::Lost },
-            )?
-            .to_bytes();
+            .map_err(|too_long| if too_long { CallFault::TooLong } else { CallFault::Lost })?;
         self.pool.put(to, connection);
         if head.status == StatusCode::OK {
             return Ok(body);
--- a/crates/culvert/src/server.rs
+++ b/crates/culvert/src/server.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -109,6 +109,15 @@
         .await;
 }
 
+/// The whole body; a fault says whether it is too long. One that says so beforehand is not read.
+pub(crate) async fn collect(body: Incoming, most: usize) -> Result<Bytes, bool> {
+    if body.size_hint().lower() > most as u64 {
+        return Err(true);
+    }
+    let collected = Limited::new(body, most).collect().await;
+    collected.map(|body| body.to_bytes()).map_err(|fault| fault.is::<LengthLimitError>())
+}
+
 async fn answer(
     request: Request<Incoming>,
     handlers: &Handlers,
@@ -119,11 +128,10 @@
     if head.method != Method::POST {
         return Err(Refusal::Unknown);
     }
-    let body = tokio::time::timeout(limits.body_within, Limited::new(body, limits.body).collect())
+    let body = tokio::time::timeout(limits.body_within, collect(body, limits.body))
         .await
         .map_err(|_| Refusal::Slow)?
-        .map_err(|fault| if fault.is::<LengthLimitError>() { Refusal::TooLong } else { Refusal::Garbled })?
-        .to_bytes();
+        .map_err(|too_long| if too_long { Refusal::TooLong } else { Refusal::Garbled })?;
     let path = head.uri.path();
     handlers.answer(path.strip_prefix('/').unwrap_or(path), &body, peer).await
 }
