Let the client connection be shared: a package of its own, for any body

The fleet's proxies need the connection that the client proxy has: one that tells what the kernel has taken, and why it ended.

--- /dev/null
+++ b/crates/conduit/src/written.rs
@@ -0,0 +1,55 @@
+//! How much of a message has left.
+
+use std::cell::Cell;
+
+/// How much of the message now on a connection has left for the kernel.
+#[derive(Debug, Default)]
+pub struct Written {
+    begun: Cell<bool>,
+    matched: Cell<usize>,
+    body_left: Cell<usize>,
+    whole: Cell<bool>,
+}
+
+impl Written {
+    /// A new message follows, whose body has this length; `usize::MAX` where that is not known.
+    pub fn arm(&self, body: usize) {
+        self.begun.set(false);
+        self.matched.set(0);
+        self.body_left.set(body);
+        self.whole.set(false);
+    }
+
+    /// Whether any byte of it has been handed to the kernel.
+    pub fn begun(&self) -> bool {
+        self.begun.get()
+    }
+
+    /// Whether the last byte has been handed to the kernel: from then on the request may run.
+    pub fn whole(&self) -> bool {
+        self.whole.get()
+    }
+
+    /// The last of a body whose length was not known is about to leave.
+    pub fn ended(&self) {
+        self.whole.set(true);
+    }
+
+    /// The kernel has taken these bytes.
+    pub fn count(&self, bytes: &[u8]) {
+        const END: &[u8] = b"\r\n\r\n";
+        self.begun.set(self.begun.get() || !bytes.is_empty());
+        let mut at = 0;
+        while at < bytes.len() && self.matched.get() < END.len() {
+            let expected = END[self.matched.get()];
+            let next =
+                if bytes[at] == expected { self.matched.get() + 1 } else { usize::from(bytes[at] == b'\r') };
+            self.matched.set(next);
+            at += 1;
+        }
+        if self.matched.get() == END.len() {
+            self.body_left.set(self.body_left.get().saturating_sub(bytes.len() - at));
+            self.whole.set(self.whole.get() || self.body_left.get() == 0);
+        }
+    }
+}
--- a/crates/proxy/src/door.rs
+++ b/crates/proxy/src/door.rs
@@ -19,12 +19,13 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use mosshead_conduit::{Line, Reason, Record};
 use mosshead_decide::Stage;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{AbortHandle, JoinSet, LocalSet};
 use tokio::time::{sleep, timeout};
 
-use crate::connection_log::{Line, Reason, Record, Side};
+use crate::connection_log::OPERATOR;
 use crate::control::Control;
 use crate::log::say;
 
@@ -73,11 +74,7 @@
         {
             oldest.abort();
         }
-        standing.push_back(calls.spawn_local(call(
-            stream,
-            Line::open(Side::Operator, peer),
-            control.clone(),
-        )));
+        standing.push_back(calls.spawn_local(call(stream, Line::open(OPERATOR, peer), control.clone())));
     }
 }
 
--- a/crates/proxy/src/execute_node.rs
+++ b/crates/proxy/src/execute_node.rs
@@ -15,11 +15,12 @@
 use tokio::time::{sleep_until, timeout_at};
 
 use crate::budget::Budget;
-use crate::connection_log::{Reason, Record, Side};
+use crate::connection_log::EXECUTE_NODE;
 use crate::duration;
 use crate::flow::{self, Flow, Start};
-use crate::http::{self, BODY_LIMIT, BodyFault, KEY, Link, Written};
+use crate::http::{self, Link};
 use crate::messages::{Call, NodeMail, Payload, ProbeTicket, Ticket, Told};
+use mosshead_conduit::{BODY_LIMIT, BodyFault, IDEMPOTENCY_KEY, Reason, Record, Written, whole};
 use mosshead_decide::interface::*;
 
 /// An idle connection is closed after this share of the time that execute nodes keep one: what is
@@ -346,7 +347,7 @@
     let latest = Instant::now() + shared.connect_timeout.get();
     let permit = timeout_at(latest.into(), shared.budget.take()).await.map_err(|_| Outcome::NotSent)?;
     let within = latest.saturating_duration_since(Instant::now());
-    Link::open(Side::ExecuteNode, addr, within, permit).await.ok_or(Outcome::ConnectFailed)
+    Link::open(EXECUTE_NODE, addr, within, permit).await.ok_or(Outcome::ConnectFailed)
 }
 
 fn encode(call: &Call, addr: SocketAddr, until: Instant, body: Flow) -> Option<Request<Flow>> {
@@ -357,7 +358,7 @@
         request = request.header("x-correlation-id", call.id.as_str());
     }
     if let Some(key) = &call.key {
-        request = request.header(KEY, HeaderValue::from_maybe_shared(key.clone()).ok()?);
+        request = request.header(IDEMPOTENCY_KEY, HeaderValue::from_maybe_shared(key.clone()).ok()?);
     }
     request.body(body).ok()
 }
@@ -402,7 +403,7 @@
                 Err(fault) => fault,
             }
         }
-        true => match http::whole(answer.into_body(), BODY_LIMIT).await {
+        true => match whole(answer.into_body(), BODY_LIMIT).await {
             Ok(body) => return Result { report, body, link: fit(link), ..Result::of(outcome) },
             Err(fault) => fault,
         },
--- a/crates/proxy/src/flow.rs
+++ b/crates/proxy/src/flow.rs
@@ -16,8 +16,9 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{Sleep, sleep_until, timeout_at};
 
-use crate::http::{BODY_LIMIT, BodyFault, Link, Written};
+use crate::http::Link;
 use crate::messages::Mail;
+use mosshead_conduit::{BODY_LIMIT, BodyFault, Written};
 use mosshead_decide::interface::JobId;
 
 /// The most that a body holds that flows.
--- a/crates/proxy/src/machine_list.rs
+++ b/crates/proxy/src/machine_list.rs
@@ -9,13 +9,14 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{sleep_until, timeout};
 
-use crate::connection_log::{Reason, Side};
+use crate::connection_log::MACHINE_LIST;
 use crate::duration;
 use crate::flow::Flow;
-use crate::http::{self, Link};
+use crate::http::Link;
 use crate::log::{Bounded, say};
 use crate::messages::Mail;
 use mosshead_comeback::Silence;
+use mosshead_conduit::{Reason, whole};
 use mosshead_decide::interface::Seconds;
 use mosshead_known::listing::{Listing, read_listing};
 use mosshead_settings::{self as settings, Found};
@@ -238,7 +239,7 @@
             self.link = None;
         }
         if self.link.is_none() {
-            self.link = Link::open(Side::MachineList, self.discovery, self.connect_timeout, ()).await;
+            self.link = Link::open(MACHINE_LIST, self.discovery, self.connect_timeout, ()).await;
         }
         let link = self.link.as_mut().ok_or_else(|| fault("no connection"))?;
         let target = match held {
@@ -252,7 +253,7 @@
         if answer.status() != StatusCode::OK {
             return Err(fault(&format!("answered {}", answer.status().as_u16())));
         }
-        let body = http::whole(answer.into_body(), LIST_LIMIT).await;
+        let body = whole(answer.into_body(), LIST_LIMIT).await;
         let body = body.map_err(|error| Fault::nonsense(format!("body {error:?}")))?;
         link.record.otherwise(Reason::ClosedByPeer);
         Ok(body)
--- a/crates/proxy/src/submitter.rs
+++ b/crates/proxy/src/submitter.rs
@@ -27,16 +27,16 @@
 
 use crate::LONGEST;
 use crate::budget::{Budget, Permit};
-use crate::connection_log::{Line, Reason, Record, Side};
+use crate::connection_log::SUBMITTER;
 use crate::control::Control;
 use crate::flow::{self, Flow, Start, Upload};
 use crate::framing::Framing;
 use crate::handover::Handover;
-use crate::http::{BodyFault, KEY};
 use crate::log::{Bounded, say};
 use crate::messages::{Answer, Call, Job, Payload};
 use crate::module::Module;
 use crate::tuning::{Term, Terms};
+use mosshead_conduit::{BodyFault, IDEMPOTENCY_KEY, Line, Reason, Record};
 use mosshead_decide::interface::{ClassId, Effect, TenantId};
 
 /// New connections keep coming for so long after a stop is asked for.
@@ -322,7 +322,7 @@
 
     async fn accept_with(&self, listener: &TcpListener, permit: Permit) -> Option<(TcpStream, Line, Permit)> {
         match listener.accept().await {
-            Ok((stream, peer)) => Some((stream, Line::open(Side::Submitter, peer), permit)),
+            Ok((stream, peer)) => Some((stream, Line::open(SUBMITTER, peer), permit)),
             Err(error) => {
                 say!(why = %error, "accept failed");
                 sleep(ACCEPT_PAUSE).await;
@@ -529,7 +529,7 @@
 /// The idempotency key, if there is one. It need not be text: it passes on byte for byte.
 fn read_key(head: &Parts) -> Result<Option<Bytes>, Turned> {
     let bad = |why| Turned(StatusCode::BAD_REQUEST, why);
-    match single(head, KEY, "Idempotency-Key is given twice")? {
+    match single(head, IDEMPOTENCY_KEY, "Idempotency-Key is given twice")? {
         Some(key) if key.is_empty() => Err(bad("Idempotency-Key is empty")),
         Some(key) if key.len() > KEY_LIMIT => Err(bad("Idempotency-Key is too long")),
         key => Ok(key.map(|key| Bytes::copy_from_slice(key.as_bytes()))),
