--- a/crates/conduit/src/link.rs
+++ b/crates/conduit/src/link.rs
@@ -73,6 +73,17 @@
     }
 }
 
+impl Opening {
+    /// Sets on a connection that has come up what the kernel has to know; what it does not know is left out.
+    pub fn set_on(&self, stream: &TcpStream) {
+        // Small messages: without this the second part of one waits for the first one's acknowledgement.
+        let _ = stream.set_nodelay(true);
+        if self.user_timeout.is_some() {
+            let _ = SockRef::from(stream).set_tcp_user_timeout(self.user_timeout);
+        }
+    }
+}
+
 /// An open connection to a server, which carries requests with bodies `B`. Letting go of it closes it at once,
 /// whatever is under way on it.
 #[derive(Debug)]
@@ -104,11 +115,11 @@
         how: impl Into<Opening>,
         held: impl Sized + 'static,
     ) -> Option<Self> {
-        let Opening { within, user_timeout } = how.into();
+        let how = how.into();
         let line = Line::open(side, to);
         let record = line.record();
         record.otherwise(Reason::GivenUp);
-        let stream = match timeout(within, TcpStream::connect(to)).await {
+        let stream = match timeout(how.within, TcpStream::connect(to)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) => {
                 record.because(Reason::Refused);
@@ -119,11 +130,7 @@
                 return None;
             }
         };
-        // Small messages: without this the second part of one waits for the first one's acknowledgement.
-        let _ = stream.set_nodelay(true);
-        if user_timeout.is_some() {
-            let _ = SockRef::from(&stream).set_tcp_user_timeout(user_timeout);
-        }
+        how.set_on(&stream);
         let written = Rc::new(Written::default());
         let io = TokioIo::new(Counted { stream, written: written.clone() });
         let (sender, connection) = Builder::new().max_buf_size(BODY_LIMIT).handshake(io).await.ok()?;
--- a/crates/conduit/tests/link.rs
+++ b/crates/conduit/tests/link.rs
@@ -1,15 +1,183 @@
 //! Connections on loopback.
 
+use std::cell::Cell;
+use std::future::Future;
 use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use mosshead_conduit::{Link, Side};
+use http_body_util::{Empty, Full};
+use mosshead_conduit::{BodyFault, Link, Opening, Reason, Record, Side, whole};
 use rstest::rstest;
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::task::LocalSet;
 
 const SERVER: Side = Side { name: "server", log: |_| {} };
+const PATIENCE: Duration = Duration::from_secs(5);
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test)
+}
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    (listener, to)
+}
+
+async fn connected() -> (Link<Full<Bytes>>, TcpStream) {
+    let (listener, to) = listen();
+    let link = Link::open(SERVER, to, PATIENCE, ()).await.expect("a connection");
+    (link, listener.accept().expect("it").0)
+}
+
+fn get() -> hyper::Request<Full<Bytes>> {
+    hyper::Request::get("/").body(Full::new(Bytes::new())).expect("a request")
+}
+
+/// Sends a request, which `server` gets whole and answers with `answer` and the end of the connection.
+async fn answered(
+    answer: &[u8],
+) -> (Link<Full<Bytes>>, hyper::Result<hyper::Response<hyper::body::Incoming>>) {
+    let (mut link, mut server) = connected().await;
+    let answer = answer.to_vec();
+    let server = std::thread::spawn(move || {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            server.read_exact(&mut byte).expect("a head");
+            head.extend(byte);
+        }
+        let _ = server.write_all(&answer);
+    });
+    let answer = link.send(get(), 0).await;
+    assert!(link.written.begun() && link.written.whole() && link.record.messages() == 1);
+    server.join().expect("no fault");
+    (link, answer)
+}
+
+#[test]
+fn an_answer_comes_back_and_its_body_is_held_within_its_limit() {
+    run(async {
+        let (mut link, answer) = answered(b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nabcde").await;
+        let body = whole(answer.expect("an answer").into_body(), 5).await;
+        assert_eq!(body.expect("a body"), "abcde");
+        // It ends between two messages, by the server's will, and the runtime hears of that in its own time.
+        while !link.closed() {
+            tokio::task::yield_now().await;
+        }
+        assert!(!link.ready().await);
+    });
+}
+
+#[rstest]
+#[case::stated(b"HTTP/1.1 200 X\r\nContent-Length: 6\r\n\r\nabcdef", BodyFault::TooLong)]
+#[case::found(b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\nabcdef", BodyFault::TooLong)]
+#[case::short(b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nab", BodyFault::Broken)]
+#[case::chunks(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", BodyFault::Broken)]
+fn a_body_that_can_t_be_had_says_why(#[case] answer: &[u8], #[case] fault: BodyFault) {
+    run(async {
+        let (_link, answer) = answered(answer).await;
+        assert_eq!(whole(answer.expect("a head").into_body(), 5).await, Err(fault));
+    });
+}
+
+/// What was written whole may have run, though no answer came.
+#[rstest]
+#[case::none(b"")]
+#[case::no_http(b"SSH-2.0-x\r\n")]
+fn without_an_answer_it_was_written_all_the_same(#[case] answer: &[u8]) {
+    run(async {
+        let (link, answer) = answered(answer).await;
+        assert!(answer.is_err() && link.written.whole());
+    });
+}
+
+thread_local! {
+    static REASON: Cell<Option<Reason>> = const { Cell::new(None) };
+}
+
+const LOGGED: Side = Side { name: "logged", log: |record: &Record| REASON.set(Some(record.reason())) };
+
+#[test]
+fn a_connection_that_does_not_come_up_says_why_and_lets_go_of_what_is_held() {
+    run(async {
+        // With its one place taken the listener answers nobody.
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        listener.listen(0).expect("a listener");
+        let to = listener.local_addr().expect("an address").as_socket().expect("of this family");
+        let (_first, held) = (TcpStream::connect(to).expect("the one place"), Rc::new(()));
+        let late = Link::<Full<Bytes>>::open(LOGGED, to, Duration::ZERO, held.clone()).await;
+        assert_eq!((late.is_none(), REASON.take()), (true, Some(Reason::ConnectTimeout)));
+        drop(listener);
+        let refused = Link::<Full<Bytes>>::open(LOGGED, to, PATIENCE, held.clone()).await;
+        assert_eq!((refused.is_none(), REASON.take()), (true, Some(Reason::Refused)));
+        assert_eq!(Rc::strong_count(&held), 1);
+    });
+}
+
+/// Danger: what is held counts descriptors; kept for longer than the connection, they run out.
+#[test]
+fn letting_go_of_a_link_closes_it_whatever_is_under_way() {
+    run(async {
+        let ((listener, to), held) = (listen(), Rc::new(()));
+        let link = Link::<Full<Bytes>>::open(LOGGED, to, PATIENCE, held.clone()).await;
+        let (mut link, (mut server, _)) = (link.expect("a connection"), listener.accept().expect("it"));
+        {
+            let mut sending = pin!(link.send(get(), 0));
+            assert!(matches!(sending.as_mut().poll(&mut Context::from_waker(Waker::noop())), Poll::Pending));
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(Rc::strong_count(&held), 2);
+        drop(link);
+        while Rc::strong_count(&held) > 1 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(REASON.take(), Some(Reason::GivenUp));
+        // Its end follows at once behind what had been written.
+        let mut came = Vec::new();
+        let _ = server.read_to_end(&mut came);
+    });
+}
+
+#[test]
+fn it_carries_other_bodies() {
+    run(async {
+        let (listener, to) = listen();
+        let link = Link::<Empty<Bytes>>::open(SERVER, to, PATIENCE, ()).await;
+        let (mut link, (mut server, _)) = (link.expect("a connection"), listener.accept().expect("it"));
+        let request = hyper::Request::get("/").body(Empty::new()).expect("a request");
+        let server = std::thread::spawn(move || {
+            let mut head = [0; 64];
+            assert!(server.read(&mut head).expect("a head") > 0);
+            server.write_all(b"HTTP/1.1 204 X\r\n\r\n").expect("room");
+            server
+        });
+        assert_eq!(link.send(request, 0).await.expect("an answer").status(), 204);
+        let _open = server.join().expect("no fault");
+        assert!(link.ready().await && !link.closed());
+    });
+}
+
+#[test]
+fn the_kernel_is_told_how_long_what_was_sent_may_go_unacknowledged() {
+    run(async {
+        let (_listener, to) = listen();
+        let stream = tokio::net::TcpStream::connect(to).await.expect("a connection");
+        let unset = SockRef::from(&stream).tcp_user_timeout().expect("an option");
+        Opening::from(PATIENCE).set_on(&stream);
+        assert_eq!(SockRef::from(&stream).tcp_user_timeout().expect("an option"), unset);
+        Opening { within: PATIENCE, user_timeout: Some(Duration::from_millis(1500)) }.set_on(&stream);
+        let set = SockRef::from(&stream).tcp_user_timeout().expect("an option");
+        assert_eq!((set, stream.nodelay().expect("an option")), (Some(Duration::from_millis(1500)), true));
+    });
+}
 
 /// Danger: bytes behind an answer that come just before the next message, unseen by the runtime yet, would
 /// be that one's answer; and what is written to a connection that has just ended is lost.
