Headworks: the node of the control state, a first form

The design's control state had an empty package. The node as a pure state machine: take-over by promises, stamping, records with old and new members, changes and reads, joining.

--- /dev/null
+++ b/crates/headworks/src/election.rs
@@ -0,0 +1,152 @@
+use std::collections::BTreeMap;
+
+use rand_core::RngCore;
+
+use crate::message::Message;
+use crate::node::{Leader, Node, Role};
+use crate::quorum::Votes;
+use crate::types::{Ballot, Member, MemberId, Record, Version};
+
+/// When to look for a primary, and who would promise.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Election {
+    pub(crate) at: u64,
+    /// Somebody was promised a ballot and is given time until then.
+    pub(crate) quiet_until: u64,
+    willing: BTreeMap<MemberId, Willing>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Willing {
+    member: Member,
+    founder: bool,
+    at: u64,
+}
+
+impl<R: RngCore> Node<R> {
+    /// Whether the primary was heard lately.
+    pub(crate) fn hears_leader(&self) -> bool {
+        let suspect = self.settings.timings.suspect;
+        self.leader.as_ref().is_some_and(|l| self.now.saturating_sub(l.heard) < suspect)
+    }
+
+    fn can_lead(&self) -> bool {
+        let allowed = match &self.view {
+            Some(record) => record.member(self.me.id).is_some(),
+            None => self.knows_founders(),
+        };
+        allowed && self.is_fit() && matches!(self.role, Role::Follower)
+    }
+
+    /// Those that keep the state look first.
+    pub(crate) fn await_leader(&mut self) {
+        let keeps = self.view.as_ref().is_some_and(|r| r.holds_state(self.me.id));
+        let spread = self.below(150) + if keeps { 0 } else { 150 };
+        self.election.at = self.now + self.settings.timings.suspect + spread;
+        self.election.willing.clear();
+    }
+
+    pub(crate) fn election_timers(&mut self) {
+        if self.now < self.election.at || !self.can_lead() {
+            return;
+        }
+        if self.hears_leader() {
+            return self.await_leader();
+        }
+        self.election.at = self.now + 100 + self.below(80);
+        for member in self.electorate() {
+            self.send(member.address, Message::PreVote);
+        }
+        let (me, founder) = (self.me, self.is_founder());
+        self.on_pre_vote_answer(me, true, founder, None);
+    }
+
+    /// Whom to ask for a promise.
+    pub(crate) fn electorate(&self) -> Vec<Member> {
+        match (&self.view, self.founders()) {
+            (Some(record), _) => record.voters(),
+            (None, Some(founders)) => founders.iter().map(|a| Member::founder(*a)).collect(),
+            (None, None) => Vec::new(),
+        }
+    }
+
+    pub(crate) fn on_pre_vote(&mut self, from: Member) {
+        let willing = match &self.role {
+            Role::Follower => !self.hears_leader() && self.now >= self.election.quiet_until,
+            Role::TakingOver(_) | Role::Primary(_) => false,
+        };
+        let (founder, record) = (self.is_founder(), self.view.clone());
+        self.send(from.address, Message::PreVoteAnswer { willing, founder, record });
+    }
+
+    pub(crate) fn on_pre_vote_answer(
+        &mut self,
+        from: Member,
+        willing: bool,
+        founder: bool,
+        record: Option<Record>,
+    ) {
+        if let Some(record) = record {
+            self.note_record(&record);
+        }
+        if !willing || !self.can_lead() || self.hears_leader() {
+            return;
+        }
+        let now = self.now;
+        self.election.willing.retain(|_, w| now - w.at <= 300);
+        if self.election.willing.len() < 64 {
+            self.election.willing.insert(from.id, Willing { member: from, founder, at: now });
+        }
+        let mut votes = Votes::default();
+        for w in self.election.willing.values() {
+            votes.add(w.member, w.founder);
+        }
+        let enough = match &self.view {
+            Some(record) => votes.decide(record, false),
+            None => votes.majority(&self.electorate()),
+        };
+        if enough {
+            self.take_over();
+        }
+    }
+
+    pub(crate) fn on_hand_over(&mut self, from: Member, ballot: Ballot) {
+        let named = self.view.as_ref().is_some_and(|r| r.ballot == ballot && r.primary == from.id);
+        if named && self.can_lead() && self.now >= self.election.quiet_until {
+            self.take_over();
+        }
+    }
+
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        from: Member,
+        ballot: Ballot,
+        sequence: u64,
+        committed: Version,
+        record: Option<Record>,
+    ) {
+        self.highest = self.highest.max(ballot.round);
+        if let Some(record) = record {
+            self.note_record(&record);
+        }
+        self.outranked(ballot);
+        if self.leader.as_ref().is_none_or(|l| l.ballot <= ballot) && matches!(self.role, Role::Follower) {
+            self.leader = Some(Leader { member: from, ballot, heard: self.now });
+            self.await_leader();
+        }
+        let held = self.stable.state.as_ref().filter(|s| s.version().same_body(&committed));
+        if let Some(state) = held.cloned() {
+            self.show(state);
+        }
+        let answer = Message::HeartbeatAnswer {
+            ballot,
+            sequence,
+            promised: self.promised,
+            accepted: self.stable.accepted_ballot(),
+            seen: self.view.as_ref().map(|r| r.ballot).unwrap_or_default(),
+            committed: self.committed.as_ref().map(|s| s.revision),
+            fit: self.is_fit(),
+        };
+        self.send(from.address, answer);
+    }
+}
--- /dev/null
+++ b/crates/headworks/src/event.rs
@@ -0,0 +1,124 @@
+use std::net::SocketAddrV4;
+
+use crate::message::Message;
+use crate::types::{Ballot, Member, State};
+
+/// What happens to a node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Input {
+    /// Time has passed; wanted every 50 ms or so.
+    Tick,
+    /// A message came in.
+    Message {
+        /// Who sent it.
+        from: Member,
+        /// What it says.
+        message: Message,
+    },
+    /// A write is synced.
+    Written {
+        /// Which one.
+        token: u64,
+    },
+    /// A write was refused. It may be on disk or not.
+    WriteFailed {
+        /// Which one.
+        token: u64,
+    },
+    /// An operator's call, valid by what the host knows.
+    Change {
+        /// The number of the ask, unique within the node's life.
+        ask: u64,
+        /// The revision that it builds on.
+        base: u64,
+        /// The revision that it makes.
+        revision: u64,
+        /// The new body, whole.
+        body: Vec<u8>,
+        /// The digest of the call.
+        digest: u64,
+    },
+    /// Asks for the newest committed state.
+    Read {
+        /// The number of the ask, unique within the node's life.
+        ask: u64,
+    },
+    /// The process is about to end.
+    Stop,
+    /// The seeds have changed.
+    Seeds(Vec<SocketAddrV4>),
+}
+
+/// What a node wants done, in this order.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Output {
+    /// Send a message; it may be lost.
+    Send {
+        /// To whom.
+        to: SocketAddrV4,
+        /// What.
+        message: Message,
+    },
+    /// Append a record to the log and sync it. Writes and rewrites are done and answered in order.
+    Write {
+        /// The number of the write.
+        token: u64,
+        /// The record.
+        record: Vec<u8>,
+    },
+    /// Replace the whole log by this record, or leave it as it is and say that it failed.
+    Rewrite {
+        /// The number of the write.
+        token: u64,
+        /// The record.
+        record: Vec<u8>,
+    },
+    /// Answer an ask; each is answered once.
+    Answer {
+        /// Which one.
+        ask: u64,
+        /// How.
+        result: Verdict,
+    },
+    /// A newer state is committed; revisions rise.
+    Committed {
+        /// The state.
+        state: State,
+    },
+    /// This node is primary now.
+    Primary {
+        /// Its ballot.
+        ballot: Ballot,
+        /// Whether it was primary just before, and nobody between: its duties need no pause.
+        continued: bool,
+    },
+    /// This node is primary no more.
+    Deposed,
+}
+
+/// The answer to an ask.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Verdict {
+    /// The change is committed.
+    Taken {
+        /// Its revision.
+        revision: u64,
+    },
+    /// The change builds on another revision than the current one, and never will be taken.
+    Stale {
+        /// The current revision.
+        current: u64,
+    },
+    /// Another node is to be asked; nothing was done.
+    NotPrimary {
+        /// The primary's internal address, if known.
+        primary: Option<SocketAddrV4>,
+    },
+    /// No answer in time: the change may be taken or not.
+    Unavailable,
+    /// The newest committed state.
+    Current {
+        /// The state.
+        state: State,
+    },
+}
--- /dev/null
+++ b/crates/headworks/src/join.rs
@@ -0,0 +1,69 @@
+use rand_core::RngCore;
+
+use crate::message::Message;
+use crate::node::{Node, Role};
+use crate::types::{Ballot, Member};
+
+/// Somebody who looks for the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Joiner {
+    pub(crate) member: Member,
+    pub(crate) founder: bool,
+    pub(crate) heard: u64,
+}
+
+const MOST_JOINERS: usize = 64;
+const JOINER_LASTS: u64 = 1_000;
+
+impl<R: RngCore> Node<R> {
+    /// Before there is a record: whether this founder knows the others, or has waited for them long enough.
+    pub(crate) fn knows_founders(&self) -> bool {
+        let Some(founders) = self.founders() else { return false };
+        let waited = self.now.saturating_sub(self.started) >= self.settings.timings.founding;
+        let known = |address| self.joiners.values().any(|j| j.founder && j.member.address == address);
+        waited || founders.iter().all(|a| *a == self.me.address || known(*a))
+    }
+
+    /// Whoever knows no primary, or is no member, looks for the others.
+    pub(crate) fn join_timers(&mut self) {
+        if self.now < self.join_at || !matches!(self.role, Role::Follower) {
+            return;
+        }
+        let member = self.view.as_ref().is_some_and(|r| r.member(self.me.id).is_some());
+        let patience = if member { 1_000 } else { 400 };
+        let last = self.leader.as_ref().map_or(if member { self.started } else { 0 }, |l| l.heard);
+        let lost = self.leader.is_none() && !member;
+        if !lost && self.now.saturating_sub(last) < patience {
+            return;
+        }
+        self.join_at = self.now + if member { 300 } else { 100 };
+        let seen = self.view.as_ref().map(|r| r.ballot).unwrap_or_default();
+        let join = Message::Join { founder: self.is_founder(), seen };
+        for address in self.contacts.clone() {
+            self.send(address, join.clone());
+        }
+    }
+
+    pub(crate) fn on_join(&mut self, from: Member, founder: bool, seen: Ballot) {
+        let now = self.now;
+        self.joiners.retain(|_, j| now - j.heard <= JOINER_LASTS);
+        self.note_address(from.address);
+        if self.joiners.len() < MOST_JOINERS || self.joiners.contains_key(&from.id) {
+            self.joiners.insert(from.id, Joiner { member: from, founder, heard: now });
+        }
+        if let Role::Primary(_) = self.role {
+            self.welcome(from);
+        } else if let Some(record) = &self.view
+            && record.ballot > seen
+        {
+            let record = record.clone();
+            self.send(from.address, Message::Members { record });
+        }
+    }
+
+    /// Newcomers that may be members of the first record.
+    pub(crate) fn fresh_joiners(&self) -> Vec<Joiner> {
+        let lately = |j: &&Joiner| self.now.saturating_sub(j.heard) <= JOINER_LASTS;
+        self.joiners.values().filter(lately).copied().collect()
+    }
+}
--- a/crates/headworks/src/lib.rs
+++ b/crates/headworks/src/lib.rs
@@ -1,1 +1,28 @@
-//! Control state: epochs, a primary that writes to its backups, witnesses, members.
+//! Control state: a primary writes to its backups before it answers, witnesses that keep only epochs decide who takes over.
+//!
+//! [`Node`] is a state machine without I/O, clock or randomness of its own: a host hands in what happens, carries out the
+//! outputs in their order, and answers every write in order. See `docs/design/0007-fleet.md`, "Control state".
+
+mod acceptor;
+mod asks;
+mod election;
+mod event;
+mod join;
+mod log;
+mod message;
+mod node;
+mod primary;
+mod quorum;
+mod renewal;
+mod settings;
+mod take_over;
+mod types;
+
+pub use event::{Input, Output, Verdict};
+pub use log::Fault;
+pub use message::Message;
+pub use node::Node;
+#[doc(hidden)]
+pub use settings::Flaw;
+pub use settings::{Settings, Timings};
+pub use types::{Ballot, Call, Member, MemberId, REMEMBERED_CALLS, Record, State, Version};
--- /dev/null
+++ b/crates/headworks/src/log.rs
@@ -0,0 +1,199 @@
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+
+use minicbor::{Decode, Encode};
+use quick_error::quick_error;
+
+use crate::types::{Ballot, Member, MemberId, Record, State, Version};
+
+quick_error! {
+    /// What can be wrong with a log, numbered.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum Fault {
+        /// 721: a record can't be read. A disk whose records are lost is to be emptied: its promises are forgotten.
+        Unreadable(index: usize) {
+            display("record {index} of the control state can't be read")
+        }
+        /// 722: the records don't fit each other.
+        Disordered(index: usize) {
+            display("record {index} of the control state does not fit those before it")
+        }
+    }
+}
+
+/// What a disk is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+pub(crate) struct Identity {
+    #[n(0)]
+    pub(crate) id: MemberId,
+    /// The founders' addresses, if this disk is one of theirs.
+    #[n(1)]
+    pub(crate) founders: Option<Vec<SocketAddrV4>>,
+}
+
+/// One record of the log.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) enum LogRecord {
+    #[n(0)]
+    Identity(#[n(0)] Identity),
+    #[n(1)]
+    Promise(#[n(0)] Ballot),
+    #[n(2)]
+    Accept(#[n(0)] Record),
+    #[n(3)]
+    State(#[n(0)] State),
+    /// The state before this one with another stamp.
+    #[n(4)]
+    Restamp(#[n(0)] Version),
+    #[n(5)]
+    Snapshot(#[n(0)] Box<Stable>),
+}
+
+impl LogRecord {
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        // Writing to memory doesn't fail.
+        minicbor::to_vec(self).unwrap_or_default()
+    }
+}
+
+/// What the disk holds for certain.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Encode, Decode)]
+pub(crate) struct Stable {
+    #[n(0)]
+    pub(crate) identity: Option<Identity>,
+    #[n(1)]
+    pub(crate) promised: Ballot,
+    #[n(2)]
+    pub(crate) accepted: Option<Record>,
+    #[n(3)]
+    pub(crate) state: Option<State>,
+}
+
+impl Stable {
+    /// Reads a log from its start.
+    pub(crate) fn replay(records: &[Vec<u8>]) -> Result<Stable, Fault> {
+        let mut stable = Stable::default();
+        for (index, bytes) in records.iter().enumerate() {
+            let record = minicbor::decode(bytes).map_err(|_| Fault::Unreadable(index))?;
+            if !stable.apply(record) {
+                return Err(Fault::Disordered(index));
+            }
+        }
+        Ok(stable)
+    }
+
+    pub(crate) fn version(&self) -> Option<Version> {
+        self.state.as_ref().map(State::version)
+    }
+
+    pub(crate) fn accepted_ballot(&self) -> Ballot {
+        self.accepted.as_ref().map(|r| r.ballot).unwrap_or_default()
+    }
+
+    /// Says whether the record fits.
+    pub(crate) fn apply(&mut self, record: LogRecord) -> bool {
+        match record {
+            LogRecord::Identity(identity) => {
+                if self.identity.as_ref().is_some_and(|known| *known != identity) {
+                    return false;
+                }
+                self.identity = Some(identity);
+            }
+            LogRecord::Promise(ballot) => self.promised = self.promised.max(ballot),
+            LogRecord::Accept(record) => {
+                self.promised = self.promised.max(record.ballot);
+                if record.ballot >= self.accepted_ballot() {
+                    self.accepted = Some(record);
+                }
+            }
+            LogRecord::State(state) => {
+                self.promised = self.promised.max(state.ballot);
+                if self.version().is_none_or(|held| held <= state.version()) {
+                    self.state = Some(state);
+                }
+            }
+            LogRecord::Restamp(version) => {
+                self.promised = self.promised.max(version.stamp);
+                match &mut self.state {
+                    Some(state) if state.version().same_body(&version) => {
+                        state.ballot = state.ballot.max(version.stamp);
+                    }
+                    _ => return false,
+                }
+            }
+            LogRecord::Snapshot(stable) => *self = *stable,
+        }
+        true
+    }
+}
+
+/// A write that the host has not answered.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Pending {
+    pub(crate) token: u64,
+    pub(crate) since: u64,
+    pub(crate) effect: Effect,
+    /// Who is to be told.
+    pub(crate) to: Option<Member>,
+}
+
+/// What holds once a write is synced.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Effect {
+    Identity(Identity),
+    Promise(Ballot),
+    Accept(Record),
+    State(State),
+    Restamp(Version),
+    Rewrite,
+}
+
+impl Effect {
+    pub(crate) fn record(&self) -> Option<LogRecord> {
+        Some(match self {
+            Effect::Identity(identity) => LogRecord::Identity(identity.clone()),
+            Effect::Promise(ballot) => LogRecord::Promise(*ballot),
+            Effect::Accept(record) => LogRecord::Accept(record.clone()),
+            Effect::State(state) => LogRecord::State(state.clone()),
+            Effect::Restamp(version) => LogRecord::Restamp(*version),
+            Effect::Rewrite => return None,
+        })
+    }
+}
+
+/// The writes under way.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Writes {
+    pub(crate) queue: VecDeque<Pending>,
+    pub(crate) next_token: u64,
+    /// The bytes of the log, as far as known.
+    pub(crate) log_bytes: usize,
+    /// The bytes of the log when it was rewritten last.
+    pub(crate) snapshot_bytes: usize,
+    /// When a write failed last, if none was done since.
+    pub(crate) failed: Option<u64>,
+    /// A state that failed may stand in the log, so nothing may refer to the one before it.
+    pub(crate) body_unsure: bool,
+}
+
+impl Writes {
+    pub(crate) const MOST: usize = 32;
+
+    pub(crate) fn is_full(&self) -> bool {
+        self.queue.len() >= Writes::MOST
+    }
+
+    /// How long the oldest write is under way.
+    pub(crate) fn age(&self, now: u64) -> u64 {
+        self.queue.front().map_or(0, |w| now.saturating_sub(w.since))
+    }
+
+    pub(crate) fn take(&mut self, token: u64) -> Option<Pending> {
+        let index = self.queue.iter().position(|w| w.token == token)?;
+        self.queue.remove(index)
+    }
+
+    pub(crate) fn has_state(&self) -> bool {
+        self.queue.iter().any(|w| matches!(w.effect, Effect::State(_) | Effect::Restamp(_)))
+    }
+}
--- /dev/null
+++ b/crates/headworks/src/primary.rs
@@ -0,0 +1,353 @@
+use std::collections::{BTreeSet, VecDeque};
+
+use rand_core::RngCore;
+
+use crate::log::Effect;
+use crate::message::Message;
+use crate::node::{Node, Role};
+use crate::settings::Flaw;
+use crate::types::{Ballot, Member, MemberId, Record, State, Version};
+
+/// What the primary knows of another node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Peer {
+    pub(crate) member: Member,
+    /// When it was heard last.
+    pub(crate) heard: u64,
+    /// When the newest heartbeat left that it has answered without having promised higher.
+    pub(crate) contact: u64,
+    /// The number of that heartbeat.
+    pub(crate) acked: u64,
+    pub(crate) fit: bool,
+    pub(crate) seen: Ballot,
+    /// When a state was sent to it last.
+    pub(crate) state_sent: u64,
+}
+
+/// What a primary keeps of its epoch.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Lead {
+    pub(crate) ballot: Ballot,
+    pub(crate) record: Record,
+    /// The committed state.
+    pub(crate) state: State,
+    /// The number of the last heartbeat.
+    pub(crate) sequence: u64,
+    /// The first heartbeat that tells of the committed state.
+    told: u64,
+    beats: VecDeque<(u64, u64)>,
+    next_beat: u64,
+    pub(crate) flight: Option<Flight>,
+    /// Since when a higher promise of a voter is known.
+    pub(crate) outbid: Option<u64>,
+    pub(crate) since: u64,
+}
+
+/// A change on its way to the disks.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Flight {
+    pub(crate) state: State,
+    pub(crate) own: bool,
+    pub(crate) done: BTreeSet<MemberId>,
+    pub(crate) since: u64,
+    sent: u64,
+}
+
+const MOST_PEERS: usize = 64;
+const LEARNER_LASTS: u64 = 3_000;
+
+impl Lead {
+    pub(crate) fn new(ballot: Ballot, record: Record, state: State, now: u64) -> Lead {
+        Lead {
+            ballot,
+            record,
+            state,
+            sequence: 0,
+            told: 1,
+            beats: VecDeque::new(),
+            next_beat: now,
+            flight: None,
+            outbid: None,
+            since: now,
+        }
+    }
+
+    fn sent_at(&self, sequence: u64) -> Option<u64> {
+        self.beats.iter().find(|(s, _)| *s == sequence).map(|(_, at)| *at)
+    }
+}
+
+impl<R: RngCore> Node<R> {
+    /// The peers of a new epoch.
+    pub(crate) fn settle_peers(&mut self, record: &Record, touched: &[MemberId], since: u64, renewal: bool) {
+        let now = self.now;
+        if !renewal {
+            self.peers.clear();
+        }
+        for peer in self.peers.values_mut() {
+            peer.acked = 0;
+        }
+        for member in record.voters() {
+            if member.id == self.me.id || member.id == MemberId(0) {
+                continue;
+            }
+            let peer = self.peers.entry(member.id).or_insert(Peer {
+                member,
+                heard: now,
+                contact: 0,
+                acked: 0,
+                fit: true,
+                seen: Ballot::default(),
+                state_sent: 0,
+            });
+            peer.member = member;
+            if touched.contains(&member.id) {
+                peer.contact = peer.contact.max(since);
+                peer.seen = record.ballot;
+                peer.heard = now;
+            }
+        }
+    }
+
+    /// The highest value that a majority of the members has reached, as the primary knows it.
+    fn majority_of(&self, record: &Record, value: impl Fn(&Peer) -> u64) -> u64 {
+        let reached = |members: &[Member]| {
+            let mut values: Vec<u64> = members
+                .iter()
+                .map(|m| match m.id {
+                    id if id == self.me.id => u64::MAX,
+                    MemberId(0) => self
+                        .peers
+                        .values()
+                        .filter(|p| p.member.address == m.address)
+                        .map(&value)
+                        .max()
+                        .unwrap_or(0),
+                    id => self.peers.get(&id).map_or(0, &value),
+                })
+                .collect();
+            values.sort_unstable_by(|a, b| b.cmp(a));
+            values.get(members.len() / 2).copied().unwrap_or(0)
+        };
+        reached(&record.members).min(reached(&record.previous))
+    }
+
+    /// The newest heartbeat that a majority has confirmed.
+    pub(crate) fn confirmed_sequence(&self) -> u64 {
+        let Role::Primary(lead) = &self.role else { return 0 };
+        self.majority_of(&lead.record, |p| p.acked).min(lead.sequence)
+    }
+
+    /// Steps down without contact to a majority.
+    pub(crate) fn keep_lease(&mut self) {
+        let Role::Primary(lead) = &self.role else { return };
+        let contact = self.majority_of(&lead.record, |p| p.contact).min(self.now);
+        self.touched = self.touched.max(Some(contact));
+        let lost = self.touched.is_none_or(|t| self.now - t > self.settings.timings.lease);
+        if lost && !self.settings.has(Flaw::NoLease) {
+            self.step_down();
+        }
+    }
+
+    /// Tells all, or the voters only, that this primary lives.
+    pub(crate) fn beat(&mut self, all: bool) {
+        let (now, heartbeat) = (self.now, self.settings.timings.heartbeat);
+        let Role::Primary(lead) = &mut self.role else { return };
+        lead.sequence += 1;
+        lead.beats.push_back((lead.sequence, now));
+        if lead.beats.len() > 64 {
+            lead.beats.pop_front();
+        }
+        if all {
+            lead.next_beat = now + heartbeat;
+        }
+        let (ballot, sequence, committed) = (lead.ballot, lead.sequence, lead.state.version());
+        let mut messages = Vec::new();
+        for peer in self.peers.values() {
+            let voter =
+                lead.record.members.iter().chain(&lead.record.previous).any(|m| m.id == peer.member.id);
+            if all || voter {
+                let record = (peer.seen < ballot).then(|| lead.record.clone());
+                let beat = Message::Heartbeat { ballot, sequence, committed, record };
+                messages.push((peer.member.address, beat));
+            }
+        }
+        messages.into_iter().for_each(|(to, beat)| self.send(to, beat));
+    }
+
+    /// Counts in a node that is no member.
+    pub(crate) fn welcome(&mut self, member: Member) {
+        let now = self.now;
+        let new = !self.peers.contains_key(&member.id);
+        if !new || self.peers.len() >= MOST_PEERS {
+            return;
+        }
+        let peer = Peer {
+            member,
+            heard: now,
+            contact: 0,
+            acked: 0,
+            fit: false,
+            seen: Ballot::default(),
+            state_sent: 0,
+        };
+        self.peers.insert(member.id, peer);
+        let Role::Primary(lead) = &self.role else { return };
+        // It counts when it has answered this.
+        let (ballot, sequence, committed) = (lead.ballot, lead.sequence, lead.state.version());
+        let record = Some(lead.record.clone());
+        self.send(member.address, Message::Heartbeat { ballot, sequence, committed, record });
+    }
+
+    pub(crate) fn on_heartbeat_answer(&mut self, from: Member, answer: Message) {
+        let Message::HeartbeatAnswer { ballot, sequence, promised, accepted, seen, committed, fit } = answer
+        else {
+            return;
+        };
+        self.highest = self.highest.max(promised.round);
+        let now = self.now;
+        let Role::Primary(lead) = &mut self.role else { return };
+        if lead.ballot != ballot {
+            return;
+        }
+        if !self.peers.contains_key(&from.id) {
+            self.welcome(from);
+        }
+        let Role::Primary(lead) = &mut self.role else { return };
+        let Some(peer) = self.peers.get_mut(&from.id) else { return };
+        (peer.heard, peer.fit, peer.seen) = (now, fit, seen);
+        let voter = lead.record.voters().iter().any(|m| m.id == from.id);
+        if promised > ballot && voter {
+            lead.outbid.get_or_insert(now);
+        }
+        if promised <= ballot
+            && let Some(sent) = lead.sent_at(sequence)
+        {
+            peer.contact = peer.contact.max(sent);
+            peer.acked = peer.acked.max(sequence);
+        }
+        // What is told by this answer may be older than what was sent last.
+        let lacks = sequence >= lead.told && committed.is_none_or(|r| r < lead.state.revision);
+        let rested = now.saturating_sub(peer.state_sent) >= self.settings.timings.resend_state;
+        let state = (lacks && (rested || peer.state_sent == 0)).then(|| lead.state.clone());
+        if state.is_some() {
+            peer.state_sent = now;
+        }
+        let record = (voter && accepted < ballot && promised <= ballot).then(|| lead.record.clone());
+        if let Some(state) = state {
+            self.send(from.address, Message::Committed { state });
+        }
+        if let Some(record) = record {
+            self.send(from.address, Message::Accept { record });
+        }
+    }
+
+    /// Sends a change to the disks that have to hold it.
+    pub(crate) fn fly(&mut self, state: State) {
+        let now = self.now;
+        let Role::Primary(lead) = &mut self.role else { return };
+        let flight =
+            Flight { state: state.clone(), own: false, done: BTreeSet::new(), since: now, sent: now };
+        lead.flight = Some(flight);
+        self.write(Effect::State(state), Some(self.me));
+        self.send_flight();
+    }
+
+    fn send_flight(&mut self) {
+        let Role::Primary(lead) = &self.role else { return };
+        let Some(flight) = &lead.flight else { return };
+        let backups = lead.record.backups.iter().filter(|id| !flight.done.contains(id));
+        let backups: Vec<Member> = backups.filter_map(|id| lead.record.member(*id)).copied().collect();
+        let state = flight.state.clone();
+        for backup in backups {
+            self.send(backup.address, Message::Replicate { state: state.clone() });
+        }
+    }
+
+    pub(crate) fn own_state_written(&mut self, version: Version) {
+        let me = self.me.id;
+        match &mut self.role {
+            Role::Primary(lead) => {
+                if let Some(flight) = lead.flight.as_mut().filter(|f| f.state.version() == version) {
+                    flight.own = true;
+                    self.commit();
+                }
+            }
+            Role::TakingOver(_) => self.stamped_at(me, version),
+            Role::Follower => {}
+        }
+    }
+
+    pub(crate) fn on_replicated(&mut self, from: Member, version: Version) {
+        match &mut self.role {
+            Role::Primary(lead) => {
+                if let Some(flight) = lead.flight.as_mut().filter(|f| f.state.version() == version) {
+                    flight.done.insert(from.id);
+                    self.commit();
+                }
+            }
+            Role::TakingOver(_) => self.stamped_at(from.id, version),
+            Role::Follower => {}
+        }
+    }
+
+    pub(crate) fn on_lacks_body(&mut self, from: Member, version: Version) {
+        self.stamp_lacks_body(from, version);
+    }
+
+    /// A change is committed when it is on the disks of the primary and of all backups.
+    fn commit(&mut self) {
+        let alone = self.settings.has(Flaw::CommitAlone);
+        let now = self.now;
+        let Role::Primary(lead) = &mut self.role else { return };
+        let Some(flight) = &lead.flight else { return };
+        if !flight.own || !alone && !lead.record.backups.iter().all(|id| flight.done.contains(id)) {
+            return;
+        }
+        let Some(flight) = lead.flight.take() else { return };
+        lead.state = flight.state.clone();
+        lead.told = lead.sequence + 1;
+        let backups = lead.record.backups.clone();
+        self.show(flight.state.clone());
+        // The backups have it and need the word only.
+        self.beat(true);
+        let mut others = Vec::new();
+        for (id, peer) in &mut self.peers {
+            if !backups.contains(id) {
+                peer.state_sent = now;
+                others.push(peer.member.address);
+            }
+        }
+        for address in others {
+            self.send(address, Message::Committed { state: flight.state.clone() });
+        }
+        self.land();
+    }
+
+    pub(crate) fn primary_timers(&mut self) {
+        self.hand_over_again();
+        let now = self.now;
+        let resend = self.settings.timings.resend_state;
+        let Role::Primary(lead) = &mut self.role else { return };
+        let beats = now >= lead.next_beat;
+        let again = lead.flight.as_mut().is_some_and(|f| {
+            let again = now.saturating_sub(f.sent) >= resend;
+            if again {
+                f.sent = now;
+            }
+            again
+        });
+        if beats {
+            let record = lead.record.clone();
+            self.peers.retain(|id, p| {
+                let voter = record.members.iter().chain(&record.previous).any(|m| m.id == *id);
+                voter || now.saturating_sub(p.heard) <= LEARNER_LASTS
+            });
+            self.beat(true);
+        }
+        if again {
+            self.send_flight();
+        }
+        self.renewal_timers();
+    }
+}
--- /dev/null
+++ b/crates/headworks/src/quorum.rs
@@ -0,0 +1,48 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use crate::types::{Member, MemberId, Record};
+
+/// Who has said yes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Votes {
+    votes: BTreeMap<MemberId, Vote>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Vote {
+    address: SocketAddrV4,
+    founder: bool,
+}
+
+impl Votes {
+    pub(crate) fn add(&mut self, member: Member, founder: bool) {
+        if self.votes.len() < 4 * crate::settings::MOST_MEMBERS {
+            self.votes.insert(member.id, Vote { address: member.address, founder });
+        }
+    }
+
+    /// Whether the member has said yes. Danger: one known by address only is a founder, so that a wiped disk there has no say.
+    pub(crate) fn covers(&self, member: &Member) -> bool {
+        if member.id == MemberId(0) {
+            self.votes.values().any(|v| v.founder && v.address == member.address)
+        } else {
+            self.votes.contains_key(&member.id)
+        }
+    }
+
+    /// Whether these are more than half of the members.
+    pub(crate) fn majority(&self, members: &[Member]) -> bool {
+        2 * members.iter().filter(|m| self.covers(m)).count() > members.len()
+    }
+
+    /// Whether these decide for a record: more than half of the old members and of the new ones.
+    pub(crate) fn decide(&self, record: &Record, new_only: bool) -> bool {
+        (new_only || self.majority(&record.previous)) && self.majority(&record.members)
+    }
+
+    /// Whether one of these holds the state of a record.
+    pub(crate) fn hold_state(&self, record: &Record) -> bool {
+        self.votes.keys().any(|id| record.holds_state(*id))
+    }
+}
--- /dev/null
+++ b/crates/headworks/src/settings.rs
@@ -0,0 +1,147 @@
+use std::net::SocketAddrV4;
+
+/// Records that name more members are not taken.
+pub(crate) const MOST_MEMBERS: usize = 32;
+
+/// Spans in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Timings {
+    /// From one sign of life of the primary to the next.
+    pub heartbeat: u64,
+    /// A primary that was not heard for so long may be replaced.
+    pub suspect: u64,
+    /// A primary that did not hear a majority for so long steps down.
+    pub lease: u64,
+    /// A member that was not heard for so long gives its place to a newcomer.
+    pub replace_after: u64,
+    /// A backup that has not written a change for so long is replaced.
+    pub backup_write: u64,
+    /// A primary whose own write takes so long gives up its place.
+    pub own_write: u64,
+    /// A node whose write takes so long is unfit.
+    pub unfit_write: u64,
+    /// A node whose write failed tries its disk again after so long.
+    pub disk_retry: u64,
+    /// An ask that waited so long is answered as unavailable.
+    pub ask: u64,
+    /// A step of a take-over that takes so long ends it.
+    pub take_over_step: u64,
+    /// What was lost on the way is sent again after so long.
+    pub resend: u64,
+    /// The same, for what may be as big as a state.
+    pub resend_state: u64,
+    /// Founders wait so long to know each other, all of them.
+    pub founding: u64,
+}
+
+impl Default for Timings {
+    fn default() -> Timings {
+        Timings {
+            heartbeat: 100,
+            suspect: 600,
+            lease: 600,
+            replace_after: 2_500,
+            backup_write: 400,
+            own_write: 700,
+            unfit_write: 400,
+            disk_retry: 500,
+            ask: 1_200,
+            take_over_step: 500,
+            resend: 100,
+            resend_state: 250,
+            founding: 1_500,
+        }
+    }
+}
+
+/// What a node is told at its start.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Settings {
+    /// The internal address of this machine.
+    pub address: SocketAddrV4,
+    /// How many disks may be lost at a time; the backups are as many.
+    pub failures: usize,
+    /// Whether this is the first start of the whole system.
+    pub bootstrap: bool,
+    /// The internal addresses of the seeds. With `bootstrap` and an empty disk, these are the founders.
+    pub seeds: Vec<SocketAddrV4>,
+    /// All spans.
+    pub timings: Timings,
+    /// The log is rewritten when the records since the last time are longer than this.
+    pub rewrite_bytes: usize,
+    /// A fault built in, to see that the checkers of the tests find it.
+    #[doc(hidden)]
+    pub flaw: Option<Flaw>,
+}
+
+impl Settings {
+    /// The usual settings.
+    pub fn new(
+        address: SocketAddrV4,
+        failures: usize,
+        bootstrap: bool,
+        seeds: Vec<SocketAddrV4>,
+    ) -> Settings {
+        let rewrite_bytes = 4 << 20;
+        Settings {
+            address,
+            failures,
+            bootstrap,
+            seeds,
+            timings: Timings::default(),
+            rewrite_bytes,
+            flaw: None,
+        }
+    }
+
+    pub(crate) fn has(&self, flaw: Flaw) -> bool {
+        self.flaw == Some(flaw)
+    }
+}
+
+/// A fault that a node may have in tests.
+#[doc(hidden)]
+#[allow(missing_docs)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Flaw {
+    /// A change is acknowledged when it is on the primary's disk.
+    CommitAlone,
+    /// Promises, states and records are answered before they are synced.
+    AnswerUnsynced,
+    /// A backup takes writes of a ballot below its promise.
+    ForgetPromise,
+    /// A take-over doesn't ask for one that holds the state.
+    NoHolder,
+    /// A take-over takes the highest revision, whatever its stamp.
+    NewestByRevision,
+    /// A primary answers reads without a majority's word.
+    ReadUnconfirmed,
+    /// A primary answers that a base is stale without a majority's word.
+    StaleUnconfirmed,
+    /// A backup shows what it has written.
+    ShowUncommitted,
+    /// The calls that were taken aren't remembered.
+    ForgetTaken,
+    /// What is shown may go back.
+    ShowOlder,
+    /// A primary without contact to a majority goes on telling that it lives.
+    NoLease,
+    /// Only the new members decide on a change of members.
+    NewMembersOnly,
+    /// A machine at a founder's address votes as one, also with another disk.
+    AnyFounder,
+    /// A ballot is used before it is on the own disk.
+    BallotUnsynced,
+    /// A primary keeps its place when its disk stalls.
+    KeepStalledPrimary,
+    /// A backup keeps its place when its disk stalls.
+    KeepStalledBackup,
+    /// Members are never replaced.
+    KeepMembers,
+    /// Asks are forgotten when the primary steps down.
+    DropAsks,
+    /// A node with a full disk says that it is fit.
+    AlwaysFit,
+    /// The state is not stamped before the record is proposed.
+    NoStamp,
+}
--- /dev/null
+++ b/crates/headworks/src/take_over.rs
@@ -0,0 +1,435 @@
+use std::collections::BTreeMap;
+
+use rand_core::RngCore;
+
+use crate::event::Output;
+use crate::log::Effect;
+use crate::message::Message;
+use crate::node::{Leader, Node, Role};
+use crate::primary::Lead;
+use crate::quorum::Votes;
+use crate::settings::Flaw;
+use crate::types::{Ballot, Member, MemberId, Record, State, Version};
+
+/// An attempt to lead.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct TakeOver {
+    pub(crate) ballot: Ballot,
+    /// The epoch that this node leads until now, known to be decided.
+    decided: Option<Ballot>,
+    /// The members that the primary wants.
+    wish: Option<Vec<Member>>,
+    phase: Phase,
+    pub(crate) since: u64,
+    sent: u64,
+    promises: BTreeMap<MemberId, Promised>,
+    /// The ballot of the record that the new one follows.
+    base: Ballot,
+    /// The members of the new record, before and after.
+    target: (Vec<Member>, Vec<Member>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Promised {
+    member: Member,
+    founder: bool,
+    fit: bool,
+    version: Option<Version>,
+    order: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    /// The own promise is on its way to the disk.
+    OwnPromise,
+    /// The others are asked for theirs.
+    Prepare,
+    /// The newest state is fetched.
+    Fetch { version: Version, order: Vec<MemberId> },
+    /// The newest state gets this ballot's stamp, here and at the backups to be.
+    Stamp { state: State, order: Vec<MemberId>, asked: usize, done: Vec<MemberId>, own: bool },
+    /// The record is proposed.
+    Accept { record: Record, state: State, votes: Votes, own: bool },
+}
+
+impl TakeOver {
+    /// Whether a primary takes over from itself.
+    pub(crate) fn is_renewal(&self) -> bool {
+        self.decided.is_some()
+    }
+
+    fn votes(&self) -> Votes {
+        let mut votes = Votes::default();
+        for p in self.promises.values() {
+            votes.add(p.member, p.founder);
+        }
+        votes
+    }
+
+    fn enter(&mut self, phase: Phase, now: u64) {
+        self.phase = phase;
+        self.since = now;
+        self.sent = now;
+    }
+}
+
+impl<R: RngCore> Node<R> {
+    pub(crate) fn take_over(&mut self) {
+        self.start_take_over(None, None);
+    }
+
+    pub(crate) fn start_take_over(&mut self, decided: Option<Ballot>, wish: Option<Vec<Member>>) {
+        let round = self.highest.max(self.promised.round).saturating_add(1);
+        let ballot = Ballot { round, member: self.me.id };
+        if ballot <= self.promised || self.writes.is_full() {
+            return;
+        }
+        self.highest = round;
+        self.promised = ballot;
+        self.leader = self.leader.take().filter(|l| l.member.id != self.me.id);
+        let take_over = TakeOver {
+            ballot,
+            decided,
+            wish,
+            phase: Phase::OwnPromise,
+            since: self.now,
+            sent: self.now,
+            promises: BTreeMap::new(),
+            base: Ballot::default(),
+            target: Default::default(),
+        };
+        self.role = Role::TakingOver(Box::new(take_over));
+        self.renumber_asks();
+        self.write(Effect::Promise(ballot), Some(self.me));
+        if self.settings.has(Flaw::BallotUnsynced) {
+            self.own_promise_written(ballot);
+        }
+    }
+
+    /// Danger: others hear of a ballot only when it is on the own disk, so that it isn't used twice after a loss of power.
+    pub(crate) fn own_promise_written(&mut self, ballot: Ballot) {
+        let Role::TakingOver(t) = &mut self.role else { return };
+        if t.ballot != ballot || t.phase != Phase::OwnPromise {
+            return;
+        }
+        t.enter(Phase::Prepare, self.now);
+        self.ask_for_promises();
+        let (founder, fit, version) = (self.is_founder(), self.is_fit(), self.stable.version());
+        self.on_promise(self.me, ballot, founder, fit, None, version);
+    }
+
+    fn ask_for_promises(&mut self) {
+        let Role::TakingOver(t) = &self.role else { return };
+        let ballot = t.ballot;
+        let mut all = self.electorate();
+        if self.view.is_none() {
+            all.extend(self.fresh_joiners().iter().filter(|j| !j.founder).map(|j| j.member));
+        }
+        let promised = t.votes();
+        for member in all.iter().filter(|m| !promised.covers(m)) {
+            self.send(member.address, Message::Prepare { ballot });
+        }
+    }
+
+    pub(crate) fn on_promise(
+        &mut self,
+        from: Member,
+        ballot: Ballot,
+        founder: bool,
+        fit: bool,
+        record: Option<Record>,
+        version: Option<Version>,
+    ) {
+        if let Some(record) = record {
+            self.note_record(&record);
+        }
+        let Role::TakingOver(t) = &mut self.role else { return };
+        if t.ballot == ballot && t.promises.len() < 64 && !t.promises.contains_key(&from.id) {
+            let order = t.promises.len();
+            t.promises.insert(from.id, Promised { member: from, founder, fit, version, order });
+            self.weigh_promises();
+        }
+    }
+
+    pub(crate) fn on_reject(&mut self, ballot: Ballot, promised: Ballot) {
+        self.highest = self.highest.max(promised.round);
+        match &mut self.role {
+            Role::TakingOver(t) if t.ballot == ballot && promised > ballot => self.step_down(),
+            Role::Primary(lead) if lead.ballot == ballot && promised > ballot => {
+                lead.outbid.get_or_insert(self.now);
+            }
+            _ => {}
+        }
+    }
+
+    /// The members of the record to be: `(previous, members)`.
+    fn next_members(&self, t: &TakeOver, base: Option<&Record>) -> (Vec<Member>, Vec<Member>) {
+        let Some(base) = base else { return self.first_members(t) };
+        // Danger: members change only from a record that is known to be decided; any other may have to be completed.
+        if t.decided != Some(base.ballot) {
+            return (base.previous.clone(), base.members.clone());
+        }
+        let wish = t.wish.clone().filter(|_| !base.is_joint());
+        (base.members.clone(), wish.unwrap_or_else(|| base.members.clone()))
+    }
+
+    /// The founders decide by their addresses on the first members, those founders that have told their numbers first.
+    fn first_members(&self, t: &TakeOver) -> (Vec<Member>, Vec<Member>) {
+        let slots: Vec<Member> =
+            self.founders().unwrap_or_default().iter().map(|a| Member::founder(*a)).collect();
+        let mut members = vec![self.me];
+        let mut known: Vec<(bool, Member)> =
+            self.fresh_joiners().iter().map(|j| (j.founder, j.member)).collect();
+        known.extend(t.promises.values().map(|p| (p.founder, p.member)));
+        known.sort_by_key(|(founder, member)| (!founder, *member));
+        for (_, member) in known {
+            let new = members.iter().all(|m| m.id != member.id && m.address != member.address);
+            if new && members.len() < 2 * self.settings.failures + 1 {
+                members.push(member);
+            }
+        }
+        (slots, members)
+    }
+
+    /// With promises enough, takes the newest state.
+    fn weigh_promises(&mut self) {
+        let Role::TakingOver(t) = &self.role else { return };
+        if t.phase != Phase::Prepare {
+            return;
+        }
+        let votes = t.votes();
+        let new_only = self.settings.has(Flaw::NewMembersOnly);
+        // The highest record seen is as good as one accepted: somebody has proposed it.
+        let base = self.view.clone().filter(|r| r.ballot < t.ballot);
+        let enough = match &base {
+            Some(base) => {
+                let holder = votes.hold_state(base) || self.settings.has(Flaw::NoHolder);
+                votes.decide(base, new_only) && holder
+            }
+            None => votes.majority(&self.electorate()),
+        };
+        if !enough {
+            return;
+        }
+        let target = self.next_members(t, base.as_ref());
+        let Some(order) = self.choose_backups(t, &target.1) else { return };
+        let key = |v: &Version| match self.settings.has(Flaw::NewestByRevision) {
+            true => (Ballot::default(), v.revision, v.stamp, v.origin),
+            false => (v.stamp, v.revision, v.origin, v.origin),
+        };
+        let newest = t.promises.values().filter_map(|p| p.version).max_by_key(key);
+        let own = [self.stable.state.as_ref(), self.committed.as_ref()];
+        let state = match newest {
+            None => Some(State::default()),
+            Some(newest) => own.into_iter().flatten().find(|s| s.version().same_body(&newest)).cloned(),
+        };
+        let now = self.now;
+        let Role::TakingOver(t) = &mut self.role else { return };
+        t.base = base.map(|b| b.ballot).unwrap_or_default();
+        t.target = target;
+        match (state, newest) {
+            (Some(state), _) => self.stamp(state, order),
+            (None, Some(version)) => {
+                t.enter(Phase::Fetch { version, order }, now);
+                self.fetch();
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// Those that may be backups, best first; none if others are worth waiting for.
+    fn choose_backups(&self, t: &TakeOver, members: &[Member]) -> Option<Vec<MemberId>> {
+        let wanted = self.settings.failures;
+        let own = self.stable.version();
+        let mut able: Vec<(&MemberId, &Promised)> = t.promises.iter().collect();
+        able.retain(|(id, _)| **id != self.me.id && members.iter().any(|m| m.id == **id));
+        able.sort_by_key(|(_, p)| (!p.fit, p.version.is_none() || p.version != own, p.order));
+        let fit = able.iter().filter(|(_, p)| p.fit).count();
+        let waited = self.now.saturating_sub(t.since) >= 200;
+        let enough = fit >= wanted || able.len() >= wanted && waited;
+        enough.then(|| able.into_iter().map(|(id, _)| *id).collect())
+    }
+
+    fn fetch(&mut self) {
+        let Role::TakingOver(t) = &self.role else { return };
+        let Phase::Fetch { version, .. } = t.phase else { return };
+        let (ballot, now) = (t.ballot, self.now);
+        let holders = t.promises.values().filter(|p| p.version.is_some_and(|v| v.same_body(&version)));
+        let addresses: Vec<_> = holders.map(|p| p.member.address).collect();
+        // One after the other: a state may be big.
+        let turn = (now.saturating_sub(t.since) / self.settings.timings.resend_state) as usize;
+        if let Some(address) = addresses.get(turn % addresses.len().max(1)) {
+            self.send(*address, Message::Fetch { ballot, version });
+        }
+    }
+
+    pub(crate) fn on_fetched(&mut self, ballot: Ballot, state: State) {
+        let Role::TakingOver(t) = &self.role else { return };
+        let Phase::Fetch { version, order } = &t.phase else { return };
+        if t.ballot == ballot && state.version().same_body(version) {
+            let order = order.clone();
+            self.stamp(state, order);
+        }
+    }
+
+    fn stamp(&mut self, state: State, order: Vec<MemberId>) {
+        let now = self.now;
+        let skip = self.settings.has(Flaw::NoStamp);
+        let wanted = self.settings.failures;
+        let Role::TakingOver(t) = &mut self.role else { return };
+        let state = state.stamped(t.ballot);
+        let done = if skip { order.iter().take(wanted).copied().collect() } else { Vec::new() };
+        let asked = wanted.min(order.len());
+        t.enter(Phase::Stamp { state: state.clone(), order, asked, done, own: false }, now);
+        let held = self.stable.version().is_some_and(|v| v.same_body(&state.version()));
+        let effect = match held && !self.writes.body_unsure && !self.writes.has_state() {
+            true => Effect::Restamp(state.version()),
+            false => Effect::State(state),
+        };
+        self.write(effect, Some(self.me));
+        if !skip {
+            self.send_stamps(0);
+        }
+    }
+
+    /// Sends the state to those that have not written it, from the given one on.
+    fn send_stamps(&mut self, from: usize) {
+        let Role::TakingOver(t) = &self.role else { return };
+        let Phase::Stamp { state, order, asked, done, .. } = &t.phase else { return };
+        let mut messages = Vec::new();
+        for id in order.iter().take(*asked).skip(from).filter(|id| !done.contains(id)) {
+            let Some(p) = t.promises.get(id) else { continue };
+            let version = state.version();
+            let message = match p.version.is_some_and(|v| v.same_body(&version)) {
+                true => Message::Restamp { version },
+                false => Message::Replicate { state: state.clone() },
+            };
+            messages.push((p.member.address, message));
+        }
+        messages.into_iter().for_each(|(to, message)| self.send(to, message));
+    }
+
+    pub(crate) fn stamp_lacks_body(&mut self, from: Member, version: Version) {
+        let Role::TakingOver(t) = &mut self.role else { return };
+        let Phase::Stamp { state, .. } = &t.phase else { return };
+        if state.version() == version
+            && let Some(p) = t.promises.get_mut(&from.id)
+            && p.version.take().is_some()
+        {
+            let state = state.clone();
+            self.send(from.address, Message::Replicate { state });
+        }
+    }
+
+    /// A state with this ballot's stamp is on a disk.
+    pub(crate) fn stamped_at(&mut self, id: MemberId, version: Version) {
+        let (me, wanted) = (self.me.id, self.settings.failures);
+        let Role::TakingOver(t) = &mut self.role else { return };
+        let Phase::Stamp { state, order, done, own, .. } = &mut t.phase else { return };
+        if state.version() != version {
+            return;
+        }
+        if id == me {
+            *own = true;
+        } else if order.contains(&id) && !done.contains(&id) {
+            done.push(id);
+        }
+        if !*own || done.len() < wanted {
+            return;
+        }
+        let (state, backups) = (state.clone(), done.iter().take(wanted).copied().collect());
+        let (previous, members) = t.target.clone();
+        let record = Record { ballot: t.ballot, previous, members, primary: me, backups };
+        self.note_record(&record);
+        let now = self.now;
+        let Role::TakingOver(t) = &mut self.role else { return };
+        t.enter(Phase::Accept { record: record.clone(), state, votes: Votes::default(), own: false }, now);
+        self.write(Effect::Accept(record), Some(self.me));
+        self.send_accepts();
+    }
+
+    fn send_accepts(&mut self) {
+        let Role::TakingOver(t) = &self.role else { return };
+        let Phase::Accept { record, votes, .. } = &t.phase else { return };
+        let record = record.clone();
+        let missing: Vec<Member> = record.voters().into_iter().filter(|m| !votes.covers(m)).collect();
+        for member in missing {
+            self.send(member.address, Message::Accept { record: record.clone() });
+        }
+    }
+
+    pub(crate) fn own_record_written(&mut self, ballot: Ballot) {
+        if let Role::TakingOver(t) = &mut self.role
+            && t.ballot == ballot
+            && let Phase::Accept { own, .. } = &mut t.phase
+        {
+            *own = true;
+            let founder = self.is_founder();
+            self.on_accepted(self.me, ballot, founder);
+        }
+    }
+
+    pub(crate) fn on_accepted(&mut self, from: Member, ballot: Ballot, founder: bool) {
+        let new_only = self.settings.has(Flaw::NewMembersOnly);
+        let Role::TakingOver(t) = &mut self.role else { return };
+        let Phase::Accept { record, state, votes, own } = &mut t.phase else { return };
+        if t.ballot != ballot {
+            return;
+        }
+        votes.add(from, founder);
+        if !*own || !votes.decide(record, new_only) {
+            return;
+        }
+        let (record, state, since) = (record.clone(), state.clone(), t.since);
+        let touched: Vec<MemberId> =
+            record.members.iter().filter(|m| votes.covers(m)).map(|m| m.id).collect();
+        let (renewal, continued) = (t.is_renewal(), t.decided == Some(t.base));
+        self.settle_peers(&record, &touched, since, renewal);
+        self.leader = Some(Leader { member: self.me, ballot, heard: self.now });
+        self.role = Role::Primary(Box::new(Lead::new(ballot, record, state.clone(), self.now)));
+        self.touched = Some(since);
+        self.handing = None;
+        self.show(state);
+        self.out.push(Output::Primary { ballot, continued });
+        if !continued {
+            self.refuse_unconfirmed();
+        }
+        self.settle_flight();
+        self.beat(true);
+    }
+
+    pub(crate) fn take_over_resend(&mut self, resend: u64, resend_state: u64) {
+        let now = self.now;
+        let Role::TakingOver(t) = &mut self.role else { return };
+        let big = matches!(t.phase, Phase::Fetch { .. } | Phase::Stamp { .. });
+        let pause = if big { resend_state } else { resend };
+        let due = now.saturating_sub(t.sent) >= pause;
+        if due {
+            t.sent = now;
+        }
+        let waited = now.saturating_sub(t.since);
+        match &mut t.phase {
+            Phase::OwnPromise => {}
+            Phase::Prepare => {
+                if due {
+                    self.ask_for_promises();
+                }
+                self.weigh_promises();
+            }
+            Phase::Fetch { .. } if due => self.fetch(),
+            Phase::Stamp { order, asked, .. } => {
+                // A backup that is slow gets company.
+                let more = (self.settings.failures + (waited / 150) as usize).min(order.len());
+                let first_new = *asked;
+                if more > first_new {
+                    *asked = more;
+                    self.send_stamps(first_new);
+                } else if due {
+                    self.send_stamps(0);
+                }
+            }
+            Phase::Accept { .. } if due => self.send_accepts(),
+            _ => {}
+        }
+    }
+}
