--- /dev/null
+++ b/crates/headworks/tests/fleet/book.rs
@@ -0,0 +1,178 @@
+//! What was asked, answered and shown, and whether that breaks a rule.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mosshead_headworks::{Ballot, MemberId, State, Verdict};
+
+/// A machine and the life of its process.
+pub type Life = (usize, u64);
+
+#[derive(Clone, Debug)]
+pub struct Change {
+    pub base: u64,
+    pub revision: u64,
+    pub digest: u64,
+    pub body: Vec<u8>,
+}
+
+#[derive(Clone, Debug)]
+pub enum Kind {
+    Read,
+    Change(Change),
+}
+
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub life: Life,
+    pub at: u64,
+    pub kind: Kind,
+    acknowledged: u64,
+}
+
+#[derive(Default)]
+pub struct Book {
+    pub asks: BTreeMap<u64, Ask>,
+    open: BTreeSet<u64>,
+    answered: BTreeMap<u64, Verdict>,
+    changes: BTreeMap<u64, Change>,
+    stale: BTreeMap<u64, u64>,
+    taken_on: BTreeMap<u64, u64>,
+    committed: BTreeMap<u64, u64>,
+    shown: BTreeMap<Life, u64>,
+    primaries: BTreeMap<Ballot, (MemberId, Life)>,
+    /// The highest revision that was acknowledged.
+    pub acknowledged: u64,
+    pub taken: u64,
+    pub violations: Vec<String>,
+}
+
+impl Book {
+    pub fn broken(&mut self, rule: &str, what: String) {
+        self.violations.push(format!("{rule}: {what}"));
+    }
+
+    pub fn asked(&mut self, id: u64, life: Life, at: u64, kind: Kind) {
+        if let Kind::Change(change) = &kind {
+            self.changes.entry(change.digest).or_insert_with(|| change.clone());
+        }
+        self.open.insert(id);
+        self.asks.insert(id, Ask { life, at, kind, acknowledged: self.acknowledged });
+    }
+
+    pub fn open(&self) -> impl Iterator<Item = (&u64, &Ask)> {
+        self.open.iter().filter_map(|id| self.asks.get_key_value(id))
+    }
+
+    pub fn verdict(&self, id: u64) -> Option<&Verdict> {
+        self.answered.get(&id)
+    }
+
+    /// The asks of a process that is gone get no answer.
+    pub fn died(&mut self, life: Life) {
+        let asks = &self.asks;
+        self.open.retain(|id| asks.get(id).is_some_and(|a| a.life != life));
+    }
+
+    pub fn answer(&mut self, id: u64, life: Life, verdict: Verdict) {
+        let Some(ask) = self.asks.get(&id).cloned() else {
+            return self.broken("one answer", format!("ask {id} was never asked at {life:?}"));
+        };
+        if ask.life != life || self.answered.contains_key(&id) {
+            self.broken("one answer", format!("ask {id} was answered again by {life:?}: {verdict:?}"));
+        }
+        match (&ask.kind, &verdict) {
+            (Kind::Change(change), Verdict::Taken { revision }) => {
+                if *revision != change.revision {
+                    self.broken("taken", format!("{change:?} as {revision}"));
+                }
+                self.taken(change);
+            }
+            (Kind::Change(change), Verdict::Stale { current }) => {
+                if self.committed.get(&change.revision) == Some(&change.digest) {
+                    self.broken("stale", format!("{change:?} is committed, got stale by {current}"));
+                }
+                self.stale.insert(change.digest, *current);
+            }
+            (Kind::Read, Verdict::Current { state }) => {
+                if state.revision < ask.acknowledged {
+                    let acknowledged = ask.acknowledged;
+                    self.broken(
+                        "lost",
+                        format!("read {} though {acknowledged} was taken before", state.revision),
+                    );
+                }
+                self.seen(state);
+            }
+            (_, Verdict::NotPrimary { .. } | Verdict::Unavailable) => {}
+            (kind, verdict) => self.broken("one answer", format!("{kind:?} got {verdict:?}")),
+        }
+        self.open.remove(&id);
+        self.answered.insert(id, verdict);
+    }
+
+    fn taken(&mut self, change: &Change) {
+        if self.stale.contains_key(&change.digest) {
+            self.broken("stale", format!("{change:?} was stale and is taken"));
+        }
+        let first = *self.taken_on.entry(change.base).or_insert(change.digest);
+        if first != change.digest {
+            self.broken("race", format!("two changes on {}: {first} and {}", change.base, change.digest));
+        }
+        if self.committed.get(&change.revision) != Some(&change.digest) {
+            self.broken("taken", format!("{change:?} is not committed"));
+        }
+        self.acknowledged = self.acknowledged.max(change.revision);
+        self.taken += 1;
+    }
+
+    /// A committed state, from wherever.
+    fn seen(&mut self, state: &State) {
+        if state.revision == 0 {
+            if !state.body.is_empty() || !state.taken.is_empty() {
+                self.broken("committed", format!("{state:?}"));
+            }
+            return;
+        }
+        let mut calls = state.taken.iter().rev();
+        let Some(last) = calls.next() else {
+            return self.broken("committed", format!("{state:?} without its call"));
+        };
+        let Some(change) = self.changes.get(&last.digest).cloned() else {
+            return self.broken("committed", format!("{state:?}, which nobody asked for"));
+        };
+        let base = calls.next().map_or(0, |c| c.revision);
+        if change.revision != state.revision || change.body[..] != state.body[..] || change.base != base {
+            self.broken("committed", format!("{change:?} became {state:?}"));
+        }
+        if self.stale.contains_key(&change.digest) {
+            self.broken("stale", format!("{change:?} was stale and is committed"));
+        }
+        let first = *self.committed.entry(change.revision).or_insert(change.digest);
+        if first != change.digest {
+            self.broken("race", format!("revision {} is {first} and {}", change.revision, change.digest));
+        }
+    }
+
+    pub fn shown(&mut self, life: Life, state: &State) {
+        self.seen(state);
+        let last = self.shown.insert(life, state.revision);
+        if last.is_some_and(|last| last >= state.revision) {
+            self.broken("back", format!("{life:?} showed {last:?}, then {}", state.revision));
+        }
+    }
+
+    pub fn primary(&mut self, member: MemberId, life: Life, ballot: Ballot, continued: bool) {
+        if let Some(other) = self.primaries.get(&ballot) {
+            let other = *other;
+            self.broken("ballot", format!("{ballot:?} is led by {other:?} and {life:?}"));
+        }
+        let below = self.primaries.range(..ballot).next_back().map(|(_, who)| *who);
+        if continued && below != Some((member, life)) {
+            self.broken("ballot", format!("{life:?} continued at {ballot:?} after {below:?}"));
+        }
+        if self.primaries.range(ballot..).any(|(_, who)| who.0 == member) {
+            self.broken("ballot", format!("{member:?} went back to {ballot:?}"));
+        }
+        self.primaries.insert(ballot, (member, life));
+    }
+}
--- /dev/null
+++ b/crates/headworks/tests/fleet/main.rs
@@ -0,0 +1,10 @@
+//! A fleet in virtual time: simulated network, disks and operators, faults by seed, and checkers of every rule.
+
+mod book;
+mod day;
+mod days;
+mod mutants;
+mod operator;
+mod scenarios;
+mod storm;
+mod world;
--- /dev/null
+++ b/crates/headworks/tests/fleet/operator.rs
@@ -0,0 +1,137 @@
+//! Operators that race: each call is repeated unchanged until it has a clear answer.
+
+use mosshead_headworks::Verdict;
+
+use crate::book::{Change, Kind};
+use crate::world::{Event, World};
+
+#[derive(Default)]
+pub struct Operator {
+    /// What it wants an answer to.
+    call: Option<Kind>,
+    /// The ask that is open, and since when.
+    ask: Option<(u64, u64)>,
+    hops: usize,
+    wait_until: u64,
+    /// Calls that were taken, to be repeated now and then.
+    taken: Vec<Change>,
+    base: Option<u64>,
+}
+
+impl World {
+    pub fn hire(&mut self, operators: usize) {
+        for index in 0..operators {
+            self.operators.push(Operator::default());
+            self.after(index as u64, Event::Operator(index));
+        }
+    }
+
+    pub fn dismiss(&mut self) {
+        self.operators.clear();
+    }
+
+    pub fn operate(&mut self, index: usize) {
+        if index >= self.operators.len() {
+            return;
+        }
+        self.after(20, Event::Operator(index));
+        let now = self.now;
+        let operator = &mut self.operators[index];
+        if operator.ask.is_some_and(|(_, at)| now < at + 1_400) || now < operator.wait_until {
+            return;
+        }
+        operator.ask = None;
+        operator.hops = 0;
+        if operator.call.is_none() {
+            self.next_call(index);
+        }
+        let running = self.running();
+        if running.is_empty() {
+            return;
+        }
+        let target = running[self.below(running.len() as u64) as usize];
+        self.call(index, target);
+        // The same call twice at once, at two places.
+        if self.below(10) == 0
+            && let Some(kind @ Kind::Change(_)) = self.operators[index].call.clone()
+        {
+            let other = running[self.below(running.len() as u64) as usize];
+            self.ask(other, kind);
+        }
+    }
+
+    fn next_call(&mut self, index: usize) {
+        let repeat = self.below(12) == 0;
+        let (digest, step, length) = (self.rng_u64(), self.below(3), self.below(4));
+        let operator = &mut self.operators[index];
+        let kind = match operator.base.take() {
+            _ if repeat && !operator.taken.is_empty() => {
+                let which = digest as usize % operator.taken.len();
+                Kind::Change(operator.taken[which].clone())
+            }
+            Some(base) => {
+                let body = digest.to_le_bytes().repeat(1 + length as usize);
+                Kind::Change(Change { base, revision: base + 1 + step, digest, body })
+            }
+            None => Kind::Read,
+        };
+        operator.call = Some(kind);
+    }
+
+    pub fn rng_u64(&mut self) -> u64 {
+        use rand_core::RngCore;
+        self.rng.next_u64()
+    }
+
+    fn call(&mut self, index: usize, target: usize) {
+        let Some(kind) = self.operators[index].call.clone() else { return };
+        // The answer may come within the ask.
+        let id = self.peek_ask();
+        self.operators[index].ask = Some((id, self.now));
+        self.ask(target, kind);
+    }
+
+    /// An answer has come: on to the next step, at the operator's next look.
+    pub fn answered(&mut self, ask: u64) {
+        let Some(index) = self.operators.iter().position(|o| o.ask.is_some_and(|(id, _)| id == ask)) else {
+            return;
+        };
+        let Some(verdict) = self.book.verdict(ask).cloned() else { return };
+        let pause = 100 + self.below(200);
+        let now = self.now;
+        let hint = match &verdict {
+            Verdict::NotPrimary { primary: Some(address) } => self.at(*address),
+            _ => None,
+        };
+        let hint = hint.filter(|m| self.machines[*m].node.is_some());
+        let operator = &mut self.operators[index];
+        operator.ask = None;
+        match (verdict, &operator.call) {
+            (Verdict::Current { state }, _) => {
+                operator.base = Some(state.revision);
+                operator.call = None;
+            }
+            (Verdict::Taken { revision }, Some(Kind::Change(change))) => {
+                if operator.taken.len() >= 40 {
+                    operator.taken.remove(0);
+                }
+                operator.taken.push(change.clone());
+                // Most go on from what they wrote, so that others are behind at times.
+                operator.base = (revision % 3 != 0).then_some(revision);
+                operator.call = None;
+                operator.wait_until = now + pause;
+            }
+            (Verdict::Stale { current }, _) => {
+                operator.base = Some(current);
+                operator.call = None;
+            }
+            (Verdict::NotPrimary { .. }, _) if operator.hops < 2 && hint.is_some() => {
+                operator.hops += 1;
+                if let Some(target) = hint {
+                    self.call(index, target);
+                }
+            }
+            _ => operator.wait_until = now + pause,
+        }
+    }
+}
--- /dev/null
+++ b/crates/headworks/tests/fleet/world.rs
@@ -0,0 +1,409 @@
+//! Machines, their disks, the network between them, and time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use mosshead_headworks::{Flaw, Input, Member, Message, Node, Output, Settings, Verdict};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::book::{Ask, Book, Change, Kind};
+use crate::day::Act;
+use crate::operator::Operator;
+
+pub enum Event {
+    Tick { machine: usize, life: u64 },
+    Deliver { to: SocketAddrV4, from: Member, message: Message },
+    Disk { machine: usize },
+    Operator(usize),
+    Act(Act),
+}
+
+pub struct Disk {
+    pub records: Vec<Vec<u8>>,
+    /// Token, whether the log is replaced, record.
+    queue: VecDeque<(u64, bool, Vec<u8>)>,
+    pub stalled_until: u64,
+    pub full: bool,
+    busy: bool,
+}
+
+pub struct Machine {
+    pub address: SocketAddrV4,
+    pub settings: Settings,
+    pub node: Option<Node<Pcg64Mcg>>,
+    pub life: u64,
+    pub disk: Disk,
+    pub frozen: bool,
+    held: Vec<Input>,
+    thawed: u64,
+    pub gone: bool,
+}
+
+pub struct World {
+    pub now: u64,
+    pub rng: Pcg64Mcg,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: BTreeMap<usize, Event>,
+    next_event: usize,
+    pub machines: Vec<Machine>,
+    /// One-way cuts, by machine.
+    pub cuts: BTreeSet<(usize, usize)>,
+    /// Messages lost, late or doubled, in a thousand each.
+    pub noise: u64,
+    pub book: Book,
+    pub operators: Vec<Operator>,
+    /// What happens right after the next acknowledgement.
+    pub armed: Option<Act>,
+    /// The longest time of a sync in calm.
+    pub disk_span: u64,
+    pub failures: usize,
+    flaw: Option<Flaw>,
+    next_ask: u64,
+    pub sent: u64,
+    pub sent_states: u64,
+    pub trace: bool,
+}
+
+pub fn address(index: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, (index / 200) as u8, (index % 200) as u8 + 1), 7720)
+}
+
+impl World {
+    /// A fleet that starts for the first time.
+    pub fn new(seed: u64, machines: usize, failures: usize, flaw: Option<Flaw>) -> World {
+        let mut world = World {
+            now: 1_000,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            machines: Vec::new(),
+            cuts: BTreeSet::new(),
+            noise: 5,
+            book: Book::default(),
+            operators: Vec::new(),
+            armed: None,
+            disk_span: 4,
+            failures,
+            flaw,
+            next_ask: 0,
+            sent: 0,
+            sent_states: 0,
+            trace: std::env::var("HEADWORKS_TRACE").is_ok(),
+        };
+        for _ in 0..machines {
+            let index = world.add_machine(true);
+            let at = world.below(300);
+            world.after(at, Event::Act(Act::Start(index)));
+        }
+        world
+    }
+
+    /// A machine with an empty disk, not started.
+    pub fn add_machine(&mut self, bootstrap: bool) -> usize {
+        let index = self.machines.len();
+        let seeds = (0..3).map(address).collect();
+        let mut settings = Settings::new(address(index), self.failures, bootstrap, seeds);
+        settings.flaw = self.flaw;
+        settings.rewrite_bytes = 2_000;
+        let disk =
+            Disk { records: vec![], queue: VecDeque::new(), stalled_until: 0, full: false, busy: false };
+        self.machines.push(Machine {
+            address: address(index),
+            settings,
+            node: None,
+            life: 0,
+            disk,
+            frozen: false,
+            held: Vec::new(),
+            thawed: 0,
+            gone: false,
+        });
+        index
+    }
+
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.rng.next_u64() % bound.max(1)
+    }
+
+    pub fn after(&mut self, span: u64, event: Event) {
+        self.queue.push(Reverse((self.now + span, self.next_event as u64, self.next_event)));
+        self.events.insert(self.next_event, event);
+        self.next_event += 1;
+    }
+
+    /// Lets time pass; says which rule was broken, if any.
+    pub fn run(&mut self, span: u64) -> Result<(), String> {
+        let end = self.now + span;
+        while let Some(Reverse((at, _, index))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            if let Some(event) = self.events.remove(&index) {
+                self.happen(event);
+            }
+            self.check()?;
+        }
+        self.now = end;
+        self.check()
+    }
+
+    pub fn check(&self) -> Result<(), String> {
+        match self.book.violations.first() {
+            Some(first) => Err(format!("at {}: {first}", self.now)),
+            None => Ok(()),
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Tick { machine, life } => {
+                if self.machines[machine].life == life && self.machines[machine].node.is_some() {
+                    if !self.machines[machine].frozen {
+                        self.step(machine, Input::Tick);
+                        self.overdue(machine);
+                    }
+                    self.after(50, Event::Tick { machine, life });
+                }
+            }
+            Event::Deliver { to, from, message } => {
+                if let Some(machine) = self.at(to) {
+                    self.step(machine, Input::Message { from, message });
+                }
+            }
+            Event::Disk { machine } => self.disk_done(machine),
+            Event::Operator(index) => self.operate(index),
+            Event::Act(act) => self.act(act),
+        }
+    }
+
+    /// An ask waits for an answer for so long at most.
+    fn overdue(&mut self, machine: usize) {
+        let life = (machine, self.machines[machine].life);
+        let limit = self.machines[machine].settings.timings.ask + 150;
+        let (now, thawed) = (self.now, self.machines[machine].thawed);
+        let is_late = |a: &Ask| a.life == life && now > a.at.max(thawed) + limit;
+        let late = self.book.open().find(|(_, a)| is_late(a)).map(|(id, a)| (*id, a.clone()));
+        if let Some((id, ask)) = late {
+            self.book.broken("one answer", format!("ask {id} is open since {}", ask.at));
+        }
+    }
+
+    /// The machine that has the address now.
+    pub fn at(&self, address: SocketAddrV4) -> Option<usize> {
+        self.machines.iter().position(|m| m.address == address && !m.gone)
+    }
+
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.machines.len()).filter(|m| self.machines[*m].node.is_some()).collect()
+    }
+
+    pub fn standing(&self) -> Vec<usize> {
+        (0..self.machines.len()).filter(|m| !self.machines[*m].gone).collect()
+    }
+
+    pub fn node(&self, machine: usize) -> Option<&Node<Pcg64Mcg>> {
+        self.machines[machine].node.as_ref()
+    }
+
+    /// The primary by its own word, the highest ballot first; it may be taking over from itself.
+    pub fn primary(&self) -> Option<usize> {
+        let lead = |m: &usize| {
+            self.node(*m).is_some_and(|n| n.primary() == Some(n.me())) && !self.machines[*m].frozen
+        };
+        self.running().into_iter().filter(lead).max_by_key(|m| self.node(*m).map(Node::ballot))
+    }
+
+    pub fn step(&mut self, machine: usize, input: Input) {
+        let now = self.now;
+        let m = &mut self.machines[machine];
+        if m.frozen {
+            m.held.push(input);
+            return;
+        }
+        let Some(node) = &mut m.node else { return };
+        let trace = self.trace.then(|| format!("{input:?}"));
+        let outputs = node.step(now, input);
+        if let Some(input) = trace
+            && (!outputs.is_empty() || input != "Tick")
+        {
+            println!("{now} m{machine} {input}");
+        }
+        let (member, life) = (node.me(), m.life);
+        for output in outputs {
+            if self.trace {
+                println!("{now} m{machine}    -> {output:?}");
+            }
+            match output {
+                Output::Send { to, message } => self.transmit(machine, member, to, message),
+                Output::Write { token, record } => self.enqueue(machine, (token, false, record)),
+                Output::Rewrite { token, record } => self.enqueue(machine, (token, true, record)),
+                Output::Answer { ask, result } => {
+                    let taken = matches!(result, Verdict::Taken { .. });
+                    self.book.answer(ask, (machine, life), result);
+                    self.answered(ask);
+                    if taken && let Some(act) = self.armed.take() {
+                        self.after(0, Event::Act(act));
+                    }
+                }
+                Output::Committed { state } => self.book.shown((machine, life), &state),
+                Output::Primary { ballot, continued } => {
+                    self.book.primary(member.id, (machine, life), ballot, continued);
+                }
+                Output::Deposed => {}
+            }
+        }
+    }
+
+    fn transmit(&mut self, from: usize, member: Member, to: SocketAddrV4, message: Message) {
+        self.sent += 1;
+        let big = matches!(
+            message,
+            Message::Replicate { .. } | Message::Committed { .. } | Message::Fetched { .. }
+        );
+        self.sent_states += u64::from(big);
+        let Some(target) = self.at(to) else { return };
+        if self.cuts.contains(&(from, target)) || self.below(1_000) < self.noise {
+            return;
+        }
+        let late = self.below(1_000) < self.noise;
+        let delay = 1 + self.below(3) + if late { self.below(500) } else { 0 };
+        if self.below(1_000) < self.noise {
+            let again = self.below(300);
+            self.after(again, Event::Deliver { to, from: member, message: message.clone() });
+        }
+        self.after(delay, Event::Deliver { to, from: member, message });
+    }
+
+    fn enqueue(&mut self, machine: usize, write: (u64, bool, Vec<u8>)) {
+        self.machines[machine].disk.queue.push_back(write);
+        self.disk_go(machine);
+    }
+
+    fn disk_go(&mut self, machine: usize) {
+        let span = 2 + self.below(self.disk_span);
+        let disk = &mut self.machines[machine].disk;
+        if !disk.busy && !disk.queue.is_empty() {
+            disk.busy = true;
+            let span = disk.stalled_until.saturating_sub(self.now).min(20) + span;
+            self.after(span, Event::Disk { machine });
+        }
+    }
+
+    fn disk_done(&mut self, machine: usize) {
+        let astray = self.below(8) == 0;
+        let disk = &mut self.machines[machine].disk;
+        disk.busy = false;
+        if disk.stalled_until > self.now {
+            return self.disk_go(machine);
+        }
+        let Some((token, rewrite, record)) = disk.queue.pop_front() else { return };
+        let full = disk.full;
+        if !full || astray && !rewrite {
+            disk.put(rewrite, record);
+        }
+        self.disk_go(machine);
+        self.step(machine, if full { Input::WriteFailed { token } } else { Input::Written { token } });
+    }
+
+    /// Ends a process. What it had written without a sync is there up to some write.
+    pub fn kill(&mut self, machine: usize, power: bool) {
+        let all_lost = power && self.below(2) == 0;
+        let kept = if all_lost { 0 } else { self.below(4) as usize };
+        let m = &mut self.machines[machine];
+        if m.node.take().is_none() {
+            return;
+        }
+        let queue = std::mem::take(&mut m.disk.queue);
+        if !m.disk.full {
+            for (_, rewrite, record) in queue.into_iter().take(kept) {
+                m.disk.put(rewrite, record);
+            }
+        }
+        m.held.clear();
+        m.frozen = false;
+        let life = m.life;
+        self.book.died((machine, life));
+    }
+
+    pub fn start(&mut self, machine: usize) {
+        let seed = self.rng.next_u64();
+        let phase = self.below(50);
+        let now = self.now;
+        let m = &mut self.machines[machine];
+        if m.gone || m.node.is_some() {
+            return;
+        }
+        m.life += 1;
+        match Node::new(m.settings.clone(), &m.disk.records, now, Pcg64Mcg::seed_from_u64(seed)) {
+            Ok(node) => m.node = Some(node),
+            Err(fault) => self.book.broken("disk", format!("machine {machine}: {fault}")),
+        }
+        let life = self.machines[machine].life;
+        self.step(machine, Input::Tick);
+        self.after(phase, Event::Tick { machine, life });
+    }
+
+    pub fn thaw(&mut self, machine: usize) {
+        let now = self.now;
+        let m = &mut self.machines[machine];
+        if std::mem::take(&mut m.frozen) {
+            m.thawed = now;
+        }
+        for input in std::mem::take(&mut self.machines[machine].held) {
+            self.step(machine, input);
+        }
+    }
+
+    /// Asks a node; says under which number.
+    pub fn ask(&mut self, machine: usize, kind: Kind) -> u64 {
+        let ask = self.next_ask;
+        self.next_ask += 1;
+        let life = (machine, self.machines[machine].life);
+        let input = match kind.clone() {
+            Kind::Read => Input::Read { ask },
+            Kind::Change(Change { base, revision, digest, body }) => {
+                Input::Change { ask, base, revision, body, digest }
+            }
+        };
+        if self.machines[machine].node.is_some() {
+            self.book.asked(ask, life, self.now, kind);
+            self.step(machine, input);
+        }
+        ask
+    }
+
+    /// The number of the next ask.
+    pub fn peek_ask(&self) -> u64 {
+        self.next_ask
+    }
+
+    /// A change on the newest state that the machine knows.
+    pub fn fresh_change(&mut self, machine: usize) -> Change {
+        let base = self.node(machine).and_then(Node::committed).map_or(0, |s| s.revision);
+        let revision = base + 1 + self.below(3);
+        let digest = self.rng.next_u64();
+        let body = digest.to_le_bytes().repeat(1 + self.below(4) as usize);
+        Change { base, revision, digest, body }
+    }
+}
+
+impl Disk {
+    fn put(&mut self, rewrite: bool, record: Vec<u8>) {
+        if rewrite {
+            self.records.clear();
+        }
+        self.records.push(record);
+    }
+
+    pub fn wipe(&mut self) {
+        self.records.clear();
+        self.queue.clear();
+        self.stalled_until = 0;
+        self.full = false;
+    }
+}
