--- a/crates/sluice/src/answer.rs
+++ b/crates/sluice/src/answer.rs
@@ -34,7 +34,9 @@
 
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match self.get_mut() {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().filter(|bytes| !bytes.is_empty()).map(|it| Ok(Frame::data(it)))),
+            Self::Whole(bytes) => {
+                Poll::Ready(bytes.take().filter(|bytes| !bytes.is_empty()).map(|it| Ok(Frame::data(it))))
+            }
             Self::Flows(from) => from.poll_recv(cx).map(|it| it.map(|it| it.map(Frame::data))),
         }
     }
--- a/crates/sluice/src/attempt.rs
+++ b/crates/sluice/src/attempt.rs
@@ -61,7 +61,12 @@
 }
 
 impl Message {
-    fn request(&self, server: &Server, left: u64, extra: &[(&'static str, HeaderValue)]) -> Request<Full<Bytes>> {
+    fn request(
+        &self,
+        server: &Server,
+        left: u64,
+        extra: &[(&'static str, HeaderValue)],
+    ) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
@@ -143,7 +148,13 @@
     }
 
     /// Reads what is left of an answer aside, and keeps the connection.
-    pub(crate) fn spare(self: &Rc<Self>, id: &Rc<str>, mut link: ServerLink, head: Parts, mut body: Incoming) {
+    pub(crate) fn spare(
+        self: &Rc<Self>,
+        id: &Rc<str>,
+        mut link: ServerLink,
+        head: Parts,
+        mut body: Incoming,
+    ) {
         let (sluice, id) = (self.clone(), id.clone());
         tokio::task::spawn_local(async move {
             let rest = async {
--- a/crates/sluice/src/forward.rs
+++ b/crates/sluice/src/forward.rs
@@ -60,7 +60,8 @@
             return Ok(own(StatusCode::SERVICE_UNAVAILABLE, Some(0.5)));
         }
         let came = Limited::new(body, config.limits.max_body_bytes).collect();
-        let patience = Duration::from_millis(config.limits.idle_timeout_ms.max(config.limits.header_timeout_ms));
+        let patience =
+            Duration::from_millis(config.limits.idle_timeout_ms.max(config.limits.header_timeout_ms));
         let body = match timeout(patience, came).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) if error.is::<LengthLimitError>() => {
@@ -90,15 +91,21 @@
         // Danger: the configuration may have changed while the body came; the newest one holds.
         let config: Arc<Config> = self.config().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
         let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-        let host = host.or_else(|| head.uri.authority().map(|authority| authority.as_str())).unwrap_or_default();
+        let host =
+            host.or_else(|| head.uri.authority().map(|authority| authority.as_str())).unwrap_or_default();
         let route = config.find(host, head.uri.path()).ok_or(StatusCode::NOT_FOUND)?.clone();
         let service = self.pick(&config, &route).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
         let mut headers = passed_on(&head.headers);
         // Danger: what a client says of stages, handles or instances is not the system's word.
-        for name in ["x-serving-stage", "kv-from", "x-target-instance", "priority", "expect-version", "expect"] {
+        for name in
+            ["x-serving-stage", "kv-from", "x-target-instance", "priority", "expect-version", "expect"]
+        {
             headers.remove(name);
         }
-        let wait = head.headers.get("x-deadline-ms").and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
+        let wait = head
+            .headers
+            .get("x-deadline-ms")
+            .and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
         let wait = wait.filter(|wait| wait.is_finite() && *wait >= 0.0).map_or(u64::MAX, |wait| wait as u64);
         let deadline = self.now() + wait.min(route.timeout_ms);
         let uri = head.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -167,7 +174,8 @@
             }
             let now = self.now();
             let id = self.weir.borrow_mut().one(now, &job.service.name, &avoid);
-            let Some((id, server)) = id.and_then(|id| self.server(&job, &id).map(|server| (id, server))) else {
+            let Some((id, server)) = id.and_then(|id| self.server(&job, &id).map(|server| (id, server)))
+            else {
                 return Ok(give_up(last));
             };
             if arrived > 0 && !self.weir.borrow_mut().repeat(now, &job.service.name) {
--- a/crates/sluice/src/prompt.rs
+++ b/crates/sluice/src/prompt.rs
@@ -69,7 +69,9 @@
             let message = Message { method: Method::DELETE, uri, headers, body: Bytes::new(), id: None };
             let until = Instant::now() + Duration::from_millis(500);
             let deadline = sluice.now() + 500;
-            if let Sent::Answer { head, body, link } = sluice.send(&server, &message, deadline, until, &[]).await {
+            if let Sent::Answer { head, body, link } =
+                sluice.send(&server, &message, deadline, until, &[]).await
+            {
                 sluice.spare(&server.id, link, head, body);
             }
         });
@@ -98,7 +100,8 @@
     ) -> Result<Handle, Unread> {
         let _reading = Reading::new(self, &server.id, ask.own());
         let until = self.at(deadline);
-        let stage = [("x-serving-stage", HeaderValue::from_static("prefill")), ("priority", priority.clone())];
+        let stage =
+            [("x-serving-stage", HeaderValue::from_static("prefill")), ("priority", priority.clone())];
         match self.send(server, message, deadline, until, &stage).await {
             Sent::Answer { head, body, link } if head.status.is_success() => {
                 let body = self.whole(&server.id, &head, body, link, until).await;
--- a/crates/sluice/src/stream.rs
+++ b/crates/sluice/src/stream.rs
@@ -84,7 +84,8 @@
                     running.failed(Fault::Broken);
                     return Ran::Broken;
                 }
-                let framed = head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
+                let framed =
+                    head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
                 Ran::Stream(Start { head, body, link, server: server.clone(), running, reading, framed })
             }
             Sent::NeverRan(status) => match handle {
--- a/crates/weir/src/plan.rs
+++ b/crates/weir/src/plan.rs
@@ -162,16 +162,25 @@
     }
 
     /// Two candidates of a part: the homes of the prompt's last shared part, or any two.
-    fn draw(&mut self, now: Millis, service: &str, side: Side, key: Option<u64>, avoid: &[Rc<str>]) -> Vec<Rc<str>> {
+    fn draw(
+        &mut self,
+        now: Millis,
+        service: &str,
+        side: Side,
+        key: Option<u64>,
+        avoid: &[Rc<str>],
+    ) -> Vec<Rc<str>> {
         let ready = self.ready(now, service, side, avoid);
-        let (count, ids): (usize, Vec<Rc<str>>) = (ready.len(), ready.iter().map(|one| one.id.clone()).collect());
+        let (count, ids): (usize, Vec<Rc<str>>) =
+            (ready.len(), ready.iter().map(|one| one.id.clone()).collect());
         let Some(key) = key else {
             return match two(&mut self.rng, count) {
                 Some((a, b)) => vec![ids[a].clone(), ids[b].clone()],
                 None => ids,
             };
         };
-        let mut best: Vec<(u64, Rc<str>)> = ready.iter().map(|one| (mix(one.hash ^ key), one.id.clone())).collect();
+        let mut best: Vec<(u64, Rc<str>)> =
+            ready.iter().map(|one| (mix(one.hash ^ key), one.id.clone())).collect();
         best.sort_by(|a, b| b.cmp(a));
         best.into_iter().take(2).map(|(_, id)| id).collect()
     }
@@ -183,7 +192,8 @@
     }
 
     fn least(&mut self, drawn: &[Rc<str>], side: Side, near: Option<&str>) -> Option<Rc<str>> {
-        let values: Vec<f64> = drawn.iter().map(|id| self.value(id, side) + self.distance(id, near)).collect();
+        let values: Vec<f64> =
+            drawn.iter().map(|id| self.value(id, side) + self.distance(id, near)).collect();
         match drawn {
             [] => None,
             [one] => Some(one.clone()),
@@ -212,7 +222,8 @@
         let here = self.least(&runners, Side::Runs, None)?;
         // Read where it is generated: at half the pace and between the tokens of others, but without a hand-over.
         let scale = self.proxies as f64;
-        let alone = self.terms.beside * (scale * self.value(&here, Side::Runs) + ask.own()) / (self.terms.pace / 2.0);
+        let alone =
+            self.terms.beside * (scale * self.value(&here, Side::Runs) + ask.own()) / (self.terms.pace / 2.0);
         let apart = reader.as_ref().map(|id| {
             (scale * self.value(id, Side::Reads) + ask.own()) / self.terms.pace + self.terms.hand_over
         });
--- a/crates/works/src/command.rs
+++ b/crates/works/src/command.rs
@@ -34,7 +34,10 @@
 }
 
 fn settings() -> impl Parser<Option<PathBuf>> {
-    long("settings").help("The settings file; without it MOSSHEAD_CONFIG names it").argument("FILE").optional()
+    long("settings")
+        .help("The settings file; without it MOSSHEAD_CONFIG names it")
+        .argument("FILE")
+        .optional()
 }
 
 /// The command line of a program.
@@ -42,7 +45,10 @@
     let detailed = long("detailed").help("Say more in the log").switch();
     let serve = {
         let settings = settings();
-        construct!(Command::Serve { settings, detailed }).to_options().descr("Serve until told to end").command("serve")
+        construct!(Command::Serve { settings, detailed })
+            .to_options()
+            .descr("Serve until told to end")
+            .command("serve")
     };
     let check_settings = {
         let settings = settings();
@@ -60,7 +66,10 @@
     };
     let status = {
         let settings = settings();
-        construct!(Command::Status { settings }).to_options().descr("What a running process knows").command("status")
+        construct!(Command::Status { settings })
+            .to_options()
+            .descr("What a running process knows")
+            .command("status")
     };
     construct!([serve, check_settings, check_config, status]).to_options().descr(about)
 }
@@ -88,11 +97,13 @@
             println!("{}: sound.", settings.node_name);
             Ok(())
         }),
-        Command::CheckConfig { file } => std::fs::read(&file).map_err(|error| error.to_string()).and_then(|text| {
-            let config = mosshead_mains::Config::read(&text).map_err(|fault| fault.to_string())?;
-            println!("Configuration {}: {} routes, sound.", config.revision, config.routes.len());
-            Ok(())
-        }),
+        Command::CheckConfig { file } => {
+            std::fs::read(&file).map_err(|error| error.to_string()).and_then(|text| {
+                let config = mosshead_mains::Config::read(&text).map_err(|fault| fault.to_string())?;
+                println!("Configuration {}: {} routes, sound.", config.revision, config.routes.len());
+                Ok(())
+            })
+        }
         Command::Status { settings } => path(settings).and_then(|path| {
             let settings = Settings::load(&path).map_err(|fault| fault.to_string())?;
             println!("{}", ask_status(&settings).map_err(|error| error.to_string())?);
@@ -119,7 +130,10 @@
 
 fn ask_status(settings: &Settings) -> std::io::Result<String> {
     use std::io::{Read, Write};
-    let address = settings.readiness.or(settings.control_plane).ok_or_else(|| std::io::Error::other("nothing listens"))?;
+    let address = settings
+        .readiness
+        .or(settings.control_plane)
+        .ok_or_else(|| std::io::Error::other("nothing listens"))?;
     let within = std::time::Duration::from_secs(2);
     let mut stream = std::net::TcpStream::connect_timeout(&address.into(), within)?;
     stream.set_read_timeout(Some(within))?;
--- a/crates/works/src/control.rs
+++ b/crates/works/src/control.rs
@@ -91,7 +91,10 @@
     match (&head.method, path.as_str()) {
         (&Method::POST, "/Configuration.Replace" | "/Configuration.Modify") => {
             let whole = path == "/Configuration.Replace";
-            let base = head.headers.get("x-base-revision").and_then(|value| value.to_str().ok()?.trim().parse().ok());
+            let base = head
+                .headers
+                .get("x-base-revision")
+                .and_then(|value| value.to_str().ok()?.trim().parse().ok());
             change(&core, whole, base, &body, &path).await
         }
         (&Method::GET, "/Configuration.Show") => show(&core, &path).await,
@@ -106,7 +109,9 @@
 
 /// The one that decides on the configuration, as far as it is known here.
 fn elsewhere(core: &Core, primary: Option<std::net::SocketAddrV4>, path: &str) -> Answer {
-    let Some(primary) = primary.filter(|primary| *primary != core.settings.internal()) else { return later() };
+    let Some(primary) = primary.filter(|primary| *primary != core.settings.internal()) else {
+        return later();
+    };
     let Some(own) = core.settings.control_plane else { return later() };
     let mut answer = answer(StatusCode::TEMPORARY_REDIRECT, "{\"code\":\"C06\"}");
     if let Ok(to) = HeaderValue::from_str(&format!("http://{}:{}{path}", primary.ip(), own.port())) {
--- a/crates/works/src/core.rs
+++ b/crates/works/src/core.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use mosshead_catchment::{Catchment, Delta, Heard, Server, SourceId, Vector};
-use mosshead_cistern::{Cistern, Done, Keeper};
+use mosshead_cistern::{Cistern, Done, Keeper, Store};
 use mosshead_culvert::{Caller, Handlers};
 use mosshead_headworks::{Input, Message, Node, Output, Settings as NodeSettings, State, Verdict};
 use mosshead_mains::Config;
@@ -59,7 +59,7 @@
     pub settings: Settings,
     life: u64,
     start: Instant,
-    node: RefCell<Option<Node>>,
+    node: RefCell<Option<Node<Pcg64Mcg>>>,
     keeper: RefCell<Option<Keeper>>,
     register: RefCell<Catchment>,
     caller: Caller,
@@ -102,7 +102,9 @@
     pub fn took(&self, revision: u64, digest: u64) -> bool {
         let node = self.node.borrow();
         let state = node.as_ref().and_then(|node| node.committed());
-        state.is_some_and(|state| state.taken.iter().any(|call| call.revision == revision && call.digest == digest))
+        state.is_some_and(|state| {
+            state.taken.iter().any(|call| call.revision == revision && call.digest == digest)
+        })
     }
 
     async fn ask(self: &Rc<Self>, input: impl FnOnce(u64) -> Input) -> Verdict {
@@ -150,7 +152,8 @@
         match output {
             Output::Send { to, message } => self.send(to, message),
             Output::Write { token, record } => {
-                let queued = self.keeper.borrow().as_ref().is_some_and(|keeper| keeper.append(token, record).is_ok());
+                let queued =
+                    self.keeper.borrow().as_ref().is_some_and(|keeper| keeper.append(token, record).is_ok());
                 if !queued {
                     self.write_failed(token);
                 }
@@ -162,7 +165,11 @@
             }
             Output::Committed { state } => self.committed(&state),
             Output::Rewrite { token, record } => {
-                let queued = self.keeper.borrow().as_ref().is_some_and(|keeper| keeper.rewrite(token, vec![record]).is_ok());
+                let queued = self
+                    .keeper
+                    .borrow()
+                    .as_ref()
+                    .is_some_and(|keeper| keeper.rewrite(token, vec![record]).is_ok());
                 if !queued {
                     self.write_failed(token);
                 }
@@ -219,7 +226,9 @@
             let patch = old.patch(&config);
             let mut steps = self.steps.borrow_mut();
             steps.push_back(Step { from: old.revision, to: config.revision, patch });
-            while steps.len() > STEPS || steps.iter().map(|step| step.patch.len()).sum::<usize>() > STEPS_LENGTH {
+            while steps.len() > STEPS
+                || steps.iter().map(|step| step.patch.len()).sum::<usize>() > STEPS_LENGTH
+            {
                 steps.pop_front();
             }
         }
@@ -235,7 +244,8 @@
         let revision = config.revision;
         let steps = self.steps.borrow();
         let from = steps.iter().position(|step| step.from == have);
-        let patches: Vec<String> = from.map_or(Vec::new(), |from| steps.iter().skip(from).map(|step| step.patch.clone()).collect());
+        let patches: Vec<String> =
+            from.map_or(Vec::new(), |from| steps.iter().skip(from).map(|step| step.patch.clone()).collect());
         let leads = from.is_some() && steps.back().is_some_and(|step| step.to == revision);
         let shorter = patches.iter().map(String::len).sum::<usize>() < config.text().len();
         if leads && shorter {
@@ -260,9 +270,15 @@
 
     fn all(&self) -> Vec<SocketAddrV4> {
         let node = self.node.borrow();
-        let mut all: Vec<SocketAddrV4> = node.iter().flat_map(|node| node.members().iter().map(|member| member.address)).collect();
+        let mut all: Vec<SocketAddrV4> =
+            node.iter().flat_map(|node| node.members().iter().map(|member| member.address)).collect();
         let ripple = self.gossip.ripple.borrow();
-        all.extend(ripple.members().filter(|(peer, health)| peer.core && health.lives()).map(|(peer, _)| peer.address));
+        all.extend(
+            ripple
+                .members()
+                .filter(|(peer, health)| peer.core && health.lives())
+                .map(|(peer, _)| peer.address),
+        );
         if all.is_empty() {
             all = self.settings.internal_seeds();
         }
@@ -283,7 +299,9 @@
             news.mark_unchanged();
             let answer = self.answer(&call);
             let fresh = answer.revision > call.revision || answer.behind || !answer.current || answer.wants;
-            if fresh || timeout(until.saturating_duration_since(Instant::now()), news.changed()).await.is_err() {
+            if fresh
+                || timeout(until.saturating_duration_since(Instant::now()), news.changed()).await.is_err()
+            {
                 return answer;
             }
         }
@@ -370,7 +388,15 @@
         while failures < 40 {
             let vector = self.register.borrow().vector();
             let name = self.settings.node_name.clone();
-            let call = Pull { name, life: self.life, proxy: false, revision: u64::MAX, vector, entries: true, wait_ms: 1000 };
+            let call = Pull {
+                name,
+                life: self.life,
+                proxy: false,
+                revision: u64::MAX,
+                vector,
+                entries: true,
+                wait_ms: 1000,
+            };
             match self.caller.call(other, &call, Duration::from_millis(1400)).await {
                 Ok(pulled) => {
                     failures = 0;
@@ -422,7 +448,9 @@
                 "\"servers\":{},\"proxies\":{},\"log_bytes\":{}}}"
             ),
             node.as_ref().is_some_and(|node| node.is_primary()),
-            node.as_ref().and_then(|node| node.primary()).map_or(String::new(), |primary| primary.address.to_string()),
+            node.as_ref()
+                .and_then(|node| node.primary())
+                .map_or(String::new(), |primary| primary.address.to_string()),
             ballot.map_or(0, |ballot| ballot.round),
             members,
             node.as_ref().is_some_and(|node| node.in_touch(self.now())),
@@ -438,7 +466,16 @@
 fn open_disk(folder: &Path) -> (Cistern, Vec<Vec<u8>>) {
     loop {
         match Cistern::open(&folder.join("headworks")) {
-            Ok(opened) => return opened,
+            // Danger: what can't be written again must not be acted on, nor promised anew.
+            Ok((mut log, records)) => {
+                if log.ignored() > 0 {
+                    spdlog::warn!("cistern: {} bytes at the end of the log are no records.", log.ignored());
+                }
+                if log.is_kept() || log.sync().is_ok() {
+                    return (log, records);
+                }
+                std::thread::sleep(std::time::Duration::from_millis(200));
+            }
             Err(fault) => {
                 spdlog::warn!("cistern: {fault}. Trying again.");
                 std::thread::sleep(std::time::Duration::from_millis(200));
@@ -448,7 +485,8 @@
 }
 
 fn handlers(core: &Rc<Core>) -> Handlers {
-    let (pull, fetch, hand, hears, epoch) = (core.clone(), core.clone(), core.clone(), core.clone(), core.clone());
+    let (pull, fetch, hand, hears, epoch) =
+        (core.clone(), core.clone(), core.clone(), core.clone(), core.clone());
     Handlers::new()
         .on::<Pull>(async move |call, _| Ok(pull.clone().pull(call).await))
         .on::<Fetch>(async move |call, _| Ok(fetch.fetch(call.revision)))
@@ -574,8 +612,13 @@
     };
     let (failures, seeds) = (core.settings.node_failures, core.settings.internal_seeds());
     let settings = NodeSettings::new(core.settings.internal(), failures, core.settings.bootstrap, seeds);
-    let node = Node::new(settings, &records, core.now(), seed);
-    core.node.replace(Some(node));
+    match Node::new(settings, &records, core.now(), Pcg64Mcg::seed_from_u64(seed)) {
+        Ok(node) => core.node.replace(Some(node)),
+        Err(fault) => {
+            spdlog::error!("headworks: what is on disk can't be read: {fault}.");
+            return;
+        }
+    };
     core.step(Input::Tick);
     while let Some(done) = finished.recv().await {
         let token = done.token;
--- a/crates/works/src/proxy.rs
+++ b/crates/works/src/proxy.rs
@@ -99,10 +99,12 @@
     let gossip = Gossip::bind(settings.internal(), ripple).await?;
     tokio::task::spawn_local(gossip.clone().run());
     let (register_of, gossip_of) = (register.clone(), gossip.clone());
-    let takes = Takes { sluice: sluice.clone(), register: register_of, told: Cell::new(1), gossip: gossip_of };
+    let takes =
+        Takes { sluice: sluice.clone(), register: register_of, told: Cell::new(1), gossip: gossip_of };
     let takes = Rc::new(takes);
     let seeds = settings.internal_seeds();
-    let puller = Puller::new(&settings.node_name, life, Caller::new(), takes.clone(), register.clone(), &seeds);
+    let puller =
+        Puller::new(&settings.node_name, life, Caller::new(), takes.clone(), register.clone(), &seeds);
     for slot in 0..SLOTS {
         tokio::task::spawn_local(puller.clone().run(slot));
     }
--- a/crates/works/src/puller.rs
+++ b/crates/works/src/puller.rs
@@ -89,7 +89,9 @@
             return;
         }
         self.learn(cores);
-        self.cores.borrow_mut().retain(|core| core.busy || core.failed.is_none() || cores.contains(&core.address));
+        self.cores
+            .borrow_mut()
+            .retain(|core| core.busy || core.failed.is_none() || cores.contains(&core.address));
     }
 
     /// Machines of the core that are known.
@@ -114,7 +116,9 @@
                         true
                     }
                     // It does not hear from the core itself: another one may.
-                    Some(false) => misled.get_or_insert_with(Instant::now).elapsed() < Duration::from_millis(600),
+                    Some(false) => {
+                        misled.get_or_insert_with(Instant::now).elapsed() < Duration::from_millis(600)
+                    }
                     None => false,
                 };
                 first = false;
@@ -182,7 +186,15 @@
             sleep(Duration::from_millis(100 * slot as u64)).await;
             let vector = self.register.borrow().vector();
             let name = self.name.clone();
-            let call = Pull { name, life: self.life, proxy: true, revision: u64::MAX, vector, entries: true, wait_ms: 0 };
+            let call = Pull {
+                name,
+                life: self.life,
+                proxy: true,
+                revision: u64::MAX,
+                vector,
+                entries: true,
+                wait_ms: 0,
+            };
             if let Ok(answer) = self.caller.call(core, &call, GRACE).await
                 && self.register.borrow_mut().merge(millis(now), answer.delta)
             {
--- a/crates/works/src/settings.rs
+++ b/crates/works/src/settings.rs
@@ -64,7 +64,11 @@
         self.values.get(key).map(|value| value.1.as_str()).ok_or(Fault::Missing(key))
     }
 
-    fn parsed<T: std::str::FromStr>(&self, key: &'static str, must: &'static str) -> Result<Option<T>, Fault> {
+    fn parsed<T: std::str::FromStr>(
+        &self,
+        key: &'static str,
+        must: &'static str,
+    ) -> Result<Option<T>, Fault> {
         let Some((line, value)) = self.values.get(key) else { return Ok(None) };
         let parsed = value.trim().parse();
         parsed.map(Some).map_err(|_| Fault::Value(*line, key.to_owned(), value.clone(), must))
@@ -74,7 +78,8 @@
 impl Settings {
     /// Reads the file that `MOSSHEAD_CONFIG` or the command line names.
     pub fn load(path: &Path) -> Result<Self, Fault> {
-        let unreadable = |error: std::io::Error| Fault::Unreadable(path.display().to_string(), error.to_string());
+        let unreadable =
+            |error: std::io::Error| Fault::Unreadable(path.display().to_string(), error.to_string());
         Self::read(&std::fs::read(path).map_err(unreadable)?)
     }
 
@@ -82,7 +87,8 @@
     pub fn read(text: &[u8]) -> Result<Self, Fault> {
         let mut values = BTreeMap::new();
         for line in PropertiesIter::new(text) {
-            let line = line.map_err(|error| Fault::Line(error.line_number().unwrap_or(0), error.to_string()))?;
+            let line =
+                line.map_err(|error| Fault::Line(error.line_number().unwrap_or(0), error.to_string()))?;
             let at = line.line_number();
             if let LineContent::KVPair(key, value) = line.consume_content() {
                 values.insert(key, (at, value));
@@ -95,7 +101,9 @@
         let port = |text: &str| {
             let line = read.values.get("internal_port_range").map_or(0, |value| value.0);
             let must = "two ports, joined by a comma";
-            text.trim().parse().map_err(|_| Fault::Value(line, "internal_port_range".into(), ports.into(), must))
+            text.trim()
+                .parse()
+                .map_err(|_| Fault::Value(line, "internal_port_range".into(), ports.into(), must))
         };
         let mut seed_nodes = Vec::new();
         if let Some((line, seeds)) = read.values.get("seed_nodes") {
