Take handed-over streams and prompts read in place to servers apart

Cause: a prompt that is read between tokens holds all streams of that server up, so long answers paused for more than the operators want. Change: those that generate are split by the hash of their id; a home that is likely to have the shared part is weighed without it.

--- a/crates/weir/src/board.rs
+++ b/crates/weir/src/board.rs
@@ -1,6 +1,6 @@
 //! The board: one entry for each ready server of each part, with what this proxy has open there.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
 use mosshead_catchment::{OperState, Server, Stage};
@@ -32,10 +32,26 @@
     pub evidence: Evidence,
     /// Until when its handles are not trusted.
     pub lapses_until: u64,
+    /// The last shared parts of prompts that this proxy had read there, newest last.
+    pub(crate) kept: VecDeque<u64>,
     /// The hash of its id.
     pub(crate) hash: u64,
 }
 
+/// So many parts are remembered for a server.
+const KEPT: usize = 256;
+
+impl Candidate {
+    /// It has read a prompt with this part.
+    pub(crate) fn keeps(&mut self, part: u64) {
+        self.kept.retain(|kept| *kept != part);
+        self.kept.push_back(part);
+        if self.kept.len() > KEPT {
+            self.kept.pop_front();
+        }
+    }
+}
+
 /// Spreads the bits of a number (splitmix64's finisher).
 pub(crate) fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -78,6 +94,7 @@
                 unread: 0.0,
                 evidence: Evidence::default(),
                 lapses_until: 0,
+                kept: VecDeque::new(),
                 hash: hash(server.id.as_bytes()),
             });
             if candidate.server != *server {
--- a/crates/weir/src/plan.rs
+++ b/crates/weir/src/plan.rs
@@ -24,14 +24,16 @@
     pub stream_weight: f64,
     /// A hand-over costs at least this.
     pub hand_over: f64,
-    /// How much dearer reading beside streams is held to be than its time.
+    /// A prompt of more tokens of its own is not read beside streams.
     pub beside: f64,
+    /// The share of those that generate which take streams that were read elsewhere.
+    pub streams: f64,
 }
 
 impl Terms {
     /// With this budget, and what was measured on the operators' deployments.
     pub fn new(budget: BudgetTerms) -> Self {
-        Self { budget, pace: 60.0, stream_weight: 100.0, hand_over: 12.0, beside: 1.0 }
+        Self { budget, pace: 60.0, stream_weight: 100.0, hand_over: 12.0, beside: 4500.0, streams: 0.4 }
     }
 }
 
@@ -47,15 +49,19 @@
 }
 
 impl Ask {
-    fn key(&self) -> Option<u64> {
-        let shared = self.parts.len().checked_sub(2)?;
-        self.parts.get(shared).map(|part| mix(part.0))
+    /// The last part that others share, too.
+    fn last_shared(&self) -> Option<(u64, f64)> {
+        self.parts.get(self.parts.len().checked_sub(2)?).copied()
+    }
+
+    /// Tokens of parts that others share.
+    fn shared(&self) -> f64 {
+        self.parts.iter().rev().skip(1).map(|part| part.1).sum()
     }
 
     /// Tokens that no server is likely to have kept.
     pub fn own(&self) -> f64 {
-        let shared: f64 = self.parts.iter().rev().skip(1).map(|part| part.1).sum();
-        (self.tokens - shared).max(16.0)
+        (self.tokens - self.shared()).max(16.0)
     }
 }
 
@@ -76,6 +82,8 @@
     budgets: HashMap<String, Budget>,
     zone: String,
     proxies: usize,
+    /// What this proxy usually has waiting at one server: that generates, that reads.
+    usual: [f64; 2],
     rng: R,
 }
 
@@ -83,7 +91,7 @@
     /// A proxy in `zone` that knows nothing yet.
     pub fn new(terms: Terms, zone: &str, rng: R) -> Self {
         let (board, budgets) = (Board::default(), HashMap::new());
-        Self { terms, board, budgets, zone: zone.to_owned(), proxies: 1, rng }
+        Self { terms, board, budgets, zone: zone.to_owned(), proxies: 1, usual: [0.0; 2], rng }
     }
 
     /// The register's present list.
@@ -161,86 +169,125 @@
         }
     }
 
-    /// Two candidates of a part: the homes of the prompt's last shared part, or any two.
-    fn draw(
-        &mut self,
-        now: Millis,
-        service: &str,
-        side: Side,
-        key: Option<u64>,
-        avoid: &[Rc<str>],
-    ) -> Vec<Rc<str>> {
-        let ready = self.ready(now, service, side, avoid);
-        let (count, ids): (usize, Vec<Rc<str>>) =
-            (ready.len(), ready.iter().map(|one| one.id.clone()).collect());
+    /// Those that generate, apart: some take streams that were read elsewhere, the others read what they generate.
+    ///
+    /// Danger: a prompt that is read between the tokens of others holds up all streams there; where both kinds meet,
+    /// long answers pause for too long.
+    fn runners(&self, now: Millis, service: &str, avoid: &[Rc<str>]) -> (Vec<Rc<str>>, Vec<Rc<str>>) {
+        let mut all: Vec<(u64, Rc<str>)> = self
+            .ready(now, service, Side::Runs, avoid)
+            .iter()
+            .map(|one| (one.hash, one.id.clone()))
+            .collect();
+        all.sort_unstable();
+        let all: Vec<Rc<str>> = all.into_iter().map(|(_, id)| id).collect();
+        if all.len() < 2 {
+            return (all.clone(), all);
+        }
+        let streams = ((all.len() as f64 * self.terms.streams).round() as usize).clamp(1, all.len() - 1);
+        let (stream, alone) = all.split_at(streams);
+        (stream.to_vec(), alone.to_vec())
+    }
+
+    /// Two of these: the homes of the prompt's last shared part, the likeliest one first, or any two.
+    fn draw(&mut self, ids: &[Rc<str>], key: Option<u64>) -> Vec<Rc<str>> {
         let Some(key) = key else {
-            return match two(&mut self.rng, count) {
-                Some((a, b)) => vec![ids[a].clone(), ids[b].clone()],
-                None => ids,
+            return match two(&mut self.rng, ids.len()) {
+                Some((a, b)) => [a, b].iter().filter_map(|at| ids.get(*at).cloned()).collect(),
+                None => ids.to_vec(),
             };
         };
-        let mut best: Vec<(u64, Rc<str>)> =
-            ready.iter().map(|one| (mix(one.hash ^ key), one.id.clone())).collect();
-        best.sort_by(|a, b| b.cmp(a));
+        let home = |id: &Rc<str>| self.board.get(id).map_or(0, |one| mix(one.hash ^ key));
+        let mut best: Vec<(u64, Rc<str>)> = ids.iter().map(|id| (home(id), id.clone())).collect();
+        best.sort_unstable_by(|a, b| b.cmp(a));
         best.into_iter().take(2).map(|(_, id)| id).collect()
     }
 
-    /// What waits at a server before a prompt that comes now, in tokens.
-    fn value(&self, id: &str, side: Side) -> f64 {
+    /// What waits at a server before a prompt that comes now, and the prompt itself, in tokens to read.
+    fn value(&self, id: &str, side: Side, ask: &Ask, first: bool) -> f64 {
         let weight = if side == Side::Runs { self.terms.stream_weight } else { 0.0 };
-        self.board.get(id).map_or(f64::INFINITY, |one| one.unread + weight * one.open.value())
-    }
-
-    fn least(&mut self, drawn: &[Rc<str>], side: Side, near: Option<&str>) -> Option<Rc<str>> {
-        let values: Vec<f64> =
-            drawn.iter().map(|id| self.value(id, side) + self.distance(id, near)).collect();
-        match drawn {
-            [] => None,
-            [one] => Some(one.clone()),
-            [..] => {
-                let at = lower(&mut self.rng, (0, values[0]), (1, values[1]));
-                drawn.get(at).cloned()
-            }
-        }
+        let Some(one) = self.board.get(id) else { return f64::INFINITY };
+        let kept = first || ask.last_shared().is_none_or(|part| one.kept.contains(&part.0));
+        let again = if kept { 0.0 } else { ask.shared() };
+        one.unread + weight * one.open.value() + ask.own() + again
     }
 
-    /// What it costs that a server is in another zone than `near`, in tokens.
-    fn distance(&self, id: &str, near: Option<&str>) -> f64 {
-        let same = |one: &Candidate| near.is_none_or(|zone| one.server.zone == zone);
-        if self.board.get(id).is_none_or(same) { 0.0 } else { 2.0 * self.terms.stream_weight }
+    fn least(
+        &mut self,
+        drawn: &[Rc<str>],
+        value: impl Fn(&Self, &Rc<str>, bool) -> f64,
+    ) -> Option<(Rc<str>, f64)> {
+        let values: Vec<f64> = drawn.iter().enumerate().map(|(at, id)| value(self, id, at == 0)).collect();
+        let at = match values.as_slice() {
+            [] => return None,
+            [_] => 0,
+            [a, b, ..] => lower(&mut self.rng, (0, *a), (1, *b)),
+        };
+        Some((drawn.get(at)?.clone(), *values.get(at)?))
+    }
+
+    /// What other proxies are likely to have waiting at a server of a part, by what this one has on the average.
+    fn elsewhere(&mut self, service: &str, side: Side) -> f64 {
+        let ids = self.board.side(service, side);
+        let sum: f64 = ids.iter().filter_map(|id| self.board.get(id)).map(|one| one.unread).sum();
+        let mean = sum / ids.len().max(1) as f64;
+        let usual = &mut self.usual[usize::from(side == Side::Reads)];
+        *usual += 0.05 * (mean - *usual);
+        *usual * (self.proxies as f64 - 1.0)
     }
 
     /// The servers of a prompt.
     pub fn pair(&mut self, now: Millis, service: &str, ask: &Ask, avoid: &[Rc<str>]) -> Option<Pair> {
-        let key = ask.key();
-        let readers = self.draw(now, service, Side::Reads, key, avoid);
-        let reader = self.least(&readers, Side::Reads, None);
-        let lapses = |id: &Rc<str>| self.board.get(id).is_some_and(|one| one.lapses_until > now);
-        let reader = reader.filter(|id| !lapses(id));
-        let zone = reader.as_ref().and_then(|id| self.board.get(id)).map(|one| one.server.zone.clone());
-        let runners = self.draw(now, service, Side::Runs, key, avoid);
-        let here = self.least(&runners, Side::Runs, None)?;
+        let key = ask.last_shared().map(|part| mix(part.0));
+        let lapses = |one: &&Candidate| one.lapses_until <= now;
+        let readers: Vec<Rc<str>> = self
+            .ready(now, service, Side::Reads, avoid)
+            .into_iter()
+            .filter(lapses)
+            .map(|one| one.id.clone())
+            .collect();
+        let (streams, alone) = self.runners(now, service, avoid);
+        let (read_waits, run_waits) =
+            (self.elsewhere(service, Side::Reads), self.elsewhere(service, Side::Runs));
+        let drawn = self.draw(&readers, key);
+        let reader = self.least(&drawn, |weir, id, first| weir.value(id, Side::Reads, ask, first));
+        let drawn = self.draw(&alone, key);
+        let (here, here_value) =
+            self.least(&drawn, |weir, id, first| weir.value(id, Side::Runs, ask, first))?;
         // Read where it is generated: at half the pace and between the tokens of others, but without a hand-over.
-        let scale = self.proxies as f64;
-        let alone =
-            self.terms.beside * (scale * self.value(&here, Side::Runs) + ask.own()) / (self.terms.pace / 2.0);
-        let apart = reader.as_ref().map(|id| {
-            (scale * self.value(id, Side::Reads) + ask.own()) / self.terms.pace + self.terms.hand_over
+        let alone = (here_value + run_waits) / (self.terms.pace / 2.0);
+        let short = ask.own() <= self.terms.beside;
+        let reader = reader.filter(|(_, value)| {
+            !short || (value + read_waits) / self.terms.pace + self.terms.hand_over < alone
         });
-        let reader = reader.filter(|_| apart.is_some_and(|apart| apart < alone));
-        let runner = match &reader {
-            None => here,
-            Some(_) => {
-                let any = self.draw(now, service, Side::Runs, key, avoid);
-                self.least(&any, Side::Runs, zone.as_deref())?
+        let pair = match reader {
+            None => Pair { reader: None, runner: here },
+            Some((reader, _)) => {
+                let zone = self.board.get(&reader).map(|one| one.server.zone.clone()).unwrap_or_default();
+                let drawn = self.draw(&streams, None);
+                let runner = self.least(&drawn, |weir, id, _| weir.open(id) + weir.distance(id, &zone))?.0;
+                Pair { reader: Some(reader), runner }
             }
         };
-        reader.iter().chain([&runner]).for_each(|id| {
+        let reads = pair.reader.as_ref().unwrap_or(&pair.runner).clone();
+        if let (Some(part), Some(one)) = (ask.last_shared(), self.board.get_mut(&reads)) {
+            one.keeps(part.0);
+        }
+        pair.reader.iter().chain([&pair.runner]).for_each(|id| {
             if let Some(one) = self.board.get_mut(id) {
                 one.evidence.chosen();
             }
         });
-        Some(Pair { reader, runner })
+        Some(pair)
+    }
+
+    fn open(&self, id: &str) -> f64 {
+        self.board.get(id).map_or(f64::INFINITY, |one| one.open.value() + one.unread / 500.0)
+    }
+
+    /// What it costs that memory has to move to another zone, in open streams.
+    fn distance(&self, id: &str, zone: &str) -> f64 {
+        if self.board.get(id).is_none_or(|one| one.server.zone == zone) { 0.0 } else { 1.5 }
     }
 
     /// A prompt of so many tokens has been sent to be read there.
