Order two thirds of the model servers to read: the duty of stages, held by the primary

Cause: long answers were late by pauses while prompts were read beside them, and readers were too few.

--- /dev/null
+++ b/crates/penstock/src/lib.rs
@@ -0,0 +1,154 @@
+//! The duty of stages: which model servers read prompts and which generate. Decisions only: no I/O, no clock.
+//!
+//! One holder in the fleet carries it out, under a fence that only rises. It orders a server to change its part when the
+//! share of readers is off by a whole server for a while, and never so that a part is left with too few.
+
+use std::collections::BTreeMap;
+
+use mosshead_catchment::{OperState, Server, Stage};
+
+/// An instant or a span, in milliseconds.
+pub type Millis = u64;
+
+/// What the duty aims at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// The share of a service's model servers that read.
+    pub readers: f64,
+    /// So many generate at least, where there are so many servers and one more.
+    pub runners_least: usize,
+    /// The share has to be off for so long.
+    pub patience: Millis,
+    /// So long after an order the same server gets no other.
+    pub rest: Millis,
+    /// So many servers of one service change at once.
+    pub at_once: usize,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self { readers: 0.67, runners_least: 2, patience: 300, rest: 8_000, at_once: 3 }
+    }
+}
+
+/// A server is to play this part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Which server.
+    pub id: String,
+    /// Its part from now on.
+    pub stage: Stage,
+}
+
+/// How an order was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It is carried out, or in force already.
+    Taken,
+    /// The server has seen a higher fence: another one holds the duty.
+    Fenced,
+    /// Not now, or no answer.
+    Unclear,
+}
+
+/// What the holder remembers.
+#[derive(Clone, Debug)]
+pub struct Penstock {
+    terms: Terms,
+    /// Since when a service's share has been off.
+    off: BTreeMap<String, Millis>,
+    /// The last order of each server: when, and its part.
+    ordered: BTreeMap<String, (Millis, Stage)>,
+    fenced: bool,
+}
+
+impl Penstock {
+    /// A holder that has just taken over: it knows no former orders.
+    pub fn new(terms: Terms) -> Self {
+        Self { terms, off: BTreeMap::new(), ordered: BTreeMap::new(), fenced: false }
+    }
+
+    /// How many of `count` servers are to read.
+    pub fn wanted(&self, count: usize) -> usize {
+        if count < 2 {
+            return 0;
+        }
+        let most = count.saturating_sub(self.terms.runners_least).max(1);
+        ((count as f64 * self.terms.readers).round() as usize).clamp(1, most)
+    }
+
+    /// The orders that are due.
+    pub fn due<'a>(&mut self, now: Millis, servers: impl Iterator<Item = &'a Server>) -> Vec<Order> {
+        // Danger: whoever was told of a higher fence holds the duty no more, whatever it believes.
+        if self.fenced {
+            return Vec::new();
+        }
+        let mut services: BTreeMap<&str, Vec<(&Server, Stage)>> = BTreeMap::new();
+        for server in servers {
+            if let (OperState::Up, false, Some(stage)) = (server.state, server.silent, server.stage) {
+                let ordered = self.ordered.get(&server.id).filter(|order| now < order.0 + self.terms.rest);
+                let stage = ordered.map_or(stage, |order| order.1);
+                services.entry(server.service.as_str()).or_default().push((server, stage));
+            }
+        }
+        self.off.retain(|service, _| services.contains_key(service.as_str()));
+        let mut orders = Vec::new();
+        for (service, mut all) in services {
+            let (wanted, readers) =
+                (self.wanted(all.len()), all.iter().filter(|one| one.1 == Stage::Prefill).count());
+            if wanted == readers {
+                self.off.remove(service);
+                continue;
+            }
+            let since = *self.off.entry(service.to_owned()).or_insert(now);
+            if now < since + self.terms.patience {
+                continue;
+            }
+            let (stage, from) = match wanted > readers {
+                true => (Stage::Prefill, Stage::Decode),
+                false => (Stage::Decode, Stage::Prefill),
+            };
+            // Zones take turns, so that no zone is left with one part only.
+            let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+            all.iter()
+                .filter(|one| one.1 == stage)
+                .for_each(|one| *zones.entry(&one.0.zone).or_default() += 1);
+            all.retain(|one| one.1 == from && !self.rests(now, &one.0.id));
+            for _ in 0..wanted.abs_diff(readers).min(self.terms.at_once) {
+                let least = all.iter().enumerate().min_by_key(|(_, one)| {
+                    (zones.get(one.0.zone.as_str()).copied().unwrap_or(0), one.0.id.as_str())
+                });
+                let Some((at, _)) = least else { break };
+                let (server, _) = all.swap_remove(at);
+                *zones.entry(&server.zone).or_default() += 1;
+                self.ordered.insert(server.id.clone(), (now, stage));
+                orders.push(Order { id: server.id.clone(), stage });
+            }
+        }
+        self.ordered.retain(|_, order| now < order.0 + 8 * self.terms.rest);
+        orders
+    }
+
+    fn rests(&self, now: Millis, id: &str) -> bool {
+        self.ordered.get(id).is_some_and(|order| now < order.0 + self.terms.rest)
+    }
+
+    /// An order has been answered, or not.
+    pub fn answered(&mut self, id: &str, answer: Answer) {
+        match answer {
+            Answer::Taken => {}
+            Answer::Fenced => self.fenced = true,
+            // Danger: an order without an answer may have been taken; it is only looked at again after its rest.
+            Answer::Unclear => {}
+        }
+        let _ = id;
+    }
+}
+
+/// The fencing token of a holder: rises with the ballot under which it holds, and no two holders have the same.
+///
+/// Danger: two members may have tried under one round; the member's number tells them apart, in the order of ballots.
+pub fn fence(round: u64, member: u64) -> u64 {
+    const BITS: u32 = 20;
+    (round.min((1 << 32) - 1) << BITS) | (member >> (64 - BITS))
+}
--- /dev/null
+++ b/crates/penstock/tests/stages.rs
@@ -0,0 +1,110 @@
+//! The duty of stages: how many read, who is ordered, and that it comes to rest.
+
+use mosshead_catchment::{OperState, Server, Stage};
+use mosshead_penstock::{Answer, Penstock, Terms, fence};
+use quickcheck::quickcheck;
+
+fn server(at: usize, zone: usize, stage: Stage) -> Server {
+    Server {
+        id: format!("i-{at}"),
+        service: "llm".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: format!("z{zone}"),
+        software: String::new(),
+        slots: 64,
+        state: OperState::Up,
+        silent: false,
+        warmup_left_ms: 0,
+        stage: Some(stage),
+        models: Vec::new(),
+        sequence: 1,
+    }
+}
+
+fn fleet(count: usize, readers: usize) -> Vec<Server> {
+    (0..count)
+        .map(|at| server(at, at % 3, if at < readers { Stage::Prefill } else { Stage::Decode }))
+        .collect()
+}
+
+fn readers(servers: &[Server]) -> usize {
+    servers.iter().filter(|one| one.stage == Some(Stage::Prefill)).count()
+}
+
+/// Lets orders be carried out at once.
+fn play(duty: &mut Penstock, servers: &mut [Server], from: u64, to: u64) -> usize {
+    let mut count = 0;
+    for now in (from..to).step_by(100) {
+        for order in duty.due(now, servers.iter()) {
+            let one = servers.iter_mut().find(|one| one.id == order.id).expect("a server of the list");
+            assert_ne!(one.stage, Some(order.stage), "an order that changes nothing is priced for nothing");
+            one.stage = Some(order.stage);
+            duty.answered(&order.id, Answer::Taken);
+            count += 1;
+        }
+    }
+    count
+}
+
+#[test]
+fn the_share_is_reached_with_the_fewest_orders_and_then_nothing_is_ordered() {
+    let (mut duty, mut servers) = (Penstock::new(Terms::default()), fleet(9, 4));
+    assert_eq!(play(&mut duty, &mut servers, 0, 2000), 2);
+    assert_eq!(readers(&servers), 6);
+    assert_eq!(play(&mut duty, &mut servers, 2000, 60_000), 0);
+}
+
+#[test]
+fn nothing_is_ordered_before_the_share_has_been_off_for_a_while() {
+    let (mut duty, servers) = (Penstock::new(Terms::default()), fleet(9, 4));
+    assert!(duty.due(0, servers.iter()).is_empty());
+    assert!(duty.due(299, servers.iter()).is_empty());
+    assert_eq!(duty.due(300, servers.iter()).len(), 2);
+}
+
+#[test]
+fn an_order_on_its_way_counts_as_carried_out() {
+    let (mut duty, servers) = (Penstock::new(Terms::default()), fleet(9, 4));
+    duty.due(0, servers.iter());
+    assert_eq!(duty.due(400, servers.iter()).len(), 2);
+    // The servers still beat with their old part.
+    assert!((500..8000).step_by(100).all(|now| duty.due(now, servers.iter()).is_empty()));
+}
+
+#[test]
+fn who_was_told_of_a_higher_fence_orders_nothing_more() {
+    let (mut duty, servers) = (Penstock::new(Terms::default()), fleet(9, 4));
+    duty.answered("i-1", Answer::Fenced);
+    assert!((0..5000).step_by(100).all(|now| duty.due(now, servers.iter()).is_empty()));
+}
+
+#[test]
+fn zones_take_turns() {
+    let mut servers: Vec<Server> = (0..9).map(|at| server(at, at / 3, Stage::Decode)).collect();
+    let mut duty = Penstock::new(Terms { at_once: 9, ..Terms::default() });
+    play(&mut duty, &mut servers, 0, 2000);
+    for zone in ["z0", "z1", "z2"] {
+        let here = servers.iter().filter(|one| one.zone == zone && one.stage == Some(Stage::Prefill)).count();
+        assert_eq!(here, 2, "{zone}");
+    }
+}
+
+#[test]
+fn fences_rise_with_rounds_and_tell_members_apart() {
+    assert!(fence(3, u64::MAX) < fence(4, 0));
+    assert!(fence(3, 1 << 60) < fence(3, 1 << 62));
+    assert!(fence(u64::MAX, u64::MAX) < 1 << 53, "a number that every reader of JSON keeps exact");
+}
+
+quickcheck! {
+    /// Any fleet comes to rest at the share, keeps enough that generate, and no server is ordered to and fro.
+    fn any_fleet_comes_to_rest(count: u8, first: u8) -> bool {
+        let count = usize::from(count % 40);
+        let (mut duty, mut servers) = (Penstock::new(Terms::default()), fleet(count, usize::from(first) % (count + 1)));
+        let before = readers(&servers);
+        let orders = play(&mut duty, &mut servers, 0, 30_000);
+        let after = readers(&servers);
+        let enough = count < 3 || count - after >= 2;
+        (count < 2 || after == duty.wanted(count)) && enough && orders == after.abs_diff(before)
+    }
+}
--- a/crates/sluice/src/prompt.rs
+++ b/crates/sluice/src/prompt.rs
@@ -17,7 +17,9 @@
 /// The parts of a prompt, as its request names them. `None`: it names none, or they make no sense.
 pub(crate) fn ask(headers: &HeaderMap) -> Option<Ask> {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    let tokens: f64 = text("x-token-count")?.split(',').next()?.trim().parse().ok()?;
+    let mut counts = text("x-token-count")?.split(',').map(|count| count.trim().parse::<f64>());
+    let tokens = counts.next()?.ok()?;
+    let answer = counts.next().and_then(Result::ok).filter(|answer| answer.is_finite()).unwrap_or(0.0);
     let mut parts = Vec::new();
     for part in text("x-prompt-prefix").unwrap_or_default().split(',').take(64) {
         if let Some((id, count)) = part.trim().split_once(':')
@@ -29,7 +31,7 @@
     }
     let model = text("x-model-name").unwrap_or_default().to_owned();
     let named: f64 = parts.iter().map(|part| part.1).sum();
-    (tokens.is_finite() && tokens >= 0.0).then(|| Ask { tokens: tokens.max(named), parts, model })
+    (tokens.is_finite() && tokens >= 0.0).then(|| Ask { tokens: tokens.max(named), parts, answer, model })
 }
 
 /// What a server keeps of a prompt until another takes it. Let go of untaken, it is freed.
--- a/crates/weir/src/plan.rs
+++ b/crates/weir/src/plan.rs
@@ -26,6 +26,8 @@
     pub hand_over: f64,
     /// A prompt of more tokens of its own is not read beside streams.
     pub beside: f64,
+    /// Nor one with an answer of more tokens: it would go on beside the reading of others.
+    pub brief: f64,
     /// The share of those that generate which take streams that were read elsewhere.
     pub streams: f64,
 }
@@ -33,7 +35,15 @@
 impl Terms {
     /// With this budget, and what was measured on the operators' deployments.
     pub fn new(budget: BudgetTerms) -> Self {
-        Self { budget, pace: 60.0, stream_weight: 100.0, hand_over: 12.0, beside: 4500.0, streams: 0.4 }
+        Self {
+            budget,
+            pace: 60.0,
+            stream_weight: 100.0,
+            hand_over: 12.0,
+            beside: 4500.0,
+            brief: 60.0,
+            streams: 0.4,
+        }
     }
 }
 
@@ -44,7 +54,9 @@
     pub tokens: f64,
     /// Its parts in order: what they are known by, and their tokens. The last one is its own.
     pub parts: Vec<(u64, f64)>,
-    /// Tokens that a server reads in one piece beside streams.
+    /// Tokens that are generated at most.
+    pub answer: f64,
+    /// The model.
     pub model: String,
 }
 
@@ -173,7 +185,13 @@
     ///
     /// Danger: a prompt that is read between the tokens of others holds up all streams there; where both kinds meet,
     /// long answers pause for too long.
-    fn runners(&self, now: Millis, service: &str, avoid: &[Rc<str>]) -> (Vec<Rc<str>>, Vec<Rc<str>>) {
+    fn runners(
+        &self,
+        now: Millis,
+        service: &str,
+        avoid: &[Rc<str>],
+        readers: usize,
+    ) -> (Vec<Rc<str>>, Vec<Rc<str>>, bool) {
         let mut all: Vec<(u64, Rc<str>)> = self
             .ready(now, service, Side::Runs, avoid)
             .iter()
@@ -181,12 +199,13 @@
             .collect();
         all.sort_unstable();
         let all: Vec<Rc<str>> = all.into_iter().map(|(_, id)| id).collect();
-        if all.len() < 2 {
-            return (all.clone(), all);
+        // Where readers are many, they read everything.
+        if all.len() < 2 || readers >= all.len() {
+            return (all.clone(), all, false);
         }
         let streams = ((all.len() as f64 * self.terms.streams).round() as usize).clamp(1, all.len() - 1);
         let (stream, alone) = all.split_at(streams);
-        (stream.to_vec(), alone.to_vec())
+        (stream.to_vec(), alone.to_vec(), true)
     }
 
     /// Two of these: the homes of the prompt's last shared part, the likeliest one first, or any two.
@@ -246,7 +265,7 @@
             .filter(lapses)
             .map(|one| one.id.clone())
             .collect();
-        let (streams, alone) = self.runners(now, service, avoid);
+        let (streams, alone, split) = self.runners(now, service, avoid, readers.len());
         let (read_waits, run_waits) =
             (self.elsewhere(service, Side::Reads), self.elsewhere(service, Side::Runs));
         let drawn = self.draw(&readers, key);
@@ -256,7 +275,7 @@
             self.least(&drawn, |weir, id, first| weir.value(id, Side::Runs, ask, first))?;
         // Read where it is generated: at half the pace and between the tokens of others, but without a hand-over.
         let alone = (here_value + run_waits) / (self.terms.pace / 2.0);
-        let short = ask.own() <= self.terms.beside;
+        let short = split && ask.own() <= self.terms.beside && ask.answer <= self.terms.brief;
         let reader = reader.filter(|(_, value)| {
             !short || (value + read_waits) / self.terms.pace + self.terms.hand_over < alone
         });
--- a/crates/weir/tests/plan.rs
+++ b/crates/weir/tests/plan.rs
@@ -39,7 +39,7 @@
 
 fn prompt(tokens: f64, shared: u64) -> Ask {
     let parts = vec![(1, 500.0), (shared, 4000.0), (999, tokens - 4500.0)];
-    Ask { tokens, parts, model: "m".into() }
+    Ask { tokens, parts, answer: 40.0, model: "m".into() }
 }
 
 #[test]
@@ -142,7 +142,7 @@
 #[test]
 fn a_short_prompt_is_read_where_it_is_generated_and_a_long_one_is_handed_over() {
     let mut weir = weir(&engines());
-    let short = Ask { tokens: 200.0, parts: vec![(1, 200.0)], model: "m".into() };
+    let short = Ask { tokens: 200.0, parts: vec![(1, 200.0)], answer: 10.0, model: "m".into() };
     assert_eq!(weir.pair(0, "llm", &short, &[]).expect("a pair").reader, None);
     assert!(weir.pair(0, "llm", &prompt(60_000.0, 5), &[]).expect("a pair").reader.is_some());
 }
@@ -166,3 +166,20 @@
     weir.list(servers[1..].iter());
     assert!(weir.board().get("a").is_none());
 }
+
+#[test]
+fn a_long_answer_does_not_go_on_beside_the_reading_of_others() {
+    let mut weir = weir(&engines());
+    let long = Ask { tokens: 200.0, parts: vec![(1, 200.0)], answer: 400.0, model: "m".into() };
+    let pair = weir.pair(0, "llm", &long, &[]).expect("a pair");
+    assert!(pair.reader.is_some());
+}
+
+#[test]
+fn where_readers_are_many_they_read_everything() {
+    let readers = (0..6).map(|at| server(&format!("r{at}"), "llm", Some(Stage::Prefill)));
+    let runners = (0..3).map(|at| server(&format!("d{at}"), "llm", Some(Stage::Decode)));
+    let mut weir = weir(&readers.chain(runners).collect::<Vec<_>>());
+    let short = Ask { tokens: 200.0, parts: vec![(1, 200.0)], answer: 10.0, model: "m".into() };
+    assert!(weir.pair(0, "llm", &short, &[]).expect("a pair").reader.is_some());
+}
--- a/crates/works/src/core.rs
+++ b/crates/works/src/core.rs
@@ -10,8 +10,9 @@
 use mosshead_catchment::{Catchment, Delta, Heard, Server, SourceId, Vector};
 use mosshead_cistern::{Cistern, Done, Keeper, Store};
 use mosshead_culvert::{Caller, Handlers};
-use mosshead_headworks::{Input, Message, Node, Output, Settings as NodeSettings, State, Verdict};
+use mosshead_headworks::{Ballot, Input, Message, Node, Output, Settings as NodeSettings, State, Verdict};
 use mosshead_mains::Config;
+use mosshead_penstock::{Order, Penstock};
 use mosshead_ripple::{Ripple, Settings as RippleSettings};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -382,6 +383,24 @@
         (register.lacking(&vector, 128), version)
     }
 
+    /// The ballot under which this machine holds the duties, while it is in touch.
+    pub fn holds(&self) -> Option<Ballot> {
+        let node = self.node.borrow();
+        let node = node.as_ref().filter(|node| node.is_primary() && node.in_touch(self.now()))?;
+        Some(node.ballot())
+    }
+
+    /// The orders that are due.
+    pub fn orders(&self, penstock: &mut Penstock) -> Vec<Order> {
+        let register = self.register.borrow();
+        penstock.due(self.now(), register.servers())
+    }
+
+    /// Where a server is.
+    pub fn address_of(&self, id: &str) -> Option<SocketAddrV4> {
+        self.register.borrow().get(id).map(|server| server.address)
+    }
+
     /// Keeps up with the other machines of the core.
     async fn follow(self: Rc<Self>, other: SocketAddrV4) {
         let mut failures = 0;
@@ -538,6 +557,7 @@
         tokio::task::spawn_local(control::serve(core.clone(), TcpListener::bind(address).await?));
     }
     tokio::task::spawn_local(core.clone().tell_heard());
+    tokio::task::spawn_local(crate::duties::run(core.clone()));
     tokio::task::spawn_local(open(core.clone(), folder, rng.random()));
     spdlog::info!("reservoir: {} listens.", settings.node_name);
     let mut hangup = signal(SignalKind::hangup())?;
--- a/crates/works/src/lib.rs
+++ b/crates/works/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod command;
 pub mod control;
 pub mod core;
+pub mod duties;
 pub mod gossip;
 pub mod log;
 pub mod proxy;
