Weigh readers by their figures, asked for where none is fresh

Cause: a proxy sees a sixth of the prompts, so by its own sends alone it put prompts behind others for seconds. Change: the board's entry of a reader is its last figure (queued and active) and own sends since; the two homes are asked when theirs is older than 70 ms; one reader too many or too few waits four seconds for its order.

--- a/crates/penstock/src/lib.rs
+++ b/crates/penstock/src/lib.rs
@@ -19,6 +19,8 @@
     pub runners_least: usize,
     /// The share has to be off for so long.
     pub patience: Millis,
+    /// And for so long where it is off by one server only.
+    pub patience_for_one: Millis,
     /// So long after an order the same server gets no other.
     pub rest: Millis,
     /// So many servers of one service change at once.
@@ -27,7 +29,14 @@
 
 impl Default for Terms {
     fn default() -> Self {
-        Self { readers: 0.67, runners_least: 2, patience: 300, rest: 8_000, at_once: 3 }
+        Self {
+            readers: 0.67,
+            runners_least: 2,
+            patience: 300,
+            patience_for_one: 4_000,
+            rest: 8_000,
+            at_once: 3,
+        }
     }
 }
 
@@ -101,7 +110,10 @@
                 continue;
             }
             let since = *self.off.entry(service.to_owned()).or_insert(now);
-            if now < since + self.terms.patience {
+            // One off is within what comes and goes while servers are replaced: each order costs work under way.
+            let patience =
+                if wanted.abs_diff(readers) > 1 { self.terms.patience } else { self.terms.patience_for_one };
+            if now < since + patience {
                 continue;
             }
             let (stage, from) = match wanted > readers {
--- a/crates/sluice/src/forward.rs
+++ b/crates/sluice/src/forward.rs
@@ -244,6 +244,7 @@
             if self.over(&job) || unsent > UNSENT_MOST || arrived >= job.route.retry_count {
                 return Ok(if ran { self.fail() } else { self.refuse(&job) });
             }
+            self.ask_readers(&job, &ask).await;
             let now = self.now();
             let pair = self.weir.borrow_mut().pair(now, &job.service.name, &ask, &avoid);
             let Some(pair) = pair else {
--- a/crates/sluice/src/prompt.rs
+++ b/crates/sluice/src/prompt.rs
@@ -9,9 +9,10 @@
 use hyper::{Method, Uri};
 use mosshead_weir::{Ask, Fault};
 use tinyjson::JsonValue;
-use tokio::time::{Duration, Instant};
+use tokio::time::{Duration, Instant, timeout_at};
 
 use crate::attempt::{Message, Sent, Server};
+use crate::forward::Job;
 use crate::view::{Reading, Sluice, add};
 
 /// The parts of a prompt, as its request names them. `None`: it names none, or they make no sense.
@@ -80,6 +81,21 @@
     }
 }
 
+/// A figure is waited for so long.
+const FIGURE: Duration = Duration::from_millis(12);
+
+/// The requests that a server has, by its report.
+fn figure(body: &[u8]) -> Option<f64> {
+    if body.len() > 64 * 1024 {
+        return None;
+    }
+    let value: JsonValue = std::str::from_utf8(body).ok()?.parse().ok()?;
+    let fields: &HashMap<String, JsonValue> = value.get()?;
+    let count = |name: &str| fields.get(name).and_then(|value| value.get::<f64>().copied());
+    let sum = count("queued")? + count("active")?;
+    sum.is_finite().then_some(sum.max(0.0))
+}
+
 /// How a reading went wrong.
 pub(crate) enum Unread {
     /// The server did not take it up.
@@ -91,6 +107,41 @@
 }
 
 impl Sluice {
+    /// Asks the readers that a prompt would be weighed between for their figures, where none is fresh.
+    pub(crate) async fn ask_readers(self: &Rc<Self>, job: &Job, ask: &Ask) {
+        let ids = self.weir.borrow_mut().unknown_readers(self.now(), &job.service.name, ask);
+        let servers: Vec<Server> = ids.iter().filter_map(|id| self.server(job, id)).collect();
+        let mut asked = Vec::new();
+        for server in servers {
+            // Danger: what asks must not stand in a request's way for longer than a figure is worth.
+            let sluice = self.clone();
+            asked.push(tokio::task::spawn_local(async move { sluice.ask_figure(&server).await }));
+        }
+        let until = Instant::now() + FIGURE;
+        for asked in asked {
+            let _ = timeout_at(until, asked).await;
+        }
+    }
+
+    async fn ask_figure(self: &Rc<Self>, server: &Server) {
+        let (headers, body) = (HeaderMap::new(), Bytes::new());
+        let message =
+            Message { method: Method::GET, uri: Uri::from_static("/report"), headers, body, id: None };
+        let until = Instant::now() + Duration::from_millis(300);
+        let deadline = self.now() + 300;
+        match self.send(server, &message, deadline, until, &[]).await {
+            Sent::Answer { head, body, link } if head.status.is_success() => {
+                let body = self.whole(&server.id, &head, body, link, until).await;
+                if let Some(figure) = body.and_then(|body| figure(&body)) {
+                    let now = self.now();
+                    self.weir.borrow_mut().figure(now, &server.id, figure);
+                }
+            }
+            Sent::NotSent(fault) => self.fault(&server.id, fault),
+            _ => {}
+        }
+    }
+
     /// Has the prompt read. It does not run by that, and may be asked for again.
     pub(crate) async fn read_prompt(
         self: &Rc<Self>,
--- a/crates/weir/src/board.rs
+++ b/crates/weir/src/board.rs
@@ -28,6 +28,12 @@
     pub open: Entry,
     /// Prompt tokens of this proxy that it still has to read.
     pub unread: f64,
+    /// Prompts that it reads for others: its last figure and own sends since.
+    pub reading: Entry,
+    /// Those of them that are this proxy's own.
+    pub own_reading: f64,
+    /// When that figure was had.
+    pub figure_at: u64,
     /// What sends there have shown.
     pub evidence: Evidence,
     /// Until when its handles are not trusted.
@@ -92,6 +98,9 @@
                 id: id.clone(),
                 open: Entry::default(),
                 unread: 0.0,
+                reading: Entry::default(),
+                own_reading: 0.0,
+                figure_at: 0,
                 evidence: Evidence::default(),
                 lapses_until: 0,
                 kept: VecDeque::new(),
--- a/crates/weir/src/plan.rs
+++ b/crates/weir/src/plan.rs
@@ -24,6 +24,12 @@
     pub stream_weight: f64,
     /// A hand-over costs at least this.
     pub hand_over: f64,
+    /// How much a token weighs that has been read before elsewhere: reading it again is priced.
+    pub again: f64,
+    /// A server's figure is asked for again after so long.
+    pub figure_fresh: Millis,
+    /// A server's figure counts for so long.
+    pub figure_life: Millis,
     /// A prompt of more tokens of its own is not read beside streams.
     pub beside: f64,
     /// Nor one with an answer of more tokens: it would go on beside the reading of others.
@@ -40,6 +46,9 @@
             pace: 60.0,
             stream_weight: 100.0,
             hand_over: 12.0,
+            again: 2.0,
+            figure_fresh: 70,
+            figure_life: 400,
             beside: 4500.0,
             brief: 60.0,
             streams: 0.4,
@@ -96,6 +105,8 @@
     proxies: usize,
     /// What this proxy usually has waiting at one server: that generates, that reads.
     usual: [f64; 2],
+    /// Tokens of a prompt that is read, on the average.
+    mean_read: f64,
     rng: R,
 }
 
@@ -103,7 +114,16 @@
     /// A proxy in `zone` that knows nothing yet.
     pub fn new(terms: Terms, zone: &str, rng: R) -> Self {
         let (board, budgets) = (Board::default(), HashMap::new());
-        Self { terms, board, budgets, zone: zone.to_owned(), proxies: 1, usual: [0.0; 2], rng }
+        Self {
+            terms,
+            board,
+            budgets,
+            zone: zone.to_owned(),
+            proxies: 1,
+            usual: [0.0; 2],
+            mean_read: 3000.0,
+            rng,
+        }
     }
 
     /// The register's present list.
@@ -223,12 +243,40 @@
     }
 
     /// What waits at a server before a prompt that comes now, and the prompt itself, in tokens to read.
-    fn value(&self, id: &str, side: Side, ask: &Ask, first: bool) -> f64 {
+    fn value(&self, now: Millis, id: &str, side: Side, ask: &Ask, first: bool) -> f64 {
         let weight = if side == Side::Runs { self.terms.stream_weight } else { 0.0 };
         let Some(one) = self.board.get(id) else { return f64::INFINITY };
         let kept = first || ask.last_shared().is_none_or(|part| one.kept.contains(&part.0));
-        let again = if kept { 0.0 } else { ask.shared() };
-        one.unread + weight * one.open.value() + ask.own() + again
+        let again = if kept { 0.0 } else { self.terms.again * ask.shared() };
+        self.others(now, one, side) + one.unread + weight * one.open.value() + ask.own() + again
+    }
+
+    /// What other proxies have waiting there: by its last figure, or by what this one usually has.
+    fn others(&self, now: Millis, one: &Candidate, side: Side) -> f64 {
+        if side == Side::Reads && one.figure_at > 0 && now < one.figure_at + self.terms.figure_life {
+            return (one.reading.value() - one.own_reading).max(0.0) * self.mean_read;
+        }
+        self.usual[usize::from(side == Side::Reads)] * (self.proxies as f64 - 1.0)
+    }
+
+    /// The readers that a prompt would be weighed between, of which no fresh figure is known.
+    pub fn unknown_readers(&mut self, now: Millis, service: &str, ask: &Ask) -> Vec<Rc<str>> {
+        let Some(key) = ask.last_shared().map(|part| mix(part.0)) else { return Vec::new() };
+        let readers: Vec<Rc<str>> =
+            self.ready(now, service, Side::Reads, &[]).into_iter().map(|one| one.id.clone()).collect();
+        let mut drawn = self.draw(&readers, Some(key));
+        drawn.retain(|id| {
+            self.board.get(id).is_some_and(|one| now >= one.figure_at + self.terms.figure_fresh)
+        });
+        drawn
+    }
+
+    /// A server says how many prompts it has.
+    pub fn figure(&mut self, now: Millis, id: &str, figure: f64) {
+        if let Some(one) = self.board.get_mut(id) {
+            one.reading.report(figure);
+            one.figure_at = now.max(1);
+        }
     }
 
     fn least(
@@ -245,14 +293,13 @@
         Some((drawn.get(at)?.clone(), *values.get(at)?))
     }
 
-    /// What other proxies are likely to have waiting at a server of a part, by what this one has on the average.
-    fn elsewhere(&mut self, service: &str, side: Side) -> f64 {
+    /// Learns what this proxy usually has waiting at one server of a part.
+    fn learn(&mut self, service: &str, side: Side) {
         let ids = self.board.side(service, side);
         let sum: f64 = ids.iter().filter_map(|id| self.board.get(id)).map(|one| one.unread).sum();
         let mean = sum / ids.len().max(1) as f64;
         let usual = &mut self.usual[usize::from(side == Side::Reads)];
         *usual += 0.05 * (mean - *usual);
-        *usual * (self.proxies as f64 - 1.0)
     }
 
     /// The servers of a prompt.
@@ -266,19 +313,18 @@
             .map(|one| one.id.clone())
             .collect();
         let (streams, alone, split) = self.runners(now, service, avoid, readers.len());
-        let (read_waits, run_waits) =
-            (self.elsewhere(service, Side::Reads), self.elsewhere(service, Side::Runs));
+        self.learn(service, Side::Reads);
+        self.learn(service, Side::Runs);
         let drawn = self.draw(&readers, key);
-        let reader = self.least(&drawn, |weir, id, first| weir.value(id, Side::Reads, ask, first));
+        let reader = self.least(&drawn, |weir, id, first| weir.value(now, id, Side::Reads, ask, first));
         let drawn = self.draw(&alone, key);
         let (here, here_value) =
-            self.least(&drawn, |weir, id, first| weir.value(id, Side::Runs, ask, first))?;
+            self.least(&drawn, |weir, id, first| weir.value(now, id, Side::Runs, ask, first))?;
         // Read where it is generated: at half the pace and between the tokens of others, but without a hand-over.
-        let alone = (here_value + run_waits) / (self.terms.pace / 2.0);
+        let alone = here_value / (self.terms.pace / 2.0);
         let short = split && ask.own() <= self.terms.beside && ask.answer <= self.terms.brief;
-        let reader = reader.filter(|(_, value)| {
-            !short || (value + read_waits) / self.terms.pace + self.terms.hand_over < alone
-        });
+        let reader =
+            reader.filter(|(_, value)| !short || value / self.terms.pace + self.terms.hand_over < alone);
         let pair = match reader {
             None => Pair { reader: None, runner: here },
             Some((reader, _)) => {
@@ -311,8 +357,11 @@
 
     /// A prompt of so many tokens has been sent to be read there.
     pub fn reads(&mut self, id: &str, tokens: f64) {
+        self.mean_read += 0.02 * (tokens - self.mean_read);
         if let Some(one) = self.board.get_mut(id) {
             one.unread += tokens;
+            one.own_reading += 1.0;
+            one.reading.sent();
         }
     }
 
@@ -320,6 +369,8 @@
     pub fn has_read(&mut self, id: &str, tokens: f64) {
         if let Some(one) = self.board.get_mut(id) {
             one.unread = (one.unread - tokens).max(0.0);
+            one.own_reading = (one.own_reading - 1.0).max(0.0);
+            one.reading.ended();
         }
     }
 
