Keep the register of servers on the core's disks: back sooner after a power loss

Cause: after a loss of all power proxies learnt servers one beat at a time and sent everything to the first few. Change: each core machine appends what is new of the register to a log of its own and starts from it; a server whose word was not taken is told so; a disk in trouble is logged once, with its number.

--- a/crates/works/src/core.rs
+++ b/crates/works/src/core.rs
@@ -41,6 +41,10 @@
 const STEPS_LENGTH: usize = 4 * 1024 * 1024;
 /// An urgent entry reaches another machine within this, or is not acknowledged.
 const URGENT: Duration = Duration::from_millis(350);
+/// The register's log is rewritten beyond this.
+const REGISTER_LONG: u64 = 8 * 1024 * 1024;
+/// So many entries are the whole register.
+const ALL: usize = 100_000;
 /// Entries given at once.
 const PAGE: usize = 400;
 /// A proxy that has not asked for so long is not counted.
@@ -62,6 +66,9 @@
     start: Instant,
     node: RefCell<Option<Node<Pcg64Mcg>>>,
     keeper: RefCell<Option<Keeper>>,
+    /// The register on disk, and how far it has got there.
+    register_keeper: RefCell<Option<Keeper>>,
+    register_kept: RefCell<Vector>,
     register: RefCell<Catchment>,
     caller: Caller,
     asks: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
@@ -342,6 +349,10 @@
     }
 
     async fn heard(self: &Rc<Self>, heard: Heard) -> bool {
+        if let Some(fault) = heard.refused {
+            spdlog::warn!("catchment: a server's word was not taken: {} {fault}.", fault.code());
+            return false;
+        }
         if heard.changed {
             self.tell();
         }
@@ -481,28 +492,39 @@
     }
 }
 
-/// Opens the log. Waits for a disk that is in trouble.
+/// Opens a log. Waits for a disk that is in trouble.
 fn open_disk(folder: &Path) -> (Cistern, Vec<Vec<u8>>) {
+    let mut told = false;
     loop {
-        match Cistern::open(&folder.join("headworks")) {
-            // Danger: what can't be written again must not be acted on, nor promised anew.
+        let fault = match Cistern::open(folder) {
             Ok((mut log, records)) => {
                 if log.ignored() > 0 {
-                    spdlog::warn!("cistern: {} bytes at the end of the log are no records.", log.ignored());
+                    spdlog::warn!("cistern: {} bytes at the end of a log are no records.", log.ignored());
                 }
-                if log.is_kept() || log.sync().is_ok() {
-                    return (log, records);
+                // Danger: what can't be written again must not be acted on, nor promised anew.
+                match log.is_kept() || log.sync().is_ok() {
+                    true => return (log, records),
+                    false => "it can't be written again".to_owned(),
                 }
-                std::thread::sleep(std::time::Duration::from_millis(200));
-            }
-            Err(fault) => {
-                spdlog::warn!("cistern: {fault}. Trying again.");
-                std::thread::sleep(std::time::Duration::from_millis(200));
             }
+            Err(fault) => format!("{} {fault}", fault.code()),
+        };
+        if !std::mem::replace(&mut told, true) {
+            spdlog::warn!("cistern: {fault}. Trying until it goes.");
         }
+        std::thread::sleep(std::time::Duration::from_millis(200));
     }
 }
 
+/// Opens a log aside, on a thread of its own.
+async fn open_aside(folder: PathBuf) -> Option<(Cistern, Vec<Vec<u8>>)> {
+    let (to, from) = oneshot::channel();
+    std::thread::spawn(move || {
+        let _ = to.send(open_disk(&folder));
+    });
+    from.await.ok()
+}
+
 fn handlers(core: &Rc<Core>) -> Handlers {
     let (pull, fetch, hand, hears, epoch) =
         (core.clone(), core.clone(), core.clone(), core.clone(), core.clone());
@@ -540,6 +562,8 @@
         start: Instant::now(),
         node: RefCell::default(),
         keeper: RefCell::default(),
+        register_keeper: RefCell::default(),
+        register_kept: RefCell::default(),
         register,
         caller: Caller::new(),
         asks: RefCell::default(),
@@ -558,6 +582,7 @@
     }
     tokio::task::spawn_local(core.clone().tell_heard());
     tokio::task::spawn_local(crate::duties::run(core.clone()));
+    tokio::task::spawn_local(open_register(core.clone(), folder.clone()));
     tokio::task::spawn_local(open(core.clone(), folder, rng.random()));
     spdlog::info!("reservoir: {} listens.", settings.node_name);
     let mut hangup = signal(SignalKind::hangup())?;
@@ -574,6 +599,7 @@
             _ = hangup.recv() => reread(&core, &path),
             _ = tick.tick() => {
                 core.step(Input::Tick);
+                core.keep_register();
                 turns += 1;
                 if turns.is_multiple_of(10) {
                     followed.retain(|_, task| !task.is_finished());
@@ -613,11 +639,7 @@
 
 /// Opens the disk aside: it may hang for seconds while the rest of the machine serves.
 async fn open(core: Rc<Core>, folder: PathBuf, seed: u64) {
-    let (to, from) = oneshot::channel();
-    std::thread::spawn(move || {
-        let _ = to.send(open_disk(&folder));
-    });
-    let Ok((log, records)) = from.await else { return };
+    let Some((log, records)) = open_aside(folder.join("headworks")).await else { return };
     spdlog::info!("cistern: {} records on disk.", records.len());
     let (done, mut finished) = mpsc::unbounded_channel::<Done>();
     let keeper = Keeper::start(log, WRITES, move |it| {
@@ -645,3 +667,52 @@
         core.step(if done.ok { Input::Written { token } } else { Input::WriteFailed { token } });
     }
 }
+
+/// Opens the register's log: what was known of the servers before all memory was lost. It need not be the latest.
+async fn open_register(core: Rc<Core>, folder: PathBuf) {
+    let Some((log, records)) = open_aside(folder.join("catchment")).await else { return };
+    let deltas = records.iter().filter_map(|record| minicbor::decode::<Delta>(record).ok());
+    let mut changed = false;
+    for delta in deltas {
+        changed |= core.register.borrow_mut().merge(core.now(), delta);
+    }
+    spdlog::info!("catchment: {} servers known from disk.", core.register.borrow().len());
+    if changed {
+        core.tell();
+    }
+    match Keeper::start(log, WRITES, |_| {}) {
+        Ok(keeper) => {
+            core.register_keeper.replace(Some(keeper));
+        }
+        Err(fault) => {
+            spdlog::error!("cistern: {} {fault}. The register is kept in memory only.", fault.code())
+        }
+    }
+}
+
+impl Core {
+    /// Writes what is new of the register to disk. Nothing waits for it: servers beat again.
+    fn keep_register(&self) {
+        let keeper = self.register_keeper.borrow();
+        let Some(keeper) = keeper.as_ref() else { return };
+        let register = self.register.borrow();
+        if keeper.length() > REGISTER_LONG {
+            let whole = register.lacking(&Vector::default(), ALL);
+            if let Ok(record) = minicbor::to_vec(&whole)
+                && keeper.rewrite(0, vec![record]).is_ok()
+            {
+                self.register_kept.replace(whole.vector);
+            }
+            return;
+        }
+        let delta = register.lacking(&self.register_kept.borrow(), PAGE);
+        if delta.is_empty() {
+            return;
+        }
+        if let Ok(record) = minicbor::to_vec(&delta)
+            && keeper.append(0, record).is_ok()
+        {
+            self.register_kept.replace(delta.vector);
+        }
+    }
+}
