Let three quarters of the model servers read

Cause: small prompts waited 60 ms and more behind others while those that generate were nearly idle.

--- a/crates/penstock/src/lib.rs
+++ b/crates/penstock/src/lib.rs
@@ -30,7 +30,7 @@
 impl Default for Terms {
     fn default() -> Self {
         Self {
-            readers: 0.67,
+            readers: 0.75,
             runners_least: 2,
             patience: 300,
             patience_for_one: 4_000,
