Compare views by size and digest, let news age, and test membership in virtual time

Cause: after a common start of 100 members the gossip queues drained slowly, and views that differed were compared only when there was no news. Change: datagrams carry the size of their sender's view; who lacks many, or stands alone against several equal digests, asks at once; newcomers try three contacts at a time; news that others have repeated or that is old is dropped; settings are clamped.

--- a/crates/ripple/src/claims.rs
+++ b/crates/ripple/src/claims.rs
@@ -46,6 +46,11 @@
             }
         } else if claim.key() == key {
             match (health, claim.health) {
+                // Others know it already: as good as one more sending of one's own.
+                (held, told) if held == told && via == Via::Rumour => {
+                    let limit = self.settings.sendings(self.roster.size());
+                    self.rumours.sent(std::slice::from_ref(&claim.name), limit);
+                }
                 (Health::Alive, Health::Suspect) => self.suspect(&claim.name),
                 (Health::Suspect, Health::Dead) => self.bury(&claim.name, Health::Dead),
                 // Danger: to believe this would spread the losses of one side of a cut to the other when it heals.
@@ -71,7 +76,7 @@
         let until = self.now + self.settings.suspect_ms(self.roster.size());
         self.suspects.insert(name.to_owned(), until);
         self.journal.append(Event::Suspected(name.to_owned()));
-        self.rumours.push(name);
+        self.rumours.push(name, self.now);
     }
 
     /// Declares a member dead or left and tells it.
@@ -91,7 +96,7 @@
             self.journal.append(event(name.to_owned()));
             self.changes += 1;
             self.changed_at = self.now;
-            self.rumours.push(name);
+            self.rumours.push(name, self.now);
         }
     }
 
@@ -137,7 +142,7 @@
         self.changes += 1;
         self.changed_at = self.now;
         if via != Via::Page {
-            self.rumours.push(&claim.name);
+            self.rumours.push(&claim.name, self.now);
         }
     }
 
--- a/crates/ripple/src/contacts.rs
+++ b/crates/ripple/src/contacts.rs
@@ -1,15 +1,16 @@
 //! Addresses to try when members are missed: seeds, learnt ones, and where lost members were.
 
 use core::net::SocketAddrV4;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::VecDeque;
 
 use rand_core::RngCore;
 
-use crate::random::index;
+use crate::random::{index, shuffle};
 
 const SEEDS_MAX: usize = 16;
 const LEARNT_MAX: usize = 256;
 const LOST_MAX: usize = 256;
+const DRAWS: usize = 4;
 
 #[derive(Default)]
 pub(crate) struct Contacts {
@@ -20,8 +21,10 @@
 }
 
 impl Contacts {
-    pub(crate) fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
+    /// In an order of one's own, so that not all newcomers ask the same one first.
+    pub(crate) fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>, generator: &mut dyn RngCore) {
         self.seeds = seeds;
+        shuffle(generator, &mut self.seeds);
         self.seeds.truncate(SEEDS_MAX);
     }
 
@@ -38,30 +41,39 @@
         self.lost.retain(|known| *known != address);
     }
 
-    /// The next to ask for the list, seeds first.
-    pub(crate) fn next(&mut self, except: &BTreeSet<SocketAddrV4>) -> Option<SocketAddrV4> {
+    /// The next `count` to ask for the list, seeds first, not oneself.
+    pub(crate) fn next(&mut self, count: usize, me: SocketAddrV4) -> Vec<SocketAddrV4> {
         let all = self.seeds.iter().chain(&self.learnt).chain(&self.lost);
-        let open: Vec<SocketAddrV4> = all.filter(|address| !except.contains(address)).copied().collect();
-        let turn = self.turn.checked_rem(open.len())?;
-        self.turn = turn + 1;
-        open.get(turn).copied()
+        let open: Vec<SocketAddrV4> = all.filter(|address| **address != me).copied().collect();
+        let Some(start) = self.turn.checked_rem(open.len()) else { return open };
+        // One further each time, so that another one is the first.
+        self.turn = start + 1;
+        open.iter().cycle().skip(start).take(count.min(open.len())).copied().collect()
     }
 
-    /// One of those that aren't members now: a seed or learnt one, or a lost one, by halves.
+    /// One that isn't a member's now: a seed or learnt one, or a lost one, by halves. Of few draws, since looking for members is
+    /// work; learnt and lost ones that are members are struck out by the way.
     pub(crate) fn draw(
-        &self,
+        &mut self,
         generator: &mut dyn RngCore,
-        members: &BTreeSet<SocketAddrV4>,
+        member: impl Fn(SocketAddrV4) -> bool,
     ) -> Option<SocketAddrV4> {
-        let open = |address: &&SocketAddrV4| !members.contains(address);
-        let told: Vec<SocketAddrV4> = self.seeds.iter().chain(&self.learnt).filter(open).copied().collect();
-        let lost: Vec<SocketAddrV4> = self.lost.iter().filter(open).copied().collect();
-        let from = match (told.is_empty(), lost.is_empty()) {
-            (false, false) if index(generator, 2) == 0 => told,
-            (_, false) => lost,
-            _ => told,
-        };
-        from.get(index(generator, from.len())).copied()
+        for _ in 0..DRAWS {
+            let told = self.seeds.len() + self.learnt.len();
+            let from_lost = !self.lost.is_empty() && (told == 0 || index(generator, 2) == 0);
+            let drawn = if from_lost {
+                self.lost.get(index(generator, self.lost.len()))
+            } else {
+                self.seeds.iter().chain(&self.learnt).nth(index(generator, told))
+            };
+            let address = *drawn?;
+            if !member(address) {
+                return Some(address);
+            }
+            self.found(address);
+            self.learnt.retain(|known| *known != address);
+        }
+        None
     }
 }
 
--- a/crates/ripple/src/journal.rs
+++ b/crates/ripple/src/journal.rs
@@ -21,7 +21,7 @@
     Overflowed,
 }
 
-const EVENTS_MAX: usize = 16_384;
+const EVENTS_MAX: usize = 8_192;
 
 #[derive(Default)]
 pub(crate) struct Journal {
--- a/crates/ripple/src/receive.rs
+++ b/crates/ripple/src/receive.rs
@@ -60,9 +60,8 @@
             }
             Body::Tell => {}
         }
-        let comparable = frame.sender.health.lives() && !matches!(frame.body, Body::Ask { .. });
-        if comparable && !self.leaving && frame.digest != self.roster.digest() {
-            self.compare(from, out);
+        if frame.sender.health.lives() && !matches!(frame.body, Body::Ask { .. }) {
+            self.compare(from, frame.digest, frame.size, out);
         }
     }
 }
--- a/crates/ripple/src/ripple.rs
+++ b/crates/ripple/src/ripple.rs
@@ -46,7 +46,11 @@
     pub(crate) next_reach: u64,
     /// Has had the whole list of somebody.
     pub(crate) joined: bool,
-    pub(crate) synced_at: u64,
+    /// When it last asked, and how much longer it waits than others before it asks again.
+    pub(crate) asked_at: u64,
+    pub(crate) patience: u64,
+    /// The digest of the last datagram, and how many in a row had it.
+    pub(crate) foreign: (u64, u32),
     pub(crate) changed_at: u64,
     /// Changes of who lives, and how many there were at the last asking.
     pub(crate) changes: u64,
@@ -74,13 +78,14 @@
         let mut journal = Journal::default();
         journal.append(Event::Joined(me.clone()));
         let mut contacts = Contacts::default();
-        contacts.set_seeds(seeds);
+        let mut generator = Box::new(generator);
+        contacts.set_seeds(seeds, &mut *generator);
         Ok(Ripple {
             me,
             incarnation: 1,
             ask_gap: settings.ask_every_ms,
             settings,
-            generator: Box::new(generator),
+            generator,
             roster,
             journal,
             rumours: Rumours::default(),
@@ -94,7 +99,9 @@
             next_ask: 0,
             next_reach: 0,
             joined: false,
-            synced_at: 0,
+            asked_at: 0,
+            patience: 0,
+            foreign: (0, 0),
             changed_at: 0,
             changes: 0,
             changes_asked: 0,
@@ -172,7 +179,7 @@
 
     /// Other seeds in the place of the former ones; whom one knows one keeps knowing.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
-        self.contacts.set_seeds(seeds);
+        self.contacts.set_seeds(seeds, &mut *self.generator);
     }
 
     /// Addresses of members known from elsewhere, to be tried when nobody known is there.
@@ -190,7 +197,7 @@
             self.next_ask = now;
             self.next_probe = now + crate::random::below(&mut *self.generator, self.settings.probe_every_ms);
             self.next_reach = now + self.settings.reach_every_ms;
-            self.synced_at = now;
+            self.asked_at = now;
         } else {
             let late = now.saturating_sub(self.timers());
             if late > self.settings.probe_timeout_ms {
@@ -233,6 +240,8 @@
             self.bury(&name, Health::Dead);
         }
         self.roster.forget_until(now);
+        let spread = u64::from(self.settings.sendings(self.roster.size())) * self.settings.probe_every_ms;
+        self.rumours.forget_before(now.saturating_sub(spread));
     }
 
     /// A datagram with `first` and as much news as fits.
@@ -275,6 +284,7 @@
             digest: self.roster.digest(),
             body,
             claims: Vec::new(),
+            size: u32::try_from(self.roster.size()).unwrap_or(u32::MAX),
         }
     }
 
--- a/crates/ripple/src/roster.rs
+++ b/crates/ripple/src/roster.rs
@@ -1,7 +1,7 @@
 //! What is believed of every name, and hashes over those that live.
 
 use core::net::SocketAddrV4;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::peer::{Health, Peer};
 use crate::wire::{Claim, TABLE_BYTES};
@@ -79,8 +79,8 @@
         self.digest
     }
 
-    pub(crate) fn addresses(&self) -> BTreeSet<SocketAddrV4> {
-        self.iter().filter(|record| record.health.lives()).map(|record| record.peer.address).collect()
+    pub(crate) fn has_address(&self, address: SocketAddrV4) -> bool {
+        self.iter().any(|record| record.peer.address == address && record.health.lives())
     }
 
     /// Whether a name that isn't known yet can be taken; the oldest dead make room.
@@ -134,8 +134,8 @@
         self.parts.iter().flat_map(|part| part.to_be_bytes()).collect()
     }
 
-    /// Claims of the parts where another's table differs; they begin with the part `first`, and turn.
-    pub(crate) fn differing(&self, table: &[u8], first: usize) -> Vec<Claim> {
+    /// At most so many claims of the parts where another's table differs; they begin with the part `first`, and turn.
+    pub(crate) fn differing(&self, table: &[u8], first: usize, most: usize) -> Vec<Claim> {
         let mut differs = [false; PARTS];
         for ((flag, theirs), ours) in differs.iter_mut().zip(table.chunks(4)).zip(&self.parts) {
             *flag = theirs != ours.to_be_bytes();
@@ -143,7 +143,7 @@
         let wanted = |record: &&Record| differs.get(record.part).copied().unwrap_or(false);
         let mut found: Vec<&Record> = self.iter().filter(wanted).collect();
         found.sort_by_key(|record| (record.part + PARTS - first % PARTS) % PARTS);
-        found.into_iter().map(Record::claim).collect()
+        found.into_iter().take(most).map(Record::claim).collect()
     }
 
     fn forget(&mut self, name: &str) {
--- a/crates/ripple/src/settings.rs
+++ b/crates/ripple/src/settings.rs
@@ -55,7 +55,7 @@
             ask_every_ms: 250,
             reach_every_ms: 2_000,
             sync_quiet_ms: 2_000,
-            sync_anyway_ms: 10_000,
+            sync_anyway_ms: 5_000,
             pages: 4,
             remember_ms: 60_000,
             members_max: 4_096,
@@ -77,6 +77,9 @@
         self.suspect_min_ms = self.suspect_min_ms.clamp(1, 3_600_000);
         self.suspect_max_ms = self.suspect_max_ms.clamp(self.suspect_min_ms, 3_600_000);
         self.suspect_per_decade_ms = self.suspect_per_decade_ms.min(3_600_000);
+        for span in [&mut self.sync_quiet_ms, &mut self.sync_anyway_ms, &mut self.remember_ms] {
+            *span = (*span).min(86_400_000);
+        }
         self.pages = self.pages.clamp(1, 16);
         self.members_max = self.members_max.clamp(2, 65_536);
         self
--- a/crates/ripple/src/sync.rs
+++ b/crates/ripple/src/sync.rs
@@ -7,7 +7,16 @@
 use crate::claims::Via;
 use crate::random::{below, index};
 use crate::ripple::{Datagrams, Ripple};
-use crate::wire::{Body, Claim, Frame, TABLE_BYTES};
+use crate::wire::{Body, Claim, DATAGRAM_MAX, Frame, TABLE_BYTES};
+
+/// So many contacts at a time are tried by one that doesn't have the list.
+const HEARERS: usize = 3;
+/// No claim is shorter.
+const CLAIM_MIN: usize = 16;
+/// An answer with so many changes is worth another asking.
+const MUCH: u64 = 8;
+/// So many datagrams in a row with the same digest show that it's oneself who has missed something.
+const AGREEING: u32 = 4;
 
 impl Ripple {
     /// A newcomer, or one that lost all others, asks somebody for the list.
@@ -21,11 +30,17 @@
         }
         self.next_ask = self.now + self.ask_gap;
         self.ask_gap = (self.ask_gap * 2).min(self.settings.reach_every_ms.max(self.settings.ask_every_ms));
-        let members = self.some(1, "");
-        let known = members.first().copied().filter(|_| index(&mut *self.generator, 2) == 0);
-        let contact = known.or_else(|| self.contacts.next(&[self.me.address].into()));
-        if let Some(address) = contact.or(members.first().copied()) {
-            self.ask(address, out);
+        // All contacts hear of the newcomer, up to a few, so that the seeds know everybody; one gives the list.
+        let mut others = self.contacts.next(HEARERS, self.me.address);
+        others.extend(self.some(HEARERS.saturating_sub(others.len()), ""));
+        for (turn, address) in others.into_iter().enumerate() {
+            if turn == 0 {
+                self.ask(address, out);
+            } else {
+                let ping = Body::Ping { sequence: self.generator.next_u32(), target: String::new() };
+                let datagram = self.datagram(ping, None);
+                out.push((address, datagram));
+            }
         }
     }
 
@@ -35,8 +50,8 @@
             return;
         }
         self.next_reach = self.now + self.settings.reach_every_ms;
-        let members = self.roster.addresses();
-        if let Some(address) = self.contacts.draw(&mut *self.generator, &members) {
+        let member = |address| self.roster.has_address(address);
+        if let Some(address) = self.contacts.draw(&mut *self.generator, member) {
             let ping = Body::Ping { sequence: self.generator.next_u32(), target: String::new() };
             let datagram = self.datagram(ping, None);
             out.push((address, datagram));
@@ -50,8 +65,10 @@
         first: Option<Claim>,
         out: &mut Datagrams,
     ) {
+        // More than fit, so that it shows when something is left.
+        let most = self.settings.pages * DATAGRAM_MAX / CLAIM_MIN;
         let start = index(&mut *self.generator, TABLE_BYTES / 4);
-        let mut claims = first.into_iter().chain(self.roster.differing(table, start)).peekable();
+        let mut claims = first.into_iter().chain(self.roster.differing(table, start, most)).peekable();
         for page in 1..=self.settings.pages {
             let mut frame = self.frame(Body::Page { last: false, more: false });
             let mut room = frame.room();
@@ -84,8 +101,9 @@
             return;
         }
         let differs = page.digest != self.roster.digest();
-        // As long as each answer brings something, and something is missing.
-        if (more || differs) && self.changes != self.changes_asked {
+        // As long as an answer brings much, and something is missing; little is left to later comparisons.
+        let brought = self.changes - self.changes_asked.min(self.changes);
+        if (more || differs) && brought >= MUCH {
             self.ask(from, out);
         } else if self.roster.size() > 1 {
             self.joined = true;
@@ -93,18 +111,36 @@
         }
     }
 
-    /// Another takes others for living than oneself does: if that lasts, it is asked.
-    pub(crate) fn compare(&mut self, from: SocketAddrV4, out: &mut Datagrams) {
-        let quiet = self.settings.sync_quiet_ms;
-        let calm = self.now >= self.changed_at + quiet && self.now >= self.synced_at + quiet;
-        if self.joined && (calm || self.now >= self.synced_at + self.settings.sync_anyway_ms) {
+    /// Compares what another takes for living. It is asked if it knows many more, if several in a row agree with each other
+    /// but not with oneself, or if views differ though there is no news.
+    pub(crate) fn compare(&mut self, from: SocketAddrV4, digest: u64, size: u32, out: &mut Datagrams) {
+        let same = digest == self.foreign.0;
+        self.foreign = (digest, if same { self.foreign.1.saturating_add(1) } else { 1 });
+        if digest == self.roster.digest() || !self.joined || self.leaving {
+            return;
+        }
+        let mine = self.roster.size();
+        let waited = self.now - self.asked_at.min(self.now);
+        let quiet = self.settings.sync_quiet_ms + self.patience;
+        let lacks = (size as usize).saturating_sub(mine);
+        let wait = if lacks > (mine / 8).max(3) || self.foreign.1 >= AGREEING {
+            self.settings.ask_every_ms
+        } else if lacks > 3 {
+            quiet / 2
+        } else if self.now >= self.changed_at + quiet {
+            quiet
+        } else {
+            self.settings.sync_anyway_ms + self.patience
+        };
+        if waited >= wait {
+            self.foreign.1 = 0;
             self.ask(from, out);
         }
     }
 
     fn ask(&mut self, address: SocketAddrV4, out: &mut Datagrams) {
-        // Not all at the same time.
-        self.synced_at = self.now + below(&mut *self.generator, self.settings.sync_quiet_ms / 2);
+        self.asked_at = self.now;
+        self.patience = below(&mut *self.generator, self.settings.sync_quiet_ms / 2);
         self.changes_asked = self.changes;
         let frame = self.frame(Body::Ask { table: self.roster.table() });
         out.extend(frame.write().map(|bytes| (address, bytes)));
--- a/crates/ripple/src/wire.rs
+++ b/crates/ripple/src/wire.rs
@@ -128,6 +128,9 @@
     pub body: Body,
     #[n(4)]
     pub claims: Vec<Claim>,
+    /// How many these are.
+    #[n(5)]
+    pub size: u32,
 }
 
 impl Frame {
--- a/crates/ripple/tests/pond/mod.rs
+++ b/crates/ripple/tests/pond/mod.rs
@@ -50,7 +50,8 @@
 }
 
 pub fn address(node: usize) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 1, (node / 250) as u8, (node % 250 + 1) as u8), 7720)
+    let (high, low) = (node / 250, node % 250 + 1);
+    SocketAddrV4::new(Ipv4Addr::new(10, (high / 256 + 1) as u8, (high % 256) as u8, low as u8), 7720)
 }
 
 pub fn name(node: usize) -> String {
@@ -125,6 +126,27 @@
         self.wake_at(node, self.now);
     }
 
+    /// Addresses of members were changed.
+    pub fn moved(&mut self) {
+        self.places = self.nodes.iter().enumerate().map(|(node, place)| (place.peer.address, node)).collect();
+    }
+
+    /// A datagram by which a member introduces itself that isn't in this network.
+    pub fn stranger(&mut self, node: usize) -> Vec<u8> {
+        let peer = Peer {
+            name: name(node),
+            life: self.generator.next_u64(),
+            address: address(node),
+            core: false,
+            zone: "dixie-east-a".to_owned(),
+        };
+        let generator = Pcg64::seed_from_u64(node as u64);
+        let mut ripple =
+            Ripple::new(peer, vec![address(0)], self.settings.clone(), generator).expect("sound peer");
+        let (_, bytes) = ripple.tick(0).into_iter().next().expect("asks a seed");
+        bytes
+    }
+
     pub fn kill(&mut self, node: usize) {
         self.nodes[node].ripple = None;
     }
@@ -196,13 +218,16 @@
 
     /// All that run believe in exactly those that run, and none is suspected.
     pub fn agree(&self) -> bool {
-        let living: BTreeSet<(&str, u64)> =
+        let mut living: Vec<(&str, u64)> =
             self.running().map(|node| (node.peer.name.as_str(), node.peer.life)).collect();
-        self.running().all(|node| {
-            let alive = node.view.living().filter(|(_, health)| *health == Health::Alive);
-            node.view.living().count() == living.len()
-                && alive.map(|(peer, _)| (peer.name.as_str(), peer.life)).collect::<BTreeSet<_>>() == living
-        })
+        living.sort_unstable();
+        self.running().all(|node| node.view.living().count() == living.len())
+            && self.running().all(|node| {
+                let known = node.view.living().zip(&living);
+                known.into_iter().all(|((peer, health), (name, life))| {
+                    health == Health::Alive && peer.name == *name && peer.life == *life
+                })
+            })
     }
 
     /// How many of those that run, others than itself, believe that it lives.
