Confirm who generates once the prompt has been read

Change: the runner is confirmed after the reading and drawn again where it leaves, is silent or rests.

--- a/crates/sluice/src/forward.rs
+++ b/crates/sluice/src/forward.rs
@@ -9,6 +9,7 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
+use mosshead_catchment::OperState;
 use mosshead_mains::{Config, Route, RouteType, Service};
 use mosshead_weir::{Ask, Fault};
 use tokio::time::{Duration, timeout};
@@ -155,6 +156,11 @@
         own(StatusCode::BAD_GATEWAY, None)
     }
 
+    /// Whether a server still takes what is new.
+    fn takes(&self, id: &str) -> bool {
+        self.weir.borrow().board().get(id).is_some_and(|one| one.server.state == OperState::Up)
+    }
+
     pub(crate) fn over(&self, job: &Job) -> bool {
         self.now() + 2 >= job.deadline
     }
@@ -275,7 +281,9 @@
                     self.weir.borrow_mut().unknown(&reader.id);
                 }
             }
-            let Some(server) = self.server(&job, &pair.runner) else {
+            let now = self.now();
+            let runner = self.weir.borrow_mut().runner(now, &job.service.name, &pair, &avoid);
+            let Some(server) = runner.as_ref().and_then(|runner| self.server(&job, runner)) else {
                 unsent += 1;
                 avoid.push(pair.runner.clone());
                 continue;
@@ -297,7 +305,7 @@
                         }
                         avoid.push(server.id.clone());
                     }
-                    Ran::Lapsed if !again && !self.over(&job) => {
+                    Ran::Lapsed if !again && !self.over(&job) && self.takes(&server.id) => {
                         // The memory could not be had: the same server reads the prompt itself.
                         again = true;
                         let now = self.now();
--- a/crates/weir/src/evidence.rs
+++ b/crates/weir/src/evidence.rs
@@ -40,6 +40,11 @@
         now >= self.until && !self.trial
     }
 
+    /// Whether it rests; a trial that is under way does not count.
+    pub fn sound(&self, now: Millis) -> bool {
+        now >= self.until
+    }
+
     /// It is chosen: after a rest this is its trial.
     pub fn chosen(&mut self) {
         self.trial = self.strikes > 0;
--- a/crates/weir/src/plan.rs
+++ b/crates/weir/src/plan.rs
@@ -346,6 +346,27 @@
         Some(pair)
     }
 
+    /// The server that generates, once the prompt has been read: the one that was named, or another where that one has
+    /// begun to leave or has shown a fault meanwhile.
+    ///
+    /// Danger: a prompt may take seconds to be read, and a server that leaves must get nothing new for long before that.
+    pub fn runner(&mut self, now: Millis, service: &str, pair: &Pair, avoid: &[Rc<str>]) -> Option<Rc<str>> {
+        let sound = |one: &Candidate| {
+            one.server.state == OperState::Up && !one.server.silent && one.evidence.sound(now)
+        };
+        if self.board.get(&pair.runner).is_some_and(sound) {
+            return Some(pair.runner.clone());
+        }
+        self.unknown(&pair.runner);
+        let reader = pair.reader.as_ref().and_then(|id| self.board.get(id));
+        let zone = reader.map(|one| one.server.zone.clone()).unwrap_or_default();
+        let (streams, _, _) = self.runners(now, service, avoid, usize::MAX);
+        let drawn = self.draw(&streams, None);
+        let runner = self.least(&drawn, |weir, id, _| weir.open(id) + weir.distance(id, &zone))?.0;
+        self.board.get_mut(&runner)?.evidence.chosen();
+        Some(runner)
+    }
+
     fn open(&self, id: &str) -> f64 {
         self.board.get(id).map_or(f64::INFINITY, |one| one.open.value() + one.unread / 500.0)
     }
--- a/crates/weir/tests/plan.rs
+++ b/crates/weir/tests/plan.rs
@@ -183,3 +183,30 @@
     let short = Ask { tokens: 200.0, parts: vec![(1, 200.0)], answer: 10.0, model: "m".into() };
     assert!(weir.pair(0, "llm", &short, &[]).expect("a pair").reader.is_some());
 }
+
+/// A prompt was read for 2.7 s; the server named to generate had said meanwhile that it leaves.
+#[test]
+fn who_begins_to_leave_while_the_prompt_is_read_gets_nothing_any_more() {
+    let mut servers = engines();
+    let mut weir = weir(&servers);
+    for _ in 0..50 {
+        let pair = weir.pair(0, "llm", &prompt(60_000.0, 5), &[]).expect("a pair");
+        let named = servers.iter_mut().find(|one| one.id == *pair.runner).expect("it is listed");
+        named.state = OperState::Draining;
+        weir.list(servers.iter());
+        let runner = weir.runner(2700, "llm", &pair, &[]).expect("another");
+        let runner = servers.iter().find(|one| one.id == *runner).expect("it is listed");
+        assert_eq!((runner.state, runner.stage), (OperState::Up, Some(Stage::Decode)));
+        servers.iter_mut().for_each(|one| one.state = OperState::Up);
+        weir.list(servers.iter());
+    }
+}
+
+#[test]
+fn who_stays_keeps_the_run_that_it_was_named_for() {
+    let mut weir = weir(&engines());
+    let pair = weir.pair(0, "llm", &prompt(60_000.0, 5), &[]).expect("a pair");
+    assert_eq!(weir.runner(2700, "llm", &pair, &[]), Some(pair.runner.clone()));
+    weir.failed(2700, &pair.runner, Fault::Unreachable);
+    assert_ne!(weir.runner(2701, "llm", &pair, &[]), Some(pair.runner));
+}
