Draw one of the two from the own zone, where there is one

Change: of the two candidates that generate, or serve a request without a prompt, one is of the proxy's zone; a reader elsewhere weighs 800 tokens more.

--- a/crates/weir/src/plan.rs
+++ b/crates/weir/src/plan.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use mosshead_catchment::{OperState, Server};
-use mosshead_gauge::{lower, two};
+use mosshead_gauge::{below, lower, two};
 use rand_core::RngCore;
 
 use crate::Millis;
@@ -13,6 +13,9 @@
 use crate::budget::{Budget, BudgetTerms};
 use crate::evidence::Fault;
 
+/// What a zone is worth to a prompt that is to be read, in tokens, for each open stream that it is worth else.
+const NEARER: f64 = 400.0;
+
 /// What the decisions start from.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
@@ -26,6 +29,8 @@
     pub hand_over: f64,
     /// How much a token weighs that has been read before elsewhere: reading it again is priced.
     pub again: f64,
+    /// How many open streams it is worth that one does not come from another zone.
+    pub far: f64,
     /// A server's figure is asked for again after so long.
     pub figure_fresh: Millis,
     /// A server's figure counts for so long.
@@ -47,6 +52,7 @@
             stream_weight: 100.0,
             hand_over: 12.0,
             again: 2.0,
+            far: 2.0,
             figure_fresh: 70,
             figure_life: 400,
             beside: 4500.0,
@@ -182,15 +188,10 @@
 
     /// A server for a request without a prompt.
     pub fn one(&mut self, now: Millis, service: &str, avoid: &[Rc<str>]) -> Option<Rc<str>> {
-        let ready = self.ready(now, service, Side::Runs, avoid);
-        let value = |at: usize| ready.get(at).map_or(0.0, |one| one.open.value());
-        let values: Vec<f64> = (0..ready.len()).map(value).collect();
-        let ids: Vec<Rc<str>> = ready.iter().map(|one| one.id.clone()).collect();
-        let at = match two(&mut self.rng, ids.len()) {
-            Some((a, b)) => lower(&mut self.rng, (a, values[a]), (b, values[b])),
-            None => 0,
-        };
-        let id = ids.get(at)?.clone();
+        let ids: Vec<Rc<str>> =
+            self.ready(now, service, Side::Runs, avoid).iter().map(|one| one.id.clone()).collect();
+        let drawn = self.draw_near(&ids);
+        let id = self.least(&drawn, |weir, id, _| weir.open(id) + weir.away(id))?.0;
         self.chosen(&id);
         Some(id)
     }
@@ -248,7 +249,8 @@
         let Some(one) = self.board.get(id) else { return f64::INFINITY };
         let kept = first || ask.last_shared().is_none_or(|part| one.kept.contains(&part.0));
         let again = if kept { 0.0 } else { self.terms.again * ask.shared() };
-        self.others(now, one, side) + one.unread + weight * one.open.value() + ask.own() + again
+        let zone = if one.server.zone == self.zone { 0.0 } else { self.terms.far * NEARER };
+        self.others(now, one, side) + one.unread + weight * one.open.value() + ask.own() + again + zone
     }
 
     /// What other proxies have waiting there: by its last figure, or by what this one usually has.
@@ -329,7 +331,7 @@
             None => Pair { reader: None, runner: here },
             Some((reader, _)) => {
                 let zone = self.board.get(&reader).map(|one| one.server.zone.clone()).unwrap_or_default();
-                let drawn = self.draw(&streams, None);
+                let drawn = self.draw_near(&streams);
                 let runner = self.least(&drawn, |weir, id, _| weir.open(id) + weir.distance(id, &zone))?.0;
                 Pair { reader: Some(reader), runner }
             }
@@ -361,7 +363,7 @@
         let reader = pair.reader.as_ref().and_then(|id| self.board.get(id));
         let zone = reader.map(|one| one.server.zone.clone()).unwrap_or_default();
         let (streams, _, _) = self.runners(now, service, avoid, usize::MAX);
-        let drawn = self.draw(&streams, None);
+        let drawn = self.draw_near(&streams);
         let runner = self.least(&drawn, |weir, id, _| weir.open(id) + weir.distance(id, &zone))?.0;
         self.board.get_mut(&runner)?.evidence.chosen();
         Some(runner)
@@ -371,9 +373,29 @@
         self.board.get(id).map_or(f64::INFINITY, |one| one.open.value() + one.unread / 500.0)
     }
 
-    /// What it costs that memory has to move to another zone, in open streams.
-    fn distance(&self, id: &str, zone: &str) -> f64 {
-        if self.board.get(id).is_none_or(|one| one.server.zone == zone) { 0.0 } else { 1.5 }
+    /// What it costs that a prompt and its memory come from other zones, in open streams.
+    fn distance(&self, id: &str, reader: &str) -> f64 {
+        let Some(one) = self.board.get(id) else { return 0.0 };
+        let far = |zone: &str| if one.server.zone == zone { 0.0 } else { self.terms.far };
+        far(reader) + far(&self.zone)
+    }
+
+    /// The same for a request that is sent to one server only: less than one that is open there.
+    fn away(&self, id: &str) -> f64 {
+        if self.board.get(id).is_none_or(|one| one.server.zone == self.zone) { 0.0 } else { 0.6 }
+    }
+
+    /// Two at random, one of them in this proxy's zone where there is one.
+    fn draw_near(&mut self, ids: &[Rc<str>]) -> Vec<Rc<str>> {
+        let here = |id: &&Rc<str>| self.board.get(id).is_some_and(|one| one.server.zone == self.zone);
+        let near: Vec<Rc<str>> = ids.iter().filter(here).cloned().collect();
+        if near.is_empty() || near.len() == ids.len() {
+            return self.draw(ids, None);
+        }
+        let first = near[below(&mut self.rng, near.len())].clone();
+        let others: Vec<Rc<str>> = ids.iter().filter(|id| **id != first).cloned().collect();
+        let second = others[below(&mut self.rng, others.len())].clone();
+        vec![first, second]
     }
 
     /// A prompt of so many tokens has been sent to be read there.
