Harden the register of servers: gaps, dead sources, urgency, tests

Cause: the first form named sources without entries to each other for good, compared tombstones in another form than the one held, took a hand-over as still urgent when the other had something better, and was quadratic for many servers at one address. Change: a source without entries isn't named, contacts are held apart; a delta tells the base it covers and a fingerprint, so a gap from cut deltas is found and asked for anew; urgency is of the state, not of the version; the index by address holds only those that may serve.

--- a/crates/catchment/src/catchment.rs
+++ b/crates/catchment/src/catchment.rs
@@ -56,6 +56,7 @@
     held: u64,
     fingerprint: u64,
     doubted_at: Option<u64>,
+    pub(crate) doubts: bool,
 }
 
 impl Catchment {
@@ -77,6 +78,7 @@
             held: 0,
             fingerprint: 0,
             doubted_at: None,
+            doubts: false,
         }
     }
 
@@ -117,7 +119,9 @@
         let (source, version) = (known.source, known.version);
         // An entry that others can't be given, or of which there are too many owners.
         let orphan = version > self.sources.known(source)
-            || (self.sources.with_entries() > MANY_SOURCES && self.is_lost(now, source));
+            || (self.sources.with_entries() > MANY_SOURCES
+                && !self.sources.is_in_contact(now, source)
+                && source != self.me);
         if !says_new && !orphan {
             let urgent = self.is_pending(&server.id);
             return Heard { urgent, ..Heard::default() };
@@ -176,13 +180,17 @@
     }
 
     /// A core process other than this one has shown this vector: what it covers need not be handed over again.
+    ///
+    /// To hand over, give the other what it lacks, take its answer in, `lacking` of the vector shown here, and
+    /// call this with the answer's vector. Where the other has something that supersedes the entry, it never
+    /// comes to hold it, and only its answer ends the urgency.
     pub fn held(&mut self, theirs: &Vector) {
         self.held = self.held.max(theirs.get(self.me).min(self.version));
     }
 
-    /// Whether another core process is known to hold every change made here.
+    /// Whether another core process is known to hold every entry made here that is in force.
     pub fn is_all_held(&self) -> bool {
-        self.held >= self.version
+        self.held >= self.sources.last(self.me)
     }
 
     /// The last version that was made here.
@@ -238,7 +246,8 @@
         delta
     }
 
-    /// Takes in what another process gave. Returns whether anything changed.
+    /// Takes in what another process gave. Returns whether anything changed. Where both have seen the same and
+    /// yet hold different entries, the next [`Catchment::tick`] forgets the vector, so that all is asked for anew.
     pub fn merge(&mut self, now: u64, delta: Delta) -> bool {
         let mut changed = false;
         for entry in delta.entries {
@@ -247,21 +256,27 @@
         for (&source, &version) in &delta.vector.0 {
             // Danger: a claim over a gap would hide what lies in it for good.
             if source != self.me && self.sources.known(source) >= delta.since.get(source) {
-                self.sources.claim(now, source, version);
+                self.sources.claim(source, version);
             }
         }
-        self.sources.trim(now, self.me);
+        self.sources.trim();
         let may_doubt = self.doubted_at.is_none_or(|at| now.saturating_sub(at) >= DOUBT_MS);
         if !delta.more && may_doubt && delta.fingerprint != self.fingerprint && self.vector() == delta.vector
         {
             self.doubted_at = Some(now);
-            self.sources.forget(self.me);
+            self.doubts = true;
         }
         changed
     }
 
-    fn merge_entry(&mut self, now: u64, entry: Entry) -> bool {
-        if entry.server.check().is_err() || (entry.source == self.me && entry.version > self.version) {
+    fn merge_entry(&mut self, now: u64, mut entry: Entry) -> bool {
+        entry.strip();
+        // A number that this source never gave, or that stands for another instance: no process says so.
+        let owner = self.sources.instance(entry.source, entry.version);
+        if entry.server.check().is_err()
+            || (entry.source == self.me && entry.version > self.version)
+            || owner.is_some_and(|id| **id != *entry.server.id)
+        {
             return false;
         }
         let Some(record) = self.records.get_mut(entry.server.id.as_str()) else {
@@ -280,6 +295,9 @@
             if !record.entry.server.says_same(&entry.server) {
                 let mut server = record.entry.server.clone();
                 server.sequence = record.heard_sequence;
+                if entry.source != self.me {
+                    record.held_state = record.held_state.max(entry.server.state);
+                }
                 self.publish(now, server);
                 return true;
             }
@@ -303,8 +321,8 @@
         self.by_service.get(service).into_iter().flatten().filter_map(|id| self.get(id))
     }
 
-    /// The servers at an address that have not gone. Where there are several, all but one have ended; those
-    /// that a newer one was seen to replace are silent.
+    /// The servers at an address that are neither gone nor silent. Where there are several, all but one have
+    /// ended, and nobody has told yet which.
     pub fn by_address(&self, address: SocketAddrV4) -> impl Iterator<Item = &Server> + '_ {
         self.by_address.get(&address).into_iter().flatten().filter_map(|id| self.get(id))
     }
@@ -345,10 +363,7 @@
 
     /// Whether the server is leaving, and only this process is known to hold that.
     fn is_pending(&self, id: &str) -> bool {
-        self.records.get(id).is_some_and(|record| {
-            let entry = &record.entry;
-            entry.server.state != OperState::Up && entry.source == self.me && entry.version > self.held
-        })
+        self.records.get(id).is_some_and(|record| record.is_pending(self.me, self.held))
     }
 
     /// Servers that were at the address of this newcomer have ended.
@@ -362,7 +377,7 @@
             .get(&address)
             .into_iter()
             .flatten()
-            .filter(|other| &***other != id && self.get(other).is_some_and(|server| !server.silent))
+            .filter(|other| &***other != id)
             .cloned()
             .collect();
         for other in ended {
@@ -386,14 +401,12 @@
     // Danger: what is published has to supersede the present entry, or nobody else takes it in.
     pub(crate) fn publish(&mut self, now: u64, server: Server) {
         self.version = self.version.saturating_add(1);
-        self.sources.claim(now, self.me, self.version);
         self.put(now, Entry { server, source: self.me, version: self.version });
+        self.sources.claim(self.me, self.version);
     }
 
     fn put(&mut self, now: u64, mut entry: Entry) {
-        if entry.server.is_gone() {
-            entry.server.models.clear();
-        }
+        entry.strip();
         let id: Arc<str> = match self.records.get_key_value(entry.server.id.as_str()) {
             Some((id, _)) => id.clone(),
             None => Arc::from(entry.server.id.as_str()),
@@ -403,6 +416,11 @@
         match self.records.get_mut(&id) {
             Some(record) => {
                 let before = &record.entry.server;
+                if !record.is_pending(self.me, self.held) {
+                    record.held_state = before.state;
+                }
+                // One that came up again may leave again.
+                record.held_state = record.held_state.min(entry.server.state);
                 if before.silent != entry.server.silent || before.state != entry.server.state {
                     record.since = now;
                 }
@@ -430,16 +448,15 @@
         }
         self.fingerprint ^= entry.fingerprint();
         self.by_service.entry(entry.server.service.clone()).or_default().insert(id.clone());
-        self.by_address.entry(entry.server.address).or_default().insert(id.clone());
+        if !entry.server.silent {
+            self.by_address.entry(entry.server.address).or_default().insert(id.clone());
+        }
     }
 
     fn unindex(&mut self, id: &Arc<str>) {
         let Some(record) = self.records.get(id) else { return };
         let entry = &record.entry;
-        // Two instances under one number can only come from outside; the later one owns the place.
-        if self.sources.instance(entry.source, entry.version) == Some(id) {
-            self.sources.remove(entry.source, entry.version);
-        }
+        self.sources.remove(entry.source, entry.version);
         if entry.server.is_gone() {
             self.tombstones.remove(&(record.since, id.clone()));
             return;
--- a/crates/catchment/src/delta.rs
+++ b/crates/catchment/src/delta.rs
@@ -27,6 +27,14 @@
         self.rank(other) == Ordering::Greater
     }
 
+    /// A tombstone holds no models.
+    // Danger: to be done before entries are compared, or the form that is held loses against the one given.
+    pub(crate) fn strip(&mut self) {
+        if self.server.is_gone() {
+            self.server.models = Vec::new();
+        }
+    }
+
     // Danger: has to stay a total order over everything but the warm-up, or processes that were given the same
     // entries in another order differ for good.
     fn rank(&self, other: &Entry) -> Ordering {
--- a/crates/catchment/src/record.rs
+++ b/crates/catchment/src/record.rs
@@ -1,6 +1,6 @@
 //! What one process holds of one server.
 
-use crate::{Entry, SourceId};
+use crate::{Entry, OperState, SourceId};
 
 #[derive(Clone, Debug)]
 pub(crate) struct Record {
@@ -15,6 +15,8 @@
     pub direct_at: Option<u64>,
     /// Since when the entry has been silent or gone.
     pub since: u64,
+    /// How far down in life another core process is known to have it.
+    pub held_state: OperState,
     /// When the timer goes off that stands for this record.
     pub timer: Option<u64>,
 }
@@ -27,8 +29,14 @@
             heard_by: entry.source,
             direct_at: None,
             since: now,
+            held_state: OperState::Up,
             timer: None,
             entry,
         }
     }
+
+    /// Whether it is leaving and only `me`, of whose versions others hold those up to `held`, is known to have that.
+    pub fn is_pending(&self, me: SourceId, held: u64) -> bool {
+        self.entry.server.state > self.held_state && self.entry.source == me && self.entry.version > held
+    }
 }
--- a/crates/catchment/src/silence.rs
+++ b/crates/catchment/src/silence.rs
@@ -68,7 +68,11 @@
             }
             self.drop_record(&id);
         }
-        self.sources.trim(now, self.me);
+        self.sources.trim();
+        // Not at once in the merge: the vector shown after it tells the giver what is held.
+        if std::mem::take(&mut self.doubts) {
+            self.sources.forget(self.me);
+        }
         let mut due = Vec::new();
         while let Some((at, _)) = self.timers.first()
             && *at <= now
--- a/crates/catchment/src/sources.rs
+++ b/crates/catchment/src/sources.rs
@@ -4,45 +4,42 @@
 use std::ops::Bound;
 use std::sync::Arc;
 
-use crate::{SourceId, Vector};
+use crate::{LOST_MS, SourceId, Vector};
 
-/// Sources without entries that are still named in the vector.
-const MOST_EMPTY: usize = 64;
-/// How long a source without entries and contact stays named.
-const EMPTY_MS: u64 = 120_000;
+/// Contacts that are remembered; the oldest go first.
+const MOST_CONTACTS: usize = 64;
 
 #[derive(Clone, Debug, Default)]
 struct Source {
     /// Everything up to here has been seen.
     known: u64,
     entries: BTreeMap<u64, Arc<str>>,
-    /// Last contact, or when it was first named.
-    seen: u64,
+    /// When it was first named.
+    named: u64,
 }
 
+/// A source without entries is dropped: all that it said has been superseded, so nothing is lost by being given
+/// it anew, and lives that have ended leave nothing behind.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Sources {
     all: BTreeMap<SourceId, Source>,
     empty: usize,
+    contacts: BTreeMap<SourceId, u64>,
 }
 
 impl Sources {
-    fn source(&mut self, now: u64, id: SourceId) -> &mut Source {
-        self.all.entry(id).or_insert_with(|| {
-            self.empty += 1;
-            Source { seen: now, ..Source::default() }
-        })
-    }
-
     pub fn insert(&mut self, now: u64, id: SourceId, version: u64, instance: Arc<str>) {
-        let source = self.source(now, id);
-        let was_empty = source.entries.is_empty();
-        source.entries.insert(version, instance);
-        if was_empty {
+        let source = self.all.entry(id).or_insert_with(|| {
+            self.empty += 1;
+            Source { named: now, ..Source::default() }
+        });
+        if source.entries.is_empty() {
             self.empty = self.empty.saturating_sub(1);
         }
+        source.entries.insert(version, instance);
     }
 
+    /// The source itself stays until [`Sources::trim`], so that a claim for it can follow.
     pub fn remove(&mut self, id: SourceId, version: u64) {
         let Some(source) = self.all.get_mut(&id) else { return };
         if source.entries.remove(&version).is_some() && source.entries.is_empty() {
@@ -59,21 +56,40 @@
     }
 
     pub fn is_known(&self, id: SourceId) -> bool {
-        self.all.get(&id).is_some_and(|source| source.known > 0)
+        self.known(id) > 0
     }
 
-    pub fn claim(&mut self, now: u64, id: SourceId, version: u64) {
-        let source = self.source(now, id);
-        source.known = source.known.max(version);
+    /// Everything of a source up to here has been seen. Means nothing for a source without entries.
+    pub fn claim(&mut self, id: SourceId, version: u64) {
+        if let Some(source) = self.all.get_mut(&id) {
+            source.known = source.known.max(version);
+        }
     }
 
     pub fn contact(&mut self, now: u64, id: SourceId) {
-        let source = self.source(now, id);
-        source.seen = source.seen.max(now);
+        let at = self.contacts.entry(id).or_insert(now);
+        *at = now.max(*at);
+        if self.contacts.len() > MOST_CONTACTS
+            && let Some((&oldest, _)) = self.contacts.iter().min_by_key(|(_, at)| **at)
+        {
+            self.contacts.remove(&oldest);
+        }
     }
 
+    /// Last contact, or when the source was first named, whichever is later.
     pub fn seen(&self, id: SourceId) -> Option<u64> {
-        self.all.get(&id).map(|source| source.seen)
+        let named = self.all.get(&id).map(|source| source.named);
+        named.max(self.contacts.get(&id).copied())
+    }
+
+    /// Whether the source itself has lately been in touch; to be named by others doesn't count.
+    pub fn is_in_contact(&self, now: u64, id: SourceId) -> bool {
+        self.contacts.get(&id).is_some_and(|at| now.saturating_sub(*at) <= LOST_MS)
+    }
+
+    /// The last version of a source that still is in force.
+    pub fn last(&self, id: SourceId) -> u64 {
+        self.all.get(&id).and_then(|s| s.entries.last_key_value()).map_or(0, |(&version, _)| version)
     }
 
     /// How many sources have entries.
@@ -82,12 +98,13 @@
     }
 
     pub fn vector(&self) -> Vector {
-        Vector(self.all.iter().filter(|(_, s)| s.known > 0).map(|(&id, s)| (id, s.known)).collect())
+        Vector(self.each().collect())
     }
 
     /// Sources and what has been seen of them.
     pub fn each(&self) -> impl Iterator<Item = (SourceId, u64)> + '_ {
-        self.all.iter().filter(|(_, s)| s.known > 0).map(|(&id, s)| (id, s.known))
+        let named = self.all.iter().filter(|(_, s)| s.known > 0 && !s.entries.is_empty());
+        named.map(|(&id, s)| (id, s.known))
     }
 
     /// Instances of a source above one version, up to what has been seen.
@@ -114,24 +131,11 @@
         }
     }
 
-    /// Drops sources without entries: the old ones, and the oldest while there are too many.
-    pub fn trim(&mut self, now: u64, me: SourceId) {
-        if self.empty == 0 {
-            return;
-        }
-        self.all.retain(|&id, s| id == me || !s.entries.is_empty() || now.saturating_sub(s.seen) <= EMPTY_MS);
-        let mut empty: Vec<(u64, SourceId)> =
-            self.all.iter().filter(|(_, s)| s.entries.is_empty()).map(|(&id, s)| (s.seen, id)).collect();
-        self.empty = empty.len();
-        if self.empty <= MOST_EMPTY {
-            return;
-        }
-        empty.sort_unstable();
-        for (_, id) in empty {
-            if self.empty > MOST_EMPTY && id != me {
-                self.all.remove(&id);
-                self.empty -= 1;
-            }
+    /// Drops the sources without entries.
+    pub fn trim(&mut self) {
+        if self.empty > 0 {
+            self.all.retain(|_, source| !source.entries.is_empty());
+            self.empty = 0;
         }
     }
 }
--- /dev/null
+++ b/crates/catchment/tests/common/mod.rs
@@ -0,0 +1,116 @@
+//! What the tests share.
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use mosshead_catchment::{Catchment, Entry, Model, OperState, Server, SourceId, Stage};
+use rand_core::RngCore;
+
+pub const KEEPALIVE: u64 = 1200;
+
+pub fn core(number: u64) -> Catchment {
+    Catchment::new(SourceId(number), KEEPALIVE)
+}
+
+pub fn follower(number: u64) -> Catchment {
+    Catchment::follower(SourceId(number), KEEPALIVE)
+}
+
+pub fn address(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, number), 8080)
+}
+
+pub fn server(number: u8, sequence: u64) -> Server {
+    Server {
+        id: format!("i-{number}"),
+        service: format!("service-{}", number % 2),
+        address: address(number),
+        zone: "east-a".into(),
+        software: "v1".into(),
+        slots: 64,
+        state: OperState::Up,
+        silent: false,
+        warmup_left_ms: 0,
+        stage: if number.is_multiple_of(2) { Some(Stage::Prefill) } else { None },
+        models: vec![Model { name: "m".into(), revision: 1, adapters: vec!["a".into()] }],
+        sequence,
+    }
+}
+
+pub fn with_state(number: u8, sequence: u64, state: OperState) -> Server {
+    Server { state, ..server(number, sequence) }
+}
+
+/// Gives `to` all that it lacks, in pieces.
+pub fn pull(now: u64, from: &Catchment, to: &mut Catchment, most: usize) {
+    for _ in 0..100_000 {
+        let delta = from.lacking(&to.vector(), most);
+        let more = delta.more;
+        to.merge(now, delta);
+        if !more {
+            return;
+        }
+    }
+    panic!("a pull that doesn't end");
+}
+
+/// The same between two of a group.
+pub fn pull_within(now: u64, all: &mut [Catchment], from: usize, to: usize, most: usize) {
+    let (from, to) = match from < to {
+        true => {
+            let (left, right) = all.split_at_mut(to);
+            (&left[from], &mut right[0])
+        }
+        false => {
+            let (left, right) = all.split_at_mut(from);
+            (&right[0], &mut left[to])
+        }
+    };
+    pull(now, from, to, most);
+}
+
+/// Everything that a register says, tombstones too, in one order.
+pub fn said(register: &Catchment) -> Vec<Entry> {
+    let mut entries: Vec<Entry> = register.entries().cloned().collect();
+    entries.sort_by(|a, b| a.server.id.cmp(&b.server.id));
+    entries
+}
+
+/// All give all, until nobody has anything new.
+pub fn settle(now: u64, all: &mut [Catchment]) {
+    for _ in 0..50 {
+        let mut changed = false;
+        for from in 0..all.len() {
+            for to in 0..all.len() {
+                if from != to {
+                    let delta = all[from].lacking(&all[to].vector(), usize::MAX);
+                    assert!(!delta.more);
+                    changed |= all[to].merge(now, delta);
+                }
+            }
+        }
+        if !changed {
+            return;
+        }
+    }
+    panic!("the registers don't come to rest");
+}
+
+/// The indices agree with the entries.
+pub fn check(register: &Catchment) {
+    let entries = said(register);
+    let live = entries.iter().filter(|e| e.server.state != OperState::Gone).count();
+    assert_eq!(register.len(), live);
+    assert_eq!(register.servers().count(), live);
+    for entry in &entries {
+        let server = &entry.server;
+        assert_eq!(register.get(&server.id), Some(server));
+        let is_live = server.state != OperState::Gone;
+        assert_eq!(register.by_service(&server.service).any(|s| s == server), is_live);
+        assert_eq!(register.by_address(server.address).any(|s| s == server), is_live && !server.silent);
+    }
+}
+
+pub fn below(rng: &mut impl RngCore, bound: u64) -> u64 {
+    rng.next_u64() % bound.max(1)
+}
--- /dev/null
+++ b/crates/catchment/tests/wire.rs
@@ -0,0 +1,140 @@
+//! What goes between processes, and bytes that no process sent.
+
+mod common;
+
+use std::fmt::Debug;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use common::{check, core, follower, server};
+use minicbor::{Decode, Encode};
+use mosshead_catchment::{Delta, Entry, MOST_IN_VECTOR, Model, OperState, Server, SourceId, Stage, Vector};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+#[derive(Clone, Debug)]
+struct AnyDelta(Delta);
+
+fn any_server(g: &mut Gen) -> Server {
+    Server {
+        id: String::arbitrary(g),
+        service: String::arbitrary(g),
+        address: SocketAddrV4::new(Ipv4Addr::from(u32::arbitrary(g)), u16::arbitrary(g)),
+        zone: String::arbitrary(g),
+        software: String::arbitrary(g),
+        slots: u32::arbitrary(g),
+        state: *g.choose(&[OperState::Up, OperState::Draining, OperState::Gone]).unwrap(),
+        silent: bool::arbitrary(g),
+        warmup_left_ms: u64::arbitrary(g),
+        stage: *g.choose(&[None, Some(Stage::Prefill), Some(Stage::Decode)]).unwrap(),
+        models: (0..usize::arbitrary(g) % 4)
+            .map(|count| Model {
+                name: String::arbitrary(g),
+                revision: u64::arbitrary(g),
+                adapters: (0..count).map(|_| String::arbitrary(g)).collect(),
+            })
+            .collect(),
+        sequence: u64::arbitrary(g),
+    }
+}
+
+fn any_vector(g: &mut Gen) -> Vector {
+    Vector(Vec::<(u64, u64)>::arbitrary(g).into_iter().map(|(s, v)| (SourceId(s), v)).collect())
+}
+
+impl Arbitrary for AnyDelta {
+    fn arbitrary(g: &mut Gen) -> AnyDelta {
+        let count = usize::arbitrary(g) % 6;
+        let entries = (0..count)
+            .map(|_| Entry {
+                server: any_server(g),
+                source: SourceId(u64::arbitrary(g) % 8),
+                version: u64::arbitrary(g),
+            })
+            .collect();
+        AnyDelta(Delta {
+            entries,
+            since: any_vector(g),
+            vector: any_vector(g),
+            more: bool::arbitrary(g),
+            fingerprint: u64::arbitrary(g),
+        })
+    }
+}
+
+fn round<T: Encode<()> + for<'b> Decode<'b, ()> + PartialEq + Debug>(value: &T) {
+    let bytes = minicbor::to_vec(value).unwrap();
+    assert_eq!(&minicbor::decode::<T>(&bytes).unwrap(), value);
+}
+
+fn read_all(bytes: &[u8]) {
+    let _ = minicbor::decode::<Vector>(bytes);
+    let _ = minicbor::decode::<Server>(bytes);
+    let _ = minicbor::decode::<Entry>(bytes);
+    let _ = minicbor::decode::<OperState>(bytes);
+    let _ = minicbor::decode::<SourceId>(bytes);
+    if let Ok(delta) = minicbor::decode::<Delta>(bytes) {
+        let mut register = core(1);
+        register.merge(0, delta);
+        register.tick(0);
+        check(&register);
+    }
+}
+
+quickcheck! {
+    fn deltas_round(delta: AnyDelta) -> bool {
+        round(&delta.0);
+        round(&delta.0.vector);
+        delta.0.entries.iter().for_each(round);
+        true
+    }
+
+    fn garbage_does_no_harm(bytes: Vec<u8>) -> bool {
+        read_all(&bytes);
+        true
+    }
+
+    fn harmed_bytes_do_no_harm(delta: AnyDelta, harm: Vec<(usize, u8)>) -> bool {
+        let mut bytes = minicbor::to_vec(&delta.0).unwrap();
+        read_all(&bytes[..harm.len() % bytes.len()]);
+        let len = bytes.len();
+        for (at, byte) in harm {
+            bytes[at % len] = byte;
+        }
+        read_all(&bytes);
+        true
+    }
+
+    /// Deltas that no honest process makes leave the register whole.
+    fn odd_deltas_do_no_harm(deltas: Vec<AnyDelta>, times: Vec<u64>) -> bool {
+        let (mut a, mut p) = (core(1), follower(2));
+        a.beat(0, server(1, 1));
+        for (delta, now) in deltas.into_iter().zip(times.into_iter().chain([u64::MAX, 0])) {
+            a.merge(now, delta.0.clone());
+            p.merge(now, delta.0.clone());
+            a.unknown(&delta.0.vector);
+            a.held(&delta.0.vector);
+            a.lacking(&delta.0.vector, 3);
+            for entry in delta.0.entries {
+                a.beat(now, entry.server.clone());
+                a.deregister(now, &entry.server.service);
+            }
+            a.tick(now);
+            p.tick(now);
+            check(&a);
+            check(&p);
+        }
+        true
+    }
+}
+
+#[test]
+fn a_vector_from_outside_is_bounded() {
+    let sources = |count: u64| Vector((0..count).map(|n| (SourceId(n), n)).collect());
+    let most = MOST_IN_VECTOR as u64;
+    assert!(minicbor::decode::<Vector>(&minicbor::to_vec(sources(most)).unwrap()).is_ok());
+    assert!(minicbor::decode::<Vector>(&minicbor::to_vec(sources(most + 1)).unwrap()).is_err());
+    // A length that isn't there asks for no memory.
+    assert!(minicbor::decode::<Vector>(&[0xbb, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff]).is_err());
+    assert!(
+        minicbor::decode::<Delta>(&[0x85, 0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff]).is_err()
+    );
+}
