Ask a mute server whether it is there, and go elsewhere if it isn't

Cause: requests at a server that went dark waited until the client gave up, as nothing was left to be acknowledged. Change: while a prompt is read, or what may be repeated runs, a server that was mute for 250 ms is asked for its report; without an answer within 300 ms the request goes on elsewhere.

--- a/crates/sluice/src/attempt.rs
+++ b/crates/sluice/src/attempt.rs
@@ -133,6 +133,7 @@
                 Ok(Ok(response)) => response,
             };
             let (head, body) = response.into_parts();
+            self.heard(&server.id);
             // Danger: an answer in excess to an earlier request may stand where this one's is due.
             if message.id.is_some() && head.headers.get(ATTEMPT) != message.id.as_ref() {
                 return Sent::Broken;
@@ -147,6 +148,28 @@
         Sent::NotSent(Fault::Broken)
     }
 
+    pub(crate) fn heard(&self, id: &str) {
+        let now = self.now();
+        self.weir.borrow_mut().heard(now, id);
+    }
+
+    /// Ends once a server has shown that it is dark: it has been mute for `patience`, and then does not answer within
+    /// `within` even what needs no slot. Danger: a long queue is silent, too, and is no reason to ask elsewhere.
+    pub(crate) async fn dark(self: &Rc<Self>, server: &Server, patience: u64, within: u64) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(patience)).await;
+            let since = self.now().saturating_sub(patience);
+            if !self.weir.borrow().mute(since, &server.id) {
+                continue;
+            }
+            let asked = self.now();
+            self.ask_figure(server, within).await;
+            if self.weir.borrow().mute(asked, &server.id) {
+                return;
+            }
+        }
+    }
+
     /// Reads what is left of an answer aside, and keeps the connection.
     pub(crate) fn spare(
         self: &Rc<Self>,
--- a/crates/sluice/src/forward.rs
+++ b/crates/sluice/src/forward.rs
@@ -16,7 +16,7 @@
 
 use crate::answer::{Cut, Out, own, passed_on};
 use crate::attempt::{ATTEMPT, Message, Sent, Server, sealed};
-use crate::prompt::{Handle, Unread, ask, refusal};
+use crate::prompt::{Handle, MUTE, Unread, ask, refusal};
 use crate::view::{Running, Sluice, Under, add};
 
 /// Bytes of bodies that may be held at once.
@@ -192,7 +192,12 @@
             let until = self.at(job.deadline);
             let priority = [("priority", job.priority.clone())];
             avoid.push(id.clone());
-            match self.send(&server, &job.message, job.deadline, until, &priority).await {
+            let patience = (job.route.target_latency_ms / 2).clamp(40, MUTE);
+            let sent = tokio::select! {
+                sent = self.send(&server, &job.message, job.deadline, until, &priority) => sent,
+                () = self.dark(&server, patience, patience), if job.repeatable => Sent::Late,
+            };
+            match sent {
                 Sent::Answer { head, body, link } => {
                     arrived += 1;
                     ran = true;
--- a/crates/sluice/src/prompt.rs
+++ b/crates/sluice/src/prompt.rs
@@ -81,6 +81,10 @@
     }
 }
 
+/// A server that works answers for its figure within so many milliseconds.
+pub(crate) const REPORT: u64 = 300;
+/// A server that has been mute for so many is asked whether it is there.
+pub(crate) const MUTE: u64 = 250;
 /// A figure is waited for so long.
 const FIGURE: Duration = Duration::from_millis(12);
 
@@ -115,7 +119,7 @@
         for server in servers {
             // Danger: what asks must not stand in a request's way for longer than a figure is worth.
             let sluice = self.clone();
-            asked.push(tokio::task::spawn_local(async move { sluice.ask_figure(&server).await }));
+            asked.push(tokio::task::spawn_local(async move { sluice.ask_figure(&server, REPORT).await }));
         }
         let until = Instant::now() + FIGURE;
         for asked in asked {
@@ -123,12 +127,13 @@
         }
     }
 
-    async fn ask_figure(self: &Rc<Self>, server: &Server) {
+    /// Asks a server for its figure.
+    pub(crate) async fn ask_figure(self: &Rc<Self>, server: &Server, within: u64) {
         let (headers, body) = (HeaderMap::new(), Bytes::new());
         let message =
             Message { method: Method::GET, uri: Uri::from_static("/report"), headers, body, id: None };
-        let until = Instant::now() + Duration::from_millis(300);
-        let deadline = self.now() + 300;
+        let until = Instant::now() + Duration::from_millis(within);
+        let deadline = self.now() + within;
         match self.send(server, &message, deadline, until, &[]).await {
             Sent::Answer { head, body, link } if head.status.is_success() => {
                 let body = self.whole(&server.id, &head, body, link, until).await;
@@ -138,6 +143,8 @@
                 }
             }
             Sent::NotSent(fault) => self.fault(&server.id, fault),
+            // It needs no slot for that.
+            Sent::Late | Sent::Broken => self.fault(&server.id, Fault::Unreachable),
             _ => {}
         }
     }
@@ -155,7 +162,11 @@
         let until = self.at(deadline);
         let stage =
             [("x-serving-stage", HeaderValue::from_static("prefill")), ("priority", priority.clone())];
-        match self.send(server, message, deadline, until, &stage).await {
+        let sent = tokio::select! {
+            sent = self.send(server, message, deadline, until, &stage) => sent,
+            () = self.dark(server, MUTE, REPORT) => return Err(Unread::Lost),
+        };
+        match sent {
             Sent::Answer { head, body, link } if head.status.is_success() => {
                 let body = self.whole(&server.id, &head, body, link, until).await;
                 let handle = body.and_then(|body| handle(&body)).ok_or_else(|| {
--- a/crates/sluice/src/stream.rs
+++ b/crates/sluice/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::events::Splitter;
 use crate::forward::{Job, Ran};
 use crate::links::ServerLink;
-use crate::prompt::{Handle, refusal};
+use crate::prompt::{Handle, MUTE, REPORT, refusal};
 use crate::view::{Reading, Running, Sluice, Under, add};
 
 /// So many pieces wait for a client that does not read.
@@ -62,7 +62,11 @@
         extra.extend(handle.as_ref().and_then(Handle::from).map(|from| ("kv-from", from)));
         extra.extend(after.map(|after| ("last-event-id", HeaderValue::from(after))));
         let until = self.at(job.deadline);
-        match self.send(server, &job.message, job.deadline, until, &extra).await {
+        let sent = tokio::select! {
+            sent = self.send(server, &job.message, job.deadline, until, &extra) => sent,
+            () = self.dark(server, MUTE, REPORT), if job.repeatable => Sent::Late,
+        };
+        match sent {
             Sent::Answer { head, body, link } => {
                 handle.iter().for_each(Handle::gone);
                 if !head.status.is_success() {
@@ -173,7 +177,12 @@
                 biased;
                 () = to.closed() => return End::Left,
                 frame = timeout_at(until, body.frame()) => frame,
+                () = self.dark(&server, MUTE, REPORT), if job.route.resume => {
+                    running.failed(Fault::Unreachable);
+                    return End::Broken;
+                }
             };
+            self.heard(&server.id);
             let data = match frame {
                 Err(_) => return End::Over,
                 Ok(Some(Ok(frame))) => match frame.into_data() {
--- a/crates/weir/src/board.rs
+++ b/crates/weir/src/board.rs
@@ -34,6 +34,8 @@
     pub own_reading: f64,
     /// When that figure was had.
     pub figure_at: u64,
+    /// When it last answered anything.
+    pub heard_at: u64,
     /// What sends there have shown.
     pub evidence: Evidence,
     /// Until when its handles are not trusted.
@@ -101,6 +103,7 @@
                 reading: Entry::default(),
                 own_reading: 0.0,
                 figure_at: 0,
+                heard_at: 0,
                 evidence: Evidence::default(),
                 lapses_until: 0,
                 kept: VecDeque::new(),
--- a/crates/weir/src/plan.rs
+++ b/crates/weir/src/plan.rs
@@ -431,6 +431,18 @@
         }
     }
 
+    /// Something came from a server.
+    pub fn heard(&mut self, now: Millis, id: &str) {
+        if let Some(one) = self.board.get_mut(id) {
+            one.heard_at = now;
+        }
+    }
+
+    /// Whether a server has said nothing since `since`.
+    pub fn mute(&self, since: Millis, id: &str) -> bool {
+        self.board.get(id).is_none_or(|one| one.heard_at < since)
+    }
+
     /// A server answered as it should.
     pub fn served(&mut self, id: &str) {
         if let Some(one) = self.board.get_mut(id) {
