Drop a line of the register that another makes needless

Cause: what is held of a server that came up again is reset when its up entry is replaced, so the bound by the new state did nothing; a planted fault there changed no test. Change: the line is gone.

--- a/crates/catchment/src/catchment.rs
+++ b/crates/catchment/src/catchment.rs
@@ -419,8 +419,6 @@
                 if !record.is_pending(self.me, self.held) {
                     record.held_state = before.state;
                 }
-                // One that came up again may leave again.
-                record.held_state = record.held_state.min(entry.server.state);
                 if before.silent != entry.server.silent || before.state != entry.server.state {
                     record.since = now;
                 }
