--- a/crates/sluice/src/attempt.rs
+++ b/crates/sluice/src/attempt.rs
@@ -47,7 +47,7 @@
     /// The head of the answer to this very request.
     Answer { head: Parts, body: Incoming, link: ServerLink },
     /// It never arrived whole.
-    NotSent(Fault),
+    Lost(Fault),
     /// The server says that it did not run and never will.
     NeverRan(StatusCode),
     /// It may have run.
@@ -110,8 +110,8 @@
                     let left = until.saturating_duration_since(Instant::now());
                     match self.links.open(&server.id, server.address, server.most, left).await {
                         Opened::Link(link) => (link, false),
-                        Opened::TooMany => return Sent::NotSent(Fault::Full),
-                        Opened::Unreachable => return Sent::NotSent(Fault::Unreachable),
+                        Opened::TooMany => return Sent::Lost(Fault::Full),
+                        Opened::Unreachable => return Sent::Lost(Fault::Unreachable),
                     }
                 }
             };
@@ -119,17 +119,17 @@
                 if reused {
                     continue;
                 }
-                return Sent::NotSent(Fault::Broken);
+                return Sent::Lost(Fault::Broken);
             }
             let request = message.request(server, deadline.saturating_sub(self.now()), extra);
             let answer = timeout_at(until, link.send(request, message.body.len())).await;
             let response = match answer {
                 Err(_) if link.written.whole() => return Sent::Late,
-                Err(_) => return Sent::NotSent(Fault::Unreachable),
+                Err(_) => return Sent::Lost(Fault::Unreachable),
                 Ok(Err(_)) if link.written.whole() => return Sent::Broken,
                 // Danger: only what has not left whole never ran; a server may begin with the last byte.
                 Ok(Err(_)) if reused => continue,
-                Ok(Err(_)) => return Sent::NotSent(Fault::Broken),
+                Ok(Err(_)) => return Sent::Lost(Fault::Broken),
                 Ok(Ok(response)) => response,
             };
             let (head, body) = response.into_parts();
@@ -145,7 +145,7 @@
             }
             return Sent::Answer { head, body, link };
         }
-        Sent::NotSent(Fault::Broken)
+        Sent::Lost(Fault::Broken)
     }
 
     pub(crate) fn heard(&self, id: &str) {
--- a/crates/sluice/src/forward.rs
+++ b/crates/sluice/src/forward.rs
@@ -10,7 +10,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use mosshead_catchment::OperState;
-use mosshead_mains::{Config, Route, RouteType, Service};
+use mosshead_mains::{Config, Route, Service};
 use mosshead_weir::{Ask, Fault};
 use tokio::time::{Duration, timeout};
 
@@ -114,11 +114,7 @@
         let id = head.headers.get(ATTEMPT).cloned();
         let ask = service.engine.as_ref().and_then(|_| ask(&head.headers));
         let message = Message { method: head.method.clone(), uri, headers, body, id };
-        let repeatable = match route.route_type {
-            RouteType::Idempotent => true,
-            RouteType::NonIdempotent => false,
-            RouteType::Streaming => route.resume,
-        };
+        let repeatable = route.may_repeat();
         let priority = HeaderValue::from(u16::from(route.priority.min(9)));
         self.weir.borrow_mut().asked(self.now(), &service.name);
         Ok(Job { route, service, message, ask, deadline, priority, repeatable })
@@ -126,14 +122,8 @@
 
     /// The service of a request: by weight, where a route has several.
     fn pick(&self, config: &Config, route: &Route) -> Option<Arc<Service>> {
-        let sum: f64 = route.backends.iter().map(|backend| backend.1).sum();
-        let mut lot = self.weir.borrow_mut().chance() * sum;
-        let open = || route.backends.iter().filter(|backend| backend.1 > 0.0);
-        let drawn = open().find(|backend| {
-            lot -= backend.1;
-            lot < 0.0
-        });
-        config.services.get(&drawn.or_else(|| open().last())?.0).cloned()
+        let unit = self.weir.borrow_mut().chance();
+        config.service(route.draw(unit)?).cloned()
     }
 
     pub(crate) fn server(&self, job: &Job, id: &Rc<str>) -> Option<Server> {
@@ -225,7 +215,7 @@
                         return Ok(last.unwrap_or_else(|| self.fail()));
                     }
                 }
-                Sent::NotSent(fault) => {
+                Sent::Lost(fault) => {
                     running.failed(fault);
                     unsent += 1;
                 }
--- a/crates/sluice/src/prompt.rs
+++ b/crates/sluice/src/prompt.rs
@@ -142,7 +142,7 @@
                     self.weir.borrow_mut().figure(now, &server.id, figure);
                 }
             }
-            Sent::NotSent(fault) => self.fault(&server.id, fault),
+            Sent::Lost(fault) => self.fault(&server.id, fault),
             // It needs no slot for that.
             Sent::Late | Sent::Broken => self.fault(&server.id, Fault::Unreachable),
             _ => {}
@@ -187,7 +187,7 @@
                 self.fault(&server.id, refusal(status));
                 Err(Unread::Refused)
             }
-            Sent::NotSent(fault) => {
+            Sent::Lost(fault) => {
                 self.fault(&server.id, fault);
                 Err(Unread::NotSent)
             }
--- a/crates/sluice/src/stream.rs
+++ b/crates/sluice/src/stream.rs
@@ -103,7 +103,7 @@
                     Ran::Refused
                 }
             },
-            Sent::NotSent(fault) => {
+            Sent::Lost(fault) => {
                 running.failed(fault);
                 Ran::NotSent
             }
--- a/crates/works/src/calls.rs
+++ b/crates/works/src/calls.rs
@@ -108,6 +108,9 @@
     /// Something in it was new.
     #[n(0)]
     pub changed: bool,
+    /// What the other has now.
+    #[n(1)]
+    pub vector: Vector,
 }
 
 impl Call for Hand {
--- a/crates/works/src/core.rs
+++ b/crates/works/src/core.rs
@@ -320,7 +320,8 @@
         let all = register.lacking(&call.vector, PAGE);
         let behind = !all.entries.is_empty();
         let delta = if call.entries { all } else { Delta::default() };
-        let wants = self.start.elapsed() < NEW && register.behind(&call.vector);
+        let wants =
+            self.start.elapsed() < NEW && (register.unknown(&call.vector) || register.behind(&call.vector));
         drop(register);
         let revision = self.config.borrow().as_ref().map_or(0, |config| config.revision);
         let current = self.node.borrow().as_ref().is_some_and(|node| node.in_touch(self.now()));
@@ -368,12 +369,12 @@
         for other in others {
             let (core, to) = (self.clone(), to.clone());
             tokio::task::spawn_local(async move {
-                let (delta, version) = core.latest();
-                let handed = core.caller.call(other, &Hand { delta }, URGENT).await.is_ok();
-                if handed {
-                    let shown = Vector([(SourceId(core.life), version)].into());
-                    core.register.borrow_mut().held(&shown);
+                let delta = core.latest();
+                let handed = core.caller.call(other, &Hand { delta }, URGENT).await;
+                if let Ok(handed) = &handed {
+                    core.register.borrow_mut().held(&handed.vector);
                 }
+                let handed = handed.is_ok();
                 let _ = to.send(handed);
             });
         }
@@ -386,12 +387,12 @@
         false
     }
 
-    /// The latest entries of this machine's own, and their last version.
-    fn latest(&self) -> (Delta, u64) {
+    /// The latest entries of this machine's own.
+    fn latest(&self) -> Delta {
         let register = self.register.borrow();
-        let (mut vector, version) = (register.vector(), register.version());
-        vector.0.insert(SourceId(self.life), version.saturating_sub(64));
-        (register.lacking(&vector, 128), version)
+        let mut vector = register.vector();
+        vector.0.insert(SourceId(self.life), register.version().saturating_sub(64));
+        register.lacking(&vector, 128)
     }
 
     /// The ballot under which this machine holds the duties, while it is in touch.
@@ -453,7 +454,7 @@
     async fn tell_heard(self: Rc<Self>) {
         loop {
             sleep(Duration::from_millis(500)).await;
-            let digest = self.register.borrow().alive(self.now().saturating_sub(1200));
+            let digest = self.register.borrow().alive(self.now().saturating_sub(1500));
             let call = Hears { source: self.life, digest };
             for other in self.others() {
                 let (core, call) = (self.clone(), call.clone());
@@ -531,11 +532,14 @@
     Handlers::new()
         .on::<Pull>(async move |call, _| Ok(pull.clone().pull(call).await))
         .on::<Fetch>(async move |call, _| Ok(fetch.fetch(call.revision)))
-        .on::<Hand>(async move |call, _| Ok(Handed { changed: hand.hand(call.delta) }))
+        .on::<Hand>(async move |call, _| {
+            let changed = hand.hand(call.delta);
+            Ok(Handed { changed, vector: hand.register.borrow().vector() })
+        })
         .on::<Hears>(async move |call, _| {
             let digest = call.digest.iter().map(|(id, sequence)| (id.as_str(), *sequence));
             hears.register.borrow_mut().heard_by(hears.now(), SourceId(call.source), digest);
-            Ok(Handed { changed: false })
+            Ok(Handed { changed: false, vector: Vector::default() })
         })
         .on::<Epoch>(async move |call, _| {
             epoch.step(Input::Message { from: call.from, message: call.message });
--- a/crates/works/src/proxy.rs
+++ b/crates/works/src/proxy.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Duration, Instant, sleep};
 
 use crate::gossip::Gossip;
-use crate::puller::{Basin, Puller, SLOTS};
+use crate::puller::{Basin, Puller, SLOTS, millis};
 use crate::settings::Settings;
 
 /// The platform needs two misses, a second apart, until it sends no new clients.
@@ -128,6 +128,7 @@
             _ = hangup.recv() => reread(&path, &puller, &gossip),
             _ = sweep.tick() => {
                 turns += 1;
+                register.borrow_mut().tick(millis(Instant::now()));
                 takes.listed();
                 takes.proxies(takes.told.get());
                 let cores: Vec<_> = gossip.ripple.borrow().members()
