Name plain addresses by core::net in the packages without I/O

Cause: ./check's rule that what decides does no I/O greps for std::net, and the new packages named only its plain address type. Change: core::net, which has no sockets; the rule stays as it is.

--- a/crates/catchment/src/server.rs
+++ b/crates/catchment/src/server.rs
@@ -1,6 +1,6 @@
 //! What a server says of itself.
 
-use std::net::SocketAddrV4;
+use core::net::SocketAddrV4;
 
 use minicbor::{Decode, Encode};
 use quick_error::quick_error;
--- a/crates/headworks/src/acceptor.rs
+++ b/crates/headworks/src/acceptor.rs
@@ -11,7 +11,7 @@
         self.founders().is_some()
     }
 
-    pub(crate) fn founders(&self) -> Option<&[std::net::SocketAddrV4]> {
+    pub(crate) fn founders(&self) -> Option<&[core::net::SocketAddrV4]> {
         if self.settings.has(Flaw::AnyFounder) && self.settings.seeds.contains(&self.me.address) {
             return Some(&self.settings.seeds);
         }
--- a/crates/headworks/src/event.rs
+++ b/crates/headworks/src/event.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddrV4;
+use core::net::SocketAddrV4;
 
 use crate::message::Message;
 use crate::types::{Ballot, Member, State};
--- a/crates/headworks/src/log.rs
+++ b/crates/headworks/src/log.rs
@@ -1,5 +1,5 @@
+use core::net::SocketAddrV4;
 use std::collections::VecDeque;
-use std::net::SocketAddrV4;
 
 use minicbor::{Decode, Encode};
 use quick_error::quick_error;
--- a/crates/headworks/src/node.rs
+++ b/crates/headworks/src/node.rs
@@ -1,5 +1,5 @@
+use core::net::SocketAddrV4;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddrV4;
 
 use rand_core::RngCore;
 
--- a/crates/headworks/src/quorum.rs
+++ b/crates/headworks/src/quorum.rs
@@ -1,5 +1,5 @@
+use core::net::SocketAddrV4;
 use std::collections::BTreeMap;
-use std::net::SocketAddrV4;
 
 use crate::types::{Member, MemberId, Record};
 
--- a/crates/headworks/src/settings.rs
+++ b/crates/headworks/src/settings.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddrV4;
+use core::net::SocketAddrV4;
 
 /// Records that name more members are not taken.
 pub(crate) const MOST_MEMBERS: usize = 32;
--- a/crates/headworks/src/types.rs
+++ b/crates/headworks/src/types.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddrV4;
+use core::net::SocketAddrV4;
 use std::sync::Arc;
 
 use minicbor::{Decode, Encode};
