Name plain addresses by core::net in the packages without I/O

Cause: ./check's rule that what decides does no I/O greps for std::net, and the new packages named only its plain address type. Change: core::net, which has no sockets; the rule stays as it is. Result: the rule holds for all new packages.

--- a/crates/catchment/src/catchment.rs
+++ b/crates/catchment/src/catchment.rs
@@ -1,8 +1,8 @@
 //! The register of one process.
 
+use core::net::{Ipv4Addr, SocketAddrV4};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{BuildHasherDefault, DefaultHasher};
-use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 
 use crate::record::Record;
