--- a/crates/headworks/src/node.rs
+++ b/crates/headworks/src/node.rs
@@ -115,12 +115,7 @@
             stable,
             writes,
         };
-        for address in node.settings.seeds.clone() {
-            node.note_address(address);
-        }
-        for address in node.identity.founders.clone().unwrap_or_default() {
-            node.note_address(address);
-        }
+        node.settle_contacts();
         let records = [node.stable.accepted.clone(), node.stable.seen.clone()];
         records.iter().flatten().for_each(|r| node.note_record(r));
         node.election.at = now + 150 + node.below(200);
@@ -158,10 +153,8 @@
                 self.stopping.get_or_insert(self.now);
             }
             Input::Seeds(seeds) => {
-                for address in &seeds {
-                    self.note_address(*address);
-                }
                 self.settings.seeds = seeds;
+                self.settle_contacts();
             }
         }
         self.disk_timers();
@@ -320,6 +313,15 @@
         (!voter && matches!(self.role, Role::Follower)).then(|| view.clone())
     }
 
+    /// Where others may be: those that are long gone are forgotten.
+    fn settle_contacts(&mut self) {
+        self.contacts.clear();
+        let voters = self.electorate().into_iter().map(|m| m.address);
+        let all: Vec<SocketAddrV4> =
+            self.settings.seeds.iter().copied().take(MOST_MEMBERS).chain(voters).collect();
+        all.into_iter().for_each(|a| self.note_address(a));
+    }
+
     pub(crate) fn note_address(&mut self, address: SocketAddrV4) {
         if self.contacts.len() < 4 * MOST_MEMBERS {
             self.contacts.insert(address);
--- a/crates/headworks/src/primary.rs
+++ b/crates/headworks/src/primary.rs
@@ -315,7 +315,7 @@
     /// A change is committed when it is on the disks of the primary and of all backups.
     fn commit(&mut self) {
         let alone = self.settings.has(Flaw::CommitAlone);
-        let now = self.now;
+        let (now, suspect) = (self.now, self.settings.timings.suspect);
         let Role::Primary(lead) = &mut self.role else { return };
         let Some(flight) = &lead.flight else { return };
         if !flight.own || !alone && !lead.record.backups.iter().all(|id| flight.done.contains(id)) {
@@ -330,7 +330,8 @@
         self.beat(true);
         let mut others = Vec::new();
         for (id, peer) in &mut self.peers {
-            if !backups.contains(id) {
+            // Those that are silent get it when they answer again.
+            if !backups.contains(id) && now.saturating_sub(peer.heard) <= suspect {
                 peer.state_sent = now;
                 others.push(peer.member.address);
             }
--- a/crates/headworks/src/take_over.rs
+++ b/crates/headworks/src/take_over.rs
@@ -232,7 +232,8 @@
         let newest = t.promises.values().filter_map(|p| p.version).max_by_key(key);
         let own = [self.stable.state.as_ref(), self.committed.as_ref()];
         let state = match newest {
-            None => Some(State::default()),
+            // Only founders start from nothing.
+            None => base.is_none().then(State::default),
             Some(newest) => own.into_iter().flatten().find(|s| s.version().same_body(&newest)).cloned(),
         };
         let now = self.now;
@@ -245,7 +246,7 @@
                 t.enter(Phase::Fetch { version, order }, now);
                 self.fetch();
             }
-            (None, None) => {}
+            (None, None) => self.step_down(),
         }
     }
 
--- a/crates/headworks/tests/fleet/day.rs
+++ b/crates/headworks/tests/fleet/day.rs
@@ -27,6 +27,12 @@
     Seeds,
 }
 
+impl Act {
+    fn loses_disks(&self) -> bool {
+        matches!(self, Act::Wipe(_) | Act::WipeAndPower(_) | Act::WipePrimary(_) | Act::Replace(_))
+    }
+}
+
 impl World {
     pub fn act(&mut self, act: Act) {
         if self.trace {
@@ -213,6 +219,32 @@
         Ok(())
     }
 
+    /// So many machines as may be lost are in trouble, and stay so: the others go on.
+    fn lasting_trouble(&mut self) -> Result<(), String> {
+        let bad = self.some(self.failures);
+        let others: Vec<usize> = self.standing().into_iter().filter(|m| !bad.contains(m)).collect();
+        let out = bad.iter().flat_map(|b| others.iter().map(move |o| (*b, *o)));
+        let back = bad.iter().flat_map(|b| others.iter().map(move |o| (*o, *b)));
+        let act = match self.below(8) {
+            0 => Act::Kill(bad),
+            1 => Act::Freeze(bad),
+            2 => Act::Cut(out.chain(back).collect()),
+            3 => Act::Cut(out.collect()),
+            4 => Act::Cut(back.collect()),
+            5 => Act::Full(bad),
+            6 => Act::Terminate(bad[0]),
+            _ => Act::Stall(bad, 8_000),
+        };
+        let (spare, named) = (self.below(400), format!("{act:?}"));
+        self.run(spare)?;
+        self.act(act);
+        self.probe().map_err(|what| format!("{what} with {named:.60}"))?;
+        let more = self.below(3_000);
+        self.run(more)?;
+        self.heal();
+        self.run(700)
+    }
+
     /// In a long calm, all know all.
     pub fn settle(&mut self) -> Result<(), String> {
         self.dismiss();
@@ -302,13 +334,10 @@
                 world.armed = None;
             } else {
                 for _ in 0..1 + world.below(2) {
-                    let lost =
+                    let down =
                         (0..world.machines.len()).any(|m| m_is_down(world, m) && !world.machines[m].gone);
-                    let act = world.random_act(fresh && !lost);
-                    let ends = matches!(
-                        act,
-                        Act::Wipe(_) | Act::WipeAndPower(_) | Act::WipePrimary(_) | Act::Replace(_)
-                    );
+                    let act = world.random_act(fresh && !down);
+                    let ends = act.loses_disks();
                     world.act(act);
                     if ends {
                         break;
@@ -320,9 +349,15 @@
             world.heal();
             world.run(700)?;
             calm_since = world.now;
-            match world.below(3) {
+            match world.below(4) {
                 0 => world.probe()?,
                 1 => world.run(4_500)?,
+                2 => {
+                    // The fleet makes up for lost disks first.
+                    world.run(4_600)?;
+                    world.lasting_trouble()?;
+                    calm_since = world.now;
+                }
                 _ => {}
             }
         }
