Pass on every stream as it comes, and blame a lapsed handle only when it was one

Cause: a stream whose request named no prompt was held whole; a full runner looked like a lapsed handle and its reader was left alone; while a primary took over from itself callers were sent away. Change: streaming routes always flow; a reader is held for lapsing when the same server had room without its memory; calls wait at a primary that renews itself; an unreadable change gets the code of what is wrong.

--- a/crates/sluice/src/forward.rs
+++ b/crates/sluice/src/forward.rs
@@ -10,7 +10,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use mosshead_catchment::OperState;
-use mosshead_mains::{Config, Route, Service};
+use mosshead_mains::{Config, Route, RouteType, Service};
 use mosshead_weir::{Ask, Fault};
 use tokio::time::{Duration, timeout};
 
@@ -112,7 +112,12 @@
         let uri = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let uri = uri.parse().map_err(|_| StatusCode::BAD_REQUEST)?;
         let id = head.headers.get(ATTEMPT).cloned();
-        let ask = service.engine.as_ref().and_then(|_| ask(&head.headers));
+        // A stream is passed on as it comes, also where its request names no prompt.
+        let ask = match (&service.engine, route.route_type) {
+            (Some(_), _) => ask(&head.headers),
+            (None, _) => None,
+        };
+        let ask = ask.or_else(|| (route.route_type == RouteType::Streaming).then(Ask::default));
         let message = Message { method: head.method.clone(), uri, headers, body, id };
         let repeatable = route.may_repeat();
         let priority = HeaderValue::from(u16::from(route.priority.min(9)));
@@ -284,9 +289,15 @@
                 continue;
             };
             let mut again = false;
+            let reader = handle.as_ref().map(|handle| handle.reader().clone());
             loop {
                 match self.run(&job, &ask, &server, handle.take(), None).await {
                     Ran::Stream(start) => {
+                        if let (true, Some(reader)) = (again, &reader) {
+                            // The server had room: what it could not have was the memory.
+                            let now = self.now();
+                            self.weir.borrow_mut().lapsed(now, reader);
+                        }
                         if let Some(under) = under.take() {
                             return Ok(self.clone().pass_on(job, ask, start, under));
                         }
--- a/crates/sluice/src/stream.rs
+++ b/crates/sluice/src/stream.rs
@@ -93,9 +93,9 @@
                 Ran::Stream(Start { head, body, link, server: server.clone(), running, reading, framed })
             }
             Sent::NeverRan(status) => match handle {
+                // The memory can't be had, or the server is full: the same answer says both.
                 Some(handle) if status.as_u16() == 503 => {
-                    let now = self.now();
-                    self.weir.borrow_mut().lapsed(now, handle.reader());
+                    drop(handle);
                     Ran::Lapsed
                 }
                 _ => {
--- a/crates/works/src/control.rs
+++ b/crates/works/src/control.rs
@@ -122,11 +122,16 @@
 
 async fn change(core: &Rc<Core>, whole: bool, base: Option<u64>, body: &[u8], path: &str) -> Answer {
     let bad = |fault: String| answer(StatusCode::BAD_REQUEST, format!("{{\"fault\":{}}}", quoted(&fault)));
-    if !core.is_primary() {
+    // While a primary takes over from itself, what is asked of it waits there for a moment.
+    if core.primary() != Some(core.settings.internal()) {
         return elsewhere(core, core.primary(), path);
     }
     let Some(base) = base else { return bad("C07 X-Base-Revision is missing".into()) };
-    let Some(revision) = revision(body) else { return bad("M01 can't be read whole".into()) };
+    let Some(revision) = revision(body) else {
+        let fault =
+            Config::read(body).err().map_or("M08 at revision: is missing".into(), |fault| fault.to_string());
+        return bad(fault);
+    };
     let digest = digest(path, base, body);
     let current = core.config();
     if core.took(revision, digest) {
@@ -163,7 +168,8 @@
 }
 
 async fn show(core: &Rc<Core>, path: &str) -> Answer {
-    if !core.is_primary() {
+    // While a primary takes over from itself, what is asked of it waits there for a moment.
+    if core.primary() != Some(core.settings.internal()) {
         return elsewhere(core, core.primary(), path);
     }
     match core.read().await {
