--- /dev/null
+++ b/crates/works/tests/calls.rs
@@ -0,0 +1,142 @@
+//! The calls between own processes come out as they went in.
+
+use std::collections::BTreeMap;
+use std::fmt::Debug;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use minicbor::{Decode, Encode};
+use mosshead_catchment::{Delta, Entry, Model, OperState, Server, SourceId, Stage, Vector};
+use mosshead_headworks::{Ballot, Member, MemberId, Message, Record, State, Version};
+use mosshead_works::calls::{Epoch, Fetch, Fetched, Hand, Handed, Hears, Pull, Pulled};
+use quickcheck::quickcheck;
+
+/// Encoded, decoded and encoded again it is the same; cut off or followed by garbage it does no harm.
+fn round<T: Debug + Encode<()> + for<'b> Decode<'b, ()>>(value: &T) -> bool {
+    let bytes = minicbor::to_vec(value).expect("encodes");
+    let back: T = minicbor::decode(&bytes).expect("decodes");
+    let again = minicbor::to_vec(&back).expect("encodes");
+    let cut = bytes.len() * 2 / 3;
+    format!("{value:?}") == format!("{back:?}")
+        && bytes == again
+        && minicbor::decode::<T>(&bytes[..cut]).is_err()
+}
+
+fn address(at: u32, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(at), port)
+}
+
+fn vector(of: &[(u64, u64)]) -> Vector {
+    Vector(of.iter().map(|(source, version)| (SourceId(*source), *version)).collect::<BTreeMap<_, _>>())
+}
+
+fn delta(text: &str, number: u64, of: &[(u64, u64)], mark: bool) -> Delta {
+    let server = |state, stage| Server {
+        id: text.into(),
+        service: format!("{text}-service"),
+        address: address(number as u32, number as u16),
+        zone: "here".into(),
+        software: String::new(),
+        slots: number as u32,
+        state,
+        silent: mark,
+        warmup_left_ms: number,
+        stage,
+        models: vec![Model {
+            name: text.into(),
+            revision: number,
+            adapters: vec![text.into(), String::new()],
+        }],
+        sequence: number,
+    };
+    let kinds = [
+        (OperState::Up, Some(Stage::Prefill)),
+        (OperState::Draining, Some(Stage::Decode)),
+        (OperState::Gone, None),
+    ];
+    let entries = kinds.map(|(state, stage)| Entry {
+        server: server(state, stage),
+        source: SourceId(number),
+        version: number,
+    });
+    Delta {
+        entries: entries.to_vec(),
+        since: vector(of),
+        vector: vector(of),
+        more: mark,
+        fingerprint: number,
+    }
+}
+
+fn messages(number: u64, body: &[u8], mark: bool) -> Vec<Message> {
+    let ballot = Ballot { round: number, member: MemberId(number / 2) };
+    let member = Member { id: MemberId(number), address: address(number as u32, 7720) };
+    let record = Record {
+        ballot,
+        previous: Vec::new(),
+        members: vec![member; 3],
+        primary: member.id,
+        backups: vec![member.id],
+    };
+    let version = Version { stamp: ballot, revision: number, origin: Ballot::default() };
+    let state = State { ballot, origin: ballot, revision: number, body: body.into(), ..State::default() };
+    vec![
+        Message::PreVote,
+        Message::PreVoteAnswer { willing: mark, founder: !mark, record: Some(record.clone()) },
+        Message::Prepare { ballot },
+        Message::Promise { ballot, founder: mark, fit: !mark, record: Some(record), version: Some(version) },
+        Message::Promise { ballot, founder: mark, fit: mark, record: None, version: None },
+        Message::Reject { ballot, promised: Ballot::default() },
+        Message::Fetch { ballot, version },
+        Message::Fetched { ballot, state: state.clone() },
+        Message::Replicate { state },
+    ]
+}
+
+quickcheck! {
+    fn a_pull(name: String, numbers: (u64, u64, u64), of: Vec<(u64, u64)>, marks: (bool, bool)) -> bool {
+        let (life, revision, wait_ms) = numbers;
+        let (proxy, entries) = marks;
+        round(&Pull { name, life, proxy, revision, vector: vector(&of), entries, wait_ms })
+    }
+
+    fn what_was_pulled(text: String, number: u64, of: Vec<(u64, u64)>, cores: Vec<(u32, u16)>, mark: bool) -> bool {
+        round(&Pulled {
+            revision: number,
+            delta: delta(&text, number, &of, mark),
+            behind: mark,
+            cores: cores.into_iter().map(|(at, port)| address(at, port)).collect(),
+            proxies: number as u32,
+            current: !mark,
+            wants: mark,
+            source: number,
+        })
+    }
+
+    fn a_fetch(revision: u64, patches: Vec<String>, whole: Option<String>) -> bool {
+        round(&Fetch { revision }) && round(&Fetched { revision, patches, whole })
+    }
+
+    fn a_hand_over(text: String, number: u64, of: Vec<(u64, u64)>, mark: bool) -> bool {
+        round(&Hand { delta: delta(&text, number, &of, mark) })
+            && round(&Handed { changed: mark, vector: vector(&of) })
+    }
+
+    fn which_servers_are_heard(source: u64, digest: Vec<(String, u64)>) -> bool {
+        round(&Hears { source, digest })
+    }
+
+    fn a_message_of_the_control_state(number: u64, body: Vec<u8>, mark: bool) -> bool {
+        let from = Member { id: MemberId(number), address: address(number as u32, 1) };
+        messages(number, &body, mark).into_iter().all(|message| round(&Epoch { from, message }))
+    }
+
+    fn any_bytes_do_no_harm(bytes: Vec<u8>) -> bool {
+        let _ = minicbor::decode::<Pull>(&bytes);
+        let _ = minicbor::decode::<Pulled>(&bytes);
+        let _ = minicbor::decode::<Fetched>(&bytes);
+        let _ = minicbor::decode::<Hand>(&bytes);
+        let _ = minicbor::decode::<Hears>(&bytes);
+        let _ = minicbor::decode::<Epoch>(&bytes);
+        true
+    }
+}
--- /dev/null
+++ b/crates/works/tests/control.rs
@@ -0,0 +1,128 @@
+//! What servers and the operator send.
+
+use mosshead_catchment::{Model, OperState, Server, Stage};
+use mosshead_works::control::{beat, digest};
+use quickcheck::{TestResult, quickcheck};
+
+const BEAT: &str = include_str!("samples/beat.json");
+
+fn changed(from: &str, to: &str) -> Option<Server> {
+    let text = BEAT.replace(from, to);
+    assert_ne!(text, BEAT, "{from} is in the sample");
+    beat("i-7f3a91c2", text.as_bytes())
+}
+
+#[test]
+fn the_sample_of_the_pages_is_read() {
+    let wanted = Server {
+        id: "i-7f3a91c2".into(),
+        service: "huvo11a".into(),
+        address: "10.128.0.9:8080".parse().expect("an address"),
+        zone: "taoyuan-hall".into(),
+        software: "v1".into(),
+        slots: 64,
+        state: OperState::Up,
+        silent: false,
+        warmup_left_ms: 0,
+        stage: Some(Stage::Decode),
+        models: vec![Model { name: "m".into(), revision: 1, adapters: Vec::new() }],
+        sequence: 4,
+    };
+    assert_eq!(beat("i-7f3a91c2", BEAT.as_bytes()), Some(wanted));
+}
+
+#[test]
+fn what_a_server_says_of_itself_is_taken() {
+    let state = |text: &str| changed("\"up\"", text).map(|server| server.state);
+    assert_eq!(state("\"draining\""), Some(OperState::Draining));
+    let stage = |text: &str| changed("\"decode\"", text).and_then(|server| server.stage);
+    assert_eq!((stage("\"prefill\""), stage("null")), (Some(Stage::Prefill), None));
+    let warm = changed("\"warmup_left_ms\":0", "\"warmup_left_ms\":1250,\"of_tomorrow\":[{}]");
+    assert_eq!(warm.map(|server| server.warmup_left_ms), Some(1250));
+    let adapters = changed("\"adapter_list\":[]", "\"adapter_list\":[\"a\",\"b\"]").expect("sound");
+    assert_eq!(adapters.models[0].adapters, ["a", "b"]);
+}
+
+#[test]
+fn without_service_or_address_it_is_no_heartbeat() {
+    assert_eq!(changed("\"backend_service\"", "\"other\""), None);
+    assert_eq!(changed("\"address\"", "\"other\""), None);
+    assert_eq!(changed("10.128.0.9:8080", "10.128.0.9"), None);
+    assert_eq!(beat("", BEAT.as_bytes()), None);
+    assert_eq!(beat(&"i".repeat(201), BEAT.as_bytes()), None);
+    let long = format!("{BEAT}{}", " ".repeat(256 * 1024));
+    assert_eq!(beat("i", long.as_bytes()), None);
+    for text in ["", "null", "[]", "{}", "4", "{\"backend_service\":4,\"address\":4}"] {
+        assert_eq!(beat("i", text.as_bytes()), None, "{text}");
+    }
+}
+
+quickcheck! {
+    fn any_bytes_do_no_harm(id: String, body: Vec<u8>) -> bool {
+        let _ = beat(&id, &body);
+        true
+    }
+
+    /// The sample with a piece of it replaced.
+    fn nearly_the_sample_does_no_harm(at: usize, length: u8, with: Vec<u8>) -> bool {
+        let mut bytes = BEAT.as_bytes().to_vec();
+        let from = at % bytes.len();
+        let to = (from + usize::from(length)).min(bytes.len());
+        bytes.splice(from..to, with);
+        let _ = beat("i", &bytes);
+        true
+    }
+
+    /// Any number may stand where a number does.
+    fn any_number_does_no_harm(number: f64) -> bool {
+        let text = BEAT.replace("\"slots\":64", &format!("\"slots\":{number}"));
+        let text = text.replace("\"sequence\":4", &format!("\"sequence\":{number}"));
+        let _ = beat("i", text.as_bytes());
+        true
+    }
+
+    fn the_same_call_has_the_same_digest(path: String, base: u64, body: Vec<u8>) -> bool {
+        digest(&path, base, &body) == digest(&path, base, &body.clone())
+    }
+
+    fn another_path_has_another_digest(path: String, other: String, base: u64, body: Vec<u8>) -> TestResult {
+        if path == other {
+            return TestResult::discard();
+        }
+        TestResult::from_bool(digest(&path, base, &body) != digest(&other, base, &body))
+    }
+
+    fn another_base_has_another_digest(path: String, base: u64, other: u64, body: Vec<u8>) -> TestResult {
+        if base == other {
+            return TestResult::discard();
+        }
+        TestResult::from_bool(digest(&path, base, &body) != digest(&path, other, &body))
+    }
+
+    fn another_body_has_another_digest(path: String, base: u64, body: Vec<u8>, other: Vec<u8>) -> TestResult {
+        if body == other {
+            return TestResult::discard();
+        }
+        TestResult::from_bool(digest(&path, base, &body) != digest(&path, base, &other))
+    }
+
+    /// A single byte that differs is always seen.
+    fn another_byte_has_another_digest(base: u64, body: Vec<u8>, at: usize, by: u8) -> TestResult {
+        if body.is_empty() || by == 0 {
+            return TestResult::discard();
+        }
+        let mut other = body.clone();
+        other[at % body.len()] ^= by;
+        let path = "/Configuration.Replace";
+        TestResult::from_bool(digest(path, base, &body) != digest(path, base, &other))
+    }
+}
+
+#[test]
+fn the_two_calls_of_the_operator_differ() {
+    let (replace, modify) = ("/Configuration.Replace", "/Configuration.Modify");
+    assert_ne!(digest(replace, 5, b"{}"), digest(modify, 5, b"{}"));
+    assert_ne!(digest(replace, 5, b"{}"), digest(replace, 6, b"{}"));
+    assert_ne!(digest(replace, 5, b"{}"), digest(replace, 5, b"{} "));
+    assert_ne!(digest(replace, 5, b""), digest(replace, 5, b"\0"));
+}
--- /dev/null
+++ b/crates/works/tests/pulled.rs
@@ -0,0 +1,77 @@
+//! The configuration that a proxy puts together from what it pulled.
+
+use mosshead_mains::Config;
+use mosshead_works::calls::Fetched;
+use mosshead_works::puller::put_together;
+
+const WHOLE: &str = include_str!("samples/replace.json");
+const MODIFY: &str = include_str!("samples/modify.json");
+
+/// Three configurations, each made from the one before.
+fn three() -> [Config; 3] {
+    let first = Config::read(WHOLE.as_bytes()).expect("the sample");
+    let second = first.changed(MODIFY.as_bytes()).expect("the other sample");
+    let withdraw = "{\"revision\":12,\"withdraw\":{\"route_entries\":[\"r-3d3zji9\"]}}";
+    let third = second.changed(withdraw.as_bytes()).expect("sound");
+    [first, second, third]
+}
+
+fn patches(revision: u64, patches: Vec<String>) -> Fetched {
+    Fetched { revision, patches, whole: None }
+}
+
+#[test]
+fn the_whole_is_taken_whatever_was_there() {
+    let [first, second, third] = three();
+    let whole = Some(third.text().to_string());
+    let fetched = Fetched { revision: 12, patches: Vec::new(), whole };
+    for have in [None, Some(&first), Some(&second)] {
+        let config = put_together(have, &fetched).expect("whole");
+        assert_eq!((config.revision, config.text()), (12, third.text()));
+    }
+}
+
+#[test]
+fn a_chain_of_patches_leads_to_the_same_text() {
+    let [first, second, third] = three();
+    let chain = vec![first.patch(&second), second.patch(&third)];
+    let config = put_together(Some(&first), &patches(12, chain)).expect("fits");
+    assert_eq!((config.revision, config.text()), (12, third.text()));
+    let config = put_together(Some(&first), &patches(9, vec![first.patch(&second)])).expect("fits");
+    assert_eq!(config.text(), second.text());
+    assert!(config.find("ficu95.example", "/lohu930/2f").is_some_and(|route| route.retry_count == 1));
+}
+
+#[test]
+fn patches_that_don_t_fit_give_nothing() {
+    let [first, second, third] = three();
+    let (one, two) = (first.patch(&second), second.patch(&third));
+    let nothing = [
+        ("made for another", put_together(Some(&first), &patches(12, vec![two.clone()]))),
+        ("in another order", put_together(Some(&first), &patches(12, vec![two.clone(), one.clone()]))),
+        ("taken twice", put_together(Some(&first), &patches(9, vec![one.clone(), one.clone()]))),
+        ("leads elsewhere", put_together(Some(&first), &patches(12, vec![one.clone()]))),
+        ("no patch", put_together(Some(&first), &patches(12, Vec::new()))),
+        ("no patch of none", put_together(None, &patches(0, Vec::new()))),
+        ("no patch at all", put_together(Some(&first), &patches(9, vec!["garbage".into()]))),
+        ("cut off", put_together(Some(&first), &patches(9, vec![one[..one.len() - 1].into()]))),
+    ];
+    for (how, config) in nothing {
+        assert!(config.is_none(), "{how}");
+    }
+}
+
+#[test]
+fn a_patch_that_holds_parts_needs_what_it_was_made_for() {
+    let [first, second, _] = three();
+    assert!(put_together(None, &patches(9, vec![first.patch(&second)])).is_none());
+}
+
+#[test]
+fn a_whole_that_is_no_configuration_gives_nothing() {
+    let [first, ..] = three();
+    for text in ["", "{}x", "[]", "{\"revision\":"] {
+        let fetched = Fetched { revision: 9, patches: Vec::new(), whole: Some(text.into()) };
+        assert!(put_together(Some(&first), &fetched).is_none(), "{text}");
+    }
+}
