Test how often requests are sent, and answers that are none

Cause: of the data plane neither the count of sends and the budget nor servers that send garbage were tested.

--- a/crates/sluice/tests/common/mod.rs
+++ b/crates/sluice/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A data plane on loopback, stand-ins for model servers, and a client.
 #![allow(dead_code)]
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::Future;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming};
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderName};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -22,6 +22,7 @@
 use mosshead_mains::Config;
 use mosshead_sluice::{Door, Sluice};
 use mosshead_weir::{BudgetTerms, Terms};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{Duration, timeout};
@@ -64,6 +65,10 @@
     Events { ids: std::ops::RangeInclusive<u64>, seal: &'static str, cut: bool },
     /// The connection ends without an answer, once the request has been read whole.
     Close,
+    /// Nothing at all.
+    Never,
+    /// These events, and then nothing more.
+    Stalls(std::ops::RangeInclusive<u64>),
 }
 
 pub const SEAL: &str = "3e1b.07.5a2.600.0.c9f2a4d1";
@@ -108,6 +113,18 @@
 struct Pieces {
     left: VecDeque<Result<Bytes, Cut>>,
     sent: bool,
+    /// No end comes after them.
+    stalls: Option<Gone>,
+}
+
+/// Counts a request that was neither answered whole nor cut by the server: the other side left.
+struct Gone(Rc<Stand>);
+
+impl Drop for Gone {
+    fn drop(&mut self) {
+        self.0.left.set(self.0.left.get() + 1);
+        self.0.news.notify_one();
+    }
 }
 
 impl Body for Pieces {
@@ -122,6 +139,9 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
+        if this.left.is_empty() && this.stalls.is_some() {
+            return Poll::Pending;
+        }
         Poll::Ready(this.left.pop_front().map(|piece| piece.map(Frame::data)))
     }
 }
@@ -134,6 +154,11 @@
     script: Script,
     seen: RefCell<Vec<Seen>>,
     news: Notify,
+    /// It doesn't even tell its figure.
+    pub dark: Cell<bool>,
+    /// Its figure.
+    pub report: Cell<&'static str>,
+    left: Cell<usize>,
 }
 
 pub fn server(id: &str, service: &str, stage: Option<Stage>, address: SocketAddrV4) -> Server {
@@ -184,6 +209,9 @@
             script: Box::new(script),
             seen: RefCell::default(),
             news: Notify::new(),
+            dark: Cell::new(false),
+            report: Cell::new("{\"queued\":0,\"active\":0}"),
+            left: Cell::new(0),
         });
         tokio::task::spawn_local(stand.clone().serve(listener));
         stand
@@ -205,7 +233,8 @@
         let path = head.uri.path_and_query().map_or("", |path| path.as_str()).to_owned();
         let seen = Seen { method: head.method, path, headers: head.headers, body };
         let mut act = match seen.path.as_str() {
-            "/report" => Act::Answer(200, Vec::new(), "{\"queued\":0,\"active\":0}"),
+            "/report" if self.dark.get() => Act::Never,
+            "/report" => Act::Answer(200, Vec::new(), self.report.get()),
             path if path.starts_with("/kv-handle/") => Act::Answer(200, Vec::new(), ""),
             _ => (self.script)(&seen),
         };
@@ -219,8 +248,18 @@
             self.seen.borrow_mut().push(seen);
             self.news.notify_one();
         }
+        let mut stalls = false;
         let (status, headers, pieces) = match act {
             Act::Close => return Err(Cut),
+            Act::Never => {
+                let _gone = Gone(self);
+                return std::future::pending().await;
+            }
+            Act::Stalls(ids) => {
+                stalls = true;
+                let pieces = ids.map(|id| Ok(Bytes::from(event(id)))).collect();
+                (200, vec![("x-server-seal", SEAL.to_owned())], pieces)
+            }
             Act::Answer(status, headers, body) => (status, headers, vec![Ok(Bytes::from(body))]),
             Act::Events { ids, seal, cut } => {
                 let after = ids.end() + 1;
@@ -233,7 +272,11 @@
                 (200, vec![kind, ("x-server-seal", seal.to_owned())], pieces)
             }
         };
-        let mut response = Response::new(Pieces { left: pieces.into(), sent: false });
+        let mut response = Response::new(Pieces {
+            left: pieces.into(),
+            sent: false,
+            stalls: stalls.then(|| Gone(self.clone())),
+        });
         *response.status_mut() = StatusCode::from_u16(status).expect("a status");
         if let Some(id) = id {
             response.headers_mut().insert("x-attempt-id", id);
@@ -249,6 +292,13 @@
         self.seen.borrow().clone()
     }
 
+    /// Waits until a request that was held up has been let go of by the other side.
+    pub async fn until_left(&self) {
+        while self.left.get() == 0 {
+            self.news.notified().await;
+        }
+    }
+
     /// Waits until it has got such a request.
     pub async fn until(&self, such: impl Fn(&Seen) -> bool) {
         while !self.seen.borrow().iter().any(&such) {
@@ -257,6 +307,37 @@
     }
 }
 
+/// A server that sends just these bytes for each request in turn, the last ones again and again, and then closes where
+/// `closes`. Counts the requests.
+pub async fn raw(id: &str, service: &str, answers: Vec<String>, closes: bool) -> (Server, Rc<Cell<usize>>) {
+    let (listener, address) = bound().await;
+    let count = Rc::new(Cell::new(0));
+    let counted = count.clone();
+    let answers = Rc::new(answers);
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (counted, answers) = (counted.clone(), answers.clone());
+            tokio::task::spawn_local(async move {
+                let mut got = Vec::new();
+                // Each request of these tests ends with its body.
+                while let Ok(1..) = stream.read_buf(&mut got).await {
+                    if !got.ends_with(b"a body") {
+                        continue;
+                    }
+                    got.clear();
+                    let at = counted.get().min(answers.len() - 1);
+                    counted.set(counted.get() + 1);
+                    let _ = stream.write_all(answers[at].as_bytes()).await;
+                    if closes {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (server(id, service, None, address), count)
+}
+
 /// One proxy on loopback.
 pub struct Proxy {
     pub sluice: Rc<Sluice>,
@@ -300,7 +381,12 @@
 impl Proxy {
     /// A proxy that knows nothing.
     pub async fn empty(seed: u64) -> Self {
-        let budget = BudgetTerms { ratio: 0.2, extra: 52.0, window: 10_000 };
+        Self::spending(seed, 0.2, 52.0).await
+    }
+
+    /// A proxy that knows nothing, with this budget of repeats.
+    pub async fn spending(seed: u64, ratio: f64, extra: f64) -> Self {
+        let budget = BudgetTerms { ratio, extra, window: 10_000 };
         let sluice = Sluice::new(Terms::new(budget), "here", seed);
         let door = Door::new(sluice.clone());
         let (listener, front) = bound().await;
@@ -317,10 +403,14 @@
 
     /// A proxy with the configuration and these servers.
     pub async fn with(seed: u64, servers: &[&Server]) -> Self {
-        let proxy = Self::empty(seed).await;
-        assert!(proxy.sluice.configure(Arc::new(config())));
-        proxy.sluice.list(servers.iter().copied());
-        proxy
+        Self::empty(seed).await.knows(servers)
+    }
+
+    /// Gives it the configuration and these servers.
+    pub fn knows(self, servers: &[&Server]) -> Self {
+        assert!(self.sluice.configure(Arc::new(config())));
+        self.sluice.list(servers.iter().copied());
+        self
     }
 
     pub async fn ask(&self, path: &str, headers: &[(&str, &str)]) -> Answer {
@@ -373,12 +463,15 @@
     tokio::task::spawn_local(async move {
         let _ = connection.await;
     });
-    let mut request = Request::builder().method(method).uri(path).header("host", HOST);
-    request = request.header("x-attempt-id", ID).header("x-deadline-ms", WAIT.to_string());
-    for (name, value) in headers {
-        request = request.header(*name, *value);
+    let request = Request::builder().method(method).uri(path);
+    let mut request = request.body(Full::new(Bytes::from(body))).expect("a request");
+    let wait = WAIT.to_string();
+    let usual = [("host", HOST), ("x-attempt-id", ID), ("x-deadline-ms", wait.as_str())];
+    // The test's own come last and hold.
+    for (name, value) in usual.iter().chain(headers) {
+        let name: HeaderName = name.parse().expect("a name");
+        request.headers_mut().insert(name, value.parse().expect("a value"));
     }
-    let request = request.body(Full::new(Bytes::from(body))).expect("a request");
     let response = sender.send_request(request).await.expect("an answer");
     let (head, mut incoming) = response.into_parts();
     let (mut got, mut whole) = (Vec::new(), true);
--- a/crates/sluice/tests/prompts.rs
+++ b/crates/sluice/tests/prompts.rs
@@ -124,6 +124,8 @@
             let after: Vec<&str> =
                 one.iter().chain(&two).filter_map(|seen| seen.header("last-event-id")).collect();
             assert_eq!(after, ["4"]);
+            let from = one.iter().chain(&two).filter(|seen| seen.header("kv-from").is_some()).count();
+            assert!(from <= 1, "a handle is taken once");
             assert_eq!(proxy.sluice.counts.resumed.get(), 1);
         }
     });
@@ -241,3 +243,115 @@
         assert!(answer.whole);
     });
 }
+
+#[test]
+fn what_a_client_has_seen_of_a_stream_is_told_to_the_server() {
+    run(async {
+        let runner = runner("i-run", |seen| {
+            let after: u64 = seen.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+            Act::Events { ids: after + 1..=9, seal: SEAL, cut: false }
+        });
+        let (reader, runner) = (reader().await, runner.await);
+        let proxy = Proxy::with(1, &[&reader.server, &runner.server]).await;
+        let answer = proxy.prompt("/resumed/", &[("last-event-id", "6")]).await;
+        assert_eq!((answer.body.clone(), answer.whole), (events(7..=9), true));
+    });
+}
+
+#[test]
+fn a_stream_that_falls_silent_at_a_dark_server_goes_on_elsewhere() {
+    run(async {
+        let first = Rc::new(Cell::new(true));
+        let script = || {
+            let first = first.clone();
+            move |seen: &Seen| {
+                if first.replace(false) {
+                    return Act::Stalls(1..=4);
+                }
+                let after: u64 = seen.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+                Act::Events { ids: after + 1..=9, seal: SEAL, cut: false }
+            }
+        };
+        let reader = reader().await;
+        let (one, two) = (runner("i-1", script()).await, runner("i-2", script()).await);
+        [&one, &two].iter().for_each(|stand| stand.dark.set(true));
+        let proxy = Proxy::with(1, &[&reader.server, &one.server, &two.server]).await;
+        let answer = proxy.prompt("/resumed/", &[]).await;
+        assert_eq!((answer.body.clone(), answer.whole), (events(1..=9), true));
+    });
+}
+
+#[test]
+fn a_stream_that_is_not_over_in_time_ends_broken() {
+    run(async {
+        let (reader, runner) = (reader().await, runner("i-run", |_| Act::Stalls(1..=4)).await);
+        let proxy = Proxy::with(1, &[&reader.server, &runner.server]).await;
+        let answer = proxy.prompt("/broken/", &[("x-deadline-ms", "700")]).await;
+        assert_eq!((answer.status, answer.body.clone(), answer.whole), (200, events(1..=4), false));
+        runner.until_left().await;
+    });
+}
+
+#[test]
+fn a_reader_that_fails_is_replaced() {
+    run(async {
+        let acts = [
+            Act::Close,
+            never_ran(503),
+            never_ran(421),
+            Act::Answer(500, Vec::new(), "failed"),
+            Act::Answer(200, Vec::new(), "garbage"),
+            Act::Answer(200, Vec::new(), "{\"prefill_handle\":\"a/../b\"}"),
+            Act::Answer(200, Vec::new(), "{\"prefill_handle\":\"\"}"),
+            Act::Answer(
+                200,
+                vec![("x-attempt-id", "0000000000000000".to_owned())],
+                "{\"prefill_handle\":\"ab\"}",
+            ),
+        ];
+        for act in acts {
+            let first = Rc::new(Cell::new(true));
+            let script = || {
+                let (first, act) = (first.clone(), act.clone());
+                move |_: &Seen| if first.replace(false) { act.clone() } else { handle() }
+            };
+            let stage = Some(Stage::Prefill);
+            let one = Stand::new("r-1", "llm", stage, script()).await;
+            let two = Stand::new("r-2", "llm", stage, script()).await;
+            let runner = runner("i-run", |_| stream(3)).await;
+            let proxy = Proxy::with(1, &[&one.server, &two.server, &runner.server]).await;
+            let answer = proxy.prompt("/broken/", &[]).await;
+            assert_eq!((answer.status, answer.body.clone()), (200, events(1..=3)), "{act:?}");
+            let ran = runner.seen();
+            let from = [&one, &two].map(|reader| format!("{}/3fa09c41b7d5", reader.server.address));
+            assert_eq!(ran.len(), 1, "{act:?}");
+            assert!(ran[0].header("kv-from").is_some_and(|it| from.iter().any(|from| from == it)), "{act:?}");
+            assert_eq!((one.seen().len(), two.seen().len()), (1, 1), "{act:?}");
+        }
+    });
+}
+
+#[test]
+fn where_no_reader_reads_the_runner_does() {
+    run(async {
+        let reader = Stand::new("r-1", "llm", Some(Stage::Prefill), |_| never_ran(503)).await;
+        let runner = runner("i-run", |_| stream(3)).await;
+        let proxy = Proxy::with(1, &[&reader.server, &runner.server]).await;
+        let answer = proxy.prompt("/broken/", &[]).await;
+        assert_eq!((answer.status, answer.body.clone()), (200, events(1..=3)));
+        assert_eq!((reader.seen().len(), runner.seen()[0].header("kv-from")), (1, None));
+    });
+}
+
+#[test]
+fn where_the_memory_can_t_be_had_and_the_budget_is_spent_the_client_comes_again() {
+    run(async {
+        let reader = reader().await;
+        let runner = runner("i-run", |_| never_ran(503)).await;
+        let proxy = Proxy::spending(1, 0.0, 0.0).await.knows(&[&reader.server, &runner.server]);
+        let answer = proxy.prompt("/broken/", &[]).await;
+        assert!(answer.status == 503 && answer.header("retry-after").is_some(), "{answer:?}");
+        assert_eq!(runner.seen().len(), 1);
+        reader.until(freed).await;
+    });
+}
