--- /dev/null
+++ b/crates/soundings/src/fleet.rs
@@ -0,0 +1,614 @@
+//! The register's processes in virtual time: servers that beat, cores that follow each other, proxies that pull.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddrV4;
+
+use mosshead_catchment::{Catchment, Delta, SourceId, Vector};
+use mosshead_works::calls::{Hand, Handed, Hears, Pull, Pulled};
+use mosshead_works::control;
+use mosshead_works::puller::SLOTS;
+
+use crate::counter::{Counter, encoded};
+use crate::memory;
+use crate::pool::{REGIONS, ZONES, address};
+
+/// From one beat of a server to the next, as `works` has it where nothing else is set.
+pub const KEEPALIVE: u64 = 1_200;
+/// A pull waits for news so long, as in `works`.
+const WAIT: u64 = 1_000;
+/// Entries at once, as in `works`.
+const PAGE: usize = 400;
+/// One way between machines.
+const WAY: u64 = 1;
+/// The first number of a source, so that numbers are as long as random ones.
+const SOURCE: u64 = 1 << 63;
+
+#[derive(Clone, Copy)]
+enum Asker {
+    Proxy(usize, usize),
+    /// The call that is made after word of entries.
+    Again(usize, usize),
+    Core(usize),
+}
+
+struct Open {
+    asker: Asker,
+    call: Pull,
+}
+
+enum Event {
+    Beat(usize, u64),
+    Drain(usize),
+    Deregister(usize),
+    Back(usize),
+    Tick(usize),
+    Ask(Asker),
+    Expire(usize, u64, Box<Pulled>),
+    Answer(Asker, usize, Box<Pulled>),
+}
+
+struct Server {
+    generation: u64,
+    sequence: u64,
+    state: &'static str,
+    beats: bool,
+}
+
+/// A core process.
+pub struct Core {
+    /// In and out.
+    pub counter: Counter,
+    register: Catchment,
+    open: BTreeMap<u64, Open>,
+}
+
+/// A proxy: either with a register of its own, or with the vector only of what it would have.
+pub struct Proxy {
+    /// In and out; the time only of those with a register.
+    pub counter: Counter,
+    register: Option<Catchment>,
+    vector: Vector,
+}
+
+/// Bounds of one run.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Servers.
+    pub servers: usize,
+    /// Core machines, each a source.
+    pub sources: usize,
+    /// Proxies.
+    pub pullers: usize,
+    /// Proxies with a register of their own.
+    pub real: usize,
+}
+
+/// All of them.
+pub struct Fleet {
+    /// Virtual time in milliseconds.
+    pub now: u64,
+    /// Core processes.
+    pub cores: Vec<Core>,
+    /// Proxies; the real ones first.
+    pub proxies: Vec<Proxy>,
+    /// Bytes of resident memory of a core process's register.
+    pub core_bytes: f64,
+    /// Bytes of resident memory of a proxy's register.
+    pub proxy_bytes: f64,
+    /// The whole list as it is sent, in bytes.
+    pub list_bytes: u64,
+    /// What it takes a proxy to read it and take it in.
+    pub list_time: Counter,
+    servers: Vec<Server>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    order: u64,
+    churned: usize,
+}
+
+impl Fleet {
+    /// All up, everybody with the whole list.
+    pub fn new(size: Size) -> Fleet {
+        let core = |at| Core {
+            counter: Counter::default(),
+            register: Catchment::new(SourceId(SOURCE + at as u64), KEEPALIVE),
+            open: BTreeMap::new(),
+        };
+        let server = |_| Server { generation: 1, sequence: 0, state: "up", beats: true };
+        let mut fleet = Fleet {
+            now: 10_000,
+            cores: (0..size.sources).map(core).collect(),
+            proxies: Vec::with_capacity(size.pullers),
+            core_bytes: 0.0,
+            proxy_bytes: 0.0,
+            list_bytes: 0,
+            list_time: Counter::default(),
+            servers: (0..size.servers).map(server).collect(),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            order: 0,
+            churned: 0,
+        };
+        fleet.fill(size);
+        for at in 0..size.servers {
+            let phase = at as u64 * KEEPALIVE / size.servers as u64;
+            fleet.after(1 + phase, Event::Beat(at, 1));
+        }
+        for at in 0..size.sources {
+            fleet.after(1 + at as u64 * 500 / size.sources as u64, Event::Tick(at));
+            fleet.after(1 + at as u64, Event::Ask(Asker::Core(at)));
+        }
+        for at in 0..size.pullers {
+            for slot in 0..SLOTS.min(size.sources) {
+                let phase = (at as u64 * WAIT / size.pullers as u64 + slot as u64 * 317) % WAIT;
+                fleet.after(1 + phase, Event::Ask(Asker::Proxy(at, slot)));
+            }
+        }
+        fleet
+    }
+
+    fn fill(&mut self, size: Size) {
+        let before = memory::resident();
+        for at in 0..size.servers {
+            self.beat(at);
+        }
+        for from in 0..size.sources {
+            for to in (0..size.sources).filter(|to| *to != from) {
+                self.hand_all(from, to);
+            }
+        }
+        self.core_bytes = memory::each(before, memory::resident(), size.sources);
+        let before = memory::resident();
+        let vector = self.cores.first().map(|core| core.register.vector()).unwrap_or_default();
+        for at in 0..size.pullers {
+            let register = (at < size.real).then(|| {
+                let mut register = Catchment::follower(SourceId(1 + at as u64), KEEPALIVE);
+                let mut have = Vector::default();
+                while let Some(core) = self.cores.first() {
+                    let delta = core.register.lacking(&have, PAGE);
+                    let (more, bytes) = (delta.more, encoded(&Hand { delta }));
+                    if at == 0 {
+                        self.list_bytes += bytes.len() as u64;
+                    }
+                    let now = self.now;
+                    self.list_time.time(|| {
+                        if let Ok(hand) = minicbor::decode::<Hand>(&bytes) {
+                            register.merge(now, hand.delta);
+                        }
+                    });
+                    have = register.vector();
+                    if !more {
+                        break;
+                    }
+                }
+                register
+            });
+            self.proxies.push(Proxy { counter: Counter::default(), register, vector: vector.clone() });
+        }
+        // What the vectors of the others take is small beside the registers.
+        self.proxy_bytes = memory::each(before, memory::resident(), size.real);
+        self.clear();
+    }
+
+    /// Sums anew.
+    pub fn clear(&mut self) {
+        self.cores.iter_mut().for_each(|core| core.counter = Counter::default());
+        self.proxies.iter_mut().for_each(|proxy| proxy.counter = Counter::default());
+    }
+
+    /// Whether the real proxies know as many servers as the first core.
+    pub fn agree(&self) -> bool {
+        let known = self.cores.first().map_or(0, |core| core.register.len());
+        self.proxies
+            .iter()
+            .filter_map(|proxy| proxy.register.as_ref())
+            .all(|register| register.len() == known)
+    }
+
+    /// Servers known to the first core.
+    pub fn known(&self) -> usize {
+        self.cores.first().map_or(0, |core| core.register.len())
+    }
+
+    /// One server ends: of thirty one without a word, the others are drained and deregistered. All are back as new ones.
+    pub fn churn(&mut self) {
+        let at = (self.churned * 7919) % self.servers.len().max(1);
+        self.churned += 1;
+        if self.churned.is_multiple_of(30) {
+            self.lose(at);
+            self.after(30_000, Event::Back(at));
+        } else {
+            self.after(1, Event::Drain(at));
+            self.after(2_000, Event::Deregister(at));
+            self.after(5_000, Event::Back(at));
+        }
+    }
+
+    /// A server ends without a word, for good.
+    pub fn lose(&mut self, at: usize) {
+        if let Some(server) = self.servers.get_mut(at) {
+            server.beats = false;
+        }
+    }
+
+    fn after(&mut self, span: u64, event: Event) {
+        self.order += 1;
+        self.events.insert(self.order, event);
+        self.queue.push(Reverse((self.now + span, self.order)));
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: u64) {
+        let end = self.now + span;
+        while let Some(&Reverse((at, order))) = self.queue.peek()
+            && at <= end
+        {
+            self.queue.pop();
+            self.now = at;
+            if let Some(event) = self.events.remove(&order) {
+                self.act(event);
+            }
+        }
+        self.now = end;
+    }
+
+    fn act(&mut self, event: Event) {
+        match event {
+            Event::Beat(at, generation) => {
+                let beats = self.servers.get(at).is_some_and(|it| it.beats && it.generation == generation);
+                if beats {
+                    self.after(KEEPALIVE, Event::Beat(at, generation));
+                    self.beat(at);
+                }
+            }
+            Event::Drain(at) => {
+                if let Some(server) = self.servers.get_mut(at) {
+                    server.state = "draining";
+                }
+                self.beat(at);
+            }
+            Event::Deregister(at) => self.deregister(at),
+            Event::Back(at) => {
+                let Some(server) = self.servers.get_mut(at) else { return };
+                let generation = server.generation + 1;
+                *server = Server { generation, sequence: 0, state: "up", beats: true };
+                self.after(0, Event::Beat(at, generation));
+            }
+            Event::Tick(at) => {
+                self.after(500, Event::Tick(at));
+                self.tell_heard(at);
+            }
+            Event::Ask(asker) => self.ask(asker),
+            Event::Expire(core, id, answer) => {
+                let open = self.cores.get_mut(core).and_then(|core| core.open.remove(&id));
+                if let Some(open) = open {
+                    self.reply(core, open.asker, *answer);
+                }
+            }
+            Event::Answer(asker, core, answer) => self.answered(asker, core, *answer),
+        }
+    }
+
+    fn id(&self, at: usize) -> String {
+        let generation = self.servers.get(at).map_or(0, |server| server.generation);
+        format!("instance-{at:05}-{generation:04}")
+    }
+
+    fn home(&self, at: usize) -> usize {
+        at % self.cores.len().max(1)
+    }
+
+    fn beat(&mut self, at: usize) {
+        let (id, home, now) = (self.id(at), self.home(at), self.now);
+        let Some(server) = self.servers.get_mut(at) else { return };
+        server.sequence += 1;
+        let body = body(at, server.sequence, server.state);
+        let Some(core) = self.cores.get_mut(home) else { return };
+        core.counter.count(body.len() as u64);
+        core.counter.count(2);
+        let register = &mut core.register;
+        let heard = core.counter.time(|| {
+            let server = control::beat(&id, body.as_bytes());
+            server.map(|server| register.beat(now, server)).unwrap_or_default()
+        });
+        self.heard(home, heard.changed, heard.urgent);
+    }
+
+    fn deregister(&mut self, at: usize) {
+        self.lose(at);
+        let (id, home, now) = (self.id(at), self.home(at), self.now);
+        let Some(core) = self.cores.get_mut(home) else { return };
+        core.counter.count(0);
+        core.counter.count(2);
+        let register = &mut core.register;
+        let heard = core.counter.time(|| register.deregister(now, &id));
+        self.heard(home, heard.changed, heard.urgent);
+    }
+
+    fn heard(&mut self, home: usize, changed: bool, urgent: bool) {
+        if urgent {
+            for to in (0..self.cores.len()).filter(|to| *to != home) {
+                self.hand_latest(home, to);
+            }
+        }
+        if changed {
+            self.news(home);
+        }
+    }
+
+    fn hand_latest(&mut self, from: usize, to: usize) {
+        let Some(core) = self.cores.get_mut(from) else { return };
+        let (register, counter) = (&mut core.register, &mut core.counter);
+        let bytes = counter.time(|| {
+            let mut vector = register.vector();
+            vector.0.insert(register.me(), register.version().saturating_sub(64));
+            encoded(&Hand { delta: register.lacking(&vector, 128) })
+        });
+        let shown = Vector([(register.me(), register.version())].into());
+        register.held(&shown);
+        self.take(from, to, &bytes);
+    }
+
+    fn hand_all(&mut self, from: usize, to: usize) {
+        let Some(core) = self.cores.get(from) else { return };
+        let mine = |entry: &&mosshead_catchment::Entry| entry.source == core.register.me();
+        let entries = core.register.entries().filter(mine).cloned().collect();
+        let vector = Vector([(core.register.me(), core.register.version())].into());
+        let delta = Delta { entries, vector: vector.clone(), more: true, ..Delta::default() };
+        let bytes = encoded(&Hand { delta });
+        self.take(from, to, &bytes);
+        if let Some(core) = self.cores.get_mut(from) {
+            core.register.held(&vector);
+        }
+    }
+
+    /// A `Hand` from one core process to another.
+    fn take(&mut self, from: usize, to: usize, bytes: &[u8]) {
+        let now = self.now;
+        let answer = encoded(&Handed { changed: true }).len() as u64;
+        if let Some(core) = self.cores.get_mut(from) {
+            core.counter.count(bytes.len() as u64);
+            core.counter.count(answer);
+        }
+        let Some(core) = self.cores.get_mut(to) else { return };
+        core.counter.count(bytes.len() as u64);
+        core.counter.count(answer);
+        let register = &mut core.register;
+        let changed = core.counter.time(|| {
+            let hand = minicbor::decode::<Hand>(bytes);
+            hand.is_ok_and(|hand| register.merge(now, hand.delta))
+        });
+        if changed {
+            self.news(to);
+        }
+    }
+
+    fn tell_heard(&mut self, at: usize) {
+        let now = self.now;
+        let answer = encoded(&Handed { changed: false }).len() as u64;
+        for to in (0..self.cores.len()).filter(|to| *to != at) {
+            let Some(core) = self.cores.get_mut(at) else { return };
+            let register = &core.register;
+            let (bytes, source) = core.counter.time(|| {
+                let source = register.me();
+                let digest = register.alive(now.saturating_sub(1200));
+                (encoded(&Hears { source: source.0, digest }), source)
+            });
+            core.counter.count(bytes.len() as u64);
+            core.counter.count(answer);
+            let Some(core) = self.cores.get_mut(to) else { return };
+            core.counter.count(bytes.len() as u64);
+            core.counter.count(answer);
+            let register = &mut core.register;
+            core.counter.time(|| {
+                if let Ok(hears) = minicbor::decode::<Hears>(&bytes) {
+                    let digest = hears.digest.iter().map(|(id, sequence)| (id.as_str(), *sequence));
+                    register.heard_by(now, source, digest);
+                }
+            });
+        }
+        let Some(core) = self.cores.get_mut(at) else { return };
+        let register = &mut core.register;
+        if core.counter.time(|| register.tick(now)) {
+            self.news(at);
+        }
+    }
+
+    /// All open calls look again; those that have waited for this are answered.
+    fn news(&mut self, at: usize) {
+        let ids: Vec<u64> = self.cores.get(at).map_or(Vec::new(), |core| core.open.keys().copied().collect());
+        for id in ids {
+            let answer = self.answer(at, id);
+            if answer.as_ref().is_some_and(|answer| answer.behind)
+                && let Some(open) = self.cores.get_mut(at).and_then(|core| core.open.remove(&id))
+                && let Some(answer) = answer
+            {
+                self.reply(at, open.asker, answer);
+            }
+        }
+    }
+
+    fn answer(&mut self, at: usize, id: u64) -> Option<Pulled> {
+        let cores: Vec<SocketAddrV4> = (0..self.cores.len()).map(address).collect();
+        let proxies = self.proxies.len() as u32;
+        let core = self.cores.get_mut(at)?;
+        let (register, call) = (&core.register, &core.open.get(&id)?.call);
+        Some(core.counter.time(|| {
+            let all = register.lacking(&call.vector, PAGE);
+            let behind = !all.entries.is_empty();
+            let delta = if call.entries { all } else { Delta::default() };
+            let source = register.me().0;
+            Pulled { revision: 9, delta, behind, cores, proxies, current: true, wants: false, source }
+        }))
+    }
+
+    fn ask(&mut self, asker: Asker) {
+        match asker {
+            Asker::Core(at) => {
+                for to in (0..self.cores.len()).filter(|to| *to != at) {
+                    self.follow(at, to);
+                }
+            }
+            // As `works` picks: the first three that are known get all calls.
+            Asker::Proxy(at, slot) | Asker::Again(at, slot) => {
+                let Some(proxy) = self.proxies.get_mut(at) else { return };
+                let again = matches!(asker, Asker::Again(..));
+                let call = Pull {
+                    name: format!("edge-{}-{at}", at % ZONES),
+                    life: SOURCE + at as u64,
+                    proxy: true,
+                    revision: 9,
+                    vector: proxy.vector.clone(),
+                    entries: slot == 0 || again,
+                    wait_ms: if again { 0 } else { WAIT },
+                };
+                let bytes = proxy.counter.time(|| encoded(&call));
+                proxy.counter.count(bytes.len() as u64);
+                self.open(slot, asker, &bytes);
+            }
+        }
+    }
+
+    fn follow(&mut self, at: usize, to: usize) {
+        let Some(core) = self.cores.get_mut(at) else { return };
+        let register = &core.register;
+        let bytes = core.counter.time(|| {
+            let (name, vector) = (format!("core-{}-{at}", at % REGIONS), register.vector());
+            let life = register.me().0;
+            let (revision, wait_ms) = (u64::MAX, WAIT);
+            encoded(&Pull { name, life, proxy: false, revision, vector, entries: true, wait_ms })
+        });
+        core.counter.count(bytes.len() as u64);
+        self.open(to, Asker::Core(at), &bytes);
+    }
+
+    /// A call comes in.
+    fn open(&mut self, at: usize, asker: Asker, bytes: &[u8]) {
+        self.order += 1;
+        let id = self.order;
+        let Some(core) = self.cores.get_mut(at) else { return };
+        core.counter.count(bytes.len() as u64);
+        let Ok(call) = core.counter.time(|| minicbor::decode::<Pull>(bytes)) else { return };
+        if !call.proxy {
+            core.register.held(&call.vector);
+        }
+        let wait = call.wait_ms;
+        core.open.insert(id, Open { asker, call });
+        let Some(answer) = self.answer(at, id) else { return };
+        if answer.behind || wait == 0 {
+            if let Some(core) = self.cores.get_mut(at) {
+                core.open.remove(&id);
+            }
+            self.reply(at, asker, answer);
+        } else {
+            self.after(wait, Event::Expire(at, id, Box::new(answer)));
+        }
+    }
+
+    fn reply(&mut self, at: usize, asker: Asker, answer: Pulled) {
+        let Some(core) = self.cores.get_mut(at) else { return };
+        let bytes = core.counter.time(|| encoded(&answer));
+        core.counter.count(bytes.len() as u64);
+        let counter = match asker {
+            Asker::Proxy(at, _) | Asker::Again(at, _) => self.proxies.get_mut(at).map(|it| &mut it.counter),
+            Asker::Core(at) => self.cores.get_mut(at).map(|it| &mut it.counter),
+        };
+        let Some(counter) = counter else { return };
+        counter.count(bytes.len() as u64);
+        let is_hollow = match asker {
+            Asker::Proxy(at, _) | Asker::Again(at, _) => {
+                self.proxies.get(at).is_none_or(|proxy| proxy.register.is_none())
+            }
+            Asker::Core(_) => false,
+        };
+        // The reading of a hollow one is no cost of anybody.
+        if !is_hollow {
+            let counter = match asker {
+                Asker::Proxy(at, _) | Asker::Again(at, _) => {
+                    self.proxies.get_mut(at).map(|it| &mut it.counter)
+                }
+                Asker::Core(at) => self.cores.get_mut(at).map(|it| &mut it.counter),
+            };
+            if let Some(counter) = counter {
+                counter.time(|| drop(minicbor::decode::<Pulled>(&bytes)));
+            }
+        }
+        self.after(2 * WAY, Event::Answer(asker, at, Box::new(answer)));
+    }
+
+    fn answered(&mut self, asker: Asker, from: usize, answer: Pulled) {
+        let now = self.now;
+        match asker {
+            Asker::Core(at) => {
+                let Some(core) = self.cores.get_mut(at) else { return };
+                let register = &mut core.register;
+                let source = SourceId(answer.source);
+                let changed = core.counter.time(|| {
+                    let changed = register.merge(now, answer.delta);
+                    register.contact(now, source);
+                    changed
+                });
+                if changed {
+                    self.news(at);
+                }
+                self.follow(at, from);
+            }
+            Asker::Proxy(at, slot) | Asker::Again(at, slot) => {
+                let Some(proxy) = self.proxies.get_mut(at) else { return };
+                proxy.take(now, answer.delta);
+                let first = matches!(asker, Asker::Proxy(..));
+                if answer.behind && slot > 0 && first {
+                    self.after(100 * slot as u64, Event::Ask(Asker::Again(at, slot)));
+                } else {
+                    self.ask(Asker::Proxy(at, slot));
+                }
+            }
+        }
+    }
+}
+
+impl Proxy {
+    /// Whether its time is measured.
+    pub fn is_real(&self) -> bool {
+        self.register.is_some()
+    }
+
+    fn take(&mut self, now: u64, delta: Delta) {
+        if let Some(register) = &mut self.register {
+            self.vector = self.counter.time(|| {
+                register.merge(now, delta);
+                register.vector()
+            });
+            return;
+        }
+        for (&source, &version) in &delta.vector.0 {
+            let have = self.vector.get(source);
+            if have >= delta.since.get(source) && version > have {
+                self.vector.0.insert(source, version);
+            }
+        }
+    }
+}
+
+/// A server's beat.
+pub fn body(at: usize, sequence: u64, state: &str) -> String {
+    let stage = if at % 100 < 27 { "prefill" } else { "decode" };
+    let model = at % 3;
+    format!(
+        concat!(
+            "{{\"backend_service\":\"model-{model}\",\"address\":\"{}\",\"zone\":\"region-{}-zone-{}\",",
+            "\"revision\":\"software-42\",\"slots\":64,\"oper_state\":\"{state}\",\"warmup_left_ms\":0,",
+            "\"stage\":\"{stage}\",\"model_list\":[{{\"name\":\"m{model}\",\"revision\":1,\"adapter_list\":[]}}],",
+            "\"busy\":false,\"sequence\":{sequence},\"queued\":1,\"active\":12,\"cache_used\":41000,",
+            "\"cache_capacity\":90000,\"prefill_handles\":0}}"
+        ),
+        SocketAddrV4::new(*address(65_536 + at).ip(), 8000),
+        at % REGIONS,
+        at % ZONES,
+        model = model,
+        state = state,
+        stage = stage,
+        sequence = sequence,
+    )
+}
--- /dev/null
+++ b/crates/soundings/src/lib.rs
@@ -0,0 +1,15 @@
+//! Hollow processes: the real state machines of the fleet's roles without traffic, many in one process, in virtual time.
+//!
+//! Counted are messages and bytes between processes, the processor time spent in the state machines' calls (real) and
+//! the resident memory that they take. One table a part, with the slope through all of its sizes.
+
+pub mod configuration;
+pub mod control_state;
+pub mod counter;
+pub mod fleet;
+pub mod membership;
+pub mod memory;
+pub mod pool;
+pub mod registry;
+pub mod slope;
+pub mod table;
--- /dev/null
+++ b/crates/soundings/src/membership.rs
@@ -0,0 +1,162 @@
+//! The part of membership.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use crate::counter::Counter;
+use crate::memory;
+use crate::pool::Pool;
+use crate::table::Table;
+
+/// Machines set aside for control.
+const CORES: usize = 33;
+
+/// Calm fleets of these sizes, each watched for `span_ms`.
+pub fn calm(sizes: &[usize], span_ms: u64) -> Table {
+    let columns =
+        ["msgs/s each", "bytes/s each", "core % each", "KB each", "us a list of cores", "s to form"];
+    let mut table = Table::new("Membership (ripple), calm", "members", &columns);
+    for &size in sizes {
+        let before = memory::resident();
+        let mut pool = Pool::new(size, CORES.min(size / 10), size as u64);
+        pool.run(3_000);
+        let formed = pool.settle(120_000);
+        calm_down(&mut pool);
+        let after = memory::resident();
+        pool.counter = Counter::default();
+        pool.run(span_ms);
+        let rates = pool.counter.rates(span_ms, size);
+        let kb = memory::each(before, after, size) / 1024.0;
+        let formed = formed.map_or(f64::NAN, |ms| ms as f64 / 1000.0 + 3.0);
+        let walk = walk(&pool);
+        table.row(size, vec![rates.messages, rates.bytes, rates.share * 100.0, kb, walk, formed]);
+        // Danger: freed memory would be taken by the next size, whose growth would then be told too low.
+        std::mem::forget(pool);
+    }
+    table.notes.push("bytes with 28 of IPv4 and UDP each; sent ones: as many are received".into());
+    table.notes.push("a list of cores: what crates/works/src/core.rs walks for each answer to a pull".into());
+    table
+}
+
+/// What was told of arrivals has to fall silent first: until two spans of 5 s differ by less than a fiftieth.
+fn calm_down(pool: &mut Pool) {
+    let mut last = 0;
+    for _ in 0..40 {
+        let before = pool.counter.bytes;
+        pool.run(5_000);
+        let bytes = pool.counter.bytes - before;
+        if bytes.abs_diff(last) < bytes / 50 {
+            return;
+        }
+        last = bytes;
+    }
+}
+
+/// Microseconds of one walk over all members for those of the core.
+fn walk(pool: &Pool) -> f64 {
+    let Some(ripple) = pool.ripples().next() else { return 0.0 };
+    let start = Instant::now();
+    let turns = 200;
+    for _ in 0..turns {
+        let cores = ripple.members().filter(|(peer, health)| peer.core && health.lives());
+        black_box(cores.map(|(peer, _)| peer.address).collect::<Vec<_>>());
+    }
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(turns)
+}
+
+/// What happens to a fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// So many end without a word.
+    Lost(usize),
+    /// One ends without a word and is back after a second.
+    Restart,
+    /// Regions hear nothing of each other for so many milliseconds.
+    Apart(u64),
+}
+
+/// Seconds until all agree again, and messages and bytes above those of calm, a member.
+pub fn trouble(size: usize, trouble: Trouble) -> Option<(f64, f64, f64)> {
+    let mut pool = Pool::new(size, CORES.min(size / 10), size as u64 + 1);
+    pool.run(3_000);
+    pool.settle(120_000)?;
+    calm_down(&mut pool);
+    pool.counter = Counter::default();
+    pool.run(10_000);
+    let calm = pool.counter;
+    pool.counter = Counter::default();
+    let start = pool.now;
+    let took = match trouble {
+        Trouble::Lost(count) => {
+            let last = size.saturating_sub(count);
+            (last..size).for_each(|lost| pool.kill(lost));
+            pool.run(100);
+            pool.settle(120_000)? + 100
+        }
+        Trouble::Restart => {
+            pool.kill(size - 1);
+            pool.run(1_000);
+            let at = pool.now;
+            pool.start(size - 1, at);
+            let mut took = 0;
+            while !(pool.knows_life_of(size - 1) && pool.agree()) {
+                if took > 120_000 {
+                    return None;
+                }
+                pool.run(100);
+                took += 100;
+            }
+            took
+        }
+        Trouble::Apart(span) => {
+            pool.set_apart(true);
+            pool.run(span);
+            pool.set_apart(false);
+            pool.run(100);
+            pool.settle(300_000)? + 100
+        }
+    };
+    pool.run(10_000);
+    let span = (pool.now - start) as f64 / 10_000.0;
+    let above = |all: u64, calm: u64| (all as f64 - calm as f64 * span) / size as f64;
+    let messages = above(pool.counter.messages, calm.messages);
+    Some((took as f64 / 1000.0, messages, above(pool.counter.bytes, calm.bytes)))
+}
+
+/// Faults in fleets of these sizes; regions are apart for `apart_ms`.
+pub fn faults(sizes: &[usize], apart_ms: u64) -> Table {
+    let columns = [
+        "s one lost",
+        "msgs each",
+        "bytes each",
+        "s restart",
+        "msgs each",
+        "bytes each",
+        "s rack of 20",
+        "bytes each",
+        "s zone lost",
+        "bytes each",
+        "s joined",
+        "bytes each",
+    ];
+    let mut table = Table::new("Membership under faults", "members", &columns);
+    let none = (f64::NAN, f64::NAN, f64::NAN);
+    for &size in sizes {
+        let one = trouble(size, Trouble::Lost(1)).unwrap_or(none);
+        let restart = trouble(size, Trouble::Restart).unwrap_or(none);
+        let rack = trouble(size, Trouble::Lost(20.min(size / 3))).unwrap_or(none);
+        let zone = trouble(size, Trouble::Lost(size.div_ceil(crate::pool::ZONES))).unwrap_or(none);
+        let apart = trouble(size, Trouble::Apart(apart_ms)).unwrap_or(none);
+        table.row(
+            size,
+            vec![
+                one.0, one.1, one.2, restart.0, restart.1, restart.2, rack.0, rack.2, zone.0, zone.2,
+                apart.0, apart.2,
+            ],
+        );
+    }
+    let seconds = apart_ms / 1000;
+    table.notes.push(format!("regions apart for {seconds} s; s joined: from then until all agree on all"));
+    table.notes.push("messages and bytes: above calm, from the fault to 10 s after all agree".into());
+    table
+}
