--- a/crates/soundings/src/fleet.rs
+++ b/crates/soundings/src/fleet.rs
@@ -16,28 +16,26 @@
 /// From one beat of a server to the next, as `works` has it where nothing else is set.
 pub const KEEPALIVE: u64 = 1_200;
 /// A pull waits for news so long, as in `works`.
-const WAIT: u64 = 1_000;
+pub(crate) const WAIT: u64 = 1_000;
 /// Entries at once, as in `works`.
-const PAGE: usize = 400;
-/// One way between machines.
-const WAY: u64 = 1;
+pub(crate) const PAGE: usize = 400;
 /// The first number of a source, so that numbers are as long as random ones.
-const SOURCE: u64 = 1 << 63;
+pub(crate) const SOURCE: u64 = 1 << 63;
 
 #[derive(Clone, Copy)]
-enum Asker {
+pub(crate) enum Asker {
     Proxy(usize, usize),
     /// The call that is made after word of entries.
     Again(usize, usize),
     Core(usize),
 }
 
-struct Open {
-    asker: Asker,
-    call: Pull,
+pub(crate) struct Open {
+    pub(crate) asker: Asker,
+    pub(crate) call: Pull,
 }
 
-enum Event {
+pub(crate) enum Event {
     Beat(usize, u64),
     Drain(usize),
     Deregister(usize),
@@ -59,16 +57,16 @@
 pub struct Core {
     /// In and out.
     pub counter: Counter,
-    register: Catchment,
-    open: BTreeMap<u64, Open>,
+    pub(crate) register: Catchment,
+    pub(crate) open: BTreeMap<u64, Open>,
 }
 
 /// A proxy: either with a register of its own, or with the vector only of what it would have.
 pub struct Proxy {
     /// In and out; the time only of those with a register.
     pub counter: Counter,
-    register: Option<Catchment>,
-    vector: Vector,
+    pub(crate) register: Option<Catchment>,
+    pub(crate) vector: Vector,
 }
 
 /// Bounds of one run.
@@ -103,7 +101,7 @@
     servers: Vec<Server>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
-    order: u64,
+    pub(crate) order: u64,
     churned: usize,
 }
 
@@ -232,7 +230,7 @@
         }
     }
 
-    fn after(&mut self, span: u64, event: Event) {
+    pub(crate) fn after(&mut self, span: u64, event: Event) {
         self.order += 1;
         self.events.insert(self.order, event);
         self.queue.push(Reverse((self.now + span, self.order)));
@@ -414,181 +412,6 @@
             self.news(at);
         }
     }
-
-    /// All open calls look again; those that have waited for this are answered.
-    fn news(&mut self, at: usize) {
-        let ids: Vec<u64> = self.cores.get(at).map_or(Vec::new(), |core| core.open.keys().copied().collect());
-        for id in ids {
-            let answer = self.answer(at, id);
-            if answer.as_ref().is_some_and(|answer| answer.behind)
-                && let Some(open) = self.cores.get_mut(at).and_then(|core| core.open.remove(&id))
-                && let Some(answer) = answer
-            {
-                self.reply(at, open.asker, answer);
-            }
-        }
-    }
-
-    fn answer(&mut self, at: usize, id: u64) -> Option<Pulled> {
-        let cores: Vec<SocketAddrV4> = (0..self.cores.len()).map(address).collect();
-        let proxies = self.proxies.len() as u32;
-        let core = self.cores.get_mut(at)?;
-        let (register, call) = (&core.register, &core.open.get(&id)?.call);
-        Some(core.counter.time(|| {
-            let all = register.lacking(&call.vector, PAGE);
-            let behind = !all.entries.is_empty();
-            let delta = if call.entries { all } else { Delta::default() };
-            let source = register.me().0;
-            Pulled { revision: 9, delta, behind, cores, proxies, current: true, wants: false, source }
-        }))
-    }
-
-    fn ask(&mut self, asker: Asker) {
-        match asker {
-            Asker::Core(at) => {
-                for to in (0..self.cores.len()).filter(|to| *to != at) {
-                    self.follow(at, to);
-                }
-            }
-            // As `works` picks: the first three that are known get all calls.
-            Asker::Proxy(at, slot) | Asker::Again(at, slot) => {
-                let Some(proxy) = self.proxies.get_mut(at) else { return };
-                let again = matches!(asker, Asker::Again(..));
-                let call = Pull {
-                    name: format!("edge-{}-{at}", at % ZONES),
-                    life: SOURCE + at as u64,
-                    proxy: true,
-                    revision: 9,
-                    vector: proxy.vector.clone(),
-                    entries: slot == 0 || again,
-                    wait_ms: if again { 0 } else { WAIT },
-                };
-                let bytes = proxy.counter.time(|| encoded(&call));
-                proxy.counter.count(bytes.len() as u64);
-                self.open(slot, asker, &bytes);
-            }
-        }
-    }
-
-    fn follow(&mut self, at: usize, to: usize) {
-        let Some(core) = self.cores.get_mut(at) else { return };
-        let register = &core.register;
-        let bytes = core.counter.time(|| {
-            let (name, vector) = (format!("core-{}-{at}", at % REGIONS), register.vector());
-            let life = register.me().0;
-            let (revision, wait_ms) = (u64::MAX, WAIT);
-            encoded(&Pull { name, life, proxy: false, revision, vector, entries: true, wait_ms })
-        });
-        core.counter.count(bytes.len() as u64);
-        self.open(to, Asker::Core(at), &bytes);
-    }
-
-    /// A call comes in.
-    fn open(&mut self, at: usize, asker: Asker, bytes: &[u8]) {
-        self.order += 1;
-        let id = self.order;
-        let Some(core) = self.cores.get_mut(at) else { return };
-        core.counter.count(bytes.len() as u64);
-        let Ok(call) = core.counter.time(|| minicbor::decode::<Pull>(bytes)) else { return };
-        if !call.proxy {
-            core.register.held(&call.vector);
-        }
-        let wait = call.wait_ms;
-        core.open.insert(id, Open { asker, call });
-        let Some(answer) = self.answer(at, id) else { return };
-        if answer.behind || wait == 0 {
-            if let Some(core) = self.cores.get_mut(at) {
-                core.open.remove(&id);
-            }
-            self.reply(at, asker, answer);
-        } else {
-            self.after(wait, Event::Expire(at, id, Box::new(answer)));
-        }
-    }
-
-    fn reply(&mut self, at: usize, asker: Asker, answer: Pulled) {
-        let Some(core) = self.cores.get_mut(at) else { return };
-        let bytes = core.counter.time(|| encoded(&answer));
-        core.counter.count(bytes.len() as u64);
-        let counter = match asker {
-            Asker::Proxy(at, _) | Asker::Again(at, _) => self.proxies.get_mut(at).map(|it| &mut it.counter),
-            Asker::Core(at) => self.cores.get_mut(at).map(|it| &mut it.counter),
-        };
-        let Some(counter) = counter else { return };
-        counter.count(bytes.len() as u64);
-        let is_hollow = match asker {
-            Asker::Proxy(at, _) | Asker::Again(at, _) => {
-                self.proxies.get(at).is_none_or(|proxy| proxy.register.is_none())
-            }
-            Asker::Core(_) => false,
-        };
-        // The reading of a hollow one is no cost of anybody.
-        if !is_hollow {
-            let counter = match asker {
-                Asker::Proxy(at, _) | Asker::Again(at, _) => {
-                    self.proxies.get_mut(at).map(|it| &mut it.counter)
-                }
-                Asker::Core(at) => self.cores.get_mut(at).map(|it| &mut it.counter),
-            };
-            if let Some(counter) = counter {
-                counter.time(|| drop(minicbor::decode::<Pulled>(&bytes)));
-            }
-        }
-        self.after(2 * WAY, Event::Answer(asker, at, Box::new(answer)));
-    }
-
-    fn answered(&mut self, asker: Asker, from: usize, answer: Pulled) {
-        let now = self.now;
-        match asker {
-            Asker::Core(at) => {
-                let Some(core) = self.cores.get_mut(at) else { return };
-                let register = &mut core.register;
-                let source = SourceId(answer.source);
-                let changed = core.counter.time(|| {
-                    let changed = register.merge(now, answer.delta);
-                    register.contact(now, source);
-                    changed
-                });
-                if changed {
-                    self.news(at);
-                }
-                self.follow(at, from);
-            }
-            Asker::Proxy(at, slot) | Asker::Again(at, slot) => {
-                let Some(proxy) = self.proxies.get_mut(at) else { return };
-                proxy.take(now, answer.delta);
-                let first = matches!(asker, Asker::Proxy(..));
-                if answer.behind && slot > 0 && first {
-                    self.after(100 * slot as u64, Event::Ask(Asker::Again(at, slot)));
-                } else {
-                    self.ask(Asker::Proxy(at, slot));
-                }
-            }
-        }
-    }
-}
-
-impl Proxy {
-    /// Whether its time is measured.
-    pub fn is_real(&self) -> bool {
-        self.register.is_some()
-    }
-
-    fn take(&mut self, now: u64, delta: Delta) {
-        if let Some(register) = &mut self.register {
-            self.vector = self.counter.time(|| {
-                register.merge(now, delta);
-                register.vector()
-            });
-            return;
-        }
-        for (&source, &version) in &delta.vector.0 {
-            let have = self.vector.get(source);
-            if have >= delta.since.get(source) && version > have {
-                self.vector.0.insert(source, version);
-            }
-        }
-    }
 }
 
 /// A server's beat.
--- a/crates/soundings/src/lib.rs
+++ b/crates/soundings/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod membership;
 pub mod memory;
 pub mod pool;
+mod pulls;
 pub mod registry;
 pub mod slope;
 pub mod table;
