Soundings count processor time of their thread, not time on the wall

On a busy machine a state machine's call was charged with what others ran meanwhile: a change at a core came out as -37 to 65 ms by size. The thread's own clock is read now; calm is told by 5 s that differ by less than a twentieth.

--- a/crates/soundings/src/configuration.rs
+++ b/crates/soundings/src/configuration.rs
@@ -2,12 +2,11 @@
 
 use std::fmt::Write;
 use std::hint::black_box;
-use std::time::Instant;
 
 use mosshead_mains::Config;
 use mosshead_works::calls::{Fetch, Fetched};
 
-use crate::counter::encoded;
+use crate::counter::{encoded, processor_time};
 use crate::memory;
 use crate::table::Table;
 
@@ -61,11 +60,11 @@
 }
 
 fn micros<T>(turns: u32, mut work: impl FnMut() -> T) -> f64 {
-    let start = Instant::now();
+    let start = processor_time();
     for _ in 0..turns {
         black_box(work());
     }
-    start.elapsed().as_secs_f64() * 1e6 / f64::from(turns.max(1))
+    processor_time().saturating_sub(start).as_secs_f64() * 1e6 / f64::from(turns.max(1))
 }
 
 /// Configurations of these sizes, each step done `turns` times.
--- a/crates/soundings/src/counter.rs
+++ b/crates/soundings/src/counter.rs
@@ -1,8 +1,9 @@
 //! What is counted: messages, their bytes, and processor time.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use minicbor::Encode;
+use rustix::time::{ClockId, clock_gettime};
 
 /// What IPv4 and UDP add to each datagram.
 pub const DATAGRAM_HEADERS: u64 = 28;
@@ -27,9 +28,9 @@
 
     /// Does something and adds the time that it took.
     pub fn time<T>(&mut self, work: impl FnOnce() -> T) -> T {
-        let start = Instant::now();
+        let start = processor_time();
         let result = work();
-        self.busy = self.busy.saturating_add(start.elapsed());
+        self.busy = self.busy.saturating_add(processor_time().saturating_sub(start));
         result
     }
 
@@ -51,6 +52,11 @@
     }
 }
 
+/// What this thread has run. Others of a busy machine don't count, as they would by a clock on the wall.
+pub fn processor_time() -> Duration {
+    Duration::try_from(clock_gettime(ClockId::ThreadCPUTime)).unwrap_or_default()
+}
+
 /// Sums divided.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Rates {
--- a/crates/soundings/src/lib.rs
+++ b/crates/soundings/src/lib.rs
@@ -1,6 +1,6 @@
 //! Hollow processes: the real state machines of the fleet's roles without traffic, many in one process, in virtual time.
 //!
-//! Counted are messages and bytes between processes, the processor time spent in the state machines' calls (real) and
+//! Counted are messages and bytes between processes, the processor time of the state machines' calls (real) and
 //! the resident memory that they take. One table a part, with the slope through all of its sizes.
 
 pub mod configuration;
--- a/crates/soundings/src/membership.rs
+++ b/crates/soundings/src/membership.rs
@@ -1,9 +1,8 @@
 //! The part of membership.
 
 use std::hint::black_box;
-use std::time::Instant;
 
-use crate::counter::Counter;
+use crate::counter::{Counter, processor_time};
 use crate::memory;
 use crate::pool::Pool;
 use crate::table::Table;
@@ -38,14 +37,14 @@
     table
 }
 
-/// What was told of arrivals has to fall silent first: until two spans of 5 s differ by less than a fiftieth.
+/// What was told of arrivals has to fall silent first: until two spans of 5 s differ by less than a twentieth.
 fn calm_down(pool: &mut Pool) {
     let mut last = 0;
     for _ in 0..40 {
         let before = pool.counter.bytes;
         pool.run(5_000);
         let bytes = pool.counter.bytes - before;
-        if bytes.abs_diff(last) < bytes / 50 {
+        if bytes.abs_diff(last) < bytes / 20 {
             return;
         }
         last = bytes;
@@ -55,13 +54,13 @@
 /// Microseconds of one walk over all members for those of the core.
 fn walk(pool: &Pool) -> f64 {
     let Some(ripple) = pool.ripples().next() else { return 0.0 };
-    let start = Instant::now();
+    let start = processor_time();
     let turns = 200;
     for _ in 0..turns {
         let cores = ripple.members().filter(|(peer, health)| peer.core && health.lives());
         black_box(cores.map(|(peer, _)| peer.address).collect::<Vec<_>>());
     }
-    start.elapsed().as_secs_f64() * 1e6 / f64::from(turns)
+    processor_time().saturating_sub(start).as_secs_f64() * 1e6 / f64::from(turns)
 }
 
 /// What happens to a fleet.
