Soundings measure the walk of a proxy's list into its board

A proxy walks its whole register each second and at each change; what that costs at 10,000 servers was in no table. A part of its own measures the first walk, the next ones and the board's memory.

--- a/crates/soundings/src/lib.rs
+++ b/crates/soundings/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control_state;
 pub mod counter;
 pub mod fleet;
+pub mod listing;
 pub mod membership;
 pub mod memory;
 pub mod pool;
--- a/crates/soundings/src/main.rs
+++ b/crates/soundings/src/main.rs
@@ -4,7 +4,7 @@
 
 use bpaf::{OptionParser, Parser, construct, long};
 use mosshead_soundings::fleet::Size;
-use mosshead_soundings::{configuration, control_state, membership, memory, registry};
+use mosshead_soundings::{configuration, control_state, listing, membership, memory, registry};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Part {
@@ -12,6 +12,7 @@
     Faults,
     Registry,
     Configuration,
+    Listing,
     ControlState,
     All,
 }
@@ -26,9 +27,10 @@
     let faults = command("faults", Part::Faults, "Members under faults");
     let registry = command("registry", Part::Registry, "Servers, core machines and proxies that pull");
     let configuration = command("configuration", Part::Configuration, "Reading, patching, finding");
+    let listing = command("listing", Part::Listing, "A proxy's list of servers, walked whole");
     let control = command("control-state", Part::ControlState, "Primary, backups, witnesses");
     let all = command("all", Part::All, "All parts");
-    construct!([membership, faults, registry, configuration, control, all])
+    construct!([membership, faults, registry, listing, configuration, control, all])
         .to_options()
         .descr("Hollow processes: what each role of the fleet costs at each size")
 }
@@ -51,6 +53,9 @@
             }
         }
     }
+    if wants(Part::Listing) {
+        println!("{}", listing::cost(&[300, 1_000, 3_000, 10_000], if quick { 10 } else { 200 }));
+    }
     if wants(Part::Membership) {
         let sizes: &[usize] = if quick { &[30, 100, 300] } else { &[30, 100, 300, 1_000, 2_000] };
         println!("{}", membership::calm(sizes, if quick { 5_000 } else { 20_000 }));
--- a/crates/soundings/tests/small.rs
+++ b/crates/soundings/tests/small.rs
@@ -5,7 +5,7 @@
 use mosshead_soundings::fleet::{Fleet, KEEPALIVE, Size, body};
 use mosshead_soundings::membership::{self, Trouble};
 use mosshead_soundings::pool::Pool;
-use mosshead_soundings::{configuration, control_state, registry};
+use mosshead_soundings::{configuration, control_state, listing, registry};
 
 const SMALL: Size = Size { servers: 60, sources: 5, pullers: 20, real: 4 };
 
@@ -102,3 +102,10 @@
     let table = control_state::cost(&[3, 5], 2_000, 20);
     assert_eq!(table.rows.len(), 2, "{table}");
 }
+
+#[test]
+fn lists_are_walked_at_each_size() {
+    let table = listing::cost(&[30, 90], 2);
+    assert_eq!(table.rows.iter().map(|row| row.0).collect::<Vec<_>>(), [30.0, 90.0]);
+    assert!(table.rows.iter().all(|row| row.1.len() == table.columns.len()));
+}
