Soundings tell a fleet that still tells its arrivals from a calm one

At 1,000 and 2,000 members the figures called calm were those of datagrams full of news, which goes on for minutes after all know of all. Calm now means short datagrams; the news has columns of its own, and a size without a figure is left out of a slope.

--- a/crates/soundings/src/main.rs
+++ b/crates/soundings/src/main.rs
@@ -61,7 +61,7 @@
         println!("{}", membership::calm(sizes, if quick { 5_000 } else { 20_000 }));
     }
     if wants(Part::Faults) {
-        let sizes: &[usize] = if quick { &[30, 100] } else { &[100, 300, 1_000] };
+        let sizes: &[usize] = if quick { &[30, 100] } else { &[30, 100, 300] };
         println!("{}", membership::faults(sizes, if quick { 30_000 } else { 120_000 }));
     }
     if wants(Part::Configuration) {
--- a/crates/soundings/src/membership.rs
+++ b/crates/soundings/src/membership.rs
@@ -9,46 +9,72 @@
 
 /// Machines set aside for control.
 const CORES: usize = 33;
+/// Datagrams that tell no news are shorter on average.
+const CALM_BYTES: u64 = 130;
+/// Larger fleets take too long to play until they are calm.
+const CALM_MEMBERS: usize = 1_000;
 
-/// Calm fleets of these sizes, each watched for `span_ms`.
+/// Fleets of these sizes: while they tell each other who has come, and calm, each for `span_ms`. Those of more than a
+/// thousand are not played until they are calm.
 pub fn calm(sizes: &[usize], span_ms: u64) -> Table {
-    let columns =
-        ["msgs/s each", "bytes/s each", "core % each", "KB each", "us a list of cores", "s to form"];
-    let mut table = Table::new("Membership (ripple), calm", "members", &columns);
+    let columns = [
+        "msgs/s each",
+        "bytes/s each",
+        "core % each",
+        "KB each",
+        "us a list of cores",
+        "s to form",
+        "s of news",
+        "bytes/s in news",
+        "core % in news",
+    ];
+    let mut table = Table::new("Membership (ripple), calm and while it forms", "members", &columns);
     for &size in sizes {
         let before = memory::resident();
         let mut pool = Pool::new(size, CORES.min(size / 10), size as u64);
         pool.run(3_000);
-        let formed = pool.settle(120_000);
-        calm_down(&mut pool);
-        let after = memory::resident();
+        let formed = pool.settle(120_000).map_or(f64::NAN, |ms| ms as f64 / 1000.0 + 3.0);
         pool.counter = Counter::default();
-        pool.run(span_ms);
-        let rates = pool.counter.rates(span_ms, size);
-        let kb = memory::each(before, after, size) / 1024.0;
-        let formed = formed.map_or(f64::NAN, |ms| ms as f64 / 1000.0 + 3.0);
-        let walk = walk(&pool);
-        table.row(size, vec![rates.messages, rates.bytes, rates.share * 100.0, kb, walk, formed]);
+        pool.run(5_000);
+        let news = pool.counter.rates(5_000, size);
+        let kb = memory::each(before, memory::resident(), size) / 1024.0;
+        let none = f64::NAN;
+        let mut row = vec![none, none, none, kb, walk(&pool), formed, none, news.bytes, news.share * 100.0];
+        if size <= CALM_MEMBERS
+            && let Some(took) = calm_down(&mut pool)
+        {
+            pool.counter = Counter::default();
+            pool.run(span_ms);
+            let rates = pool.counter.rates(span_ms, size);
+            let calm = [rates.messages, rates.bytes, rates.share * 100.0];
+            row.splice(0..3, calm);
+            row.splice(6..7, [took as f64 / 1000.0 + 5.0]);
+        }
+        table.row(size, row);
         // Danger: freed memory would be taken by the next size, whose growth would then be told too low.
         std::mem::forget(pool);
     }
     table.notes.push("bytes with 28 of IPv4 and UDP each; sent ones: as many are received".into());
+    table.notes.push(
+        "in news: the first 5 s after all know of all; s of news: from then until datagrams are short".into(),
+    );
     table.notes.push("a list of cores: what crates/works/src/core.rs walks for each answer to a pull".into());
     table
 }
 
-/// What was told of arrivals has to fall silent first: until two spans of 5 s differ by less than a twentieth.
-fn calm_down(pool: &mut Pool) {
-    let mut last = 0;
-    for _ in 0..40 {
-        let before = pool.counter.bytes;
+/// What was told of arrivals has to fall silent first: until datagrams are short, for ten minutes at most. How long it
+/// took in milliseconds.
+fn calm_down(pool: &mut Pool) -> Option<u64> {
+    let start = pool.now;
+    while pool.now - start < 600_000 {
+        let before = pool.counter;
         pool.run(5_000);
-        let bytes = pool.counter.bytes - before;
-        if bytes.abs_diff(last) < bytes / 20 {
-            return;
+        let messages = pool.counter.messages.saturating_sub(before.messages);
+        if pool.counter.bytes.saturating_sub(before.bytes) < CALM_BYTES * messages {
+            return Some(pool.now - start);
         }
-        last = bytes;
     }
+    None
 }
 
 /// Microseconds of one walk over all members for those of the core.
@@ -78,7 +104,7 @@
 pub fn trouble(pool: &mut Pool, trouble: Trouble) -> Option<(f64, f64, f64)> {
     let size = pool.size();
     pool.settle(120_000)?;
-    calm_down(pool);
+    calm_down(pool)?;
     pool.counter = Counter::default();
     pool.run(10_000);
     let calm = pool.counter;
--- a/crates/soundings/src/table.rs
+++ b/crates/soundings/src/table.rs
@@ -30,11 +30,11 @@
         self.rows.push((size as f64, figures));
     }
 
-    /// The slope of a column through all sizes.
+    /// The slope of a column through all sizes that have a figure.
     pub fn slope(&self, column: usize) -> Option<Slope> {
-        let points: Option<Vec<(f64, f64)>> =
-            self.rows.iter().map(|(size, figures)| Some((*size, *figures.get(column)?))).collect();
-        Slope::fit(&points?)
+        let points = self.rows.iter().filter_map(|(size, figures)| Some((*size, *figures.get(column)?)));
+        let points: Vec<(f64, f64)> = points.filter(|point| point.1.is_finite()).collect();
+        Slope::fit(&points)
     }
 }
 
@@ -42,6 +42,7 @@
 pub fn figure(value: f64) -> String {
     let magnitude = value.abs();
     match magnitude {
+        _ if !value.is_finite() => "-".to_owned(),
         _ if magnitude >= 1000.0 => format!("{value:.0}"),
         _ if magnitude >= 10.0 => format!("{value:.1}"),
         _ if magnitude >= 0.1 => format!("{value:.3}"),
--- a/crates/soundings/tests/slopes.rs
+++ b/crates/soundings/tests/slopes.rs
@@ -110,3 +110,15 @@
     assert!(text.contains("slope of KB each: 1.0000 + 0.000000 n"), "{text}");
     assert_eq!(table.slope(2), None);
 }
+
+#[test]
+fn a_size_without_a_figure_is_shown_and_left_out_of_the_slope() {
+    let mut table = Table::new("Members", "members", &["bytes/s"]);
+    table.row(10, vec![100.0]);
+    table.row(20, vec![200.0]);
+    table.row(30, vec![f64::NAN]);
+    let slope = table.slope(0).expect("two sizes");
+    assert_eq!(slope.sizes, 2);
+    assert!(near(slope.each, 10.0));
+    assert!(table.to_string().lines().any(|line| line.trim_end().ends_with(" -")), "{table}");
+}
