Bound how deep foreign JSON may lead, and count a rejected reading as a repeat

Cause: tests of the data plane found that a heartbeat of brackets alone ends the process by its stack, that a reading which a server rejects drew nothing from the budget, and that early answers while draining kept their connections.

--- a/crates/mains/src/lib.rs
+++ b/crates/mains/src/lib.rs
@@ -20,5 +20,5 @@
 pub use fault::{CODES, Cause, Fault};
 pub use limits::Limits;
 pub use route::{Route, RouteType};
-pub use scan::{MAX_BYTES, MAX_DEPTH};
+pub use scan::{MAX_BYTES, MAX_DEPTH, parse};
 pub use service::{Engine, Service};
--- a/crates/mains/src/scan.rs
+++ b/crates/mains/src/scan.rs
@@ -24,6 +24,15 @@
     std::str::from_utf8(bytes).map_err(|fault| Cause::NotUtf8.at(format!("byte {}", fault.valid_up_to())))
 }
 
+/// Reads JSON that somebody else wrote. `None`: it can't be read whole.
+///
+/// Danger: the library's reader recurses, so a text of brackets alone would end the process by its stack.
+pub fn parse(text: &[u8]) -> Option<tinyjson::JsonValue> {
+    let text = std::str::from_utf8(text).ok()?;
+    guard(text, MAX_DEPTH).ok()?;
+    text.parse().ok()
+}
+
 /// Goes once over a text: brackets that match, no level below `depth`, whole strings, no key twice in one object.
 ///
 /// Danger: `tinyjson` descends by recursion and keeps the last of two equal keys; nothing is parsed before this.
--- a/crates/sluice/src/forward.rs
+++ b/crates/sluice/src/forward.rs
@@ -48,6 +48,14 @@
 impl Sluice {
     /// The final answer to a client's request. `Err`: the connection ends without one.
     pub(crate) async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Out>, Cut> {
+        let mut answer = self.clone().decide(request).await?;
+        if self.stopping() {
+            answer.headers_mut().insert(hyper::header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(answer)
+    }
+
+    async fn decide(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Out>, Cut> {
         let under = Under::way(&self);
         let (head, body) = request.into_parts();
         let Some(config) = self.config() else {
@@ -74,17 +82,14 @@
         add(&self.counts.requests);
         self.held.set(self.held.get() + body.len());
         let held = HeldBytes(self.clone(), body.len());
-        let mut answer = match self.job(&head, body) {
-            Err(status) => own(status, None),
+        let answer = match self.job(&head, body) {
+            Err(status) => own(status, (status == StatusCode::SERVICE_UNAVAILABLE).then_some(0.3)),
             Ok(job) => match &job.ask {
                 Some(_) => self.prompted(job, under).await?,
                 None => self.plain(job).await?,
             },
         };
         drop(held);
-        if self.stopping() {
-            answer.headers_mut().insert(hyper::header::CONNECTION, HeaderValue::from_static("close"));
-        }
         Ok(answer)
     }
 
@@ -273,6 +278,11 @@
                             self.weir.borrow_mut().unknown(&pair.runner);
                             unsent += 1;
                             reads += u32::from(!matches!(unread, Unread::NotSent));
+                            // What a server rejects has arrived there: it is a repeat by the rules.
+                            let rejected = matches!(unread, Unread::Refused);
+                            if rejected && !self.weir.borrow_mut().repeat(now, &job.service.name) {
+                                return Ok(self.refuse(&job));
+                            }
                             avoid.push(reader.id.clone());
                             continue;
                         }
--- a/crates/sluice/tests/prompts.rs
+++ b/crates/sluice/tests/prompts.rs
@@ -355,3 +355,26 @@
         reader.until(freed).await;
     });
 }
+
+#[test]
+fn a_deep_handle_does_no_harm() {
+    run(async {
+        let deep: &'static str = Box::leak("[".repeat(4_090).into_boxed_str());
+        let reader =
+            Stand::new("r", "llm", Some(Stage::Prefill), move |_| Act::Answer(200, Vec::new(), deep)).await;
+        let runner = runner("i-run", |_| stream(3)).await;
+        let proxy = Proxy::with(1, &[&reader.server, &runner.server]).await;
+        assert_eq!(proxy.prompt("/broken/", &[]).await.body, events(1..=3));
+    });
+}
+
+#[test]
+fn a_rejected_reading_counts_in_the_budget() {
+    run(async {
+        let reader = Stand::new("r-1", "llm", Some(Stage::Prefill), |_| never_ran(503)).await;
+        let runner = runner("i-run", |_| stream(3)).await;
+        let proxy = Proxy::spending(1, 0.0, 0.0).await.knows(&[&reader.server, &runner.server]);
+        let answer = proxy.prompt("/broken/", &[]).await;
+        assert_eq!((answer.status, reader.seen().len(), runner.seen().len()), (503, 1, 0));
+    });
+}
--- a/crates/soundings/src/fleet.rs
+++ b/crates/soundings/src/fleet.rs
@@ -364,7 +364,8 @@
     /// A `Hand` from one core process to another.
     fn take(&mut self, from: usize, to: usize, bytes: &[u8]) {
         let now = self.now;
-        let answer = encoded(&Handed { changed: true }).len() as u64;
+        let vector = self.cores.get(to).map(|core| core.register.vector()).unwrap_or_default();
+        let answer = encoded(&Handed { changed: true, vector }).len() as u64;
         if let Some(core) = self.cores.get_mut(from) {
             core.counter.count(bytes.len() as u64);
             core.counter.count(answer);
@@ -384,7 +385,7 @@
 
     fn tell_heard(&mut self, at: usize) {
         let now = self.now;
-        let answer = encoded(&Handed { changed: false }).len() as u64;
+        let answer = encoded(&Handed { changed: false, vector: Vector::default() }).len() as u64;
         let Some(core) = self.cores.get_mut(at) else { return };
         let (register, source) = (&core.register, core.register.me());
         let digest = core.counter.time(|| register.alive(now.saturating_sub(1200)));
--- a/crates/works/src/control.rs
+++ b/crates/works/src/control.rs
@@ -187,19 +187,7 @@
 
 /// The revision that a change bears, before it is read whole.
 fn revision(body: &[u8]) -> Option<u64> {
-    // Danger: a reader that recurses must not be led deep.
-    let mut depth = 0_u32;
-    for byte in body {
-        depth = match byte {
-            b'[' | b'{' => depth + 1,
-            b']' | b'}' => depth.saturating_sub(1),
-            _ => depth,
-        };
-        if depth > 64 {
-            return None;
-        }
-    }
-    let value: JsonValue = std::str::from_utf8(body).ok()?.parse().ok()?;
+    let value = mosshead_mains::parse(body)?;
     whole(value.get()?, "revision")
 }
 
@@ -219,7 +207,8 @@
 
 fn whole(fields: &Fields, name: &str) -> Option<u64> {
     let value = *fields.get(name)?.get::<f64>()?;
-    (value.is_finite() && value >= 0.0).then_some(value as u64)
+    // Danger: beyond this not every whole number is told from its neighbours, and the highest one means the end.
+    (0.0..=9_007_199_254_740_992.0).contains(&value).then_some(value as u64)
 }
 
 /// A server's heartbeat, read by hand.
@@ -227,7 +216,7 @@
     if id.is_empty() || id.len() > 200 || body.len() > 256 * 1024 {
         return None;
     }
-    let value: JsonValue = std::str::from_utf8(body).ok()?.parse().ok()?;
+    let value = mosshead_mains::parse(body)?;
     let fields: &Fields = value.get()?;
     let state = match text(fields, "oper_state").as_deref() {
         Some("draining") => OperState::Draining,
--- a/crates/works/tests/control.rs
+++ b/crates/works/tests/control.rs
@@ -126,3 +126,10 @@
     assert_ne!(digest(replace, 5, b"{}"), digest(replace, 5, b"{} "));
     assert_ne!(digest(replace, 5, b""), digest(replace, 5, b"\0"));
 }
+
+#[test]
+fn a_deep_heartbeat_does_no_harm() {
+    for text in ["[".repeat(250_000), "{\"a\":".repeat(40_000)] {
+        assert_eq!(beat("i", text.as_bytes()), None);
+    }
+}
