--- a/crates/sluice/src/answer.rs
+++ b/crates/sluice/src/answer.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
 
@@ -63,6 +64,15 @@
     answer
 }
 
+/// A server's answer with this body.
+pub(crate) fn of_server(head: &Parts, body: Out) -> Response<Out> {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = passed_on(&head.headers);
+    answer.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+    answer
+}
+
 const HOP: [HeaderName; 7] = [
     hyper::header::CONNECTION,
     hyper::header::PROXY_AUTHENTICATE,
--- a/crates/sluice/src/forward.rs
+++ b/crates/sluice/src/forward.rs
@@ -14,7 +14,7 @@
 use mosshead_weir::{Ask, Fault};
 use tokio::time::{Duration, timeout};
 
-use crate::answer::{Cut, Out, own, passed_on};
+use crate::answer::{Cut, Out, of_server, own, passed_on};
 use crate::attempt::{ATTEMPT, Message, Sent, Server, sealed};
 use crate::prompt::{Handle, MUTE, Unread, ask, refusal};
 use crate::view::{Running, Sluice, Under, add};
@@ -205,10 +205,7 @@
                     if success && !sealed(&head) {
                         running.failed(Fault::Broken);
                     } else if let Some(body) = self.whole(&id, &head, body, link, until).await {
-                        let mut answer = Response::new(Out::Whole(Some(body)));
-                        *answer.status_mut() = head.status;
-                        *answer.headers_mut() = passed_on(&head.headers);
-                        answer.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+                        let answer = of_server(&head, Out::Whole(Some(body)));
                         if success {
                             running.served();
                             add(&self.counts.served);
--- a/crates/sluice/src/stream.rs
+++ b/crates/sluice/src/stream.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Duration, timeout, timeout_at};
 
-use crate::answer::{Cut, Out, passed_on};
+use crate::answer::{Cut, Out, of_server};
 use crate::attempt::{Sent, Server, kept, sealed};
 use crate::events::Splitter;
 use crate::forward::{Job, Ran};
@@ -78,11 +78,7 @@
                     if matches!(head.status.as_u16(), 408 | 421 | 429 | 503) {
                         return Ran::Broken;
                     }
-                    let mut answer = Response::new(Out::Whole(Some(body)));
-                    *answer.status_mut() = head.status;
-                    *answer.headers_mut() = passed_on(&head.headers);
-                    answer.headers_mut().remove(CONTENT_LENGTH);
-                    return Ran::Other(answer);
+                    return Ran::Other(of_server(&head, Out::Whole(Some(body))));
                 }
                 if !sealed(&head) || head.headers.contains_key(CONTENT_ENCODING) {
                     running.failed(Fault::Broken);
@@ -118,10 +114,7 @@
     /// The answer with the stream in it. A task of its own passes the events on.
     pub(crate) fn pass_on(self: Rc<Self>, job: Job, ask: Ask, start: Start, under: Under) -> Response<Out> {
         let (to, from) = mpsc::channel(WAITING);
-        let mut answer = Response::new(Out::Flows(from));
-        *answer.status_mut() = start.head.status;
-        *answer.headers_mut() = passed_on(&start.head.headers);
-        answer.headers_mut().remove(CONTENT_LENGTH);
+        let answer = of_server(&start.head, Out::Flows(from));
         tokio::task::spawn_local(async move {
             self.clone().flow(job, ask, start, to).await;
             drop(under);
--- a/crates/weir/src/plan.rs
+++ b/crates/weir/src/plan.rs
@@ -153,9 +153,6 @@
     }
 
     fn budget(&mut self, service: &str) -> &mut Budget {
-        if !self.budgets.contains_key(service) {
-            self.budgets.insert(service.to_owned(), Budget::new(self.terms.budget));
-        }
         let terms = self.terms.budget;
         self.budgets.entry(service.to_owned()).or_insert_with(|| Budget::new(terms))
     }
@@ -330,9 +327,7 @@
         let pair = match reader {
             None => Pair { reader: None, runner: here },
             Some((reader, _)) => {
-                let zone = self.board.get(&reader).map(|one| one.server.zone.clone()).unwrap_or_default();
-                let drawn = self.draw_near(&streams);
-                let runner = self.least(&drawn, |weir, id, _| weir.open(id) + weir.distance(id, &zone))?.0;
+                let runner = self.runner_for(&streams, Some(&reader))?;
                 Pair { reader: Some(reader), runner }
             }
         };
@@ -340,11 +335,7 @@
         if let (Some(part), Some(one)) = (ask.last_shared(), self.board.get_mut(&reads)) {
             one.keeps(part.0);
         }
-        pair.reader.iter().chain([&pair.runner]).for_each(|id| {
-            if let Some(one) = self.board.get_mut(id) {
-                one.evidence.chosen();
-            }
-        });
+        pair.reader.iter().chain([&pair.runner]).for_each(|id| self.chosen(id));
         Some(pair)
     }
 
@@ -360,15 +351,20 @@
             return Some(pair.runner.clone());
         }
         self.unknown(&pair.runner);
-        let reader = pair.reader.as_ref().and_then(|id| self.board.get(id));
-        let zone = reader.map(|one| one.server.zone.clone()).unwrap_or_default();
         let (streams, _, _) = self.runners(now, service, avoid, usize::MAX);
-        let drawn = self.draw_near(&streams);
-        let runner = self.least(&drawn, |weir, id, _| weir.open(id) + weir.distance(id, &zone))?.0;
-        self.board.get_mut(&runner)?.evidence.chosen();
+        let runner = self.runner_for(&streams, pair.reader.as_ref())?;
+        self.chosen(&runner);
         Some(runner)
     }
 
+    /// One of these for what was read at `reader`: open streams weigh, and zones that are crossed.
+    fn runner_for(&mut self, streams: &[Rc<str>], reader: Option<&Rc<str>>) -> Option<Rc<str>> {
+        let reader = reader.and_then(|id| self.board.get(id));
+        let zone = reader.map(|one| one.server.zone.clone()).unwrap_or_default();
+        let drawn = self.draw_near(streams);
+        Some(self.least(&drawn, |weir, id, _| weir.open(id) + weir.distance(id, &zone))?.0)
+    }
+
     fn open(&self, id: &str) -> f64 {
         self.board.get(id).map_or(f64::INFINITY, |one| one.open.value() + one.unread / 500.0)
     }
