Split the core program by concern: host, messages, serving, registrar, status

Cause: core.rs had grown to 722 lines with five concerns in one file; the work on the control side touches each of them. Change: moves only, into core/{host,messages,serving,registrar,status}.rs; the struct and its steps stay in core.rs.

--- /dev/null
+++ b/crates/works/src/core/host.rs
@@ -0,0 +1,211 @@
+//! The process on a core machine: it opens the disk, listens, and steps the control state until it is told to end.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+use mosshead_catchment::{Catchment, SourceId, Vector};
+use mosshead_cistern::{Cistern, Done, Keeper, Store};
+use mosshead_culvert::{Caller, Handlers};
+use mosshead_headworks::{Input, Node, Settings as NodeSettings};
+use mosshead_ripple::{Ripple, Settings as RippleSettings};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Duration, Instant, sleep};
+
+use super::Core;
+use super::registrar::open_register;
+use crate::calls::{Epoch, Fetch, Hand, Handed, Hears, Pull};
+use crate::control;
+use crate::gossip::Gossip;
+use crate::proxy::{FLEET, peer};
+use crate::settings::Settings;
+
+/// How often the control state is looked after.
+const TICK: Duration = Duration::from_millis(50);
+/// So many writes wait for the disk.
+pub(super) const WRITES: usize = 256;
+
+/// Opens a log. Waits for a disk that is in trouble.
+fn open_disk(folder: &Path) -> (Cistern, Vec<Vec<u8>>) {
+    let mut told = false;
+    loop {
+        let fault = match Cistern::open(folder) {
+            Ok((mut log, records)) => {
+                if log.ignored() > 0 {
+                    spdlog::warn!("cistern: {} bytes at the end of a log are no records.", log.ignored());
+                }
+                // Danger: what can't be written again must not be acted on, nor promised anew.
+                match log.is_kept() || log.sync().is_ok() {
+                    true => return (log, records),
+                    false => "it can't be written again".to_owned(),
+                }
+            }
+            Err(fault) => format!("{} {fault}", fault.code()),
+        };
+        if !std::mem::replace(&mut told, true) {
+            spdlog::warn!("cistern: {fault}. Trying until it goes.");
+        }
+        std::thread::sleep(std::time::Duration::from_millis(200));
+    }
+}
+
+/// Opens a log aside, on a thread of its own.
+pub(super) async fn open_aside(folder: PathBuf) -> Option<(Cistern, Vec<Vec<u8>>)> {
+    let (to, from) = oneshot::channel();
+    std::thread::spawn(move || {
+        let _ = to.send(open_disk(&folder));
+    });
+    from.await.ok()
+}
+
+fn handlers(core: &Rc<Core>) -> Handlers {
+    let (pull, fetch, hand, hears, epoch) =
+        (core.clone(), core.clone(), core.clone(), core.clone(), core.clone());
+    Handlers::new()
+        .on::<Pull>(async move |call, _| Ok(pull.clone().pull(call).await))
+        .on::<Fetch>(async move |call, _| Ok(fetch.fetch(call.revision)))
+        .on::<Hand>(async move |call, _| {
+            let changed = hand.hand(call.delta);
+            Ok(Handed { changed, vector: hand.register.borrow().vector() })
+        })
+        .on::<Hears>(async move |call, _| {
+            let digest = call.digest.iter().map(|(id, sequence)| (id.as_str(), *sequence));
+            hears.register.borrow_mut().heard_by(hears.now(), SourceId(call.source), digest);
+            Ok(Handed { changed: false, vector: Vector::default() })
+        })
+        .on::<Epoch>(async move |call, _| {
+            epoch.step(Input::Message { from: call.from, message: call.message });
+            Ok(())
+        })
+}
+
+/// Serves until it is told to end.
+pub async fn serve(settings: Settings, path: PathBuf) -> std::io::Result<()> {
+    let missing = |what| std::io::Error::other(format!("S03 {what} is missing"));
+    let folder = settings.data_directory.clone().ok_or_else(|| missing("data_directory"))?;
+    let mut rng = Pcg64Mcg::from_os_rng();
+    let life: u64 = rng.random();
+    let peer = peer(&settings, life, true);
+    let ripple = RippleSettings { fleet: FLEET, ..RippleSettings::default() };
+    let ripple = Ripple::new(peer, settings.internal_seeds(), ripple, Pcg64Mcg::from_rng(&mut rng));
+    let ripple = ripple.map_err(std::io::Error::other)?;
+    let gossip = Gossip::bind(settings.internal(), ripple).await?;
+    tokio::task::spawn_local(gossip.clone().run());
+    let register = RefCell::new(Catchment::new(SourceId(life), settings.keepalive_ms));
+    let core = Rc::new(Core {
+        settings: settings.clone(),
+        life,
+        start: Instant::now(),
+        node: RefCell::default(),
+        keeper: RefCell::default(),
+        register_keeper: RefCell::default(),
+        register_kept: RefCell::default(),
+        register,
+        caller: Caller::new(),
+        asks: RefCell::default(),
+        next_ask: Cell::new(1),
+        config: RefCell::default(),
+        steps: RefCell::default(),
+        news: watch::Sender::new(0),
+        askers: RefCell::default(),
+        under_way: RefCell::default(),
+        gossip,
+    });
+    let inside = TcpListener::bind(settings.internal()).await?;
+    tokio::task::spawn_local(mosshead_culvert::serve(inside, Rc::new(handlers(&core))));
+    if let Some(address) = settings.control_plane {
+        tokio::task::spawn_local(control::serve(core.clone(), TcpListener::bind(address).await?));
+    }
+    tokio::task::spawn_local(core.clone().tell_heard());
+    tokio::task::spawn_local(crate::duties::run(core.clone()));
+    tokio::task::spawn_local(open_register(core.clone(), folder.clone()));
+    tokio::task::spawn_local(open(core.clone(), folder, rng.random()));
+    spdlog::info!("reservoir: {} listens.", settings.node_name);
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut term = signal(SignalKind::terminate())?;
+    let mut stop = signal(SignalKind::interrupt())?;
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut followed: HashMap<SocketAddrV4, tokio::task::JoinHandle<()>> = HashMap::new();
+    let mut turns = 0_u64;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = stop.recv() => break,
+            _ = hangup.recv() => reread(&core, &path),
+            _ = tick.tick() => {
+                core.step(Input::Tick);
+                core.keep_register();
+                turns += 1;
+                if turns.is_multiple_of(10) {
+                    followed.retain(|_, task| !task.is_finished());
+                    for other in core.others() {
+                        followed.entry(other).or_insert_with(|| tokio::task::spawn_local(core.clone().follow(other)));
+                    }
+                }
+                if turns.is_multiple_of(80) {
+                    reread(&core, &path);
+                }
+            }
+        }
+    }
+    spdlog::info!("reservoir: told to end.");
+    core.step(Input::Stop);
+    let told = Instant::now();
+    while told.elapsed() < Duration::from_millis(1200) && core.is_primary() {
+        core.step(Input::Tick);
+        sleep(Duration::from_millis(20)).await;
+    }
+    core.gossip.leave().await;
+    sleep(Duration::from_millis(150)).await;
+    spdlog::info!("reservoir: ends.");
+    Ok(())
+}
+
+fn reread(core: &Rc<Core>, path: &Path) {
+    match Settings::load(path) {
+        Ok(settings) => {
+            let seeds = settings.internal_seeds();
+            core.gossip.ripple.borrow_mut().set_seeds(seeds.clone());
+            core.step(Input::Seeds(seeds));
+        }
+        Err(fault) => spdlog::warn!("settings: {fault}. Nothing has changed."),
+    }
+}
+
+/// Opens the disk aside: it may hang for seconds while the rest of the machine serves.
+async fn open(core: Rc<Core>, folder: PathBuf, seed: u64) {
+    let Some((log, records)) = open_aside(folder.join("headworks")).await else { return };
+    spdlog::info!("cistern: {} records on disk.", records.len());
+    let (done, mut finished) = mpsc::unbounded_channel::<Done>();
+    let keeper = Keeper::start(log, WRITES, move |it| {
+        let _ = done.send(it);
+    });
+    match keeper {
+        Ok(keeper) => core.keeper.replace(Some(keeper)),
+        Err(fault) => {
+            spdlog::error!("cistern: {fault}. This machine keeps no control state.");
+            return;
+        }
+    };
+    let (failures, seeds) = (core.settings.node_failures, core.settings.internal_seeds());
+    let settings = NodeSettings::new(core.settings.internal(), failures, core.settings.bootstrap, seeds);
+    match Node::new(settings, &records, core.now(), Pcg64Mcg::seed_from_u64(seed)) {
+        Ok(node) => core.node.replace(Some(node)),
+        Err(fault) => {
+            spdlog::error!("headworks: what is on disk can't be read: {fault}.");
+            return;
+        }
+    };
+    core.step(Input::Tick);
+    while let Some(done) = finished.recv().await {
+        let token = done.token;
+        core.step(if done.ok { Input::Written { token } } else { Input::WriteFailed { token } });
+    }
+}
--- /dev/null
+++ b/crates/works/src/core/status.rs
@@ -0,0 +1,32 @@
+//! What a core machine says of itself.
+
+use mosshead_cistern::Keeper;
+use mosshead_headworks::Node;
+
+use super::Core;
+
+impl Core {
+    /// What this machine knows, as JSON.
+    pub fn status(&self) -> String {
+        let node = self.node.borrow();
+        let ballot = node.as_ref().map(Node::ballot);
+        let members = node.as_ref().map_or(0, |node| node.members().len());
+        format!(
+            concat!(
+                "{{\"primary\":{},\"primary_at\":\"{}\",\"round\":{},\"members\":{},\"in_touch\":{},\"revision\":{},",
+                "\"servers\":{},\"proxies\":{},\"log_bytes\":{}}}"
+            ),
+            node.as_ref().is_some_and(|node| node.is_primary()),
+            node.as_ref()
+                .and_then(|node| node.primary())
+                .map_or(String::new(), |primary| primary.address.to_string()),
+            ballot.map_or(0, |ballot| ballot.round),
+            members,
+            node.as_ref().is_some_and(|node| node.in_touch(self.now())),
+            self.config.borrow().as_ref().map_or(0, |config| config.revision),
+            self.register.borrow().len(),
+            self.gossip.count(false),
+            self.keeper.borrow().as_ref().map_or(0, Keeper::length),
+        )
+    }
+}
