Prove a follower's contact by a round trip, and only with the state shown

Cause: a follower counted itself in touch from the moment at which a heartbeat arrived. What a network or a frozen process had held back was read afterwards as fresh: 20 s old states shown as current, pre-votes refused for 0.6 s. A take-over that was frozen while it waited for its last answer became primary after the thaw and sent heartbeats without a lease.

Change: heartbeat answers carry a stamp (own steady time, random number of the life), heartbeats carry the newest stamp of the peer back. In touch = lease from the time in a stamp that came back, once the state told with it is shown. Elections trust the same stamps; a new primary is trusted from its first heartbeat. A peer that returns is answered at once. Heartbeats leave only while the lease holds; an overdue take-over ends before late answers count. The bound that follows is Timings::oldest_shown. leads(now) and primary_at(now) look at the lease at the moment of the call.

Tests: the fleet's checker asks at every event that whoever is in touch shows all that was acknowledged before the bound; each process has a clock of its own; links may hold messages back.

--- a/crates/headworks/src/election.rs
+++ b/crates/headworks/src/election.rs
@@ -2,10 +2,12 @@
 
 use rand_core::RngCore;
 
+use crate::contact::ContactStamp;
 use crate::message::Message;
 use crate::node::{Leader, Node, Role};
 use crate::quorum::Votes;
-use crate::types::{Ballot, Member, MemberId, Record, Version};
+use crate::settings::Flaw;
+use crate::types::{Ballot, Member, MemberId, Record};
 
 /// When to look for a primary, and who would promise.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -24,10 +26,19 @@
 }
 
 impl<R: RngCore> Node<R> {
-    /// Whether the primary was heard lately.
+    /// Until when the primary is not suspected. What proves that it lives is older than its last heartbeat by one more.
+    fn trusted_until(&self) -> u64 {
+        let timings = &self.settings.timings;
+        let until = |l: &Leader| {
+            let echoed = l.echoed.map_or(0, |at| at + timings.suspect + timings.heartbeat);
+            echoed.max(l.since + timings.suspect)
+        };
+        self.leader.as_ref().map_or(0, until)
+    }
+
+    /// Whether the primary is known to have lived lately, or is new.
     pub(crate) fn hears_leader(&self) -> bool {
-        let suspect = self.settings.timings.suspect;
-        self.leader.as_ref().is_some_and(|l| self.now.saturating_sub(l.heard) < suspect)
+        self.now < self.trusted_until()
     }
 
     fn can_lead(&self) -> bool {
@@ -40,9 +51,13 @@
 
     /// Those that keep the state look first.
     pub(crate) fn await_leader(&mut self) {
+        self.await_leader_until(self.now + self.settings.timings.suspect);
+    }
+
+    fn await_leader_until(&mut self, until: u64) {
         let keeps = self.view.as_ref().is_some_and(|r| r.holds_state(self.me.id));
         let spread = self.below(150) + if keeps { 0 } else { 150 };
-        self.election.at = self.now + self.settings.timings.suspect + spread;
+        self.election.at = until + spread;
         self.election.willing.clear();
     }
 
@@ -51,7 +66,7 @@
             return;
         }
         if self.hears_leader() {
-            return self.await_leader();
+            return self.await_leader_until(self.trusted_until());
         }
         self.election.at = self.now + 100 + self.below(80);
         for member in self.electorate() {
@@ -110,6 +125,15 @@
         }
     }
 
+    /// Ends a take-over whose step is overdue before the answers count that came meanwhile, as after a freeze.
+    pub(crate) fn end_overdue_take_over(&mut self) {
+        let step = self.settings.timings.take_over_step;
+        let Role::TakingOver(t) = &self.role else { return };
+        if self.now.saturating_sub(t.since) > step && !self.settings.has(Flaw::LateTakeOver) {
+            self.step_down();
+        }
+    }
+
     pub(crate) fn on_hand_over(&mut self, from: Member, ballot: Ballot) {
         let named = self.view.as_ref().is_some_and(|r| r.ballot == ballot && r.primary == from.id);
         if named && self.can_lead() && self.promised <= ballot {
@@ -117,27 +141,21 @@
         }
     }
 
-    pub(crate) fn on_heartbeat(
-        &mut self,
-        from: Member,
-        ballot: Ballot,
-        sequence: u64,
-        committed: Version,
-        record: Option<Record>,
-    ) {
+    pub(crate) fn on_heartbeat(&mut self, from: Member, heartbeat: Message) {
+        let Message::Heartbeat { ballot, sequence, committed, record, echo } = heartbeat else { return };
         self.highest = self.highest.max(ballot.round);
         if let Some(record) = record {
             self.note_record(&record);
         }
         self.outranked(ballot);
-        if self.leader.as_ref().is_none_or(|l| l.ballot <= ballot) && matches!(self.role, Role::Follower) {
-            self.leader = Some(Leader { member: from, ballot, heard: self.now });
-            self.await_leader();
-        }
         let held = self.stable.state.as_ref().filter(|s| s.version().same_body(&committed));
         if let Some(state) = held.cloned() {
             self.show(state);
         }
+        if self.leader.as_ref().is_none_or(|l| l.ballot <= ballot) && matches!(self.role, Role::Follower) {
+            self.note_leader(from, ballot);
+            self.note_echo(echo, committed.revision);
+        }
         let answer = Message::HeartbeatAnswer {
             ballot,
             sequence,
@@ -146,7 +164,42 @@
             seen: self.view.as_ref().map(|r| r.ballot).unwrap_or_default(),
             committed: self.committed.as_ref().map(|s| s.revision),
             fit: self.is_fit(),
+            stamp: self.contact.stamp(self.now),
         };
         self.send(from.address, answer);
     }
+
+    /// A heartbeat has arrived, whenever it was sent.
+    fn note_leader(&mut self, member: Member, ballot: Ballot) {
+        let now = self.now;
+        match &mut self.leader {
+            Some(leader) if leader.ballot == ballot => leader.heard = now,
+            _ => self.leader = Some(Leader::new(member, ballot, now)),
+        }
+    }
+
+    /// The primary has sent this after the own answer that bore the stamp.
+    fn note_echo(&mut self, echo: Option<ContactStamp>, revision: u64) {
+        let now = self.now;
+        let echoed = match echo {
+            _ if self.settings.has(Flaw::ContactByArrival) => Some(now),
+            Some(echo) if self.settings.has(Flaw::ContactOfOtherLives) => {
+                Some(echo.at).filter(|at| *at <= now)
+            }
+            echo => echo.and_then(|echo| self.contact.time_of(echo, now)),
+        };
+        if let (Some(at), Some(leader)) = (echoed, &mut self.leader) {
+            leader.echoed = leader.echoed.max(Some(at));
+            let unseen = [Flaw::ContactByArrival, Flaw::ContactWithoutState].map(|f| self.settings.has(f));
+            let shown = if unseen.contains(&true) {
+                Some(u64::MAX)
+            } else {
+                self.committed.as_ref().map(|s| s.revision)
+            };
+            self.contact.prove(at, revision, shown);
+        }
+        if self.hears_leader() {
+            self.await_leader_until(self.trusted_until());
+        }
+    }
 }
--- a/crates/headworks/src/join.rs
+++ b/crates/headworks/src/join.rs
@@ -1,7 +1,7 @@
 use rand_core::RngCore;
 
 use crate::message::Message;
-use crate::node::{Node, Role};
+use crate::node::{Leader, Node, Role};
 use crate::types::{Ballot, Member};
 
 /// Somebody who looks for the others.
@@ -31,7 +31,7 @@
         }
         let member = self.view.as_ref().is_some_and(|r| r.member(self.me.id).is_some());
         let patience = if member { 1_000 } else { 300 };
-        let last = self.leader.as_ref().map_or(if member { self.started } else { 0 }, |l| l.heard);
+        let last = self.leader.as_ref().map_or(if member { self.started } else { 0 }, Leader::alive_at);
         let lost = self.leader.is_none() && !member;
         if !lost && self.now.saturating_sub(last) < patience {
             return;
--- a/crates/headworks/src/lib.rs
+++ b/crates/headworks/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod acceptor;
 mod asks;
+mod contact;
 mod election;
 mod event;
 mod join;
@@ -18,6 +19,7 @@
 mod take_over;
 mod types;
 
+pub use contact::ContactStamp;
 pub use event::{Input, Output, Verdict};
 pub use log::Fault;
 pub use message::Message;
--- a/crates/headworks/src/message.rs
+++ b/crates/headworks/src/message.rs
@@ -1,5 +1,6 @@
 use minicbor::{Decode, Encode};
 
+use crate::contact::ContactStamp;
 use crate::types::{Ballot, Record, State, Version};
 
 /// What nodes tell each other, one way; any of it may be lost, late, doubled or out of order.
@@ -137,6 +138,9 @@
         /// The record, for those that lack it.
         #[n(3)]
         record: Option<Record>,
+        /// The newest stamp that the receiver has sent to this primary.
+        #[n(4)]
+        echo: Option<ContactStamp>,
     },
     /// The answer to a [`Message::Heartbeat`].
     #[n(14)]
@@ -162,6 +166,9 @@
         /// Whether the sender's disk takes writes.
         #[n(6)]
         fit: bool,
+        /// When the sender answers, by its own clock; it wants this back.
+        #[n(7)]
+        stamp: ContactStamp,
     },
     /// This state is committed.
     #[n(15)]
--- a/crates/headworks/src/node.rs
+++ b/crates/headworks/src/node.rs
@@ -4,6 +4,7 @@
 use rand_core::RngCore;
 
 use crate::asks::Asks;
+use crate::contact::Contact;
 use crate::election::Election;
 use crate::event::{Input, Output};
 use crate::join::Joiner;
@@ -19,7 +20,23 @@
 pub(crate) struct Leader {
     pub(crate) member: Member,
     pub(crate) ballot: Ballot,
+    /// When the first heartbeat of this ballot arrived.
+    pub(crate) since: u64,
+    /// When the newest heartbeat arrived: it may have waited on its way. Good for hints only.
     pub(crate) heard: u64,
+    /// The newest of the own stamps that came back.
+    pub(crate) echoed: Option<u64>,
+}
+
+impl Leader {
+    pub(crate) fn new(member: Member, ballot: Ballot, now: u64) -> Leader {
+        Leader { member, ballot, since: now, heard: now, echoed: None }
+    }
+
+    /// When this primary is known to have lived. A new one has the benefit of the doubt.
+    pub(crate) fn alive_at(&self) -> u64 {
+        self.echoed.unwrap_or(0).max(self.since)
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -48,6 +65,7 @@
     pub(crate) view: Option<Record>,
     pub(crate) committed: Option<State>,
     pub(crate) leader: Option<Leader>,
+    pub(crate) contact: Contact,
     pub(crate) role: Role,
     pub(crate) election: Election,
     pub(crate) peers: BTreeMap<MemberId, Peer>,
@@ -96,6 +114,7 @@
             view: None,
             committed: None,
             leader: None,
+            contact: Contact::new(rng.next_u64()),
             role: Role::Follower,
             election: Election::default(),
             peers: BTreeMap::new(),
@@ -125,8 +144,9 @@
     /// Tells what happened; says what is to be done. Times never go back: an earlier one counts as the last.
     pub fn step(&mut self, now: u64, input: Input) -> Vec<Output> {
         self.now = self.now.max(now);
-        // Danger: a thawed primary looks at its lease before anything that came meanwhile.
+        // Danger: a thawed node looks at its lease, or at its take-over, before anything that came meanwhile.
         self.keep_lease();
+        self.end_overdue_take_over();
         match input {
             Input::Tick => {}
             Input::Message { from, message } => {
@@ -174,19 +194,26 @@
         self.me
     }
 
-    /// The primary, as far as known.
+    /// The primary, as far as known at the last step.
     pub fn primary(&self) -> Option<Member> {
-        match &self.role {
-            Role::Primary(_) => Some(self.me),
-            Role::TakingOver(t) if t.is_renewal() => Some(self.me),
-            _ => {
-                let lately = 2 * self.settings.timings.suspect;
-                self.leader.as_ref().filter(|l| self.now - l.heard <= lately).map(|l| l.member)
-            }
+        self.primary_at(self.now)
+    }
+
+    /// The primary, as far as known at this moment, also if this node was not stepped for a while.
+    pub fn primary_at(&self, now: u64) -> Option<Member> {
+        let leads = match &self.role {
+            Role::Primary(_) => true,
+            Role::TakingOver(t) => t.is_renewal(),
+            Role::Follower => false,
+        };
+        if leads {
+            return self.in_touch(now).then_some(self.me);
         }
+        let lately = 2 * self.settings.timings.suspect;
+        self.leader.as_ref().filter(|l| now.saturating_sub(l.heard) <= lately).map(|l| l.member)
     }
 
-    /// Whether this node is primary.
+    /// Whether this node was primary after its last step. Whoever acts on it asks [`Node::leads`].
     pub fn is_primary(&self) -> bool {
         matches!(self.role, Role::Primary(_))
     }
@@ -215,16 +242,6 @@
         self.view.as_ref()
     }
 
-    /// Whether this node was lately in touch with a majority: as primary, or by a primary that is.
-    pub fn in_touch(&self, now: u64) -> bool {
-        let since = match &self.role {
-            Role::Primary(_) => self.touched,
-            Role::TakingOver(t) if t.is_renewal() => self.touched,
-            _ => self.leader.as_ref().map(|l| l.heard),
-        };
-        since.is_some_and(|t| now.saturating_sub(t) <= self.settings.timings.lease)
-    }
-
     /// Whether the disk takes writes.
     pub fn is_fit(&self) -> bool {
         let works =
@@ -350,6 +367,7 @@
             .is_none_or(|r| r < state.revision || self.settings.has(Flaw::ShowOlder) && r != state.revision)
         {
             self.out.push(Output::Committed { state: state.clone() });
+            self.contact.show(state.revision);
             self.committed = Some(state);
         }
     }
@@ -380,9 +398,7 @@
             Message::LacksBody { version } => self.on_lacks_body(from, version),
             Message::Accept { record } => self.on_accept(from, record),
             Message::Accepted { ballot, founder } => self.on_accepted(from, ballot, founder),
-            Message::Heartbeat { ballot, sequence, committed, record } => {
-                self.on_heartbeat(from, ballot, sequence, committed, record);
-            }
+            beat @ Message::Heartbeat { .. } => self.on_heartbeat(from, beat),
             answer @ Message::HeartbeatAnswer { .. } => self.on_heartbeat_answer(from, answer),
             Message::Committed { state } => self.show(state),
             Message::Join { founder, seen } => self.on_join(from, founder, seen),
--- a/crates/headworks/src/primary.rs
+++ b/crates/headworks/src/primary.rs
@@ -2,6 +2,7 @@
 
 use rand_core::RngCore;
 
+use crate::contact::ContactStamp;
 use crate::log::Effect;
 use crate::message::Message;
 use crate::node::{Node, Role};
@@ -26,6 +27,8 @@
     pub(crate) seen: Ballot,
     /// When a state was sent to it last.
     pub(crate) state_sent: u64,
+    /// The newest stamp of its answers.
+    stamp: Option<ContactStamp>,
 }
 
 /// What a primary keeps of its epoch.
@@ -72,6 +75,7 @@
             founder: false,
             seen: Ballot::default(),
             state_sent: 0,
+            stamp: None,
         }
     }
 }
@@ -92,6 +96,17 @@
         }
     }
 
+    /// What a peer is told.
+    fn heartbeat_for(&self, peer: &Peer) -> Message {
+        Message::Heartbeat {
+            ballot: self.ballot,
+            sequence: self.sequence,
+            committed: self.state.version(),
+            record: (peer.seen < self.ballot).then(|| self.record.clone()),
+            echo: peer.stamp,
+        }
+    }
+
     fn sent_at(&self, sequence: u64) -> Option<u64> {
         self.beats.iter().find(|(s, _)| *s == sequence).map(|(_, at)| *at)
     }
@@ -165,14 +180,16 @@
         let Role::Primary(lead) = &self.role else { return };
         let contact = self.majority_of(&lead.record, |p| p.contact).min(self.now);
         self.touched = self.touched.max(Some(contact));
-        let lost = self.touched.is_none_or(|t| self.now - t > self.settings.timings.lease);
-        if lost && !self.settings.has(Flaw::NoLease) {
+        if !self.may_send_heartbeats() {
             self.step_down();
         }
     }
 
     /// Tells all, or the voters only, that this primary lives.
     pub(crate) fn beat(&mut self, all: bool) {
+        if !self.may_send_heartbeats() {
+            return;
+        }
         let (now, heartbeat) = (self.now, self.settings.timings.heartbeat);
         let Role::Primary(lead) = &mut self.role else { return };
         lead.sequence += 1;
@@ -183,15 +200,12 @@
         if all {
             lead.next_beat = now + heartbeat;
         }
-        let (ballot, sequence, committed) = (lead.ballot, lead.sequence, lead.state.version());
         let mut messages = Vec::new();
         for peer in self.peers.values() {
             let voter =
                 lead.record.members.iter().chain(&lead.record.previous).any(|m| m.id == peer.member.id);
             if all || voter {
-                let record = (peer.seen < ballot).then(|| lead.record.clone());
-                let beat = Message::Heartbeat { ballot, sequence, committed, record };
-                messages.push((peer.member.address, beat));
+                messages.push((peer.member.address, lead.heartbeat_for(peer)));
             }
         }
         messages.into_iter().for_each(|(to, beat)| self.send(to, beat));
@@ -206,20 +220,26 @@
         }
         let peer = Peer::new(member, now);
         self.peers.insert(member.id, peer);
-        let Role::Primary(lead) = &self.role else { return };
         // It counts when it has answered this.
-        let (ballot, sequence, committed) = (lead.ballot, lead.sequence, lead.state.version());
-        let record = Some(lead.record.clone());
-        self.send(member.address, Message::Heartbeat { ballot, sequence, committed, record });
+        self.beat_to(member.id);
+    }
+
+    /// Tells one peer at once that this primary lives.
+    fn beat_to(&mut self, id: MemberId) {
+        let Role::Primary(lead) = &self.role else { return };
+        let Some(peer) = self.peers.get(&id).filter(|_| self.may_send_heartbeats()) else { return };
+        let (to, heartbeat) = (peer.member.address, lead.heartbeat_for(peer));
+        self.send(to, heartbeat);
     }
 
     pub(crate) fn on_heartbeat_answer(&mut self, from: Member, answer: Message) {
-        let Message::HeartbeatAnswer { ballot, sequence, promised, accepted, seen, committed, fit } = answer
+        let Message::HeartbeatAnswer { ballot, sequence, promised, accepted, seen, committed, fit, stamp } =
+            answer
         else {
             return;
         };
         self.highest = self.highest.max(promised.round);
-        let now = self.now;
+        let (now, lease) = (self.now, self.settings.timings.lease);
         let Role::Primary(lead) = &mut self.role else { return };
         if lead.ballot != ballot {
             return;
@@ -230,6 +250,9 @@
         let Role::Primary(lead) = &mut self.role else { return };
         let Some(peer) = self.peers.get_mut(&from.id) else { return };
         (peer.heard, peer.fit, peer.seen) = (now, fit, seen);
+        // It was out of touch: it need not wait for the next heartbeat of all.
+        let returns = stamp.is_return(peer.stamp, lease);
+        peer.stamp = Some(stamp.newest(peer.stamp));
         if fit {
             peer.well = now;
         }
@@ -257,6 +280,9 @@
         if let Some(record) = record {
             self.send(from.address, Message::Accept { record });
         }
+        if returns {
+            self.beat_to(from.id);
+        }
     }
 
     /// Sends a change to the disks that have to hold it.
--- a/crates/headworks/src/settings.rs
+++ b/crates/headworks/src/settings.rs
@@ -124,6 +124,14 @@
     ForgetTaken,
     /// What is shown may go back.
     ShowOlder,
+    /// A follower is in touch from the moment at which any heartbeat arrives.
+    ContactByArrival,
+    /// A follower is in touch before it shows what the primary has committed.
+    ContactWithoutState,
+    /// A take-over that was frozen goes on with the answers that came meanwhile.
+    LateTakeOver,
+    /// A follower takes stamps of other runs of its process for its own.
+    ContactOfOtherLives,
     /// A primary without contact to a majority goes on telling that it lives.
     NoLease,
     /// Only the new members decide on a change of members.
--- a/crates/headworks/src/take_over.rs
+++ b/crates/headworks/src/take_over.rs
@@ -397,7 +397,7 @@
         let votes = votes.clone();
         let (renewal, continued) = (t.is_renewal(), t.decided == Some(t.base));
         self.settle_peers(&record, &votes, since, renewal);
-        self.leader = Some(Leader { member: self.me, ballot, heard: self.now });
+        self.leader = Some(Leader::new(self.me, ballot, self.now));
         self.role = Role::Primary(Box::new(Lead::new(ballot, record, state.clone(), self.now)));
         self.touched = Some(since);
         self.handing = None;
--- a/crates/headworks/tests/codec.rs
+++ b/crates/headworks/tests/codec.rs
@@ -2,8 +2,8 @@
 
 use minicbor::{decode, to_vec};
 use mosshead_headworks::{
-    Ballot, Call, Fault, Input, Member, MemberId, Message, Node, Output, Record, Settings, State, Verdict,
-    Version,
+    Ballot, Call, ContactStamp, Fault, Input, Member, MemberId, Message, Node, Output, Record, Settings,
+    State, Verdict, Version,
 };
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use rand_core::SeedableRng;
@@ -26,6 +26,10 @@
     Ballot { round, member: id(g) }
 }
 
+fn stamp(g: &mut Gen) -> ContactStamp {
+    ContactStamp { life: u64::arbitrary(g) % 3, at: u64::arbitrary(g) }
+}
+
 fn member(g: &mut Gen) -> Member {
     Member { id: id(g), address: address(g) }
 }
@@ -85,6 +89,7 @@
                 sequence: u64::arbitrary(g),
                 committed: version(g),
                 record: flip(g, record),
+                echo: flip(g, stamp),
             },
             14 => Message::HeartbeatAnswer {
                 ballot: ballot(g),
@@ -94,6 +99,7 @@
                 seen: ballot(g),
                 committed: flip(g, u64::arbitrary),
                 fit: yes,
+                stamp: stamp(g),
             },
             15 => Message::Committed { state: state(g) },
             16 => Message::Join { founder: yes, seen: ballot(g) },
--- a/crates/headworks/tests/fleet/book.rs
+++ b/crates/headworks/tests/fleet/book.rs
@@ -43,6 +43,10 @@
     primaries: BTreeMap<Ballot, (MemberId, Life)>,
     /// The highest revision that was acknowledged.
     pub acknowledged: u64,
+    /// When each revision became the highest that was acknowledged.
+    acknowledgements: Vec<(u64, u64)>,
+    /// The time of what is being written down.
+    pub now: u64,
     newest: Option<Change>,
     pub taken: u64,
     pub violations: Vec<String>,
@@ -129,6 +133,7 @@
         }
         if change.revision >= self.acknowledged {
             self.acknowledged = change.revision;
+            self.acknowledgements.push((self.now, change.revision));
             self.newest = Some(change.clone());
         }
         self.taken += 1;
@@ -173,6 +178,23 @@
         }
     }
 
+    /// The highest revision that was acknowledged up to a time.
+    fn acknowledged_by(&self, at: u64) -> u64 {
+        let count = self.acknowledgements.partition_point(|(when, _)| *when <= at);
+        count.checked_sub(1).map_or(0, |last| self.acknowledgements[last].1)
+    }
+
+    /// A process says that it is in touch: what it shows has all that was acknowledged before the bound.
+    pub fn claimed_contact(&mut self, life: Life, shown: u64, bound: u64) {
+        let wanted = self.now.checked_sub(bound + 1).map_or(0, |at| self.acknowledged_by(at));
+        if shown < wanted {
+            self.broken(
+                "contact",
+                format!("{life:?} is in touch and shows {shown}; {wanted} is older than {bound} ms"),
+            );
+        }
+    }
+
     pub fn shown(&mut self, life: Life, state: &State) {
         self.seen(state);
         let last = self.shown.insert(life, state.revision);
@@ -181,6 +203,11 @@
         }
     }
 
+    /// Whether somebody has led under a ballot.
+    pub fn was_led(&self, ballot: Ballot) -> bool {
+        self.primaries.contains_key(&ballot)
+    }
+
     pub fn primary(&mut self, member: MemberId, life: Life, ballot: Ballot, continued: bool) {
         if let Some(other) = self.primaries.get(&ballot) {
             let other = *other;
--- /dev/null
+++ b/crates/headworks/tests/fleet/contact.rs
@@ -0,0 +1,241 @@
+//! Who says that it is in touch shows no old state, whatever was held back by a network or a frozen process.
+
+use mosshead_headworks::Flaw;
+
+use crate::day::Act;
+use crate::scenarios::{around, calm, lead, other_lead, roles, told, want};
+use crate::world::{KINDS, World};
+
+/// How long machines are cut off or frozen.
+const CUT: u64 = 20_000;
+
+/// What is cut off from all others.
+#[derive(Clone, Copy, Debug)]
+enum Direction {
+    To,
+    From,
+    Both,
+}
+
+fn links(world: &World, machine: usize, direction: Direction) -> Vec<(usize, usize)> {
+    let wanted = |link: &(usize, usize)| match direction {
+        Direction::To => link.1 == machine,
+        Direction::From => link.0 == machine,
+        Direction::Both => true,
+    };
+    around(world, machine).into_iter().filter(|(from, to)| from != to).filter(wanted).collect()
+}
+
+/// A trouble of twenty seconds while operators go on; then what was held back arrives at once.
+fn trouble(world: &mut World, act: Act) -> Result<(), String> {
+    let before = world.book.taken;
+    world.hire(2);
+    world.act(act);
+    world.run(CUT)?;
+    want(world.book.taken > before + 5, "nothing was taken meanwhile")?;
+    world.heal();
+    world.run(3_000)?;
+    world.settle()
+}
+
+fn frozen_follower(flaw: Option<Flaw>) -> Result<(), String> {
+    for seed in 400..404 {
+        let mut world = calm(seed, 3, 1, flaw)?;
+        world.frozen_backlog = 8;
+        let (_, backups, witnesses) = roles(&world)?;
+        let machine = if seed % 2 == 0 { backups[0] } else { witnesses[0] };
+        trouble(&mut world, Act::Freeze(vec![machine]))?;
+    }
+    Ok(())
+}
+
+#[test]
+fn a_thawed_follower_is_not_in_touch_by_what_was_held_back() {
+    told(frozen_follower, Flaw::ContactByArrival);
+}
+
+fn held_follower(flaw: Option<Flaw>) -> Result<(), String> {
+    for (seed, direction) in [(410, Direction::To), (411, Direction::Both), (412, Direction::From)] {
+        let mut world = calm(seed, 3, 1, flaw)?;
+        let (_, _, witnesses) = roles(&world)?;
+        let held = links(&world, witnesses[0], direction);
+        trouble(&mut world, Act::Hold(held))?;
+    }
+    Ok(())
+}
+
+#[test]
+fn a_follower_that_was_cut_off_is_not_in_touch_by_what_was_held_back() {
+    told(held_follower, Flaw::ContactByArrival);
+}
+
+fn held_primary(flaw: Option<Flaw>) -> Result<(), String> {
+    for (seed, direction) in [(420, Direction::From), (421, Direction::Both), (422, Direction::To)] {
+        for (machines, failures) in [(3, 1), (5, 2)] {
+            let mut world = calm(seed, machines, failures, flaw)?;
+            let primary = lead(&world)?;
+            let held = links(&world, primary, direction);
+            trouble(&mut world, Act::Hold(held))?;
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn a_primary_that_was_cut_off_is_not_in_touch_by_what_was_held_back() {
+    told(held_primary, Flaw::ContactByArrival);
+}
+
+/// What is committed never reaches a witness, while heartbeats do.
+fn states_lost(flaw: Option<Flaw>) -> Result<(), String> {
+    let mut world = calm(430, 3, 1, flaw)?;
+    let (_, _, witnesses) = roles(&world)?;
+    let committed = KINDS.iter().position(|kind| *kind == "Committed").ok_or("no such kind")?;
+    world.kind_loss[committed] = 1_000;
+    world.hire(2);
+    world.run(5_000)?;
+    want(!world.in_touch(witnesses[0]), "a witness without the state says that it is in touch")?;
+    world.kind_loss[committed] = 0;
+    world.run(500)?;
+    want(world.in_touch(witnesses[0]), "a witness with the state isn't in touch")?;
+    world.settle()
+}
+
+#[test]
+fn a_follower_that_lacks_the_state_is_not_in_touch() {
+    told(states_lost, Flaw::ContactWithoutState);
+}
+
+/// A heartbeat that was sent to an earlier run of a process reaches the next one, whose clock says the same.
+fn another_life(flaw: Option<Flaw>) -> Result<(), String> {
+    let mut world = calm(440, 3, 1, flaw)?;
+    let (primary, backups, _) = roles(&world)?;
+    let machine = backups[0];
+    world.kill(machine, false);
+    world.start(machine);
+    world.run(250)?;
+    world.act(Act::Hold(vec![(primary, machine)]));
+    world.run(200)?;
+    world.kill(machine, false);
+    world.hire(2);
+    world.run(CUT)?;
+    let others = around(&world, machine).into_iter().filter(|link| *link != (primary, machine)).collect();
+    world.act(Act::Cut(others));
+    world.start(machine);
+    world.run(500)?;
+    world.release_links();
+    world.run(500)?;
+    world.heal();
+    world.settle()
+}
+
+#[test]
+fn a_stamp_of_another_life_proves_nothing() {
+    told(another_life, Flaw::ContactOfOtherLives);
+}
+
+/// A node is frozen so long after it has proposed its record; others lead meanwhile.
+fn frozen_take_over(delay: u64, flaw: Option<Flaw>) -> Result<(), String> {
+    let mut world = calm(450, 3, 1, flaw)?;
+    let old = lead(&world)?;
+    world.kill(old, false);
+    let proposes = |w: &World, m: &usize| {
+        w.node(*m).is_some_and(|n| !n.is_primary() && n.record().is_some_and(|r| r.primary == n.me().id))
+    };
+    let candidate = loop {
+        world.run(1)?;
+        if let Some(candidate) = world.running().into_iter().find(|m| proposes(&world, m)) {
+            break candidate;
+        }
+        want(world.now < 10_000, "nobody takes over")?;
+    };
+    let ballot = world.node(candidate).and_then(|n| n.record()).map(|r| r.ballot).ok_or("down")?;
+    world.run(delay)?;
+    if world.book.was_led(ballot) {
+        return Ok(());
+    }
+    world.act(Act::Freeze(vec![candidate]));
+    world.start(old);
+    world.hire(2);
+    world.run(CUT)?;
+    other_lead(&world, candidate)?;
+    world.heal();
+    want(!world.book.was_led(ballot), "a take-over from before a freeze comes to its end")?;
+    world.settle()
+}
+
+fn frozen_take_overs(flaw: Option<Flaw>) -> Result<(), String> {
+    (0..20).try_for_each(|delay| frozen_take_over(delay, flaw))
+}
+
+#[test]
+fn a_take_over_does_not_outlast_a_freeze() {
+    told(frozen_take_overs, Flaw::LateTakeOver);
+}
+
+/// A thawed follower, with old heartbeats in its queue, doesn't hold up the election after a real loss.
+fn fooled_voter(flaw: Option<Flaw>) -> Result<(), String> {
+    for seed in 460..470 {
+        let mut world = calm(seed, 3, 1, flaw)?;
+        world.frozen_backlog = 8;
+        let (primary, backups, witnesses) = roles(&world)?;
+        let machine = if seed % 2 == 0 { backups[0] } else { witnesses[0] };
+        world.act(Act::Freeze(vec![machine]));
+        world.run(CUT)?;
+        world.kill(primary, false);
+        world.run(550)?;
+        world.thaw(machine);
+        world.run(550)?;
+        other_lead(&world, primary).map_err(|what| format!("seed {seed}: {what}"))?;
+    }
+    Ok(())
+}
+
+#[test]
+fn old_heartbeats_do_not_hold_up_an_election() {
+    told(fooled_voter, Flaw::ContactByArrival);
+}
+
+#[test]
+fn a_thawed_primary_does_not_claim_to_lead_before_its_first_step() {
+    let story = || {
+        let mut world = calm(470, 3, 1, None)?;
+        let old = lead(&world)?;
+        want(world.node(old).is_some_and(|n| n.leads(world.clock(old))), "it doesn't lead before")?;
+        world.act(Act::Freeze(vec![old]));
+        world.run(CUT)?;
+        let node = world.node(old).ok_or("down")?;
+        let clock = world.clock(old);
+        want(node.is_primary(), "it was stepped")?;
+        want(!node.leads(clock) && node.primary_at(clock).is_none(), "it claims to lead")?;
+        want(!node.in_touch(clock), "it claims to be in touch")?;
+        world.thaw(old);
+        world.settle()
+    };
+    story().unwrap_or_else(|what: String| panic!("{what}"));
+}
+
+#[test]
+fn a_restarted_member_is_in_touch_a_round_trip_after_the_next_heartbeat() {
+    let mut worst = 0;
+    for seed in 480..500 {
+        let story = || {
+            let mut world = calm(seed, 3, 1, None)?;
+            let (_, backups, witnesses) = roles(&world)?;
+            let machine = if seed % 2 == 0 { backups[0] } else { witnesses[0] };
+            world.kill(machine, false);
+            world.run(50)?;
+            world.start(machine);
+            let since = world.now;
+            while !world.in_touch(machine) && world.now < since + 1_000 {
+                world.run(1)?;
+            }
+            Ok(world.now - since)
+        };
+        let took = story().unwrap_or_else(|what: String| panic!("seed {seed}: {what}"));
+        worst = worst.max(took);
+    }
+    println!("worst time until in touch: {worst} ms");
+    // The next heartbeat, its answer, and the next heartbeat at once.
+    assert!(worst <= 100 + 50 + 15, "{worst} ms");
+}
--- a/crates/headworks/tests/fleet/day.rs
+++ b/crates/headworks/tests/fleet/day.rs
@@ -21,6 +21,8 @@
     Freeze(Vec<usize>),
     /// Messages from the first to the second are lost.
     Cut(Vec<(usize, usize)>),
+    /// Messages from the first to the second are held back; a few of them come when the link works again.
+    Hold(Vec<(usize, usize)>),
     Stall(Vec<usize>, u64),
     Full(Vec<usize>),
     Terminate(usize),
@@ -73,6 +75,7 @@
             }
             Act::Freeze(machines) => machines.into_iter().for_each(|m| self.machines[m].frozen = true),
             Act::Cut(links) => self.cuts.extend(links),
+            Act::Hold(links) => self.held_links.extend(links),
             Act::Stall(machines, span) => {
                 machines.into_iter().for_each(|m| self.machines[m].disk.stalled_until = self.now + span);
             }
@@ -109,6 +112,7 @@
     /// Everything works again.
     pub fn heal(&mut self) {
         self.cuts.clear();
+        self.release_links();
         for machine in self.standing() {
             let m = &mut self.machines[machine];
             m.disk.stalled_until = 0;
@@ -160,7 +164,7 @@
     fn random_act(&mut self, may_lose_disks: bool) -> Act {
         let all = self.standing();
         let f = self.failures;
-        match self.below(if may_lose_disks { 17 } else { 13 }) {
+        match self.below(if may_lose_disks { 18 } else { 14 }) {
             0 => Act::Kill(self.some(all.len())),
             1 => Act::Kill(all),
             2 => Act::Power(all),
@@ -175,9 +179,13 @@
             10 => Act::Full(self.some(all.len())),
             11 => Act::Terminate(self.some(1)[0]),
             12 => Act::Seeds,
-            13 => Act::Wipe(self.some(f)),
-            14 => Act::WipeAndPower(self.some(f)),
-            15 => Act::WipePrimary(f - 1),
+            13 => match self.random_cut() {
+                Act::Cut(links) => Act::Hold(links),
+                other => other,
+            },
+            14 => Act::Wipe(self.some(f)),
+            15 => Act::WipeAndPower(self.some(f)),
+            16 => Act::WipePrimary(f - 1),
             _ => Act::Replace(self.some(f)),
         }
     }
@@ -225,7 +233,8 @@
         let others: Vec<usize> = self.standing().into_iter().filter(|m| !bad.contains(m)).collect();
         let out = bad.iter().flat_map(|b| others.iter().map(move |o| (*b, *o)));
         let back = bad.iter().flat_map(|b| others.iter().map(move |o| (*o, *b)));
-        let act = match self.below(8) {
+        let act = match self.below(9) {
+            8 => Act::Hold(out.chain(back).collect()),
             0 => Act::Kill(bad),
             1 => Act::Freeze(bad),
             2 => Act::Cut(out.chain(back).collect()),
@@ -267,14 +276,14 @@
             if committed < Some(newest)
                 || members != wanted
                 || alive != wanted
-                || !node.in_touch(self.now)
+                || !self.in_touch(*machine)
                 || !led
             {
                 let now = self.now;
                 return Err(format!(
                     "at {now}: settled: m{machine} has {committed:?} of {newest}, {members} members, {alive} alive, \
                      led {led}, in touch {}",
-                    node.in_touch(now)
+                    self.in_touch(*machine)
                 ));
             }
         }
--- a/crates/headworks/tests/fleet/main.rs
+++ b/crates/headworks/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! A fleet in virtual time: simulated network, disks and operators, faults by seed, and checkers of every rule.
 
 mod book;
+mod contact;
 mod day;
 mod days;
 mod mutants;
--- a/crates/headworks/tests/fleet/mutants.rs
+++ b/crates/headworks/tests/fleet/mutants.rs
@@ -58,6 +58,16 @@
     finds(Flaw::NoStamp, &["lost", "settled", "race"]);
 }
 
+#[test]
+fn contact_by_arrival() {
+    finds(Flaw::ContactByArrival, &["contact"]);
+}
+
+#[test]
+fn contact_without_the_state() {
+    finds(Flaw::ContactWithoutState, &["contact"]);
+}
+
 #[test]
 fn members_kept() {
     finds(Flaw::KeepMembers, &["settled", "liveness"]);
--- a/crates/headworks/tests/fleet/scenarios.rs
+++ b/crates/headworks/tests/fleet/scenarios.rs
@@ -6,7 +6,7 @@
 use crate::day::Act;
 use crate::world::{World, address};
 
-type Story = fn(Option<Flaw>) -> Result<(), String>;
+pub type Story = fn(Option<Flaw>) -> Result<(), String>;
 
 /// A fleet in calm, without noise, with some state.
 pub fn calm(seed: u64, machines: usize, failures: usize, flaw: Option<Flaw>) -> Result<World, String> {
@@ -22,27 +22,27 @@
     Ok(world)
 }
 
-fn want(holds: bool, what: &str) -> Result<(), String> {
+pub fn want(holds: bool, what: &str) -> Result<(), String> {
     if holds { Ok(()) } else { Err(what.to_string()) }
 }
 
-fn lead(world: &World) -> Result<usize, String> {
+pub fn lead(world: &World) -> Result<usize, String> {
     world.primary().ok_or_else(|| format!("at {}: no primary", world.now))
 }
 
 /// A primary other than that machine, which calls itself one still perhaps.
-fn other_lead(world: &World, not: usize) -> Result<usize, String> {
+pub fn other_lead(world: &World, not: usize) -> Result<usize, String> {
     let leads = |m: &usize| *m != not && world.node(*m).is_some_and(Node::is_primary);
     world.running().into_iter().find(leads).ok_or_else(|| format!("at {}: no other primary", world.now))
 }
 
 /// A new change at the primary is taken within the span.
-fn taken(world: &mut World, span: u64) -> Result<Change, String> {
+pub fn taken(world: &mut World, span: u64) -> Result<Change, String> {
     let primary = lead(world)?;
     taken_at(world, primary, span)
 }
 
-fn taken_at(world: &mut World, machine: usize, span: u64) -> Result<Change, String> {
+pub fn taken_at(world: &mut World, machine: usize, span: u64) -> Result<Change, String> {
     let change = world.fresh_change(machine);
     let ask = world.ask(machine, Kind::Change(change.clone()));
     world.run(span)?;
@@ -59,7 +59,7 @@
 }
 
 /// The record of the primary, by machines.
-fn roles(world: &World) -> Result<(usize, Vec<usize>, Vec<usize>), String> {
+pub fn roles(world: &World) -> Result<(usize, Vec<usize>, Vec<usize>), String> {
     let primary = lead(world)?;
     let record = world.node(primary).and_then(|n| n.record()).cloned().ok_or("no record")?;
     let machine = |id| world.running().into_iter().find(|m| world.node(*m).is_some_and(|n| n.me().id == id));
@@ -69,12 +69,12 @@
     Ok((primary, backups, witnesses))
 }
 
-fn around(world: &World, machine: usize) -> Vec<(usize, usize)> {
+pub fn around(world: &World, machine: usize) -> Vec<(usize, usize)> {
     world.standing().into_iter().flat_map(|m| [(m, machine), (machine, m)]).collect()
 }
 
 /// Nodes as they are tell the story to its end; nodes with the flaw don't.
-fn told(story: Story, flaw: Flaw) {
+pub fn told(story: Story, flaw: Flaw) {
     if let Err(what) = story(None) {
         panic!("without a flaw: {what}");
     }
@@ -189,7 +189,7 @@
     let new = other_lead(&world, old)?;
     taken_at(&mut world, new, 500)?;
     want(!world.node(old).is_some_and(Node::is_primary), "two lead")?;
-    want(!world.node(old).is_some_and(|n| n.in_touch(world.now)), "the deaf one says that it is in touch")
+    want(!world.in_touch(old), "the deaf one says that it is in touch")
 }
 
 #[test]
@@ -370,7 +370,7 @@
         world.run(1_000)?;
         let node = world.node(backups[0]).ok_or("down")?;
         want(node.committed().is_some_and(|s| s.revision == change.revision), "it doesn't learn")?;
-        want(node.in_touch(world.now), "it isn't in touch")?;
+        want(world.in_touch(backups[0]), "it isn't in touch")?;
         // Another one is lost: its old place is free again.
         let (_, backups, _) = roles(&world)?;
         world.kill(backups[0], true);
--- a/crates/headworks/tests/fleet/storm.rs
+++ b/crates/headworks/tests/fleet/storm.rs
@@ -30,7 +30,7 @@
         let all = self.standing();
         let machine = all[self.below(all.len() as u64) as usize];
         let other = all[self.below(all.len() as u64) as usize];
-        match self.below(28) {
+        match self.below(31) {
             0 | 1 => self.kill(machine, false),
             2 => self.kill(machine, true),
             3 => all.into_iter().for_each(|m| self.kill(m, true)),
@@ -45,6 +45,10 @@
                 self.cuts.extend(links);
             }
             15 | 16 => self.cuts.clear(),
+            28 | 29 => {
+                self.held_links.insert((machine, other));
+            }
+            30 => self.release_links(),
             17 => {
                 let span = self.below(800);
                 self.act(Act::Stall(vec![machine], span));
--- a/crates/headworks/tests/fleet/world.rs
+++ b/crates/headworks/tests/fleet/world.rs
@@ -38,6 +38,8 @@
     pub frozen: bool,
     held: Vec<Input>,
     thawed: u64,
+    /// When this life of the process began: its steady clock starts there.
+    started: u64,
     pub gone: bool,
 }
 
@@ -50,6 +52,12 @@
     pub machines: Vec<Machine>,
     /// One-way cuts, by machine.
     pub cuts: BTreeSet<(usize, usize)>,
+    /// One-way links that hold back what is sent over them, as a network queue does; by machine.
+    pub held_links: BTreeSet<(usize, usize)>,
+    /// What such links hold back, oldest first.
+    held_messages: Vec<HeldMessage>,
+    /// A frozen machine finds so many of the messages that came meanwhile, the first ones.
+    pub frozen_backlog: usize,
     /// Messages lost, late or doubled, in a thousand each.
     pub noise: u64,
     pub book: Book,
@@ -68,6 +76,17 @@
     pub trace: bool,
 }
 
+/// A message that a link holds back.
+struct HeldMessage {
+    link: (usize, usize),
+    to: SocketAddrV4,
+    from: Member,
+    message: Message,
+}
+
+/// A held link keeps so many messages, the first ones; the rest is lost.
+const LINK_BACKLOG: usize = 8;
+
 /// Kinds of messages, as they are printed.
 pub const KINDS: [&str; 12] = [
     "Heartbeat ",
@@ -99,6 +118,9 @@
             next_event: 0,
             machines: Vec::new(),
             cuts: BTreeSet::new(),
+            held_links: BTreeSet::new(),
+            held_messages: Vec::new(),
+            frozen_backlog: usize::MAX,
             noise: 5,
             book: Book::default(),
             operators: Vec::new(),
@@ -138,6 +160,7 @@
             frozen: false,
             held: Vec::new(),
             thawed: 0,
+            started: 0,
             gone: false,
         });
         index
@@ -162,12 +185,16 @@
             }
             self.queue.pop();
             self.now = at;
+            self.book.now = at;
             if let Some(event) = self.events.remove(&index) {
                 self.happen(event);
             }
+            self.check_contact();
             self.check()?;
         }
         self.now = end;
+        self.book.now = end;
+        self.check_contact();
         self.check()
     }
 
@@ -215,6 +242,30 @@
         }
     }
 
+    /// The steady clock of the process on a machine: it starts anew with each life.
+    pub fn clock(&self, machine: usize) -> u64 {
+        self.now - self.machines[machine].started + 1
+    }
+
+    /// Whether the process on a machine says, at this moment, that it is in touch with a majority.
+    pub fn in_touch(&self, machine: usize) -> bool {
+        self.node(machine).is_some_and(|n| n.in_touch(self.clock(machine)))
+    }
+
+    /// Whoever says that it is in touch shows no state older than the documented bound.
+    fn check_contact(&mut self) {
+        for machine in 0..self.machines.len() {
+            let m = &self.machines[machine];
+            let Some(node) = m.node.as_ref().filter(|_| !m.frozen) else { continue };
+            if !node.in_touch(self.clock(machine)) {
+                continue;
+            }
+            let shown = node.committed().map_or(0, |s| s.revision);
+            let (life, bound) = ((machine, m.life), m.settings.timings.oldest_shown());
+            self.book.claimed_contact(life, shown, bound);
+        }
+    }
+
     /// The machine that has the address now.
     pub fn at(&self, address: SocketAddrV4) -> Option<usize> {
         self.machines.iter().position(|m| m.address == address && !m.gone)
@@ -241,15 +292,18 @@
     }
 
     pub fn step(&mut self, machine: usize, input: Input) {
-        let now = self.now;
+        let (now, clock) = (self.now, self.clock(machine));
         let m = &mut self.machines[machine];
         if m.frozen {
-            m.held.push(input);
+            let is_message = matches!(input, Input::Message { .. });
+            if !is_message || m.held.len() < self.frozen_backlog {
+                m.held.push(input);
+            }
             return;
         }
         let Some(node) = &mut m.node else { return };
         let trace = self.trace.then(|| format!("{input:?}"));
-        let outputs = node.step(now, input);
+        let outputs = node.step(clock, input);
         if let Some(input) = trace
             && (!outputs.is_empty() || input != "Tick")
         {
@@ -311,6 +365,13 @@
         if self.cuts.contains(&(from, target)) || self.below(1_000) < self.noise {
             return;
         }
+        let link = (from, target);
+        if self.held_links.contains(&link) {
+            if self.held_messages.iter().filter(|h| h.link == link).count() < LINK_BACKLOG {
+                self.held_messages.push(HeldMessage { link, to, from: member, message });
+            }
+            return;
+        }
         if self.kind_loss.iter().any(|loss| *loss > 0) {
             let name = format!("{message:?} ");
             let kind = KINDS.iter().position(|k| name.starts_with(k));
@@ -327,6 +388,14 @@
         self.after(delay, Event::Deliver { to, from: member, message });
     }
 
+    /// All held links deliver what they kept, at once and in order, and work again.
+    pub fn release_links(&mut self) {
+        self.held_links.clear();
+        for HeldMessage { to, from, message, .. } in std::mem::take(&mut self.held_messages) {
+            self.after(0, Event::Deliver { to, from, message });
+        }
+    }
+
     fn enqueue(&mut self, machine: usize, write: (u64, bool, Vec<u8>)) {
         self.machines[machine].disk.queue.push_back(write);
         self.disk_go(machine);
@@ -387,7 +456,9 @@
             return;
         }
         m.life += 1;
-        match Node::new(m.settings.clone(), &m.disk.records, now, Pcg64Mcg::seed_from_u64(seed)) {
+        m.started = now;
+        let clock = 1;
+        match Node::new(m.settings.clone(), &m.disk.records, clock, Pcg64Mcg::seed_from_u64(seed)) {
             Ok(node) => m.node = Some(node),
             Err(fault) => self.book.broken("disk", format!("machine {machine}: {fault}")),
         }
@@ -402,8 +473,11 @@
         if std::mem::take(&mut m.frozen) {
             m.thawed = now;
         }
+        // A caller may come before anything else does.
+        self.check_contact();
         for input in std::mem::take(&mut self.machines[machine].held) {
             self.step(machine, input);
+            self.check_contact();
         }
     }
 
