Ask the control state whether it leads at this moment, not at its last step

Cause: Core::is_primary, primary and holds read the role of the last step; a thawed process between two ticks claimed to lead.

Change: they use leads(now) and primary_at(now), as does the status line.

--- a/crates/works/src/core.rs
+++ b/crates/works/src/core.rs
@@ -64,15 +64,19 @@
         self.config.borrow().clone()
     }
 
-    /// Whether this machine decides on the configuration, as far as it knows.
+    /// Whether this machine decides on the configuration and its lease holds at this moment.
     pub fn is_primary(&self) -> bool {
         let node = self.node.borrow();
-        node.as_ref().is_some_and(|node| node.is_primary())
+        node.as_ref().is_some_and(|node| node.leads(self.now()))
     }
 
     /// Who does.
     pub fn primary(&self) -> Option<SocketAddrV4> {
-        self.node.borrow().as_ref().and_then(|node| node.primary()).map(|primary| primary.address)
+        self.node
+            .borrow()
+            .as_ref()
+            .and_then(|node| node.primary_at(self.now()))
+            .map(|primary| primary.address)
     }
 
     /// Whether exactly this change has been taken before.
@@ -171,7 +175,7 @@
     /// The ballot under which this machine holds the duties, while it is in touch.
     pub fn holds(&self) -> Option<Ballot> {
         let node = self.node.borrow();
-        let node = node.as_ref().filter(|node| node.is_primary() && node.in_touch(self.now()))?;
+        let node = node.as_ref().filter(|node| node.leads(self.now()))?;
         Some(node.ballot())
     }
 }
--- a/crates/works/src/core/status.rs
+++ b/crates/works/src/core/status.rs
@@ -16,9 +16,9 @@
                 "{{\"primary\":{},\"primary_at\":\"{}\",\"round\":{},\"members\":{},\"in_touch\":{},\"revision\":{},",
                 "\"servers\":{},\"proxies\":{},\"log_bytes\":{}}}"
             ),
-            node.as_ref().is_some_and(|node| node.is_primary()),
+            node.as_ref().is_some_and(|node| node.leads(self.now())),
             node.as_ref()
-                .and_then(|node| node.primary())
+                .and_then(|node| node.primary_at(self.now()))
                 .map_or(String::new(), |primary| primary.address.to_string()),
             ballot.map_or(0, |ballot| ballot.round),
             members,
