--- a/crates/headworks/src/election.rs
+++ b/crates/headworks/src/election.rs
@@ -87,6 +87,7 @@
 
     pub(crate) fn on_pre_vote(&mut self, from: Member) {
         let willing = match &self.role {
+            Role::Follower if self.settings.has(Flaw::AlwaysWilling) => true,
             Role::Follower => !self.hears_leader() && self.now >= self.election.quiet_until,
             Role::TakingOver(_) | Role::Primary(_) => false,
         };
--- a/crates/headworks/src/settings.rs
+++ b/crates/headworks/src/settings.rs
@@ -128,6 +128,8 @@
     ContactByArrival,
     /// A follower is in touch before it shows what the primary has committed.
     ContactWithoutState,
+    /// A follower that hears its primary would promise another one.
+    AlwaysWilling,
     /// A take-over that was frozen goes on with the answers that came meanwhile.
     LateTakeOver,
     /// A follower takes stamps of other runs of its process for its own.
--- a/crates/headworks/tests/fleet/book.rs
+++ b/crates/headworks/tests/fleet/book.rs
@@ -69,6 +69,11 @@
         self.open.iter().filter_map(|id| self.asks.get_key_value(id))
     }
 
+    /// Whether an ask to the process that a machine runs has no answer yet.
+    pub fn is_open_at(&self, id: u64, machine: usize) -> bool {
+        self.open.contains(&id) && self.asks.get(&id).is_some_and(|a| a.life.0 == machine)
+    }
+
     pub fn verdict(&self, id: u64) -> Option<&Verdict> {
         self.answered.get(&id)
     }
--- a/crates/headworks/tests/fleet/contact.rs
+++ b/crates/headworks/tests/fleet/contact.rs
@@ -3,7 +3,7 @@
 use mosshead_headworks::Flaw;
 
 use crate::day::Act;
-use crate::scenarios::{around, calm, lead, other_lead, roles, told, want};
+use crate::scenarios::{around, calm, lead, other_lead, roles, taken_at, told, want};
 use crate::world::{KINDS, World};
 
 /// How long machines are cut off or frozen.
@@ -239,3 +239,34 @@
     // The next heartbeat, its answer, and the next heartbeat at once.
     assert!(worst <= 100 + 50 + 15, "{worst} ms");
 }
+
+/// One link fails in one direction: the same machine goes on leading, and takes changes.
+fn one_way(machines: usize, failures: usize, flaw: Option<Flaw>) -> Result<(), String> {
+    for from in 0..machines {
+        for to in (0..machines).filter(|to| *to != from) {
+            let mut world = calm(500 + (machines * from + to) as u64, machines, failures, flaw)?;
+            let primary = lead(&world)?;
+            world.act(Act::Cut(vec![(from, to)]));
+            for _ in 0..10 {
+                world.run(1_000)?;
+                taken_at(&mut world, primary, 1_000)?;
+            }
+            for machine in world.running() {
+                // Proof of contact takes both directions.
+                let proves = ![(from, to), (to, from)].contains(&(primary, machine));
+                want(!proves || world.in_touch(machine), &format!("m{machine} isn't in touch"))?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn one_way_links(flaw: Option<Flaw>) -> Result<(), String> {
+    one_way(3, 1, flaw)?;
+    one_way(5, 2, flaw)
+}
+
+#[test]
+fn a_link_that_fails_one_way_moves_no_primary() {
+    told(one_way_links, Flaw::AlwaysWilling);
+}
--- a/crates/headworks/tests/fleet/main.rs
+++ b/crates/headworks/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod days;
 mod mutants;
 mod operator;
+mod recovery;
 mod scenarios;
 mod storm;
 mod world;
