Read, check and build only what a change of the configuration touches

Change: items are held by name with their texts in chunked sorted sequences that clones share; routes by host and prefix likewise. A change or a patch copies the chunks that it touches. Checks go over the items that differ, and over all routes only where a service is gone; what is found wrong is said by the whole check, so that the fault is the same one. The text is put together when it is asked for. The hash of a patch is kept up to date by pairs of neighbours instead of a pass over the text; the text of a patch keeps its form, but for the value of its hash.

Tests: tests/stepwise.rs plays chains of changes and patches against the whole read of the text that should come out, with finds against a scan, and holds patches against ten configurations of the same revision that they were not made for. The earlier tests are unchanged.

--- a/crates/mains/src/build.rs
+++ b/crates/mains/src/build.rs
@@ -1,19 +1,103 @@
-//! From the pieces to a configuration: what is checked over all items, and the text.
+//! From the pieces to a configuration: what is checked over all items.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::config::{Config, Field};
-use crate::draft::{Draft, Item, LIMITS, Meaning, Part, REVISION, ROUTES, SERVICES};
+use crate::config::Config;
+use crate::draft::{Draft, LIMITS, Part, REVISION, ROUTES, SERVICES};
 use crate::fault::{Cause, Fault, brief};
 use crate::index::Index;
 use crate::limits::Limits;
+use crate::list::{List, Meaning};
 use crate::route::Route;
+use crate::routes::Routes;
 use crate::scan;
 use crate::service::Service;
 use crate::value;
 
-pub(crate) fn build(draft: &Draft<'_>) -> Result<Config, Fault> {
+pub(crate) type Services = BTreeMap<String, Arc<Service>>;
+
+/// Checks all of it.
+pub(crate) fn build(draft: Draft) -> Result<Config, Fault> {
+    let (revision, limits) = head(&draft)?;
+    let services = services(items(&draft, SERVICES)?);
+    let routes = Routes::new(items(&draft, ROUTES)?.clone());
+    for (at, route) in routes.iter().enumerate() {
+        if let Some(service) = unknown_service(route, &services) {
+            let cause = Cause::UnknownService(brief(route.name.clone()), brief(service.to_owned()));
+            return Err(cause.at(format!("{ROUTES}[{at}]")));
+        }
+    }
+    let slice: Vec<Arc<Route>> = routes.iter().cloned().collect();
+    let index = Index::new(&slice).map_err(|(one, two)| {
+        let (first, second) = (one.min(two), one.max(two));
+        let name = |at: usize| slice.get(at).map(|route| brief(route.name.clone())).unwrap_or_default();
+        Cause::SamePlace(name(second), name(first)).at(format!("{ROUTES}[{second}]"))
+    })?;
+    if draft.text_length() > scan::MAX_BYTES {
+        return Err(Cause::TooLong(scan::MAX_BYTES).at("body"));
+    }
+    Ok(Config::assemble(revision, routes, Arc::new(services), limits, index, draft))
+}
+
+/// Checks what differs from a configuration that has passed every check.
+///
+/// What is found wrong is left to [`build`] to say, so that the fault is the same one whichever way it is found.
+pub(crate) fn build_on(base: &Config, draft: Draft) -> Result<Config, Fault> {
+    let (Some(routes), Some(services)) = (draft.list(ROUTES), draft.list(SERVICES)) else {
+        return build(draft);
+    };
+    let Some(services) = services_on(base, services) else { return build(draft) };
+    let Some(index) = index_on(base, routes, &services) else { return build(draft) };
+    if draft.text_length() > scan::MAX_BYTES {
+        return build(draft);
+    }
+    let Ok((revision, limits)) = head(&draft) else { return build(draft) };
+    let routes = Routes::new(routes.clone());
+    Ok(Config::assemble(revision, routes, services, limits, index, draft))
+}
+
+/// The services after a change.
+fn services_on(base: &Config, newer: &List) -> Option<Arc<Services>> {
+    let mut services = base.services.clone();
+    base.list(SERVICES)?.compare(newer, |old, new| match (old, new) {
+        (_, Some(new)) => {
+            if let Meaning::Service(service) = &new.meaning {
+                Arc::make_mut(&mut services).insert(service.name.clone(), service.clone());
+            }
+        }
+        (Some(old), None) => {
+            Arc::make_mut(&mut services).remove(old.name());
+        }
+        (None, None) => {}
+    });
+    Some(services)
+}
+
+/// The index after a change; `None` where a place is taken or a service unknown.
+fn index_on(base: &Config, newer: &List, services: &Services) -> Option<Index> {
+    let mut come: Vec<&Arc<Route>> = Vec::new();
+    let mut index = base.index().clone();
+    base.list(ROUTES)?.compare(newer, |old, new| {
+        if let Some(Meaning::Route(old)) = old.map(|item| &item.meaning) {
+            index.remove(old);
+        }
+        if let Some(Meaning::Route(new)) = new.map(|item| &item.meaning) {
+            come.push(new);
+        }
+    });
+    let known = |route: &Route| unknown_service(route, services).is_none();
+    // Only where a service is gone can a route be wrong that was not touched.
+    let all_stay = base.services.keys().all(|service| services.contains_key(service));
+    let routes_known = match all_stay {
+        true => come.iter().all(|route| known(route)),
+        false => Routes::new(newer.clone()).iter().all(|route| known(route)),
+    };
+    let free = come.into_iter().all(|route| index.insert(route));
+    (routes_known && free).then_some(index)
+}
+
+fn head(draft: &Draft) -> Result<(u64, Limits), Fault> {
     let revision = match draft.part(REVISION) {
         None => return Err(Cause::Missing.at(REVISION)),
         Some(Part::Items(_)) => return Err(Cause::WrongType("a number").at(REVISION)),
@@ -21,40 +105,14 @@
     };
     let limits = match draft.part(LIMITS) {
         None => Limits::default(),
-        Some(Part::Plain(text)) if text == "null" => Limits::default(),
+        Some(Part::Plain(text)) if text.as_ref() == "null" => Limits::default(),
         Some(Part::Items(_)) => return Err(Cause::WrongType("an object").at(LIMITS)),
         Some(Part::Plain(text)) => Limits::read(&value::parse(text, LIMITS)?, LIMITS)?,
     };
-    let mut services: BTreeMap<String, Arc<Service>> = BTreeMap::new();
-    for item in items(draft, SERVICES)? {
-        if let Meaning::Service(service) = &item.meaning {
-            services.insert(service.name.clone(), service.clone());
-        }
-    }
-    let mut routes: Vec<Arc<Route>> = Vec::new();
-    for (at, item) in items(draft, ROUTES)?.iter().enumerate() {
-        let Meaning::Route(route) = &item.meaning else { continue };
-        for (service, _) in &route.backends {
-            if !services.contains_key(service) {
-                let cause = Cause::UnknownService(brief(route.name.clone()), brief(service.clone()));
-                return Err(cause.at(format!("{ROUTES}[{at}]")));
-            }
-        }
-        routes.push(route.clone());
-    }
-    let index = Index::new(&routes).map_err(|(one, two)| {
-        let (first, second) = (one.min(two), one.max(two));
-        let name = |at: usize| routes.get(at).map(|route| brief(route.name.clone())).unwrap_or_default();
-        Cause::SamePlace(name(second), name(first)).at(format!("{ROUTES}[{second}]"))
-    })?;
-    let (text, fields) = write(draft);
-    if text.len() > scan::MAX_BYTES {
-        return Err(Cause::TooLong(scan::MAX_BYTES).at("body"));
-    }
-    Ok(Config::assemble(revision, routes, services, limits, text, fields, index))
+    Ok((revision, limits))
 }
 
-fn items<'d, 'a>(draft: &'d Draft<'a>, list: &str) -> Result<&'d [Item<'a>], Fault> {
+fn items<'d>(draft: &'d Draft, list: &str) -> Result<&'d List, Fault> {
     match draft.part(list) {
         None => Err(Cause::Missing.at(list)),
         Some(Part::Items(items)) => Ok(items),
@@ -62,39 +120,15 @@
     }
 }
 
-fn write(draft: &Draft<'_>) -> (String, Vec<Field>) {
-    let mut text = String::with_capacity(draft.length());
-    text.push('{');
-    let mut fields = Vec::with_capacity(draft.parts.len());
-    for (key, part) in &draft.parts {
-        if text.len() > 1 {
-            text.push(',');
-        }
-        text.push_str(&scan::quote(key));
-        text.push(':');
-        let start = text.len();
-        let items = match part {
-            Part::Plain(value) => {
-                text.push_str(value);
-                None
-            }
-            Part::Items(items) => {
-                text.push('[');
-                let mut spans = Vec::with_capacity(items.len());
-                for (at, item) in items.iter().enumerate() {
-                    if at > 0 {
-                        text.push(',');
-                    }
-                    let start = text.len();
-                    text.push_str(&item.text);
-                    spans.push((item.name.as_ref().into(), start as u32, text.len() as u32));
-                }
-                text.push(']');
-                Some(spans)
-            }
-        };
-        fields.push(Field { key: key.as_ref().into(), start: start as u32, end: text.len() as u32, items });
-    }
-    text.push('}');
-    (text, fields)
+fn services(list: &List) -> Services {
+    let read = list.iter().filter_map(|item| match &item.meaning {
+        Meaning::Service(service) => Some((service.name.clone(), service.clone())),
+        _ => None,
+    });
+    read.collect()
+}
+
+fn unknown_service<'r>(route: &'r Route, services: &Services) -> Option<&'r str> {
+    let mut names = route.backends.iter().map(|(service, _)| service.as_str());
+    names.find(|service| !services.contains_key(*service))
 }
--- a/crates/mains/src/config.rs
+++ b/crates/mains/src/config.rs
@@ -1,72 +1,39 @@
 //! A configuration that has passed every check.
 
-use std::collections::{BTreeMap, HashSet};
 use std::fmt;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
-use crate::build::build;
+use crate::build::{Services, build, build_on};
 use crate::draft::{self, Draft, Part, REVISION};
 use crate::fault::{Cause, Fault};
 use crate::index::Index;
 use crate::limits::Limits;
+use crate::list::List;
 use crate::route::{self, Route};
+use crate::routes::Routes;
 use crate::scan;
 use crate::service::Service;
 use crate::value;
 
-/// A whole configuration, valid. Clones share all of it.
+/// A whole configuration, valid. Clones share all of it, and one that was made from another by a change or a
+/// patch shares with it all that has not changed.
 #[derive(Clone)]
 pub struct Config {
     /// Its version.
     pub revision: u64,
     /// Its routes, in the operator's order.
-    pub routes: Arc<[Arc<Route>]>,
+    pub routes: Routes,
     /// Its services by name.
-    pub services: Arc<BTreeMap<String, Arc<Service>>>,
+    pub services: Arc<Services>,
     /// What clients may send.
     pub limits: Limits,
     body: Arc<Body>,
 }
 
 struct Body {
-    text: Arc<str>,
-    fields: Vec<Field>,
+    draft: Draft,
     index: Index,
-}
-
-/// Where the value of a top-level field lies in the text, and its items by name.
-pub(crate) struct Field {
-    pub(crate) key: Box<str>,
-    pub(crate) start: u32,
-    pub(crate) end: u32,
-    pub(crate) items: Option<Vec<(Box<str>, u32, u32)>>,
-}
-
-/// A field with the text that it lies in.
-#[derive(Clone, Copy)]
-pub(crate) struct View<'a> {
-    field: &'a Field,
-    text: &'a str,
-}
-
-impl<'a> View<'a> {
-    pub(crate) fn key(&self) -> &'a str {
-        &self.field.key
-    }
-
-    pub(crate) fn text(&self) -> &'a str {
-        slice(self.text, self.field.start, self.field.end)
-    }
-
-    /// Names and texts of the items, if it is a list of named ones.
-    pub(crate) fn items(&self) -> Option<impl ExactSizeIterator<Item = (&'a str, &'a str)> + use<'a>> {
-        let (items, text) = (self.field.items.as_ref()?, self.text);
-        Some(items.iter().map(move |(name, start, end)| (name.as_ref(), slice(text, *start, *end))))
-    }
-}
-
-fn slice(text: &str, start: u32, end: u32) -> &str {
-    text.get(start as usize..end as usize).unwrap_or_default()
+    text: OnceLock<Arc<str>>,
 }
 
 impl Config {
@@ -74,7 +41,7 @@
     pub fn read(text: &[u8]) -> Result<Config, Fault> {
         let text = scan::text(text, scan::MAX_BYTES)?;
         scan::guard(text, scan::MAX_DEPTH)?;
-        build(&Draft::read(text)?)
+        build(Draft::read(text)?)
     }
 
     /// `Configuration.Replace`: a whole configuration, above the current one (above 0, if there is none).
@@ -102,37 +69,48 @@
         let revision = revision.ok_or_else(|| Cause::Missing.at(REVISION))?;
         above(revision, self.revision)?;
 
-        let mut draft = Draft::of(self);
+        let mut draft = self.body.draft.clone();
         for (list, value) in withdraw {
             let names = draft::names(value, &format!("withdraw.{list}"))?;
-            draft.withdraw(&list, &HashSet::from_iter(names));
+            draft.withdraw(&list, &names);
         }
         for (key, value, elements) in upsert {
             let place = format!("upsert.{key}");
             match elements {
                 Some(elements) => {
                     let items = draft::items(&key, elements, &place)?;
-                    draft.upsert(key, items, &place)?;
+                    draft.upsert(&key, items, &place)?;
                 }
                 None => {
                     let part = draft::part(&key, value, None, &place)?;
-                    draft.set(key, part);
+                    draft.set(&key, part);
                 }
             }
         }
-        draft.set(REVISION.into(), Part::Plain(revision.to_string().into()));
-        build(&draft)
+        draft.set(REVISION, Part::plain(&revision.to_string()));
+        build_on(self, draft)
     }
 
-    /// The configuration whole, as JSON without white space: to be shown and stored.
+    /// The configuration whole, as JSON without white space: to be shown and stored. It is put together when it is
+    /// first asked for, and kept; [`Config::to_text`] keeps nothing.
     pub fn text(&self) -> &Arc<str> {
-        &self.body.text
+        self.body.text.get_or_init(|| self.to_text().into())
+    }
+
+    /// The same text, put together anew.
+    pub fn to_text(&self) -> String {
+        self.body.draft.text()
+    }
+
+    /// How long the text is, in bytes.
+    pub fn text_length(&self) -> usize {
+        self.body.draft.text_length()
     }
 
     /// Of the routes of that host, the one with the longest prefix that begins the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let path = path.split_once('?').map_or(path, |(path, _)| path);
-        self.body.index.find(&self.routes, &route::host_name(host), path)
+        self.body.index.find(&route::host_name(host), path)
     }
 
     /// The service of that name.
@@ -140,21 +118,28 @@
         self.services.get(name)
     }
 
-    pub(crate) fn fields(&self) -> impl ExactSizeIterator<Item = View<'_>> {
-        self.body.fields.iter().map(|field| View { field, text: &self.body.text })
+    pub(crate) fn draft(&self) -> &Draft {
+        &self.body.draft
+    }
+
+    pub(crate) fn index(&self) -> &Index {
+        &self.body.index
+    }
+
+    pub(crate) fn list(&self, key: &str) -> Option<&List> {
+        self.body.draft.list(key)
     }
 
     pub(crate) fn assemble(
         revision: u64,
-        routes: Vec<Arc<Route>>,
-        services: BTreeMap<String, Arc<Service>>,
+        routes: Routes,
+        services: Arc<Services>,
         limits: Limits,
-        text: String,
-        fields: Vec<Field>,
         index: Index,
+        draft: Draft,
     ) -> Config {
-        let body = Arc::new(Body { text: text.into(), fields, index });
-        Config { revision, routes: routes.into(), services: Arc::new(services), limits, body }
+        let body = Arc::new(Body { draft, index, text: OnceLock::new() });
+        Config { revision, routes, services, limits, body }
     }
 }
 
@@ -165,7 +150,7 @@
 /// Equal when the texts are.
 impl PartialEq for Config {
     fn eq(&self, other: &Self) -> bool {
-        self.body.text == other.body.text
+        self.body.draft.same(&other.body.draft)
     }
 }
 
--- a/crates/mains/src/draft.rs
+++ b/crates/mains/src/draft.rs
@@ -1,13 +1,14 @@
 //! A configuration in pieces: taken apart, changed by item, put together again by `build`.
 
 use std::borrow::Cow;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use tinyjson::JsonValue;
 
-use crate::config::Config;
 use crate::fault::{Cause, Fault};
+use crate::hash;
+use crate::list::{Item, List, Meaning};
 use crate::route::Route;
 use crate::scan;
 use crate::service::Service;
@@ -18,129 +19,162 @@
 pub(crate) const REVISION: &str = "revision";
 pub(crate) const LIMITS: &str = "limits";
 
-/// An item of a list, as text and, where it means something here, as read.
+/// The value of a top-level field. Which of both it is follows from the text alone.
 #[derive(Debug, Clone)]
-pub(crate) struct Item<'a> {
-    pub(crate) name: Cow<'a, str>,
-    pub(crate) text: Cow<'a, str>,
-    pub(crate) meaning: Meaning,
+pub(crate) enum Part {
+    /// A list of items, each with a name of its own; the empty list too.
+    Items(List),
+    Plain(Arc<str>),
 }
 
-#[derive(Debug, Clone)]
-pub(crate) enum Meaning {
-    Route(Arc<Route>),
-    Service(Arc<Service>),
-    Unknown,
+impl Part {
+    pub(crate) fn plain(text: &str) -> Self {
+        Part::Plain(text.into())
+    }
+
+    pub(crate) fn text_length(&self) -> usize {
+        match self {
+            Part::Items(list) => list.text_length(),
+            Part::Plain(text) => text.len(),
+        }
+    }
+
+    pub(crate) fn write(&self, to: &mut String) {
+        match self {
+            Part::Items(list) => list.write(to),
+            Part::Plain(text) => to.push_str(text),
+        }
+    }
+
+    /// Over the text.
+    pub(crate) fn hash(&self) -> u64 {
+        match self {
+            Part::Items(list) => list.hash(),
+            Part::Plain(text) => hash::text(text),
+        }
+    }
+
+    /// Of the same text.
+    pub(crate) fn same(&self, other: &Part) -> bool {
+        match (self, other) {
+            (Part::Plain(one), Part::Plain(two)) => one == two,
+            (Part::Items(one), Part::Items(two)) => {
+                one.len() == two.len() && one.iter().zip(two.iter()).all(|(one, two)| Item::same(one, two))
+            }
+            _ => false,
+        }
+    }
 }
 
-/// The value of a top-level field. Which of both it is follows from the text alone.
-#[derive(Debug)]
-pub(crate) enum Part<'a> {
-    /// A list of items, each with a name of its own; the empty list too.
-    Items(Vec<Item<'a>>),
-    Plain(Cow<'a, str>),
+/// A top-level field.
+#[derive(Debug, Clone)]
+pub(crate) struct Field {
+    pub(crate) key: Arc<str>,
+    pub(crate) part: Part,
 }
 
-#[derive(Debug, Default)]
-pub(crate) struct Draft<'a> {
-    pub(crate) parts: Vec<(Cow<'a, str>, Part<'a>)>,
+/// Its top-level fields in order. A clone shares all items.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Draft {
+    pub(crate) fields: Vec<Field>,
 }
 
-impl<'a> Draft<'a> {
+impl Draft {
     /// From a text that has passed the guard.
-    pub(crate) fn read(text: &'a str) -> Result<Self, Fault> {
+    pub(crate) fn read(text: &str) -> Result<Self, Fault> {
         let mut draft = Draft::default();
         for (key, value, elements) in lists(text, "body")? {
             let part = part(&key, value, elements, &key)?;
-            draft.parts.push((key, part));
+            draft.fields.push(Field { key: key.as_ref().into(), part });
         }
         Ok(draft)
     }
 
-    /// A configuration that was read before; nothing is read again.
-    pub(crate) fn of(config: &'a Config) -> Self {
-        let mut draft = Draft::default();
-        for field in config.fields() {
-            let part = match field.items() {
-                None => Part::Plain(Cow::Borrowed(field.text())),
-                Some(items) => {
-                    let meaning = |at: usize, name: &str| match field.key() {
-                        ROUTES => config.routes.get(at).cloned().map(Meaning::Route),
-                        SERVICES => config.services.get(name).cloned().map(Meaning::Service),
-                        _ => None,
-                    };
-                    Part::Items(
-                        items
-                            .enumerate()
-                            .map(|(at, (name, text))| Item {
-                                name: Cow::Borrowed(name),
-                                text: Cow::Borrowed(text),
-                                meaning: meaning(at, name).unwrap_or(Meaning::Unknown),
-                            })
-                            .collect(),
-                    )
-                }
-            };
-            draft.parts.push((Cow::Borrowed(field.key()), part));
+    pub(crate) fn part(&self, key: &str) -> Option<&Part> {
+        self.fields.iter().find(|field| field.key.as_ref() == key).map(|field| &field.part)
+    }
+
+    pub(crate) fn keys(&self) -> impl Iterator<Item = &str> {
+        self.fields.iter().map(|field| field.key.as_ref())
+    }
+
+    /// The list in a field, if it holds one.
+    pub(crate) fn list(&self, key: &str) -> Option<&List> {
+        match self.part(key) {
+            Some(Part::Items(list)) => Some(list),
+            _ => None,
         }
-        draft
     }
 
-    pub(crate) fn part(&self, key: &str) -> Option<&Part<'a>> {
-        self.parts.iter().find(|(own, _)| own == key).map(|(_, part)| part)
+    pub(crate) fn list_mut(&mut self, key: &str) -> Option<&mut List> {
+        let field = self.fields.iter_mut().find(|field| field.key.as_ref() == key)?;
+        match &mut field.part {
+            Part::Items(list) => Some(list),
+            Part::Plain(_) => None,
+        }
     }
 
-    /// About as long as its text.
-    pub(crate) fn length(&self) -> usize {
-        let part = |part: &Part<'_>| match part {
-            Part::Plain(text) => text.len(),
-            Part::Items(items) => items.iter().map(|item| item.text.len() + 1).sum(),
-        };
-        self.parts.iter().map(|(key, own)| key.len() + 6 + part(own)).sum::<usize>() + 2
+    /// How long the whole is as text.
+    pub(crate) fn text_length(&self) -> usize {
+        let field = |field: &Field| scan::quote(&field.key).len() + 1 + field.part.text_length();
+        2 + self.fields.iter().map(field).sum::<usize>() + self.fields.len().saturating_sub(1)
+    }
+
+    /// The whole as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::with_capacity(self.text_length());
+        text.push('{');
+        for field in &self.fields {
+            if text.len() > 1 {
+                text.push(',');
+            }
+            text.push_str(&scan::quote(&field.key));
+            text.push(':');
+            field.part.write(&mut text);
+        }
+        text.push('}');
+        text
+    }
+
+    /// Over the whole text, without a look at items that haven't changed.
+    pub(crate) fn hash(&self) -> u64 {
+        self.fields.iter().fold(0, |sum, field| {
+            let kind = u64::from(matches!(field.part, Part::Items(_)));
+            let part = hash::mix(kind, field.part.hash());
+            hash::mix(sum, hash::mix(hash::text(&field.key), part))
+        })
+    }
+
+    /// Of the same text.
+    pub(crate) fn same(&self, other: &Draft) -> bool {
+        let equal = |(one, two): (&Field, &Field)| one.key == two.key && one.part.same(&two.part);
+        self.fields.len() == other.fields.len() && self.fields.iter().zip(&other.fields).all(equal)
     }
 
     /// Sets a field, in its place or at the end.
-    pub(crate) fn set(&mut self, key: Cow<'a, str>, part: Part<'a>) {
-        match self.parts.iter_mut().find(|(own, _)| *own == key) {
-            Some((_, own)) => *own = part,
-            None => self.parts.push((key, part)),
+    pub(crate) fn set(&mut self, key: &str, part: Part) {
+        match self.fields.iter_mut().find(|field| field.key.as_ref() == key) {
+            Some(field) => field.part = part,
+            None => self.fields.push(Field { key: key.into(), part }),
         }
     }
 
     /// Takes items out of a list; names and lists that aren't there don't matter.
-    pub(crate) fn withdraw(&mut self, list: &str, names: &HashSet<Cow<'_, str>>) {
-        for (key, part) in &mut self.parts {
-            if let Part::Items(items) = part
-                && key == list
-            {
-                items.retain(|item| !names.contains(&item.name));
-            }
+    pub(crate) fn withdraw(&mut self, list: &str, names: &[Cow<'_, str>]) {
+        if let Some(list) = self.list_mut(list) {
+            names.iter().for_each(|name| list.withdraw(name));
         }
     }
 
     /// Puts items into a list: in the place of those that have their names, else at the end.
-    pub(crate) fn upsert(
-        &mut self,
-        list: Cow<'a, str>,
-        new: Vec<Item<'a>>,
-        place: &str,
-    ) -> Result<(), Fault> {
-        let items = match self.parts.iter_mut().find(|(own, _)| *own == list) {
-            Some((_, Part::Items(items))) => items,
-            Some(_) => return Err(Cause::WrongType("for a list of named items").at(place)),
-            None => {
-                self.parts.push((list, Part::Items(new)));
-                return Ok(());
-            }
-        };
-        let at: HashMap<String, usize> =
-            items.iter().enumerate().map(|(at, item)| (item.name.to_string(), at)).collect();
-        for item in new {
-            match at.get(item.name.as_ref()).and_then(|at| items.get_mut(*at)) {
-                Some(own) => *own = item,
-                None => items.push(item),
-            }
+    pub(crate) fn upsert(&mut self, key: &str, new: Vec<Arc<Item>>, place: &str) -> Result<(), Fault> {
+        if self.part(key).is_none() {
+            self.set(key, Part::Items(List::new(new)));
+            return Ok(());
         }
+        let list = self.list_mut(key);
+        let list = list.ok_or_else(|| Cause::WrongType("for a list of named items").at(place))?;
+        new.into_iter().for_each(|item| list.upsert(item));
         Ok(())
     }
 }
@@ -180,29 +214,24 @@
 }
 
 /// A top-level field. Of unknown lists, those whose items have names of their own can be changed by item.
-pub(crate) fn part<'a>(
-    key: &str,
-    text: &'a str,
-    elements: Option<Vec<&'a str>>,
-    place: &str,
-) -> Result<Part<'a>, Fault> {
+pub(crate) fn part(key: &str, text: &str, elements: Option<Vec<&str>>, place: &str) -> Result<Part, Fault> {
     let known = matches!(key, ROUTES | SERVICES);
     match elements {
         None if known => return Err(value::not(text, place, "a list")),
         Some(elements) if !matches!(key, REVISION | LIMITS) => match items(key, elements, place) {
-            Ok(items) => return Ok(Part::Items(items)),
+            Ok(items) => return Ok(Part::Items(List::new(items))),
             Err(fault) if known || matches!(fault.cause, Cause::NotWhole(..)) => return Err(fault),
             Err(_) => {}
         },
         _ => {}
     }
     value::parse(text, place)?;
-    Ok(Part::Plain(scan::minify(text)))
+    Ok(Part::plain(&scan::minify(text)))
 }
 
-/// A list of items, each with a name of its own.
-pub(crate) fn items<'a>(list: &str, elements: Vec<&'a str>, place: &str) -> Result<Vec<Item<'a>>, Fault> {
-    let mut found: Vec<Item<'a>> = Vec::with_capacity(elements.len());
+/// The items of a list, each with a name of its own.
+pub(crate) fn items(list: &str, elements: Vec<&str>, place: &str) -> Result<Vec<Arc<Item>>, Fault> {
+    let mut found: Vec<Arc<Item>> = Vec::with_capacity(elements.len());
     let mut seen: HashSet<String> = HashSet::with_capacity(elements.len());
     for (at, text) in elements.into_iter().enumerate() {
         let place = format!("{place}[{at}]");
@@ -216,9 +245,9 @@
         let meaning = match list {
             ROUTES => Meaning::Route(Arc::new(Route::read(&object)?)),
             SERVICES => Meaning::Service(Arc::new(Service::read(&object)?)),
-            _ => Meaning::Unknown,
+            _ => Meaning::Unknown(name.into()),
         };
-        found.push(Item { name: Cow::Owned(name.to_owned()), text: scan::minify(text), meaning });
+        found.push(Item::new(&scan::minify(text), meaning));
     }
     Ok(found)
 }
--- a/crates/mains/src/index.rs
+++ b/crates/mains/src/index.rs
@@ -3,14 +3,13 @@
 use std::cmp::Ordering;
 use std::sync::Arc;
 
+use crate::chunks::Chunks;
 use crate::route::Route;
 
-const NONE: u32 = u32::MAX;
-
-/// Numbers of routes, ordered by host and prefix; beside each the place of the next shorter prefix that begins it.
-#[derive(Debug, Default)]
+/// Routes in the order of host and prefix. Clones share what isn't changed.
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Index {
-    order: Vec<(u32, u32)>,
+    order: Chunks<Arc<Route>>,
 }
 
 impl Index {
@@ -18,55 +17,49 @@
     pub(crate) fn new(routes: &[Arc<Route>]) -> Result<Index, (usize, usize)> {
         let mut sorted: Vec<(usize, &Arc<Route>)> = routes.iter().enumerate().collect();
         sorted.sort_by(|(_, one), (_, two)| order(one, &two.host, &two.prefix));
-        let mut found: Vec<(u32, u32)> = Vec::with_capacity(sorted.len());
-        // Places in `sorted` whose prefixes begin each other, the longest last.
-        let mut chain: Vec<(u32, &Arc<Route>)> = Vec::new();
-        for (place, (number, route)) in sorted.iter().enumerate() {
-            while let Some((_, above)) = chain.last() {
-                if above.host == route.host && route.prefix.starts_with(&above.prefix) {
-                    break;
-                }
-                chain.pop();
-            }
-            if let Some((above, other)) = chain.last()
-                && other.prefix == route.prefix
-            {
-                let other = found.get(*above as usize).map_or(0, |entry| entry.0 as usize);
-                return Err((other, *number));
+        for ((first, one), (second, two)) in sorted.iter().zip(sorted.iter().skip(1)) {
+            if order(one, &two.host, &two.prefix).is_eq() {
+                return Err((*first, *second));
             }
-            found.push((*number as u32, chain.last().map_or(NONE, |(above, _)| *above)));
-            chain.push((place as u32, route));
         }
-        Ok(Index { order: found })
+        let sorted = sorted.into_iter().map(|(_, route)| route.clone()).collect();
+        Ok(Index { order: Chunks::from_sorted(sorted) })
+    }
+
+    /// False when another route has its place.
+    pub(crate) fn insert(&mut self, route: &Arc<Route>) -> bool {
+        self.order.insert(route.clone(), |own| order(own, &route.host, &route.prefix)).is_none()
+    }
+
+    pub(crate) fn remove(&mut self, route: &Route) {
+        self.order.remove(|own| order(own, &route.host, &route.prefix));
     }
 
     /// `host` as it stands in the routes.
-    pub(crate) fn find<'a>(
-        &self,
-        routes: &'a [Arc<Route>],
-        host: &str,
-        path: &str,
-    ) -> Option<&'a Arc<Route>> {
-        let route = |number: u32| routes.get(number as usize);
-        let after = self.order.partition_point(|(number, _)| {
-            route(*number).is_some_and(|route| order(route, host, path) != Ordering::Greater)
-        });
-        // What begins the path is the last one that isn't after it, or begins that one.
-        let mut place = after.checked_sub(1)?;
+    pub(crate) fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let mut path = path;
         loop {
-            let (number, above) = *self.order.get(place)?;
-            let found = route(number)?;
+            // Every prefix that begins the path begins all that lies between itself and the path in this order,
+            // so the last route that isn't after the path bears the longest one, or shares it with the path.
+            let found = self.order.last_up_to(|own| order(own, host, path))?;
             if found.host != host {
                 return None;
             }
             if path.starts_with(&found.prefix) {
                 return Some(found);
             }
-            place = above as usize;
+            path = common_start(path, &found.prefix);
         }
     }
 }
 
+/// What two texts begin with, both.
+fn common_start<'a>(one: &'a str, two: &str) -> &'a str {
+    let mut pairs = one.char_indices().zip(two.chars());
+    let end = pairs.find(|((_, own), other)| own != other).map(|((at, _), _)| at);
+    one.get(..end.unwrap_or(one.len().min(two.len()))).unwrap_or_default()
+}
+
 fn order(route: &Route, host: &str, prefix: &str) -> Ordering {
     route.host.as_str().cmp(host).then_with(|| route.prefix.as_str().cmp(prefix))
 }
--- a/crates/mains/src/patch.rs
+++ b/crates/mains/src/patch.rs
@@ -1,15 +1,16 @@
 //! Patches between own processes: what turns one configuration into a newer one.
 //!
-//! A patch is an object of `base` (a revision), `sum` (of the newer text) and either `whole`, or some of `withdraw`,
+//! A patch is an object of `base` (a revision), `sum` (a hash over the newer text, see [`Draft::hash`]) and either `whole`, or some of `withdraw`,
 //! `upsert`, `order` (by list), `drop`, `set` and `fields` (the order of the top-level fields).
 
 use std::borrow::Cow;
 use std::collections::{HashMap, HashSet};
 
-use crate::build::build;
+use crate::build::{build, build_on};
 use crate::config::Config;
-use crate::draft::{self, Draft, Part};
+use crate::draft::{self, Draft, Field, Part};
 use crate::fault::{Cause, Fault};
+use crate::list::List;
 use crate::scan::{self, quote};
 use crate::value;
 
@@ -18,12 +19,12 @@
 impl Config {
     /// What turns this configuration into the newer one, as JSON.
     pub fn patch(&self, newer: &Config) -> String {
-        let head = format!("{{\"base\":{},\"sum\":\"{:016x}\"", self.revision, sum(newer.text()));
+        let head = format!("{{\"base\":{},\"sum\":\"{:016x}\"", self.revision, newer.draft().hash());
         let mut patch = head.clone();
         self.differences(newer).write(&mut patch);
         patch.push('}');
-        let whole = head.len() + newer.text().len() + 10;
-        if patch.len() > whole { format!("{head},\"whole\":{}}}", newer.text()) } else { patch }
+        let whole = head.len() + newer.text_length() + 10;
+        if patch.len() > whole { format!("{head},\"whole\":{}}}", newer.to_text()) } else { patch }
     }
 
     /// This configuration after a patch that was made for it.
@@ -34,87 +35,67 @@
         let mut fields: HashMap<Cow<'_, str>, &str> = draft::object(text, PLACE)?.into_iter().collect();
         let wanted = fields.remove("sum").and_then(scan::unquote);
         let config = match fields.remove("whole") {
-            Some(text) => build(&Draft::read(text)?)?,
-            None => build(&self.apply(&mut fields)?)?,
+            Some(text) => build(Draft::read(text)?)?,
+            None => build_on(self, self.apply(&mut fields)?)?,
         };
-        if wanted.as_deref() != Some(&format!("{:016x}", sum(config.text()))) {
+        if wanted.as_deref() != Some(&format!("{:016x}", config.draft().hash())) {
             return Err(Cause::Mismatch("another text came out").at("sum"));
         }
         Ok(config)
     }
 
-    fn apply<'a>(&'a self, fields: &mut HashMap<Cow<'a, str>, &'a str>) -> Result<Draft<'a>, Fault> {
+    fn apply(&self, fields: &mut HashMap<Cow<'_, str>, &str>) -> Result<Draft, Fault> {
         let base = fields.remove("base").unwrap_or("null");
         if value::whole(&value::parse(base, "base")?, "base")? != self.revision {
             return Err(Cause::Mismatch("made for another revision").at("base"));
         }
-        let mut draft = Draft::of(self);
+        let mut draft = self.draft().clone();
         for (list, value) in object(fields.remove("withdraw"), "withdraw")? {
-            draft.withdraw(&list, &draft::names(value, "withdraw")?.into_iter().collect());
+            draft.withdraw(&list, &draft::names(value, "withdraw")?);
         }
         for (list, value, elements) in lists(fields.remove("upsert"), "upsert")? {
             let elements = elements.ok_or_else(|| value::not(value, "upsert", "a list"))?;
             let items = draft::items(&list, elements, "upsert")?;
-            draft.upsert(list, items, "upsert")?;
+            draft.upsert(&list, items, "upsert")?;
         }
         for (list, value) in object(fields.remove("order"), "order")? {
             let names = draft::names(value, "order")?;
-            for (key, part) in &mut draft.parts {
-                if let Part::Items(items) = part
-                    && *key == list
-                {
-                    arrange(items, &names, |item| &item.name)?;
-                }
+            if let Some(list) = draft.list_mut(&list) {
+                *list = list.arranged(&names).ok_or_else(orders_other_things)?;
             }
         }
         if let Some(value) = fields.remove("drop") {
             let names: HashSet<Cow<'_, str>> = draft::names(value, "drop")?.into_iter().collect();
-            draft.parts.retain(|(key, _)| !names.contains(key));
+            draft.fields.retain(|field| !names.contains(field.key.as_ref()));
         }
         for (key, value, elements) in lists(fields.remove("set"), "set")? {
             let part = draft::part(&key, value, elements, &key)?;
-            draft.set(key, part);
+            draft.set(&key, part);
         }
         if let Some(value) = fields.remove("fields") {
             let names = draft::names(value, "fields")?;
-            arrange(&mut draft.parts, &names, |(key, _)| key)?;
+            arrange(&mut draft.fields, &names)?;
         }
         Ok(draft)
     }
 
     fn differences<'a>(&'a self, newer: &'a Config) -> Differences<'a> {
         let mut found = Differences::default();
-        let own: HashMap<&str, _> = self.fields().map(|field| (field.key(), field)).collect();
-        let kept: HashSet<&str> = newer.fields().map(|field| field.key()).collect();
-        let mut order: Vec<&str> = Vec::new();
-        for field in self.fields() {
-            if kept.contains(field.key()) {
-                order.push(field.key());
-            } else {
-                found.dropped.push(field.key());
-            }
-        }
-        for field in newer.fields() {
-            let before = own.get(field.key());
-            if before.is_none() {
-                order.push(field.key());
-            }
-            if before.is_some_and(|before| before.text() == field.text()) {
-                continue;
-            }
-            match (before.and_then(|before| before.items()), field.items()) {
-                (Some(before), Some(after)) => {
-                    found.lists.push(List::new(
-                        field.key(),
-                        &before.collect::<Vec<_>>(),
-                        &after.collect::<Vec<_>>(),
-                    ));
+        let (own, others) = (self.draft(), newer.draft());
+        let (kept, dropped): (Vec<&str>, Vec<&str>) = own.keys().partition(|key| others.part(key).is_some());
+        found.dropped = dropped;
+        for field in &others.fields {
+            match (own.part(&field.key), &field.part) {
+                (Some(Part::Items(before)), Part::Items(after)) => {
+                    found.lists.push(ListDifferences::new(&field.key, before, after));
                 }
-                _ => found.set.push((field.key(), field.text())),
+                (Some(before), after) if before.same(after) => {}
+                _ => found.set.push((&field.key, &field.part)),
             }
         }
-        if !order.iter().copied().eq(newer.fields().map(|field| field.key())) {
-            found.fields = newer.fields().map(|field| field.key()).collect();
+        let added = others.keys().filter(|key| own.part(key).is_none());
+        if !kept.into_iter().chain(added).eq(others.keys()) {
+            found.fields = others.keys().collect();
         }
         found
     }
@@ -122,38 +103,41 @@
 
 #[derive(Default)]
 struct Differences<'a> {
-    lists: Vec<List<'a>>,
+    lists: Vec<ListDifferences<'a>>,
     dropped: Vec<&'a str>,
-    set: Vec<(&'a str, &'a str)>,
+    set: Vec<(&'a str, &'a Part)>,
     fields: Vec<&'a str>,
 }
 
-struct List<'a> {
+/// Names that go, texts that come, and the names of all in order where that does not follow by itself.
+struct ListDifferences<'a> {
     key: &'a str,
     withdraw: Vec<&'a str>,
     upsert: Vec<&'a str>,
     order: Vec<&'a str>,
 }
 
-impl<'a> List<'a> {
-    fn new(key: &'a str, before: &[(&'a str, &'a str)], after: &[(&'a str, &'a str)]) -> Self {
-        let old: HashMap<&str, &str> = before.iter().copied().collect();
-        let new: HashSet<&str> = after.iter().map(|(name, _)| *name).collect();
-        let withdraw = before.iter().map(|(name, _)| *name).filter(|name| !new.contains(name)).collect();
-        let changed = |(name, text): &&(&'a str, &'a str)| old.get(name) != Some(text);
-        let upsert = after.iter().filter(changed).map(|(_, text)| *text).collect();
-        // What comes out without a word on the order: old ones in their places, new ones at the end.
-        let stay = before.iter().map(|(name, _)| *name).filter(|name| new.contains(name));
-        let come = after.iter().map(|(name, _)| *name).filter(|name| !old.contains_key(name));
-        let wanted = after.iter().map(|(name, _)| *name);
-        let order = if stay.chain(come).eq(wanted.clone()) { Vec::new() } else { wanted.collect() };
-        List { key, withdraw, upsert, order }
+impl<'a> ListDifferences<'a> {
+    fn new(key: &'a str, before: &'a List, after: &'a List) -> Self {
+        let mut withdraw = Vec::new();
+        let mut come = Vec::new();
+        before.compare(after, |old, new| match (old, new) {
+            (_, Some(new)) => come.push(new),
+            (Some(old), None) => withdraw.push(old.name()),
+            (None, None) => {}
+        });
+        let follows = after.follows_order_of(before);
+        let order = if follows { Vec::new() } else { after.iter().map(|item| item.name()).collect() };
+        // Those that are new come in at the end, so their own order counts.
+        after.sort_by_order(&mut come);
+        let upsert = come.into_iter().map(|item| item.text.as_ref()).collect();
+        ListDifferences { key, withdraw, upsert, order }
     }
 }
 
 impl Differences<'_> {
     fn write(&self, to: &mut String) {
-        let by_list = |to: &mut String, key: &str, of: &dyn Fn(&List<'_>) -> Vec<String>| {
+        let by_list = |to: &mut String, key: &str, of: &dyn Fn(&ListDifferences<'_>) -> Vec<String>| {
             let lists = self.lists.iter().map(|list| (list.key, of(list))).filter(|(_, of)| !of.is_empty());
             let lists: Vec<String> =
                 lists.map(|(list, of)| format!("{}:[{}]", quote(list), of.join(","))).collect();
@@ -168,9 +152,12 @@
             to.push_str(&format!(",\"drop\":[{}]", quoted(&self.dropped).join(",")));
         }
         if !self.set.is_empty() {
-            let set: Vec<String> =
-                self.set.iter().map(|(key, text)| format!("{}:{text}", quote(key))).collect();
-            to.push_str(&format!(",\"set\":{{{}}}", set.join(",")));
+            for (at, (key, part)) in self.set.iter().enumerate() {
+                to.push_str(if at == 0 { ",\"set\":{" } else { "," });
+                to.push_str(&format!("{}:", quote(key)));
+                part.write(to);
+            }
+            to.push('}');
         }
         if !self.fields.is_empty() {
             to.push_str(&format!(",\"fields\":[{}]", quoted(&self.fields).join(",")));
@@ -190,18 +177,16 @@
     text.map_or(Ok(Vec::new()), |text| draft::lists(text, place))
 }
 
-/// Brings things into the order of their names.
-fn arrange<T>(things: &mut [T], names: &[Cow<'_, str>], name: impl Fn(&T) -> &str) -> Result<(), Fault> {
+/// Brings fields into the order of their names.
+fn arrange(fields: &mut [Field], names: &[Cow<'_, str>]) -> Result<(), Fault> {
     let at: HashMap<&str, usize> = names.iter().enumerate().map(|(at, name)| (name.as_ref(), at)).collect();
-    if at.len() != things.len() || !things.iter().all(|thing| at.contains_key(name(thing))) {
-        return Err(Cause::Mismatch("orders other things").at("order"));
+    if at.len() != fields.len() || !fields.iter().all(|field| at.contains_key(field.key.as_ref())) {
+        return Err(orders_other_things());
     }
-    things.sort_by_key(|thing| at.get(name(thing)).copied());
+    fields.sort_by_key(|field| at.get(field.key.as_ref()).copied());
     Ok(())
 }
 
-/// FNV-1a: finds a patch that was applied to another text of the same revision.
-fn sum(text: &str) -> u64 {
-    text.bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+fn orders_other_things() -> Fault {
+    Cause::Mismatch("orders other things").at("order")
 }
