Read what was committed beside the configuration before it

Cause: each core machine read the whole text of each committed change anew (85 ms for 6,000 routes with one changed), the primary parsed a body into JSON values just to learn its revision, and the whole text was put together to learn its length. 64 patches are two seconds of a change every 30 ms: a proxy that was away for longer fetched the whole.

Change: `Config::read_after` gives what `Config::read` gives and compares the items with those of an older configuration as bytes; what is not as expected is read whole. `revision` looks at the top level only. The length is kept up to date. 1,024 patches are kept, 4 MiB at most as before.

Tests: bent texts beside other configurations, stories of changes, reorders, white space and doubled names read as alone (tests/bytes.rs, tests/stepwise.rs).

--- a/crates/mains/examples/change_cost.rs
+++ b/crates/mains/examples/change_cost.rs
@@ -48,7 +48,7 @@
 const COPIES: usize = 20;
 
 fn main() -> Result<(), mosshead_mains::Fault> {
-    println!("{:>6} {:>8} {:>9} {:>10}", "routes", "change", "step", "us");
+    println!("{:>6} {:>8} {:>10} {:>10}", "routes", "change", "step", "us");
     for routes in [20, 500, 6_000, 12_000] {
         let text = whole(routes);
         let before = resident();
@@ -58,9 +58,18 @@
         drop(held);
         let old = Config::read(text.as_bytes())?;
         let row = |change: &str, step: &str, micros: f64| {
-            println!("{routes:>6} {change:>8} {step:>9} {micros:>10.1}");
+            println!("{routes:>6} {change:>8} {step:>10} {micros:>10.1}");
         };
         row("-", "read", micros(|| Config::read(text.as_bytes())));
+        let mut next = 0;
+        row(
+            "-",
+            "find",
+            micros(|| {
+                next = (next + 7919) % routes;
+                old.find(&format!("host{:03}.example", next % 200), &format!("/p{next}/x")).is_some()
+            }),
+        );
         let middle = routes / 2;
         let changes = [
             ("change", format!("\"upsert\":{{\"route_entries\":[{}]}}", route(middle, 2600))),
@@ -72,6 +81,9 @@
             let new = old.changed(change.as_bytes())?;
             let patch = old.patch(&new);
             row(name, "changed", micros(|| old.changed(change.as_bytes())));
+            let text = new.to_text();
+            row(name, "read_after", micros(|| old.read_after(text.as_bytes())));
+            row(name, "to_text", micros(|| new.to_text()));
             row(name, "patch", micros(|| old.patch(&new)));
             row(name, "patched", micros(|| old.patched(&patch)));
         }
--- a/crates/mains/src/config.rs
+++ b/crates/mains/src/config.rs
@@ -46,7 +46,10 @@
 
     /// `Configuration.Replace`: a whole configuration, above the current one (above 0, if there is none).
     pub fn replaced(current: Option<&Config>, text: &[u8]) -> Result<Config, Fault> {
-        let config = Config::read(text)?;
+        let config = match current {
+            Some(current) => current.read_after(text)?,
+            None => Config::read(text)?,
+        };
         above(config.revision, current.map_or(0, |current| current.revision))?;
         Ok(config)
     }
--- a/crates/mains/src/list.rs
+++ b/crates/mains/src/list.rs
@@ -48,7 +48,7 @@
 /// An item with its position, which it keeps for as long as it stays in the list. Positions rise, with gaps.
 #[derive(Debug, Clone)]
 pub(crate) struct Placed {
-    position: u64,
+    pub(crate) position: u64,
     pub(crate) item: Arc<Item>,
 }
 
@@ -90,7 +90,12 @@
         self.placed(name).map(|placed| &placed.item)
     }
 
-    fn placed(&self, name: &str) -> Option<&Placed> {
+    /// The items in the operator's order, with their positions.
+    pub(crate) fn placed_items(&self) -> impl Iterator<Item = &Placed> {
+        self.order.iter()
+    }
+
+    pub(crate) fn placed(&self, name: &str) -> Option<&Placed> {
         self.names.get(|own| own.item.name().cmp(name))
     }
 
--- a/crates/mains/src/scan.rs
+++ b/crates/mains/src/scan.rs
@@ -7,7 +7,9 @@
 
 use tinyjson::JsonValue;
 
+use crate::draft;
 use crate::fault::{Cause, Fault};
+use crate::value;
 
 /// The longest text that is read.
 pub const MAX_BYTES: usize = 4 << 20;
@@ -33,6 +35,15 @@
     text.parse().ok()
 }
 
+/// The revision that the text of a configuration or a change bears, before it is read whole. `None`: it bears none,
+/// or can't be read.
+pub fn revision(text: &[u8]) -> Option<u64> {
+    let text = self::text(text, MAX_BYTES).ok()?;
+    guard(text, MAX_DEPTH).ok()?;
+    let (_, value) = fields(text)?.into_iter().find(|(key, _)| key == draft::REVISION)?;
+    value::whole(&value::parse(value, draft::REVISION).ok()?, draft::REVISION).ok()
+}
+
 /// Goes once over a text: brackets that match, no level below `depth`, whole strings, no key twice in one object.
 ///
 /// Danger: `tinyjson` descends by recursion and keeps the last of two equal keys; nothing is parsed before this.
@@ -163,12 +174,25 @@
     matches!(byte, b' ' | b'\n' | b'\r' | b'\t')
 }
 
-struct Cursor<'a> {
+/// A place in a text.
+pub(crate) struct Cursor<'a> {
     text: &'a str,
     at: usize,
 }
 
 impl<'a> Cursor<'a> {
+    pub(crate) fn new(text: &'a str) -> Self {
+        Cursor { text, at: 0 }
+    }
+
+    /// Takes this text, if it comes next.
+    pub(crate) fn take_text(&mut self, wanted: &str) -> bool {
+        let rest = self.text.as_bytes().get(self.at..).unwrap_or_default();
+        let there = rest.starts_with(wanted.as_bytes());
+        self.at += if there { wanted.len() } else { 0 };
+        there
+    }
+
     fn peek(&self) -> Option<u8> {
         self.text.as_bytes().get(self.at).copied()
     }
@@ -180,7 +204,7 @@
     }
 
     /// Takes this byte, if it is the next one that isn't white space.
-    fn take(&mut self, byte: u8) -> bool {
+    pub(crate) fn take(&mut self, byte: u8) -> bool {
         self.space();
         let there = self.peek() == Some(byte);
         self.at += usize::from(there);
@@ -188,7 +212,7 @@
     }
 
     /// The next value, not looked into.
-    fn value(&mut self) -> Option<&'a str> {
+    pub(crate) fn value(&mut self) -> Option<&'a str> {
         self.space();
         let start = self.at;
         let mut depth = 0usize;
@@ -234,13 +258,13 @@
         Some(found)
     }
 
-    fn end(&mut self) -> bool {
+    pub(crate) fn end(&mut self) -> bool {
         self.space();
         self.at == self.text.len()
     }
 
     /// After an item: `Some(true)` when another one follows.
-    fn goes_on(&mut self, close: u8) -> Option<bool> {
+    pub(crate) fn goes_on(&mut self, close: u8) -> Option<bool> {
         if self.take(b',') { Some(true) } else { self.take(close).then_some(false) }
     }
 }
@@ -268,7 +292,7 @@
 
 /// The elements of an array; nothing when it isn't one.
 pub(crate) fn elements(text: &str) -> Option<Vec<&str>> {
-    let mut cursor = Cursor { text, at: 0 };
+    let mut cursor = Cursor::new(text);
     let found = cursor.elements()?;
     cursor.end().then_some(found)
 }
@@ -277,7 +301,7 @@
     text: &'a str,
     mut read: impl FnMut(&mut Cursor<'a>, Cow<'a, str>) -> Option<T>,
 ) -> Option<Vec<T>> {
-    let mut cursor = Cursor { text, at: 0 };
+    let mut cursor = Cursor::new(text);
     let mut found = Vec::new();
     if !cursor.take(b'{') {
         return None;
--- a/crates/mains/tests/bytes.rs
+++ b/crates/mains/tests/bytes.rs
@@ -126,3 +126,12 @@
     }
     QuickCheck::new().tests(3_000).quickcheck(property as fn(BentChange) -> bool);
 }
+
+#[test]
+fn bent_texts_are_read_beside_another_as_alone() {
+    fn property(base: Sample, bent: Bent) -> bool {
+        let bases = [whole(), read(&base.text()).expect("valid")];
+        bases.iter().all(|base| base.read_after(&bent.0) == Config::read(&bent.0))
+    }
+    QuickCheck::new().tests(3_000).quickcheck(property as fn(Sample, Bent) -> bool);
+}
--- a/crates/mains/tests/stepwise.rs
+++ b/crates/mains/tests/stepwise.rs
@@ -256,11 +256,15 @@
     for acts in &story.changes {
         let change = Change::new(acts);
         let next = lists.changed(&change);
-        let whole = Config::replaced(Some(&current), next.text().as_bytes());
+        let whole = read(&next.text());
+        let beside = current.read_after(next.text().as_bytes());
+        assert_eq!(beside, whole);
         let stepwise = current.changed(change.text(next.revision).as_bytes());
         match (stepwise, whole) {
             (Ok(stepwise), Ok(whole)) => {
                 same(&stepwise, &whole);
+                same(&beside.expect("equal"), &whole);
+                assert_eq!(Config::replaced(Some(&current), whole.text().as_bytes()).as_ref(), Ok(&whole));
                 assert_eq!(stepwise.text_length(), stepwise.text().len());
                 assert_eq!(stepwise.to_text(), whole.text().as_ref());
                 finds_as_a_scan_does(&stepwise);
@@ -359,7 +363,8 @@
     let change = Change::new(&[Act::Put { route: 10, timeout_ms: 77, service: 1 }, Act::Drop { route: 20 }]);
     let next = first.changed(change.text(2).as_bytes()).expect("valid");
     let patched = first.patched(&first.patch(&next)).expect("fits");
-    for newer in [&next, &patched] {
+    let beside = first.read_after(next.text().as_bytes()).expect("valid");
+    for newer in [&next, &patched, &beside] {
         let shared = newer
             .routes
             .iter()
@@ -368,3 +373,39 @@
         assert!(std::sync::Arc::ptr_eq(&first.services, &newer.services));
     }
 }
+
+#[test]
+fn a_text_beside_any_other_is_read_as_alone() {
+    let lists = Lists::first(200);
+    let mut texts: Vec<String> = others(&lists).into_iter().map(|(_, text)| text).collect();
+    texts.push(lists.text());
+    texts.push(lists.text().replace(",\"timeout_ms\"", " , \"timeout_ms\""));
+    texts.push(lists.text().replace("},{", "} ,\n{"));
+    let mut twice = lists.clone();
+    twice.routes.push(lists.routes[3].clone());
+    texts.push(twice.text());
+    twice.routes.swap(9, 200);
+    texts.push(twice.text());
+    for one in texts.iter().filter_map(|text| read(text).ok()) {
+        for other in &texts {
+            let (beside, alone) = (one.read_after(other.as_bytes()), read(other));
+            assert_eq!(beside, alone);
+            if let (Ok(beside), Ok(alone)) = (beside, alone) {
+                same(&beside, &alone);
+                same(&one.patched(&one.patch(&beside)).expect("fits"), &alone);
+            }
+        }
+    }
+}
+
+#[test]
+fn the_revision_is_told_before_the_whole_is_read() {
+    let lists = Lists::first(3);
+    assert_eq!(mosshead_mains::revision(lists.text().as_bytes()), Some(1));
+    assert_eq!(mosshead_mains::revision(br#"{"upsert":{"revision":3},"revision":4}"#), Some(4));
+    for text in
+        ["", "[]", "{}", "{\"revision\":1.5}", "{\"revision\":\"1\"}", "{\"revision\":1", "{\"revision\":1}}"]
+    {
+        assert_eq!(mosshead_mains::revision(text.as_bytes()), None, "{text}");
+    }
+}
--- a/crates/works/src/control.rs
+++ b/crates/works/src/control.rs
@@ -127,7 +127,7 @@
         return elsewhere(core, core.primary(), path);
     }
     let Some(base) = base else { return bad("C07 X-Base-Revision is missing".into()) };
-    let Some(revision) = revision(body) else {
+    let Some(revision) = mosshead_mains::revision(body) else {
         let fault =
             Config::read(body).err().map_or("M08 at revision: is missing".into(), |fault| fault.to_string());
         return bad(fault);
@@ -154,7 +154,7 @@
         Ok(config) => config,
         Err(fault) => return bad(fault.to_string()),
     };
-    let text = config.text().as_bytes().to_vec();
+    let text = config.to_text().into_bytes();
     match core.change(base, config.revision, text, digest).await {
         Verdict::Taken { revision } => answer(StatusCode::OK, format!("{{\"revision\":{revision}}}")),
         Verdict::Stale { current } => stale(current),
@@ -185,12 +185,6 @@
     JsonValue::from(text.to_owned()).stringify().unwrap_or_else(|_| "\"\"".into())
 }
 
-/// The revision that a change bears, before it is read whole.
-fn revision(body: &[u8]) -> Option<u64> {
-    let value = mosshead_mains::parse(body)?;
-    whole(value.get()?, "revision")
-}
-
 /// What tells a repeat of a call from another one.
 pub fn digest(path: &str, base: u64, body: &[u8]) -> u64 {
     let parts = [path.as_bytes(), &base.to_be_bytes(), body];
--- a/crates/works/src/core/serving.rs
+++ b/crates/works/src/core/serving.rs
@@ -13,7 +13,7 @@
 use crate::calls::{Fetched, Pull, Pulled};
 
 /// Steps of the configuration that are kept for those that pull, and their length together.
-const STEPS: usize = 64;
+const STEPS: usize = 1024;
 const STEPS_LENGTH: usize = 4 * 1024 * 1024;
 /// Entries given at once.
 const PAGE: usize = 400;
@@ -35,7 +35,11 @@
         if state.revision == 0 || old.as_ref().is_some_and(|old| old.revision >= state.revision) {
             return;
         }
-        let config = match Config::read(&state.body) {
+        let read = match old.as_ref() {
+            Some(old) => old.read_after(&state.body),
+            None => Config::read(&state.body),
+        };
+        let config = match read {
             Ok(config) => Arc::new(config),
             Err(fault) => {
                 spdlog::error!("mains: what was committed can't be read: {fault}.");
@@ -67,11 +71,11 @@
         let patches: Vec<String> =
             from.map_or(Vec::new(), |from| steps.iter().skip(from).map(|step| step.patch.clone()).collect());
         let leads = from.is_some() && steps.back().is_some_and(|step| step.to == revision);
-        let shorter = patches.iter().map(String::len).sum::<usize>() < config.text().len();
+        let shorter = patches.iter().map(String::len).sum::<usize>() < config.text_length();
         if leads && shorter {
             return Fetched { revision, patches, whole: None };
         }
-        Fetched { revision, patches: Vec::new(), whole: Some(config.text().to_string()) }
+        Fetched { revision, patches: Vec::new(), whole: Some(config.to_text()) }
     }
 
     pub(super) fn proxies(&self) -> u32 {
