Pull again a little later after a change, so that changes come together

Cause: at each change all three open calls of a proxy return at once and are made again at once, and a fetch follows: with a change every 30 ms that is about 130 calls a second for each proxy (3 + 1 calls for each change).

Change: after word of a newer configuration the slots ask again 50, 100 and 150 ms later. By count that is at most 20 + 10 + 7 pulls and 20 to 37 fetches a second. Where nothing changes, nothing is later than before; entries of the register may be 50 ms later right after a change.

Tests: the pauses are bounded (tests/pulled.rs).

--- a/crates/works/src/puller.rs
+++ b/crates/works/src/puller.rs
@@ -20,6 +20,9 @@
 const GRACE: Duration = Duration::from_millis(400);
 /// Entries handed over at once.
 const PAGE: usize = 400;
+/// After word of a newer configuration the slots ask again so much later, one after the other: changes that follow
+/// each other closely come together, and a slot whose machine is gone holds none up by more than the next one's pause.
+const PAUSE: Duration = Duration::from_millis(50);
 /// The whole configuration comes within this.
 const FETCH: Duration = Duration::from_millis(1500);
 
@@ -171,6 +174,9 @@
         } else {
             self.learn(&answer.cores);
         }
+        if answer.revision > revision {
+            sleep(pause(slot)).await;
+        }
         Some(answer.current)
     }
 
@@ -243,6 +249,11 @@
     }
 }
 
+/// How long a slot waits after word of a newer configuration until it asks again.
+pub fn pause(slot: usize) -> Duration {
+    PAUSE * (1 + slot.min(SLOTS - 1) as u32)
+}
+
 /// Milliseconds on the steady clock of the process.
 pub fn millis(now: Instant) -> u64 {
     thread_local! {
@@ -254,7 +265,11 @@
 /// The configuration that an answer leads to.
 pub fn put_together(have: Option<&Config>, fetched: &Fetched) -> Option<Arc<Config>> {
     if let Some(whole) = &fetched.whole {
-        return Config::read(whole.as_bytes()).ok().map(Arc::new);
+        let read = match have {
+            Some(have) => have.read_after(whole.as_bytes()),
+            None => Config::read(whole.as_bytes()),
+        };
+        return read.ok().map(Arc::new);
     }
     let mut config: Option<Config> = None;
     for patch in &fetched.patches {
--- a/crates/works/tests/pulled.rs
+++ b/crates/works/tests/pulled.rs
@@ -2,7 +2,8 @@
 
 use mosshead_mains::Config;
 use mosshead_works::calls::Fetched;
-use mosshead_works::puller::put_together;
+use mosshead_works::puller::{SLOTS, pause, put_together};
+use tokio::time::Duration;
 
 const WHOLE: &str = include_str!("samples/replace.json");
 const MODIFY: &str = include_str!("samples/modify.json");
@@ -75,3 +76,14 @@
         assert!(put_together(Some(&first), &fetched).is_none(), "{text}");
     }
 }
+
+/// A change has to be in force 300 ms after it is committed, also where two of the three machines that a proxy pulls
+/// from don't answer; half of that is for the way.
+#[test]
+fn slots_ask_again_soon_after_a_change_and_not_all_at_once() {
+    let pauses: Vec<Duration> = (0..SLOTS).map(pause).collect();
+    assert!(pauses.windows(2).all(|pair| pair[0] < pair[1]), "{pauses:?}");
+    assert!(pauses.iter().all(|pause| *pause >= Duration::from_millis(50)), "{pauses:?}");
+    assert!(pauses.iter().all(|pause| *pause <= Duration::from_millis(150)), "{pauses:?}");
+    assert_eq!(pause(usize::MAX), pause(SLOTS - 1));
+}
