Judge in one place whether a message may be sent again, and send nothing overdue

Cause: the data plane and the calls between own processes each judged for themselves whether a request had left whole; a request queued before a freeze could still be written after it, and an answer that had lain in the kernel past its deadline was taken as fresh.

Change: SendProgress (nothing, part, whole) and RetryPolicy (always, only if never sent) beside Written; Link::send_before takes the length from the body itself, refuses the first byte after the deadline at the write to the kernel, and takes no answer after it; Link::reusable asks that the request left whole; Link::connect says why a connection did not come up. Vectored writes are passed on and counted part by part.

--- a/crates/conduit/src/link.rs
+++ b/crates/conduit/src/link.rs
@@ -1,7 +1,7 @@
 //! A client's connection.
 
 use std::error::Error;
-use std::io;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -17,9 +17,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::{BODY_LIMIT, Line, Reason, Record, Side, Written};
+use crate::{BODY_LIMIT, Line, Reason, Record, SendFault, SendFaultCause, SendProgress, Side, Written};
 
 /// A stream that counts what the kernel has taken. Hyper does not tell, and the proof that a request never
 /// ran rests on it.
@@ -28,6 +28,23 @@
     written: Rc<Written>,
 }
 
+impl Counted {
+    /// Fails where the first byte of a message must not be written.
+    fn may_write(&self) -> io::Result<()> {
+        // Danger: a process that was frozen finds messages of long ago in its queues.
+        if self.written.overdue() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        // Danger: bytes that came behind the last answer would be taken for the answer to this message, and
+        // what is written to a connection that has ended is lost. The runtime may not know of either yet:
+        // the kernel is asked itself, before the first byte.
+        if !self.written.begun() && SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]).is_ok() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+}
+
 impl AsyncRead for Counted {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_read(cx, buf)
@@ -36,19 +53,31 @@
 
 impl AsyncWrite for Counted {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        // Danger: bytes that came behind the last answer would be taken for the answer to this message, and
-        // what is written to a connection that has ended is lost. The runtime may not know of either yet:
-        // the kernel is asked itself, before the first byte.
-        if !self.written.begun() && SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]).is_ok() {
-            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
-        }
+        self.may_write()?;
         let wrote = Pin::new(&mut self.stream).poll_write(cx, bytes);
         if let Poll::Ready(Ok(count)) = wrote {
-            self.written.count(&bytes[..count]);
+            self.written.count(bytes.get(..count).unwrap_or(bytes));
+        }
+        wrote
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        parts: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        self.may_write()?;
+        let wrote = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        if let Poll::Ready(Ok(count)) = wrote {
+            self.written.count_parts(parts, count);
         }
         wrote
     }
 
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
     }
@@ -84,6 +113,17 @@
     }
 }
 
+/// Why a connection did not come up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenFault {
+    /// Nobody listens there: that does not change at once.
+    Refused,
+    /// The machine, or the way to it, said no.
+    Unreachable,
+    /// It was not up in time.
+    TimedOut,
+}
+
 /// An open connection to a server, which carries requests with bodies `B`. Letting go of it closes it at once,
 /// whatever is under way on it.
 #[derive(Debug)]
@@ -115,32 +155,44 @@
         how: impl Into<Opening>,
         held: impl Sized + 'static,
     ) -> Option<Self> {
+        Self::connect(side, to, how, held).await.ok()
+    }
+
+    /// As `open`, and says why it did not come up.
+    pub async fn connect(
+        side: Side,
+        to: SocketAddr,
+        how: impl Into<Opening>,
+        held: impl Sized + 'static,
+    ) -> Result<Self, OpenFault> {
         let how = how.into();
         let line = Line::open(side, to);
         let record = line.record();
         record.otherwise(Reason::GivenUp);
         let stream = match timeout(how.within, TcpStream::connect(to)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(_)) => {
+            Ok(Err(fault)) => {
                 record.because(Reason::Refused);
-                return None;
+                let refused = fault.kind() == io::ErrorKind::ConnectionRefused;
+                return Err(if refused { OpenFault::Refused } else { OpenFault::Unreachable });
             }
             Err(_) => {
                 record.because(Reason::ConnectTimeout);
-                return None;
+                return Err(OpenFault::TimedOut);
             }
         };
         how.set_on(&stream);
         let written = Rc::new(Written::default());
         let io = TokioIo::new(Counted { stream, written: written.clone() });
-        let (sender, connection) = Builder::new().max_buf_size(BODY_LIMIT).handshake(io).await.ok()?;
+        let handshake = Builder::new().max_buf_size(BODY_LIMIT).handshake(io).await;
+        let (sender, connection) = handshake.map_err(|_| OpenFault::Unreachable)?;
         let driver = tokio::task::spawn_local(async move {
             if connection.await.is_err() {
                 line.record().because(Reason::Broken);
             }
             drop((line, held));
         });
-        Some(Self { sender, driver, written, record })
+        Ok(Self { sender, driver, written, record })
     }
 
     /// Whether it has ended.
@@ -153,6 +205,41 @@
         self.sender.ready().await.is_ok()
     }
 
+    /// Whether it may carry another message, found within `within`: the last one left whole, and its answer has been
+    /// taken to its end with nothing behind it.
+    pub async fn reusable(&mut self, within: Duration) -> bool {
+        // Danger: an answer may come before the last byte of its request has left; what is left of that one would be
+        // the start of the next.
+        self.written.whole() && timeout(within, self.ready()).await == Ok(true)
+    }
+
+    /// Sends one request, once, and reads the head of the answer, all before `deadline`. After a fault the connection
+    /// is to be let go of: its answer may come yet.
+    pub async fn send_before(
+        &mut self,
+        request: Request<B>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, SendFault> {
+        let length = request.body().size_hint().exact();
+        let length = length.and_then(|length| usize::try_from(length).ok()).unwrap_or(usize::MAX);
+        self.written.arm(length);
+        self.written.begin_before(deadline);
+        self.record.message();
+        let answer = timeout_at(deadline, self.sender.send_request(request)).await;
+        let cause = match answer {
+            // Danger: in a process that was frozen the answer and the deadline come at once. What is overdue is not
+            // fresh, whatever it says.
+            Ok(Ok(answer)) if Instant::now() < deadline => return Ok(answer),
+            Ok(Ok(_)) | Err(_) => SendFaultCause::DeadlinePassed,
+            Ok(Err(fault)) if fault.is_parse() => SendFaultCause::NotHttp,
+            Ok(Err(_)) if self.written.progress() == SendProgress::NotStarted && self.written.overdue() => {
+                SendFaultCause::DeadlinePassed
+            }
+            Ok(Err(_)) => SendFaultCause::ConnectionLost,
+        };
+        Err(SendFault { cause, progress: self.written.progress() })
+    }
+
     /// Sends one request, once, whose body has the length `body`, and reads the head of the answer.
     pub async fn send(&mut self, request: Request<B>, body: usize) -> hyper::Result<Response<Incoming>> {
         self.written.arm(body);
--- a/crates/conduit/src/written.rs
+++ b/crates/conduit/src/written.rs
@@ -1,6 +1,11 @@
 //! How much of a message has left.
 
 use std::cell::Cell;
+use std::io::IoSlice;
+
+use tokio::time::Instant;
+
+use crate::SendProgress;
 
 /// How much of the message now on a connection has left for the kernel.
 #[derive(Debug, Default)]
@@ -9,6 +14,7 @@
     matched: Cell<usize>,
     body_left: Cell<usize>,
     whole: Cell<bool>,
+    deadline: Cell<Option<Instant>>,
 }
 
 impl Written {
@@ -18,6 +24,26 @@
         self.matched.set(0);
         self.body_left.set(body);
         self.whole.set(false);
+        self.deadline.set(None);
+    }
+
+    /// The message must not be begun after this.
+    pub fn begin_before(&self, deadline: Instant) {
+        self.deadline.set(Some(deadline));
+    }
+
+    /// Whether it is too late for its first byte.
+    pub fn overdue(&self) -> bool {
+        !self.begun() && self.deadline.get().is_some_and(|deadline| Instant::now() >= deadline)
+    }
+
+    /// How far it has come.
+    pub fn progress(&self) -> SendProgress {
+        match (self.begun(), self.whole()) {
+            (_, true) => SendProgress::Complete,
+            (true, false) => SendProgress::Partial,
+            (false, false) => SendProgress::NotStarted,
+        }
     }
 
     /// Whether any byte of it has been handed to the kernel.
@@ -35,6 +61,15 @@
         self.whole.set(true);
     }
 
+    /// The kernel has taken so many bytes of these parts, in their order.
+    pub fn count_parts(&self, parts: &[IoSlice], mut taken: usize) {
+        for part in parts {
+            let bytes = part.get(..taken).unwrap_or(part);
+            self.count(bytes);
+            taken = taken.saturating_sub(bytes.len());
+        }
+    }
+
     /// The kernel has taken these bytes.
     pub fn count(&self, bytes: &[u8]) {
         const END: &[u8] = b"\r\n\r\n";
--- a/crates/conduit/tests/link.rs
+++ b/crates/conduit/tests/link.rs
@@ -11,7 +11,9 @@
 
 use bytes::Bytes;
 use http_body_util::{Empty, Full};
-use mosshead_conduit::{BodyFault, Link, Opening, Reason, Record, Side, whole};
+use mosshead_conduit::{
+    BodyFault, Link, OpenFault, Opening, Reason, Record, SendFault, SendFaultCause, SendProgress, Side, whole,
+};
 use rstest::rstest;
 use socket2::{Domain, SockRef, Socket, Type};
 use tokio::task::LocalSet;
@@ -203,3 +205,121 @@
         assert!(!matches!(node.read(&mut [0; 9]), Ok(1..)));
     });
 }
+
+/// What nobody waits for any more, as after a freeze, does not leave at all.
+#[test]
+fn nothing_is_sent_after_its_deadline() {
+    run(async {
+        let (mut link, mut server) = connected().await;
+        assert!(link.ready().await);
+        let past = tokio::time::Instant::now();
+        let fault = link.send_before(get(), past).await.expect_err("too late");
+        assert_eq!(fault.cause, SendFaultCause::DeadlinePassed);
+        assert_eq!((fault.progress, link.written.begun()), (SendProgress::NotStarted, false));
+        drop(link);
+        tokio::task::yield_now().await;
+        assert!(!matches!(server.read(&mut [0; 9]), Ok(1..)));
+    });
+}
+
+/// The deadline passes between the queueing of a request and its first byte: the process was frozen right there.
+#[test]
+fn a_request_that_was_queued_before_a_freeze_is_not_sent_after_it() {
+    run(async {
+        let (mut link, mut server) = connected().await;
+        assert!(link.ready().await);
+        let written = link.written.clone();
+        let deadline = tokio::time::Instant::now() + Duration::from_millis(20);
+        {
+            let mut sending = pin!(link.send_before(get(), deadline));
+            assert!(matches!(sending.as_mut().poll(&mut Context::from_waker(Waker::noop())), Poll::Pending));
+            // The whole thread stands still: neither the timer nor the connection is looked after.
+            while tokio::time::Instant::now() < deadline {
+                std::thread::yield_now();
+            }
+            // The connection is looked after first.
+            tokio::task::yield_now().await;
+            tokio::task::yield_now().await;
+            let fault = sending.await.expect_err("too late");
+            assert_eq!(fault.progress, SendProgress::NotStarted);
+        }
+        assert!(!written.begun());
+        drop(link);
+        tokio::task::yield_now().await;
+        assert!(!matches!(server.read(&mut [0; 9]), Ok(1..)));
+    });
+}
+
+/// An answer that lay in the kernel while the process was frozen is overdue, and its connection is of no further use.
+#[test]
+fn an_answer_that_is_read_after_the_deadline_is_none() {
+    run(async {
+        let (mut link, mut server) = connected().await;
+        assert!(link.ready().await);
+        let deadline = tokio::time::Instant::now() + Duration::from_millis(50);
+        let mut sending = pin!(link.send_before(get(), deadline));
+        assert!(matches!(sending.as_mut().poll(&mut Context::from_waker(Waker::noop())), Poll::Pending));
+        tokio::task::yield_now().await;
+        assert!(server.read(&mut [0; 64]).expect("the request") > 0);
+        server.write_all(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n").expect("room");
+        while tokio::time::Instant::now() < deadline {
+            std::thread::yield_now();
+        }
+        let fault = sending.await.expect_err("overdue");
+        let expected = SendFault { cause: SendFaultCause::DeadlinePassed, progress: SendProgress::Complete };
+        assert_eq!(fault, expected);
+    });
+}
+
+/// An answer that comes before its request has left whole leaves a connection on which the rest is still to come.
+#[test]
+fn a_connection_is_used_again_only_once_its_request_has_left_whole() {
+    run(async {
+        let (mut link, mut server) = connected().await;
+        assert!(link.ready().await);
+        let big = Bytes::from(vec![7; 64 << 20]);
+        let request = hyper::Request::post("/").body(Full::new(big)).expect("a request");
+        let server = std::thread::spawn(move || {
+            assert!(server.read(&mut [0; 64]).expect("the head") > 0);
+            server.write_all(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n").expect("room");
+            server
+        });
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        assert_eq!(link.send_before(request, deadline).await.expect("an answer").status(), 503);
+        assert!(!link.written.whole() && !link.reusable(PATIENCE).await);
+        drop(server.join().expect("no fault"));
+    });
+}
+
+#[test]
+fn one_that_is_quiet_behind_its_answer_is_used_again() {
+    run(async {
+        let (listener, to) = listen();
+        let link = Link::<Full<Bytes>>::open(SERVER, to, PATIENCE, ()).await;
+        let (mut link, (mut server, _)) = (link.expect("a connection"), listener.accept().expect("it"));
+        let server = std::thread::spawn(move || {
+            for _ in 0..2 {
+                assert!(server.read(&mut [0; 64]).expect("a request") > 0);
+                server.write_all(b"HTTP/1.1 204 X\r\n\r\n").expect("room");
+            }
+            server
+        });
+        for _ in 0..2 {
+            let deadline = tokio::time::Instant::now() + PATIENCE;
+            let request = get();
+            assert_eq!(link.send_before(request, deadline).await.expect("an answer").status(), 204);
+            assert!(link.reusable(PATIENCE).await);
+        }
+        drop(server.join().expect("no fault"));
+    });
+}
+
+#[test]
+fn one_that_does_not_come_up_says_why() {
+    run(async {
+        let (listener, to) = listen();
+        drop(listener);
+        let refused = Link::<Full<Bytes>>::connect(SERVER, to, PATIENCE, ()).await;
+        assert_eq!(refused.err(), Some(OpenFault::Refused));
+    });
+}
--- a/crates/conduit/tests/written.rs
+++ b/crates/conduit/tests/written.rs
@@ -1,6 +1,8 @@
 //! What counts as written.
 
-use mosshead_conduit::Written;
+use std::io::IoSlice;
+
+use mosshead_conduit::{RetryPolicy, SendProgress, Written};
 use quickcheck::quickcheck;
 
 /// Guards the proof that a job never ran: it holds until the very last byte, however writes are cut.
@@ -54,3 +56,65 @@
     written.ended();
     assert!(written.whole());
 }
+
+/// Writes these parts as the kernel takes them, so many bytes at a time; false if the message counts as whole at the
+/// wrong byte.
+fn counted_in_parts(parts: &[&[u8]], body: usize, cuts: &[u8]) -> bool {
+    let written = Written::default();
+    written.arm(body);
+    let message = parts.concat();
+    let (mut at, mut cuts) = (0, cuts.iter().cycle());
+    while at < message.len() {
+        if written.progress().may_have_run() {
+            return false;
+        }
+        // What is left of the parts, as a vectored write hands it over.
+        let mut skipped = at;
+        let mut left = Vec::new();
+        for part in parts {
+            let skip = skipped.min(part.len());
+            skipped -= skip;
+            left.push(IoSlice::new(&part[skip..]));
+        }
+        let taken = cuts.next().map_or(1, |&cut| usize::from(cut).clamp(1, message.len() - at));
+        written.count_parts(&left, taken);
+        at += taken;
+    }
+    written.progress() == SendProgress::Complete
+}
+
+quickcheck! {
+    fn however_parts_are_taken_it_is_whole_with_its_last_byte_only(head: String, body: Vec<u8>, cuts: Vec<u8>) -> bool {
+        let head = format!("POST / HTTP/1.1\r\nx: {}\r\n\r\n", head.replace(['\r', '\n'], ""));
+        let (first, second) = body.split_at(body.len() / 2);
+        counted_in_parts(&[head.as_bytes(), b"", first, second], body.len(), &cuts)
+    }
+}
+
+quickcheck! {
+    /// With more bytes than were announced (as chunks are framed) it counts as whole too early, never too late.
+    fn it_is_whole_at_the_latest_with_its_last_byte(body: Vec<u8>, announced: usize) -> bool {
+        let announced = announced % (body.len() + 1);
+        let written = Written::default();
+        written.arm(announced);
+        written.count(b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n");
+        written.count(&body);
+        written.progress().may_have_run()
+    }
+}
+
+#[test]
+fn progress_and_policy_decide_whether_it_is_sent_again() {
+    let written = Written::default();
+    written.arm(1);
+    let mut seen = vec![written.progress()];
+    written.count(b"GET / HTTP/1.1\r\n\r\n");
+    seen.push(written.progress());
+    written.count(b"x");
+    seen.push(written.progress());
+    assert_eq!(seen, [SendProgress::NotStarted, SendProgress::Partial, SendProgress::Complete]);
+    let again =
+        |policy: RetryPolicy| seen.iter().map(|&progress| policy.allows(progress)).collect::<Vec<_>>();
+    assert_eq!(again(RetryPolicy::Always), [true, true, true]);
+    assert_eq!(again(RetryPolicy::OnlyIfNeverSent), [true, true, false]);
+}
