Bind each answer between own processes to its call, and repeat only what may be

Cause: a call took whatever stood on its kept connection. Seen to fail before, against a peer that answers twice: 'Doubled: left: (2, 1002) right: (3, 1003)', the answer to another call; an answer under another id was taken: 'OtherId: left: Ok(1) right: Err(Lost)'. What was repeatable was a bare bool, true by default, and the judgement whether a call had left was the caller's own.

Change: a call bears call-id, its answer echoes it, and any other one is fault 807 and closes the connection. Connections are conduit's links, so the kernel is asked right before the first byte, nothing is begun after its deadline and nothing taken after it. Call::RETRY has no default: Pull, Fetch and Hand may always be repeated, Hears and Epoch only if they never left.

Changed tests: stand-ins echo call-id; 'sent once' now goes on the kept connection, where the proof is that its last byte left, and still counts one arrival.

--- a/crates/culvert/src/call.rs
+++ b/crates/culvert/src/call.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use minicbor::{Decode, Decoder, Encode};
+use mosshead_conduit::RetryPolicy;
 
 use crate::CallFault;
 
@@ -13,9 +14,8 @@
 pub trait Call: Encode<()> + for<'bytes> Decode<'bytes, ()> + 'static {
     /// What the call is named on the wire; letters, digits, `-` and `/`.
     const NAME: &'static str;
-    /// Whether it does no harm when it arrives twice. If not, it always gets a connection of its own: on one that
-    /// was kept, nobody could tell whether it had arrived.
-    const REPEATABLE: bool = true;
+    /// When it may be sent again on another connection after its first one was lost. docs/design/calls.md says why.
+    const RETRY: RetryPolicy;
     /// What is answered.
     type Answer: Encode<()> + for<'bytes> Decode<'bytes, ()> + 'static;
 }
@@ -31,8 +31,8 @@
 pub trait Transport {
     /// Calls, and waits for the answer no longer than `within`.
     ///
-    /// Danger: after [`CallFault::Timeout`], [`CallFault::Lost`], [`CallFault::Garbled`] and
-    /// [`CallFault::TooLong`], and when the future is dropped, the call may have been handled, or may be yet.
+    /// Danger: after [`CallFault::Timeout`], [`CallFault::Lost`], [`CallFault::Garbled`], [`CallFault::Misplaced`]
+    /// and [`CallFault::TooLong`], and when the future is dropped, the call may have been handled, or may be yet.
     fn call<C: Call>(
         &self,
         to: SocketAddrV4,
--- a/crates/culvert/src/caller.rs
+++ b/crates/culvert/src/caller.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -5,23 +6,27 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::HOST;
+use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use mosshead_conduit::{RetryPolicy, SendFault, SendFaultCause, SendProgress};
 use tokio::time::Instant;
 
 use crate::call::{MAX_BODY, decode, encode};
-use crate::fault::CODE_HEADER;
-use crate::pool::{Connection, Pool};
+use crate::fault::{CALL_ID_HEADER, CODE_HEADER};
+use crate::pool::{Connection, Pool, connect};
 use crate::server::collect;
 use crate::{Call, CallFault, Refusal, Transport};
 
 /// In place of a time limit that no clock holds.
 const FOREVER: Duration = Duration::from_secs(86_400);
+/// After an answer a connection has to show within this that it can carry the next call.
+const SETTLES: Duration = Duration::from_millis(2);
 
 /// Calls over the network. Clones share their idle connections. Needs a `LocalSet`.
 #[derive(Clone, Default)]
 pub struct Caller {
     pool: Rc<Pool>,
+    last_call_id: Rc<Cell<u64>>,
 }
 
 impl Caller {
@@ -40,45 +45,62 @@
         let body = Bytes::from(encode(call)?);
         let now = Instant::now();
         let deadline = now.checked_add(within).unwrap_or(now + FOREVER);
-        let exchange = self.exchange(to, C::NAME, body, C::REPEATABLE, deadline);
+        let message = Message { to, name: C::NAME, body, deadline };
+        let exchange = self.exchange(&message, C::RETRY);
         // Danger: the exchange holds its connection, so giving up on it closes the connection: an answer that
         // comes late must not be taken for that to the next call.
         let answer = tokio::time::timeout_at(deadline, exchange).await.map_err(|_| CallFault::Timeout)??;
         decode(&answer).ok_or(CallFault::Garbled)
     }
 
-    async fn exchange(
-        &self,
-        to: SocketAddrV4,
-        name: &str,
-        body: Bytes,
-        repeatable: bool,
-        deadline: Instant,
-    ) -> Result<Bytes, CallFault> {
-        if repeatable && let Some(connection) = self.pool.take(to) {
-            match send(connection, request(to, name, body.clone())?).await {
-                Ok((connection, response)) => return self.finish(to, connection, response).await,
-                // It was dead, or died; so once more on a new one. The others are as old.
-                Err(CallFault::Lost) => self.pool.forget(to),
-                Err(fault) => return Err(fault),
+    async fn exchange(&self, message: &Message, retry: RetryPolicy) -> Result<Bytes, CallFault> {
+        if let Some(connection) = self.pool.take(message.to) {
+            match self.send(connection, message).await {
+                Ok(answer) => return self.finish(message, answer).await,
+                Err(unanswered) if !unanswered.may_go_again(retry) => return Err(unanswered.fault),
+                // It was dead, or died, or brought another's answer; so once more on a new one. The others are as old.
+                Err(_) => self.pool.forget(message.to),
             }
         }
-        let connection = Connection::open(to, deadline).await?;
-        let (connection, response) = send(connection, request(to, name, body)?).await?;
-        self.finish(to, connection, response).await
+        let connection = connect(message.to, message.deadline).await?;
+        let answer = self.send(connection, message).await.map_err(|unanswered| unanswered.fault)?;
+        self.finish(message, answer).await
     }
 
-    async fn finish(
-        &self,
-        to: SocketAddrV4,
-        connection: Connection,
-        response: Response<Incoming>,
-    ) -> Result<Bytes, CallFault> {
+    /// Sends the call once, and reads the head of its answer.
+    async fn send(&self, mut connection: Connection, message: &Message) -> Result<Answer, Unanswered> {
+        let nothing_sent = |fault| Unanswered { fault, progress: SendProgress::NotStarted };
+        if !connection.ready().await {
+            return Err(nothing_sent(CallFault::Lost));
+        }
+        let call_id = self.next_call_id();
+        let request = message.request(&call_id).map_err(nothing_sent)?;
+        let response = connection.send_before(request, message.deadline).await.map_err(Unanswered::from)?;
+        // Danger: an answer in excess to an earlier call may stand where this one's is due.
+        if response.headers().get(CALL_ID_HEADER) != Some(&call_id) {
+            return Err(Unanswered { fault: CallFault::Misplaced, progress: connection.written.progress() });
+        }
+        Ok(Answer { connection, response })
+    }
+
+    fn next_call_id(&self) -> HeaderValue {
+        self.last_call_id.set(self.last_call_id.get().wrapping_add(1));
+        HeaderValue::from(self.last_call_id.get())
+    }
+
+    async fn finish(&self, message: &Message, answer: Answer) -> Result<Bytes, CallFault> {
+        let Answer { mut connection, response } = answer;
         let (head, body) = response.into_parts();
         let body = collect(body, MAX_BODY)
             .await
             .map_err(|too_long| if too_long { CallFault::TooLong } else { CallFault::Lost })?;
-        self.pool.put(to, connection);
+        // Danger: after a freeze the answer may have lain there for long; what it says is not fresh.
+        if Instant::now() >= message.deadline {
+            return Err(CallFault::Timeout);
+        }
+        if connection.reusable(SETTLES).await {
+            self.pool.put(message.to, connection);
+        }
         if head.status == StatusCode::OK {
             return Ok(body);
         }
@@ -87,6 +109,57 @@
     }
 }
 
+/// A call on its way.
+struct Message {
+    to: SocketAddrV4,
+    name: &'static str,
+    body: Bytes,
+    deadline: Instant,
+}
+
+impl Message {
+    fn request(&self, call_id: &HeaderValue) -> Result<Request<Full<Bytes>>, CallFault> {
+        Request::builder()
+            .method(Method::POST)
+            .uri(format!("/{}", self.name))
+            .header(HOST, self.to.to_string())
+            .header(CALL_ID_HEADER, call_id)
+            .body(Full::new(self.body.clone()))
+            .map_err(|_| CallFault::Garbled)
+    }
+}
+
+/// The head of the answer to a call, and the connection that the rest comes on.
+struct Answer {
+    connection: Connection,
+    response: Response<Incoming>,
+}
+
+/// A send without an answer of its own.
+struct Unanswered {
+    fault: CallFault,
+    progress: SendProgress,
+}
+
+impl Unanswered {
+    /// Whether another connection is worth a try, and does no harm.
+    fn may_go_again(&self, retry: RetryPolicy) -> bool {
+        matches!(self.fault, CallFault::Lost | CallFault::Misplaced) && retry.allows(self.progress)
+    }
+}
+
+impl From<SendFault> for Unanswered {
+    fn from(fault: SendFault) -> Unanswered {
+        let progress = fault.progress;
+        let fault = match fault.cause {
+            SendFaultCause::DeadlinePassed => CallFault::Timeout,
+            SendFaultCause::NotHttp => CallFault::Garbled,
+            SendFaultCause::ConnectionLost => CallFault::Lost,
+        };
+        Unanswered { fault, progress }
+    }
+}
+
 impl Transport for Caller {
     async fn call<C: Call>(
         &self,
@@ -97,24 +170,3 @@
         Caller::call(self, to, call, within).await
     }
 }
-
-fn request(to: SocketAddrV4, name: &str, body: Bytes) -> Result<Request<Full<Bytes>>, CallFault> {
-    Request::builder()
-        .method(Method::POST)
-        .uri(format!("/{name}"))
-        .header(HOST, to.to_string())
-        .body(Full::new(body))
-        .map_err(|_| CallFault::Garbled)
-}
-
-async fn send(
-    mut connection: Connection,
-    request: Request<Full<Bytes>>,
-) -> Result<(Connection, Response<Incoming>), CallFault> {
-    connection.sender.ready().await.map_err(|_| CallFault::Lost)?;
-    match connection.sender.send_request(request).await {
-        Ok(response) => Ok((connection, response)),
-        Err(fault) if fault.is_parse() => Err(CallFault::Garbled),
-        Err(_) => Err(CallFault::Lost),
-    }
-}
--- a/crates/culvert/src/fault.rs
+++ b/crates/culvert/src/fault.rs
@@ -3,6 +3,9 @@
 /// The header of a refusal's number.
 pub const CODE_HEADER: &str = "result-code";
 
+/// The header that names a call; its answer has the same.
+pub const CALL_ID_HEADER: &str = "call-id";
+
 quick_error! {
     /// Why a call was not answered by the other side. Numbers 810 to 819 are for the handling of calls as such;
     /// a handler refuses with [`Refusal::Other`] and a number of its own.
@@ -107,6 +110,10 @@
         Lost {
             display("the connection was lost")
         }
+        /// 807: the answer is to another call.
+        Misplaced {
+            display("the answer is to another call")
+        }
     }
 }
 
@@ -120,6 +127,7 @@
             CallFault::Garbled => 804,
             CallFault::TooLong => 805,
             CallFault::Lost => 806,
+            CallFault::Misplaced => 807,
         }
     }
 }
--- a/crates/culvert/src/pool.rs
+++ b/crates/culvert/src/pool.rs
@@ -1,20 +1,16 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::SocketAddrV4;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
+use mosshead_conduit::{Link, OpenFault, Opening, Side};
 use tokio::time::Instant;
 
 use crate::CallFault;
-use crate::server::tune;
+use crate::server::USER_TIMEOUT;
 
 /// How long a connection is kept for the next call.
 const IDLE: Duration = Duration::from_secs(10);
@@ -25,48 +21,26 @@
 /// How long one attempt to connect may take; there are two.
 const CONNECT: Duration = Duration::from_millis(300);
 
-/// An open connection. Dropping it closes it.
-pub(crate) struct Connection {
-    pub sender: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
-}
+/// Ends of these connections are not logged one by one.
+const PEER: Side = Side { name: "peer", log: |_| {} };
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        // Danger: a call whose future is dropped drops this too. Were the connection left to itself, the late
-        // answer would keep it open.
-        self.task.abort();
-    }
-}
+/// An open connection. Dropping it closes it.
+pub(crate) type Connection = Link<Full<Bytes>>;
 
-impl Connection {
-    /// Connects; a lost opening packet would come again only after seconds, so there is a second attempt.
-    pub async fn open(to: SocketAddrV4, deadline: Instant) -> Result<Connection, CallFault> {
-        let connected = match attempt(to, deadline).await {
-            // Nobody listens there: that will not change at once.
-            Err(refused) if refused => Err(CallFault::Connect),
-            Err(_) if Instant::now() < deadline => {
-                attempt(to, deadline).await.map_err(|_| CallFault::Connect)
-            }
-            other => other.map_err(|_| CallFault::Connect),
-        };
-        let stream = connected?;
-        tune(&stream).map_err(|_| CallFault::Connect)?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| CallFault::Connect)?;
-        let task = tokio::task::spawn_local(async move {
-            let _ = connection.await;
-        });
-        Ok(Connection { sender, task: task.abort_handle() })
-    }
+/// Connects; a lost opening packet would come again only after seconds, so there is a second attempt.
+pub(crate) async fn connect(to: SocketAddrV4, deadline: Instant) -> Result<Connection, CallFault> {
+    let connected = match attempt(to, deadline).await {
+        Err(OpenFault::Unreachable | OpenFault::TimedOut) if Instant::now() < deadline => {
+            attempt(to, deadline).await
+        }
+        connected => connected,
+    };
+    connected.map_err(|_| CallFault::Connect)
 }
 
-/// Fails with whether the address refused.
-async fn attempt(to: SocketAddrV4, deadline: Instant) -> Result<TcpStream, bool> {
-    let until = deadline.min(Instant::now() + CONNECT);
-    match tokio::time::timeout_at(until, TcpStream::connect(to)).await {
-        Ok(connected) => connected.map_err(|fault| fault.kind() == ErrorKind::ConnectionRefused),
-        Err(_) => Err(false),
-    }
+async fn attempt(to: SocketAddrV4, deadline: Instant) -> Result<Connection, OpenFault> {
+    let within = CONNECT.min(deadline.saturating_duration_since(Instant::now()));
+    Connection::connect(PEER, to.into(), Opening { within, user_timeout: Some(USER_TIMEOUT) }, ()).await
 }
 
 /// The idle connections.
@@ -84,7 +58,7 @@
         let of_address = idle.get_mut(&to)?;
         while let Some((since, connection)) = of_address.pop() {
             self.count.set(self.count.get().saturating_sub(1));
-            if !connection.sender.is_closed() && since.elapsed() < IDLE {
+            if !connection.closed() && since.elapsed() < IDLE {
                 return Some(connection);
             }
         }
@@ -94,7 +68,7 @@
 
     /// Keeps a connection on which nothing is under way.
     pub fn put(self: &Rc<Pool>, to: SocketAddrV4, connection: Connection) {
-        if connection.sender.is_closed() || self.count.get() >= MAX_ALL_IDLE {
+        if connection.closed() || self.count.get() >= MAX_ALL_IDLE {
             return;
         }
         {
@@ -121,7 +95,7 @@
     fn purge(&self) -> Option<Instant> {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|_, of_address| {
-            of_address.retain(|(since, connection)| !connection.sender.is_closed() && since.elapsed() < IDLE);
+            of_address.retain(|(since, connection)| !connection.closed() && since.elapsed() < IDLE);
             !of_address.is_empty()
         });
         self.count.set(idle.values().map(Vec::len).sum());
--- a/crates/culvert/src/server.rs
+++ b/crates/culvert/src/server.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{AbortHandle, Id, JoinSet};
 
-use crate::fault::CODE_HEADER;
+use crate::fault::{CALL_ID_HEADER, CODE_HEADER};
 use crate::{Handlers, Limits, Peer, Refusal};
 
 /// A peer that doesn't acknowledge for so long is gone.
@@ -92,14 +92,15 @@
     // Without these options it is only slower.
     let _ = tune(&stream);
     let limits = handlers.bounds();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let call_id = request.headers().get(CALL_ID_HEADER).cloned();
         let (handlers, seat, turns) = (Rc::clone(&handlers), Rc::clone(&seat), Rc::clone(&turns));
         async move {
             seat.busy.set(true);
             let answer = answer(request, &handlers, limits, Peer { address }).await;
             seat.turn.set(next(&turns));
             seat.busy.set(false);
-            Ok::<_, Infallible>(response(answer))
+            Ok::<_, Infallible>(response(answer, call_id))
         }
     });
     let _ = http1::Builder::new()
@@ -136,15 +137,21 @@
     handlers.answer(path.strip_prefix('/').unwrap_or(path), &body, peer).await
 }
 
-fn response(answer: Result<Vec<u8>, Refusal>) -> Response<Full<Bytes>> {
-    match answer {
+fn response(answer: Result<Vec<u8>, Refusal>, call_id: Option<HeaderValue>) -> Response<Full<Bytes>> {
+    let mut response = match answer {
         Ok(body) => Response::new(Full::new(Bytes::from(body))),
-        Err(refusal) => {
-            let mut response = Response::new(Full::default());
-            *response.status_mut() =
-                StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-            response.headers_mut().insert(CODE_HEADER, HeaderValue::from(refusal.code()));
-            response
-        }
+        Err(refusal) => refused(refusal),
+    };
+    if let Some(call_id) = call_id {
+        response.headers_mut().insert(CALL_ID_HEADER, call_id);
     }
+    response
+}
+
+fn refused(refusal: Refusal) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() =
+        StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response.headers_mut().insert(CODE_HEADER, HeaderValue::from(refusal.code()));
+    response
 }
--- a/crates/culvert/tests/common/mod.rs
+++ b/crates/culvert/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use minicbor::{Decode, Encode};
-use mosshead_culvert::{Call, Handlers, Refusal, serve};
+use mosshead_culvert::{Call, Handlers, Refusal, RetryPolicy, serve};
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 
@@ -35,6 +35,7 @@
 
 impl Call for Divide {
     const NAME: &'static str = "test/divide";
+    const RETRY: RetryPolicy = RetryPolicy::Always;
     type Answer = Quotient;
 }
 
@@ -57,6 +58,7 @@
 
 impl Call for Fill {
     const NAME: &'static str = "fill";
+    const RETRY: RetryPolicy = RetryPolicy::Always;
     type Answer = Filled;
 }
 
@@ -73,7 +75,7 @@
 
 impl Call for Once {
     const NAME: &'static str = "once";
-    const REPEATABLE: bool = false;
+    const RETRY: RetryPolicy = RetryPolicy::OnlyIfNeverSent;
     type Answer = u32;
 }
 
@@ -86,6 +88,7 @@
 
 impl Call for NotDivide {
     const NAME: &'static str = Divide::NAME;
+    const RETRY: RetryPolicy = RetryPolicy::Always;
     type Answer = Quotient;
 }
 
@@ -100,6 +103,7 @@
 
 impl Call for Misread {
     const NAME: &'static str = Divide::NAME;
+    const RETRY: RetryPolicy = RetryPolicy::Always;
     type Answer = String;
 }
 
--- a/crates/culvert/tests/sockets.rs
+++ b/crates/culvert/tests/sockets.rs
@@ -35,8 +35,15 @@
     }
 }
 
+/// The answer to a caller's call of this number.
+fn answer_to(id: usize, body: &[u8]) -> Vec<u8> {
+    let head = format!("HTTP/1.1 200 OK\r\ncall-id: {id}\r\ncontent-length: {}\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+/// The answer to a caller's first call.
 fn answer(body: &[u8]) -> Vec<u8> {
-    [format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len()).as_bytes(), body].concat()
+    answer_to(1, body)
 }
 
 #[test]
@@ -47,7 +54,8 @@
             spawn_local(async move { Caller::new().call(to, &Divide { number: 1, by: 2 }, LONG).await });
         let (mut stream, _) = listener.accept().await.unwrap();
         let bytes = read_call(&mut stream).await.unwrap();
-        let text = format!("POST /test/divide HTTP/1.1\r\nhost: {to}\r\ncontent-length: 3\r\n\r\n");
+        let text =
+            format!("POST /test/divide HTTP/1.1\r\nhost: {to}\r\ncall-id: 1\r\ncontent-length: 3\r\n\r\n");
         assert_eq!(bytes, [text.as_bytes(), &[0x82, 1, 2]].concat());
         stream.write_all(&answer(&[0x82, 0, 1])).await.unwrap();
         let quotient = call.await.unwrap().unwrap();
@@ -158,6 +166,9 @@
         let caller = Caller::new();
         assert!(caller.call(to, &Divide { number: 1, by: 1 }, LONG).await.is_ok());
         assert_eq!(calls.recv().await, Some(0));
+        // On the kept one, whose last byte left; so on no other.
+        assert_eq!(caller.call(to, &Once { number: 1 }, LONG).await, Err(CallFault::Lost));
+        assert_eq!(calls.recv().await, Some(0));
         assert_eq!(caller.call(to, &Once { number: 1 }, LONG).await, Err(CallFault::Lost));
         assert_eq!(calls.recv().await, Some(1));
         assert!(calls.try_recv().is_err());
@@ -167,8 +178,8 @@
 #[test]
 fn answers_that_are_none_are_faults() {
     run(async {
-        let long = "HTTP/1.1 200 OK\r\ncontent-length: 8388609\r\n\r\n";
-        let refused = "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n";
+        let long = "HTTP/1.1 200 OK\r\ncall-id: 1\r\ncontent-length: 8388609\r\n\r\n";
+        let refused = "HTTP/1.1 409 Conflict\r\ncall-id: 1\r\ncontent-length: 0\r\n";
         let cases: Vec<(Vec<u8>, CallFault)> = vec![
             (b"what?\r\n\r\n".to_vec(), CallFault::Garbled),
             (answer(&[0xff; 9]), CallFault::Garbled),
@@ -177,7 +188,9 @@
             (format!("{refused}\r\n").into_bytes(), CallFault::Garbled),
             (format!("{refused}result-code: 70000\r\n\r\n").into_bytes(), CallFault::Garbled),
             (answer(&[0x82, 1, 2])[..20].to_vec(), CallFault::Lost),
-            (b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nx".to_vec(), CallFault::Lost),
+            (b"HTTP/1.1 200 OK\r\ncall-id: 1\r\ncontent-length: 9\r\n\r\nx".to_vec(), CallFault::Lost),
+            (b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n\x82\x01\x02".to_vec(), CallFault::Misplaced),
+            (answer_to(2, &[0x82, 1, 2]), CallFault::Misplaced),
             (Vec::new(), CallFault::Lost),
             ([long.as_bytes(), &vec![0; (8 << 20) + 1]].concat(), CallFault::TooLong),
         ];
@@ -209,8 +222,8 @@
             read_call(&mut stream).await.unwrap();
             streams.push(stream);
         }
-        for (stream, call) in streams.iter_mut().zip(calls) {
-            stream.write_all(&answer(&[0x82, 1, 2])).await.unwrap();
+        for (at, (stream, call)) in streams.iter_mut().zip(calls).enumerate() {
+            stream.write_all(&answer_to(at + 1, &[0x82, 1, 2])).await.unwrap();
             assert!(call.await.unwrap().is_ok());
         }
         // The first four to be idle are kept.
--- a/crates/works/src/calls.rs
+++ b/crates/works/src/calls.rs
@@ -4,7 +4,7 @@
 
 use minicbor::{Decode, Encode};
 use mosshead_catchment::{Delta, Vector};
-use mosshead_culvert::Call;
+use mosshead_culvert::{Call, RetryPolicy};
 use mosshead_headworks::{Member, Message};
 
 /// What is newer than this? Answered when something is, or after `wait_ms`.
@@ -64,6 +64,7 @@
 
 impl Call for Pull {
     const NAME: &'static str = "Pull";
+    const RETRY: RetryPolicy = RetryPolicy::Always;
     type Answer = Pulled;
 }
 
@@ -91,6 +92,7 @@
 
 impl Call for Fetch {
     const NAME: &'static str = "Fetch";
+    const RETRY: RetryPolicy = RetryPolicy::Always;
     type Answer = Fetched;
 }
 
@@ -115,6 +117,7 @@
 
 impl Call for Hand {
     const NAME: &'static str = "Hand";
+    const RETRY: RetryPolicy = RetryPolicy::Always;
     type Answer = Handed;
 }
 
@@ -131,6 +134,7 @@
 
 impl Call for Hears {
     const NAME: &'static str = "Hears";
+    const RETRY: RetryPolicy = RetryPolicy::OnlyIfNeverSent;
     type Answer = Handed;
 }
 
@@ -147,5 +151,6 @@
 
 impl Call for Epoch {
     const NAME: &'static str = "Epoch";
+    const RETRY: RetryPolicy = RetryPolicy::OnlyIfNeverSent;
     type Answer = ();
 }
