--- a/crates/headworks/src/election.rs
+++ b/crates/headworks/src/election.rs
@@ -179,28 +179,36 @@
         }
     }
 
-    /// The primary has sent this after the own answer that bore the stamp.
+    /// The primary has sent this after the own answer that bore the stamp, and its state was of this revision.
     fn note_echo(&mut self, echo: Option<ContactStamp>, revision: u64) {
-        let now = self.now;
-        let echoed = match echo {
-            _ if self.settings.has(Flaw::ContactByArrival) => Some(now),
-            Some(echo) if self.settings.has(Flaw::ContactOfOtherLives) => {
-                Some(echo.at).filter(|at| *at <= now)
+        if let Some(at) = self.proven_time(echo) {
+            if let Some(leader) = &mut self.leader {
+                leader.echoed = leader.echoed.max(Some(at));
             }
-            echo => echo.and_then(|echo| self.contact.time_of(echo, now)),
-        };
-        if let (Some(at), Some(leader)) = (echoed, &mut self.leader) {
-            leader.echoed = leader.echoed.max(Some(at));
-            let unseen = [Flaw::ContactByArrival, Flaw::ContactWithoutState].map(|f| self.settings.has(f));
-            let shown = if unseen.contains(&true) {
-                Some(u64::MAX)
-            } else {
-                self.committed.as_ref().map(|s| s.revision)
-            };
+            let shown = self.shown_revision();
             self.contact.prove(at, revision, shown);
         }
         if self.hears_leader() {
             self.await_leader_until(self.trusted_until());
         }
     }
+
+    /// The time since when a heartbeat with this stamp was sent, if it tells any.
+    fn proven_time(&self, echo: Option<ContactStamp>) -> Option<u64> {
+        if self.settings.has(Flaw::ContactByArrival) {
+            return Some(self.now);
+        }
+        let echo = echo?;
+        if self.settings.has(Flaw::ContactOfOtherLives) {
+            return Some(echo.at).filter(|at| *at <= self.now);
+        }
+        self.contact.time_of(echo, self.now)
+    }
+
+    fn shown_revision(&self) -> Option<u64> {
+        if self.settings.has(Flaw::ContactByArrival) || self.settings.has(Flaw::ContactWithoutState) {
+            return Some(u64::MAX);
+        }
+        self.committed.as_ref().map(|state| state.revision)
+    }
 }
--- a/crates/headworks/src/node.rs
+++ b/crates/headworks/src/node.rs
@@ -398,7 +398,7 @@
             Message::LacksBody { version } => self.on_lacks_body(from, version),
             Message::Accept { record } => self.on_accept(from, record),
             Message::Accepted { ballot, founder } => self.on_accepted(from, ballot, founder),
-            beat @ Message::Heartbeat { .. } => self.on_heartbeat(from, beat),
+            heartbeat @ Message::Heartbeat { .. } => self.on_heartbeat(from, heartbeat),
             answer @ Message::HeartbeatAnswer { .. } => self.on_heartbeat_answer(from, answer),
             Message::Committed { state } => self.show(state),
             Message::Join { founder, seen } => self.on_join(from, founder, seen),
--- a/crates/headworks/src/primary.rs
+++ b/crates/headworks/src/primary.rs
@@ -221,11 +221,11 @@
         let peer = Peer::new(member, now);
         self.peers.insert(member.id, peer);
         // It counts when it has answered this.
-        self.beat_to(member.id);
+        self.send_heartbeat_to(member.id);
     }
 
     /// Tells one peer at once that this primary lives.
-    fn beat_to(&mut self, id: MemberId) {
+    fn send_heartbeat_to(&mut self, id: MemberId) {
         let Role::Primary(lead) = &self.role else { return };
         let Some(peer) = self.peers.get(&id).filter(|_| self.may_send_heartbeats()) else { return };
         let (to, heartbeat) = (peer.member.address, lead.heartbeat_for(peer));
@@ -281,7 +281,7 @@
             self.send(from.address, Message::Accept { record });
         }
         if returns {
-            self.beat_to(from.id);
+            self.send_heartbeat_to(from.id);
         }
     }
 
