--- a/crates/headworks/tests/fleet/mutants.rs
+++ b/crates/headworks/tests/fleet/mutants.rs
@@ -68,6 +68,11 @@
     finds(Flaw::ContactWithoutState, &["contact"]);
 }
 
+#[test]
+fn heartbeats_without_a_lease() {
+    finds(Flaw::NoLease, &["heartbeat", "contact"]);
+}
+
 #[test]
 fn members_kept() {
     finds(Flaw::KeepMembers, &["settled", "liveness"]);
--- a/crates/headworks/tests/fleet/world.rs
+++ b/crates/headworks/tests/fleet/world.rs
@@ -310,6 +310,7 @@
             println!("{now} m{machine} {input}");
         }
         let (member, life) = (node.me(), m.life);
+        let proven = node.in_touch(clock) || outputs.contains(&Output::Deposed);
         for output in outputs {
             if self.trace {
                 println!("{now} m{machine}    -> {output:?}");
@@ -317,6 +318,9 @@
             match output {
                 Output::Send { to, message } => {
                     self.check_word(machine, &message);
+                    if !proven && matches!(message, Message::Heartbeat { .. }) {
+                        self.book.broken("heartbeat", format!("m{machine} sends one without its lease"));
+                    }
                     self.transmit(machine, member, to, message);
                 }
                 Output::Write { token, record } => self.enqueue(machine, (token, false, record)),
