--- a/crates/headworks/tests/fleet/contact.rs
+++ b/crates/headworks/tests/fleet/contact.rs
@@ -39,7 +39,7 @@
 }
 
 fn frozen_follower(flaw: Option<Flaw>) -> Result<(), String> {
-    for seed in 400..404 {
+    for seed in 400..410 {
         let mut world = calm(seed, 3, 1, flaw)?;
         world.frozen_backlog = 8;
         let (_, backups, witnesses) = roles(&world)?;
@@ -54,36 +54,54 @@
     told(frozen_follower, Flaw::ContactByArrival);
 }
 
-fn held_follower(flaw: Option<Flaw>) -> Result<(), String> {
-    for (seed, direction) in [(410, Direction::To), (411, Direction::Both), (412, Direction::From)] {
-        let mut world = calm(seed, 3, 1, flaw)?;
-        let (_, _, witnesses) = roles(&world)?;
-        let held = links(&world, witnesses[0], direction);
-        trouble(&mut world, Act::Hold(held))?;
+/// What becomes of some links, by machines.
+type Cut = fn(Vec<(usize, usize)>) -> Act;
+
+/// Links that lose everything, and links that hold the first messages back.
+const CUTS: [Cut; 2] = [Act::Cut, Act::Hold];
+const DIRECTIONS: [Direction; 3] = [Direction::To, Direction::From, Direction::Both];
+
+fn cut_follower(flaw: Option<Flaw>) -> Result<(), String> {
+    for seed in 410..414 {
+        for direction in DIRECTIONS {
+            for cut in CUTS {
+                let mut world = calm(seed, 3, 1, flaw)?;
+                let (_, backups, witnesses) = roles(&world)?;
+                let machine = if seed % 2 == 0 { backups[0] } else { witnesses[0] };
+                let links = links(&world, machine, direction);
+                trouble(&mut world, cut(links))?;
+            }
+        }
     }
     Ok(())
 }
 
 #[test]
 fn a_follower_that_was_cut_off_is_not_in_touch_by_what_was_held_back() {
-    told(held_follower, Flaw::ContactByArrival);
+    told(cut_follower, Flaw::ContactByArrival);
 }
 
-fn held_primary(flaw: Option<Flaw>) -> Result<(), String> {
-    for (seed, direction) in [(420, Direction::From), (421, Direction::Both), (422, Direction::To)] {
-        for (machines, failures) in [(3, 1), (5, 2)] {
-            let mut world = calm(seed, machines, failures, flaw)?;
-            let primary = lead(&world)?;
-            let held = links(&world, primary, direction);
-            trouble(&mut world, Act::Hold(held))?;
+fn cut_primary(flaw: Option<Flaw>) -> Result<(), String> {
+    for (machines, failures) in [(3, 1), (5, 2)] {
+        for direction in DIRECTIONS {
+            for cut in CUTS {
+                let mut world = calm(420 + machines as u64, machines, failures, flaw)?;
+                let primary = lead(&world)?;
+                let links = links(&world, primary, direction);
+                trouble(&mut world, cut(links))?;
+            }
         }
+        let mut world = calm(430 + machines as u64, machines, failures, flaw)?;
+        world.frozen_backlog = 8;
+        let primary = lead(&world)?;
+        trouble(&mut world, Act::Freeze(vec![primary]))?;
     }
     Ok(())
 }
 
 #[test]
 fn a_primary_that_was_cut_off_is_not_in_touch_by_what_was_held_back() {
-    told(held_primary, Flaw::ContactByArrival);
+    told(cut_primary, Flaw::ContactByArrival);
 }
 
 /// What is committed never reaches a witness, while heartbeats do.
