Count large and small messages of the control state apart

Cause: one bound of 8 messages under way to a machine held for heartbeats, promises and whole states alike, with 0.9 s for each. A burst of states, one a change, filled it, and heartbeats were dropped.

Change: two lanes with bounds of their own (8 small, 2 large of over 64 KiB) and deadlines of their own (0.9 s and 4 s). A full lane drops its own messages only.

Test: crates/works/tests/message_lanes.rs. With every message in the small lane, as it was, states_are_large_and_the_rest_is_small fails.

--- a/crates/headworks/src/message.rs
+++ b/crates/headworks/src/message.rs
@@ -204,6 +204,16 @@
 }
 
 impl Message {
+    /// How many bytes of state it carries, about: what makes a message large.
+    pub fn state_bytes(&self) -> usize {
+        match self {
+            Message::Fetched { state, .. } | Message::Replicate { state } | Message::Committed { state } => {
+                state.body.len()
+            }
+            _ => 0,
+        }
+    }
+
     pub(crate) fn is_sane(&self) -> bool {
         match self {
             Message::PreVoteAnswer { record, .. }
--- a/crates/works/src/core.rs
+++ b/crates/works/src/core.rs
@@ -24,6 +24,7 @@
 pub use self::host::serve;
 use self::serving::Step;
 use crate::gossip::Gossip;
+use crate::message_lanes::MessageLanes;
 use crate::puller::millis;
 use crate::settings::Settings;
 
@@ -46,7 +47,7 @@
     steps: RefCell<VecDeque<Step>>,
     news: watch::Sender<u64>,
     askers: RefCell<HashMap<String, Instant>>,
-    under_way: RefCell<HashMap<SocketAddrV4, usize>>,
+    message_lanes: RefCell<MessageLanes>,
     gossip: Rc<Gossip>,
 }
 
--- a/crates/works/src/core/host.rs
+++ b/crates/works/src/core/host.rs
@@ -114,7 +114,7 @@
         steps: RefCell::default(),
         news: watch::Sender::new(0),
         askers: RefCell::default(),
-        under_way: RefCell::default(),
+        message_lanes: RefCell::default(),
         gossip,
     });
     let inside = TcpListener::bind(settings.internal()).await?;
--- a/crates/works/src/core/registrar.rs
+++ b/crates/works/src/core/registrar.rs
@@ -12,8 +12,8 @@
 
 use super::Core;
 use super::host::{WRITES, open_aside};
-use super::messages::MESSAGE;
 use crate::calls::{Hand, Hears, Pull};
+use crate::message_lanes::Lane;
 
 /// An urgent entry reaches another machine within this, or is not acknowledged.
 const URGENT: Duration = Duration::from_millis(350);
@@ -124,7 +124,7 @@
                     self.register.borrow_mut().contact(self.now(), SourceId(pulled.source));
                     if pulled.wants {
                         let delta = self.register.borrow().lacking(&Vector::default(), 5000);
-                        let _ = self.caller.call(other, &Hand { delta }, MESSAGE).await;
+                        let _ = self.caller.call(other, &Hand { delta }, Lane::Small.deadline()).await;
                         sleep(Duration::from_millis(300)).await;
                     }
                     if !pulled.current {
--- a/crates/works/src/lib.rs
+++ b/crates/works/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod duties;
 pub mod gossip;
 pub mod log;
+pub mod message_lanes;
 pub mod proxy;
 pub mod puller;
 pub mod settings;
--- /dev/null
+++ b/crates/works/tests/message_lanes.rs
@@ -0,0 +1,74 @@
+//! Large messages never keep small ones back.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use mosshead_headworks::{Ballot, Message, State};
+use mosshead_works::message_lanes::{LARGE_MESSAGE_BYTES, Lane, MessageLanes};
+use quickcheck::quickcheck;
+
+fn machine(last: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 7720)
+}
+
+fn lane(large: bool) -> Lane {
+    if large { Lane::Large } else { Lane::Small }
+}
+
+fn fill(lanes: &mut MessageLanes, to: SocketAddrV4, lane: Lane) -> usize {
+    (0..100).filter(|_| lanes.enter(to, lane)).count()
+}
+
+#[test]
+fn a_burst_of_states_leaves_room_for_heartbeats() {
+    let mut lanes = MessageLanes::default();
+    assert_eq!(fill(&mut lanes, machine(1), Lane::Large), Lane::Large.capacity());
+    assert_eq!(fill(&mut lanes, machine(1), Lane::Small), Lane::Small.capacity());
+}
+
+#[test]
+fn one_machine_that_is_gone_takes_no_room_of_another() {
+    let mut lanes = MessageLanes::default();
+    fill(&mut lanes, machine(1), Lane::Small);
+    assert!(lanes.enter(machine(2), Lane::Small));
+}
+
+#[test]
+fn states_are_large_and_the_rest_is_small() {
+    let state = State { body: vec![b'x'; LARGE_MESSAGE_BYTES + 1].into(), ..State::default() };
+    let short = State { body: Arc::from(&b"short"[..]), ..State::default() };
+    let ballot = Ballot::default();
+    for message in [
+        Message::Replicate { state: state.clone() },
+        Message::Committed { state: state.clone() },
+        Message::Fetched { ballot, state },
+    ] {
+        assert_eq!(Lane::of(message.state_bytes()), Lane::Large);
+    }
+    for message in [Message::Replicate { state: short }, Message::Prepare { ballot }, Message::PreVote] {
+        assert_eq!(Lane::of(message.state_bytes()), Lane::Small);
+    }
+}
+
+quickcheck! {
+    /// However messages come and go, no lane holds more than its bound, and one that is empty takes the next.
+    fn bounds_hold(steps: Vec<(bool, bool)>) -> bool {
+        let mut lanes = MessageLanes::default();
+        let mut counts = [0_usize; 2];
+        steps.into_iter().all(|(enters, large)| {
+            let count = &mut counts[usize::from(large)];
+            if enters {
+                let entered = lanes.enter(machine(1), lane(large));
+                let expected = *count < lane(large).capacity();
+                *count += usize::from(entered);
+                entered == expected
+            } else {
+                if *count > 0 {
+                    *count -= 1;
+                    lanes.leave(machine(1), lane(large));
+                }
+                true
+            }
+        })
+    }
+}
