Replicate changes as deltas, and large states in pieces

Cause: each change sent the whole state to every member and wrote it whole to every disk, in one message each.

Change: a change goes to backups, disks and, once committed, to all others as a delta against the state that it follows; whoever has not that state gets the whole. A change is written as such only where the state before it stands in the log for certain. One that is behind gets the changes that it lacks, from the last 256. Bodies over 256 KiB go in pieces that the receiver asks for; a flight and a step of a take-over count their patience from the last piece, 5 s at most. A body over 4 MiB is refused with C10 before anything is written.

The book takes the new refusal only for bodies over the limit, and holds it as final.

--- a/crates/headworks/src/event.rs
+++ b/crates/headworks/src/event.rs
@@ -114,6 +114,8 @@
         /// The primary's internal address, if known.
         primary: Option<SocketAddrV4>,
     },
+    /// The body is longer than [`crate::MAX_BODY_BYTES`]; the change was not taken and never will be.
+    TooLarge,
     /// No answer in time: the change may be taken or not.
     Unavailable,
     /// The newest committed state.
--- a/crates/headworks/src/lib.rs
+++ b/crates/headworks/src/lib.rs
@@ -5,10 +5,13 @@
 
 mod acceptor;
 mod asks;
+mod change;
 mod contact;
+mod delta;
 mod election;
 mod event;
 mod join;
+mod limits;
 mod log;
 mod message;
 mod node;
@@ -17,14 +20,19 @@
 mod renewal;
 mod settings;
 mod take_over;
+mod transfer;
 mod types;
 
+pub use change::StateChange;
 pub use contact::ContactStamp;
+pub use delta::Delta;
 pub use event::{Input, Output, Verdict};
+pub use limits::{MAX_BODY_BYTES, MAX_STATE_BYTES};
 pub use log::Fault;
 pub use message::Message;
 pub use node::Node;
 #[doc(hidden)]
 pub use settings::Flaw;
 pub use settings::{Settings, Timings};
+pub use transfer::{Offer, Piece, PieceSizes, StatePurpose, checksum};
 pub use types::{Ballot, Call, Member, MemberId, REMEMBERED_CALLS, Record, State, Version};
--- a/crates/headworks/src/log.rs
+++ b/crates/headworks/src/log.rs
@@ -4,6 +4,7 @@
 use minicbor::{Decode, Encode};
 use quick_error::quick_error;
 
+use crate::change::StateChange;
 use crate::types::{Ballot, Member, MemberId, Record, State, Version};
 
 quick_error! {
@@ -50,6 +51,9 @@
     /// A record that this disk has no say in; it tells where the others are.
     #[n(6)]
     Seen(#[n(0)] Record),
+    /// The state before this one with a change.
+    #[n(7)]
+    Change(#[n(0)] StateChange),
 }
 
 impl LogRecord {
@@ -128,6 +132,12 @@
             }
             LogRecord::Snapshot(stable) => *self = *stable,
             LogRecord::Seen(record) => self.seen = Some(record),
+            LogRecord::Change(change) => {
+                let Some(state) = self.state.as_ref().and_then(|held| change.apply(held)) else {
+                    return false;
+                };
+                return self.apply(LogRecord::State(state));
+            }
         }
         true
     }
@@ -150,6 +160,8 @@
     Promise(Ballot),
     Accept(Record),
     State(State),
+    /// A change of the state before it, and the state that it makes.
+    Change(StateChange, State),
     Restamp(Version),
     Seen(Record),
     Rewrite,
@@ -162,11 +174,20 @@
             Effect::Promise(ballot) => LogRecord::Promise(*ballot),
             Effect::Accept(record) => LogRecord::Accept(record.clone()),
             Effect::State(state) => LogRecord::State(state.clone()),
+            Effect::Change(change, _) => LogRecord::Change(change.clone()),
             Effect::Restamp(version) => LogRecord::Restamp(*version),
             Effect::Seen(record) => LogRecord::Seen(record.clone()),
             Effect::Rewrite => return None,
         })
     }
+
+    /// The state that it writes, if it writes one.
+    pub(crate) fn state(&self) -> Option<&State> {
+        match self {
+            Effect::State(state) | Effect::Change(_, state) => Some(state),
+            _ => None,
+        }
+    }
 }
 
 /// The writes under way.
@@ -178,14 +199,18 @@
     pub(crate) log_bytes: usize,
     /// The bytes of the log when it was rewritten last.
     pub(crate) snapshot_bytes: usize,
+    /// The bytes of all bodies that a replay of the log has to make out of changes.
+    pub(crate) rebuilt_bytes: usize,
     /// When a write failed last, if none was done since.
     pub(crate) failed: Option<u64>,
-    /// A state that failed may stand in the log, so nothing may refer to the one before it.
+    /// A state or a change that failed may stand in the log, so nothing may refer to the one before it.
     pub(crate) body_unsure: bool,
 }
 
 impl Writes {
     pub(crate) const MOST: usize = 32;
+    /// The log is rewritten when its replay has to make more bytes of bodies than this.
+    pub(crate) const MOST_REBUILT_BYTES: usize = 128 << 20;
 
     pub(crate) fn is_full(&self) -> bool {
         self.queue.len() >= Writes::MOST
@@ -202,6 +227,6 @@
     }
 
     pub(crate) fn has_state(&self) -> bool {
-        self.queue.iter().any(|w| matches!(w.effect, Effect::State(_) | Effect::Restamp(_)))
+        self.queue.iter().any(|w| w.effect.state().is_some() || matches!(w.effect, Effect::Restamp(_)))
     }
 }
--- a/crates/headworks/src/message.rs
+++ b/crates/headworks/src/message.rs
@@ -1,6 +1,8 @@
 use minicbor::{Decode, Encode};
 
+use crate::change::{MOST_CHANGES, StateChange};
 use crate::contact::ContactStamp;
+use crate::transfer::{Offer, Piece};
 use crate::types::{Ballot, Record, State, Version};
 
 /// What nodes tell each other, one way; any of it may be lost, late, doubled or out of order.
@@ -201,6 +203,45 @@
         #[n(0)]
         ballot: Ballot,
     },
+    /// A change to be written on top of the state before it; the stamp is the sender's ballot. One that has not that
+    /// state answers [`Message::LacksBody`].
+    #[n(25)]
+    ReplicateChange {
+        /// The change.
+        #[n(0)]
+        change: StateChange,
+    },
+    /// These changes are committed, one after the other.
+    #[n(26)]
+    CommittedChanges {
+        /// The changes, oldest first.
+        #[n(0)]
+        changes: Vec<StateChange>,
+    },
+    /// A large state is there in pieces.
+    #[n(27)]
+    OfferState {
+        /// Which one, and what for.
+        #[n(0)]
+        offer: Offer,
+    },
+    /// Asks for the next piece of an offered state.
+    #[n(28)]
+    FetchPiece {
+        /// The state.
+        #[n(0)]
+        version: Version,
+        /// How many bytes of it are there.
+        #[n(1)]
+        offset: u64,
+    },
+    /// The answer to a [`Message::FetchPiece`].
+    #[n(29)]
+    Piece {
+        /// The piece.
+        #[n(0)]
+        piece: Piece,
+    },
 }
 
 impl Message {
@@ -210,6 +251,9 @@
             Message::Fetched { state, .. } | Message::Replicate { state } | Message::Committed { state } => {
                 state.body.len()
             }
+            Message::ReplicateChange { change } => change.bytes(),
+            Message::CommittedChanges { changes } => changes.iter().map(StateChange::bytes).sum(),
+            Message::Piece { piece } => piece.bytes.len(),
             _ => 0,
         }
     }
@@ -223,6 +267,7 @@
             Message::Fetched { state, .. } | Message::Replicate { state } | Message::Committed { state } => {
                 state.is_sane()
             }
+            Message::CommittedChanges { changes } => changes.len() <= MOST_CHANGES,
             _ => true,
         }
     }
--- a/crates/headworks/src/node.rs
+++ b/crates/headworks/src/node.rs
@@ -4,15 +4,18 @@
 use rand_core::RngCore;
 
 use crate::asks::Asks;
+use crate::change::{EarlyChanges, RecentChanges};
 use crate::contact::Contact;
 use crate::election::Election;
-use crate::event::{Input, Output};
+use crate::event::{Input, Output, Verdict};
 use crate::join::Joiner;
+use crate::limits::MAX_BODY_BYTES;
 use crate::log::{Effect, Fault, Identity, LogRecord, Pending, Stable, Writes};
 use crate::message::Message;
 use crate::primary::{Lead, Peer};
 use crate::settings::{Flaw, MOST_FAILURES, MOST_MEMBERS, Settings};
 use crate::take_over::TakeOver;
+use crate::transfer::Transfers;
 use crate::types::{Ballot, Call, Member, MemberId, Record, State};
 
 /// The primary as its heartbeats tell.
@@ -77,6 +80,11 @@
     pub(crate) handing: Option<Handing>,
     /// When a majority was last in touch with this node as primary.
     pub(crate) touched: Option<u64>,
+    /// The changes that this node has committed lately as primary.
+    pub(crate) recent_changes: RecentChanges,
+    /// Committed changes that came before the state that they follow.
+    pub(crate) early_changes: EarlyChanges,
+    pub(crate) transfers: Transfers,
     pub(crate) out: Vec<Output>,
 }
 
@@ -125,6 +133,9 @@
             stopping: None,
             handing: None,
             touched: None,
+            recent_changes: RecentChanges::default(),
+            early_changes: EarlyChanges::default(),
+            transfers: Transfers::default(),
             out: Vec::new(),
             started: now,
             settings,
@@ -165,6 +176,9 @@
                     self.write_failed(pending);
                 }
             }
+            Input::Change { ask, body, .. } if body.len() > MAX_BODY_BYTES => {
+                self.answer(ask, Verdict::TooLarge);
+            }
             Input::Change { ask, base, revision, body, digest } => {
                 self.on_change(ask, base, Call { revision, digest }, body);
             }
@@ -183,6 +197,7 @@
             self.join_timers();
             self.take_over_timers();
             self.primary_timers();
+            self.transfer_timers();
         }
         self.expire_asks();
         self.pump();
@@ -282,6 +297,9 @@
             Some(record) => {
                 let record = record.encode();
                 self.writes.log_bytes += record.len();
+                if let Effect::Change(_, state) = &pending.effect {
+                    self.writes.rebuilt_bytes = self.writes.rebuilt_bytes.saturating_add(state.body.len());
+                }
                 self.out.push(Output::Write { token, record });
             }
             None => {
@@ -315,7 +333,7 @@
             self.write(Effect::Identity(self.identity.clone()), None);
         } else if self.writes.failed.is_some() {
             self.write(Effect::Promise(self.promised), None);
-        } else if self.writes.log_bytes > most {
+        } else if self.writes.log_bytes > most || self.writes.rebuilt_bytes > Writes::MOST_REBUILT_BYTES {
             self.write(Effect::Rewrite, None);
         } else if let Some(record) = self.unwritten_record() {
             self.write(Effect::Seen(record), None);
@@ -360,8 +378,10 @@
         self.outranked(record.ballot);
     }
 
-    /// Shows a committed state; never an older one.
+    /// Shows a committed state with the committed changes that follow it; never an older one.
     pub(crate) fn show(&mut self, state: State) {
+        let state = self.early_changes.advance(state);
+        self.early_changes.forget_up_to(state.revision);
         let known = self.committed.as_ref().map(|s| s.revision);
         if known
             .is_none_or(|r| r < state.revision || self.settings.has(Flaw::ShowOlder) && r != state.revision)
@@ -404,6 +424,11 @@
             Message::Join { founder, seen } => self.on_join(from, founder, seen),
             Message::Members { record } => self.note_record(&record),
             Message::HandOver { ballot } => self.on_hand_over(from, ballot),
+            Message::ReplicateChange { change } => self.on_replicate_change(from, change),
+            Message::CommittedChanges { changes } => self.on_committed_changes(changes),
+            Message::OfferState { offer } => self.on_offer(from, offer),
+            Message::FetchPiece { version, offset } => self.on_fetch_piece(from, version, offset),
+            Message::Piece { piece } => self.on_piece(from, piece),
         }
     }
 }
--- a/crates/headworks/src/primary.rs
+++ b/crates/headworks/src/primary.rs
@@ -2,12 +2,13 @@
 
 use rand_core::RngCore;
 
+use crate::change::StateChange;
 use crate::contact::ContactStamp;
-use crate::log::Effect;
 use crate::message::Message;
 use crate::node::{Node, Role};
 use crate::quorum::Votes;
 use crate::settings::Flaw;
+use crate::transfer::StatePurpose;
 use crate::types::{Ballot, Member, MemberId, Record, State, Version};
 
 /// What the primary knows of another node.
@@ -40,7 +41,7 @@
     pub(crate) state: State,
     /// The number of the last heartbeat.
     pub(crate) sequence: u64,
-    /// The first heartbeat that tells of the committed state.
+    /// The first heartbeat that tells of the last state that was sent whole.
     told: u64,
     beats: VecDeque<(u64, u64)>,
     next_beat: u64,
@@ -54,14 +55,22 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Flight {
     pub(crate) state: State,
+    /// What it changes of the state before, where that is shorter.
+    change: Option<StateChange>,
+    /// Backups that have not the state before.
+    lacking: BTreeSet<MemberId>,
     pub(crate) own: bool,
     pub(crate) done: BTreeSet<MemberId>,
+    /// Since when it waits without progress.
     pub(crate) since: u64,
+    started: u64,
     sent: u64,
 }
 
 const MOST_PEERS: usize = 64;
 const LEARNER_LASTS: u64 = 3_000;
+/// A step that waits for a large state is given time as long as pieces are asked for, up to this.
+pub(crate) const MOST_TRANSFER: u64 = 5_000;
 
 impl Peer {
     fn new(member: Member, now: u64) -> Peer {
@@ -267,7 +276,10 @@
             peer.acked = peer.acked.max(sequence);
         }
         // What is told by this answer may be older than what was sent last.
-        let lacks = sequence >= lead.told && committed.is_none_or(|r| r < lead.state.revision);
+        let settled = self
+            .recent_changes
+            .revision_at(now.saturating_sub(self.settings.timings.resend), lead.state.revision);
+        let lacks = sequence >= lead.told && committed.is_none_or(|r| r < settled);
         let rested = now.saturating_sub(peer.state_sent) >= self.settings.timings.resend_state;
         let state = (lacks && (rested || peer.state_sent == 0)).then(|| lead.state.clone());
         if state.is_some() {
@@ -275,7 +287,7 @@
         }
         let record = (voter && accepted < ballot && promised <= ballot).then(|| lead.record.clone());
         if let Some(state) = state {
-            self.send(from.address, Message::Committed { state });
+            self.send_news(from, committed, state);
         }
         if let Some(record) = record {
             self.send(from.address, Message::Accept { record });
@@ -285,25 +297,60 @@
         }
     }
 
+    /// Sends the committed state to one that knows an older one: the changes since then, or the whole.
+    fn send_news(&mut self, to: Member, known: Option<u64>, state: State) {
+        let large = self.settings.piece_sizes.large;
+        let changes = known.and_then(|revision| self.recent_changes.since(revision, &state));
+        let bytes = |changes: &Vec<StateChange>| changes.iter().map(StateChange::bytes).sum::<usize>();
+        match changes.filter(|changes| bytes(changes) <= large.min(state.body.len())) {
+            Some(changes) => self.send(to.address, Message::CommittedChanges { changes }),
+            None => self.send_state(to, StatePurpose::Committed, state),
+        }
+    }
+
     /// Sends a change to the disks that have to hold it.
     pub(crate) fn fly(&mut self, state: State) {
         let now = self.now;
+        let whole = self.settings.has(Flaw::WholeStates);
         let Role::Primary(lead) = &mut self.role else { return };
-        let flight =
-            Flight { state: state.clone(), own: false, done: BTreeSet::new(), since: now, sent: now };
+        let change = if whole { None } else { StateChange::between(&lead.state, &state) };
+        let flight = Flight {
+            state: state.clone(),
+            change: change.clone(),
+            lacking: BTreeSet::new(),
+            own: false,
+            done: BTreeSet::new(),
+            since: now,
+            started: now,
+            sent: now,
+        };
         lead.flight = Some(flight);
-        self.write(Effect::State(state), Some(self.me));
+        self.write_state(change, state, self.me);
         self.send_flight();
     }
 
+    /// A backup is on its way to have the state: it is not slow.
+    pub(crate) fn flight_progressed(&mut self, version: Version) {
+        let now = self.now;
+        let Role::Primary(lead) = &mut self.role else { return };
+        let Some(flight) = lead.flight.as_mut().filter(|f| f.state.version() == version) else { return };
+        if now.saturating_sub(flight.started) < MOST_TRANSFER {
+            flight.since = now;
+        }
+    }
+
     fn send_flight(&mut self) {
         let Role::Primary(lead) = &self.role else { return };
         let Some(flight) = &lead.flight else { return };
         let backups = lead.record.backups.iter().filter(|id| !flight.done.contains(id));
         let backups: Vec<Member> = backups.filter_map(|id| lead.record.member(*id)).copied().collect();
-        let state = flight.state.clone();
+        let (state, lacking) = (flight.state.clone(), flight.lacking.clone());
+        let change = flight.change.clone().filter(|c| c.bytes() <= self.settings.piece_sizes.large);
         for backup in backups {
-            self.send(backup.address, Message::Replicate { state: state.clone() });
+            match change.clone().filter(|_| !lacking.contains(&backup.id)) {
+                Some(change) => self.send(backup.address, Message::ReplicateChange { change }),
+                None => self.send_state(backup, StatePurpose::Replicate, state.clone()),
+            }
         }
     }
 
@@ -335,7 +382,13 @@
     }
 
     pub(crate) fn on_lacks_body(&mut self, from: Member, version: Version) {
-        self.stamp_lacks_body(from, version);
+        let Role::Primary(lead) = &mut self.role else { return self.stamp_lacks_body(from, version) };
+        let is_backup = lead.record.backups.contains(&from.id);
+        let Some(flight) = lead.flight.as_mut().filter(|f| f.state.version() == version) else { return };
+        if is_backup && flight.lacking.insert(from.id) {
+            let state = flight.state.clone();
+            self.send_state(from, StatePurpose::Replicate, state);
+        }
     }
 
     /// A change is committed when it is on the disks of the primary and of all backups.
@@ -349,8 +402,16 @@
         }
         let Some(flight) = lead.flight.take() else { return };
         lead.state = flight.state.clone();
-        lead.told = lead.sequence + 1;
+        if flight.change.is_none() {
+            lead.told = lead.sequence + 1;
+        }
         let backups = lead.record.backups.clone();
+        match flight.change.clone() {
+            Some(change) => self.recent_changes.push(now, change),
+            None => self.recent_changes.clear(),
+        }
+        let large = self.settings.piece_sizes.large;
+        let change = flight.change.filter(|c| c.bytes() <= large);
         self.show(flight.state.clone());
         // The backups have it and need the word only.
         self.beat(true);
@@ -358,12 +419,19 @@
         for (id, peer) in &mut self.peers {
             // Those that are silent get it when they answer again.
             if !backups.contains(id) && now.saturating_sub(peer.heard) <= suspect {
-                peer.state_sent = now;
-                others.push(peer.member.address);
+                if change.is_none() {
+                    peer.state_sent = now;
+                }
+                others.push(peer.member);
             }
         }
-        for address in others {
-            self.send(address, Message::Committed { state: flight.state.clone() });
+        for member in others {
+            match change.clone() {
+                Some(change) => {
+                    self.send(member.address, Message::CommittedChanges { changes: vec![change] });
+                }
+                None => self.send_state(member, StatePurpose::Committed, flight.state.clone()),
+            }
         }
         self.land();
     }
--- a/crates/headworks/src/settings.rs
+++ b/crates/headworks/src/settings.rs
@@ -1,5 +1,7 @@
 use core::net::SocketAddrV4;
 
+use crate::transfer::PieceSizes;
+
 /// Records that name more members are not taken.
 pub(crate) const MOST_MEMBERS: usize = 32;
 /// More failures than this are not provided for.
@@ -71,6 +73,8 @@
     pub timings: Timings,
     /// The log is rewritten when the records since the last time are longer than this.
     pub rewrite_bytes: usize,
+    /// From which length on states go in pieces, and how long those are.
+    pub piece_sizes: PieceSizes,
     /// A fault built in, to see that the checkers of the tests find it.
     #[doc(hidden)]
     pub flaw: Option<Flaw>,
@@ -92,6 +96,7 @@
             seeds,
             timings: Timings::default(),
             rewrite_bytes,
+            piece_sizes: PieceSizes::default(),
             flaw: None,
         }
     }
@@ -154,4 +159,12 @@
     AlwaysFit,
     /// The state is not stamped before the record is proposed.
     NoStamp,
+    /// Every change sends and writes the whole state, and every state goes in one message.
+    WholeStates,
+    /// A step of a take-over ends though a state that it waits for is on its way.
+    StepBoundKept,
+    /// A change is applied to whatever state is there.
+    ChangeOnAnyState,
+    /// A change is written though the state before it may not stand before it in the log.
+    ChangeOnUnsureState,
 }
--- a/crates/headworks/src/take_over.rs
+++ b/crates/headworks/src/take_over.rs
@@ -6,9 +6,10 @@
 use crate::log::Effect;
 use crate::message::Message;
 use crate::node::{Leader, Node, Role};
-use crate::primary::Lead;
+use crate::primary::{Lead, MOST_TRANSFER};
 use crate::quorum::Votes;
 use crate::settings::Flaw;
+use crate::transfer::StatePurpose;
 use crate::types::{Ballot, Member, MemberId, Record, State, Version};
 
 /// An attempt to lead.
@@ -20,7 +21,10 @@
     /// The members that the primary wants.
     wish: Option<Vec<Member>>,
     phase: Phase,
+    /// Since when the phase has made no progress.
     pub(crate) since: u64,
+    /// When the phase began.
+    entered: u64,
     sent: u64,
     tries: u8,
     promises: BTreeMap<MemberId, Promised>,
@@ -36,6 +40,8 @@
     founder: bool,
     fit: bool,
     version: Option<Version>,
+    /// It has said that it has not the state that is to be stamped.
+    lacks_body: bool,
     order: usize,
 }
 
@@ -70,6 +76,7 @@
     fn enter(&mut self, phase: Phase, now: u64) {
         self.phase = phase;
         self.since = now;
+        self.entered = now;
         self.sent = now;
     }
 }
@@ -94,6 +101,7 @@
             wish,
             phase: Phase::OwnPromise,
             since: self.now,
+            entered: self.now,
             sent: self.now,
             tries: 0,
             promises: BTreeMap::new(),
@@ -148,7 +156,8 @@
         let Role::TakingOver(t) = &mut self.role else { return };
         if t.ballot == ballot && t.promises.len() < 64 && !t.promises.contains_key(&from.id) {
             let order = t.promises.len();
-            t.promises.insert(from.id, Promised { member: from, founder, fit, version, order });
+            t.promises
+                .insert(from.id, Promised { member: from, founder, fit, version, lacks_body: false, order });
             self.weigh_promises();
         }
     }
@@ -264,6 +273,9 @@
     }
 
     fn fetch(&mut self) {
+        if self.is_fetching() {
+            return;
+        }
         let Role::TakingOver(t) = &self.role else { return };
         let Phase::Fetch { version, .. } = t.phase else { return };
         let (ballot, now) = (t.ballot, self.now);
@@ -276,6 +288,28 @@
         }
     }
 
+    /// Whether a state is the one that a take-over looks for.
+    pub(crate) fn fetches(&self, ballot: Ballot, wanted: &Version) -> bool {
+        let Role::TakingOver(t) = &self.role else { return false };
+        let Phase::Fetch { version, .. } = &t.phase else { return false };
+        t.ballot == ballot && version.same_body(wanted)
+    }
+
+    /// A piece of the state that this take-over waits for has come or was asked for.
+    pub(crate) fn take_over_progressed(&mut self, progressed: Version) {
+        let now = self.now;
+        let Role::TakingOver(t) = &mut self.role else { return };
+        let waits = match &t.phase {
+            Phase::Fetch { version, .. } => version.same_body(&progressed),
+            Phase::Stamp { state, .. } => state.version() == progressed,
+            _ => false,
+        };
+        let bound = if self.settings.has(Flaw::StepBoundKept) { 0 } else { MOST_TRANSFER };
+        if waits && now.saturating_sub(t.entered) < bound {
+            t.since = now;
+        }
+    }
+
     pub(crate) fn on_fetched(&mut self, ballot: Ballot, state: State) {
         let Role::TakingOver(t) = &self.role else { return };
         let Phase::Fetch { version, order } = &t.phase else { return };
@@ -295,7 +329,7 @@
         let asked = wanted.min(order.len());
         t.enter(Phase::Stamp { state: state.clone(), order, asked, done, own: false }, now);
         let held = self.stable.version().is_some_and(|v| v.same_body(&state.version()));
-        let effect = match held && !self.writes.body_unsure && !self.writes.has_state() {
+        let effect = match held && self.may_refer() {
             true => Effect::Restamp(state.version()),
             false => Effect::State(state),
         };
@@ -309,17 +343,22 @@
     fn send_stamps(&mut self, from: usize) {
         let Role::TakingOver(t) = &self.role else { return };
         let Phase::Stamp { state, order, asked, done, .. } = &t.phase else { return };
-        let mut messages = Vec::new();
+        let (state, version) = (state.clone(), state.version());
+        // One that has not written the state may know it all the same: worth a question where it is large.
+        let ask_first =
+            state.body.len() > self.settings.piece_sizes.large && !self.settings.has(Flaw::WholeStates);
+        let mut targets = Vec::new();
         for id in order.iter().take(*asked).skip(from).filter(|id| !done.contains(id)) {
             let Some(p) = t.promises.get(id) else { continue };
-            let version = state.version();
-            let message = match p.version.is_some_and(|v| v.same_body(&version)) {
-                true => Message::Restamp { version },
-                false => Message::Replicate { state: state.clone() },
-            };
-            messages.push((p.member.address, message));
-        }
-        messages.into_iter().for_each(|(to, message)| self.send(to, message));
+            let holds = p.version.is_some_and(|v| v.same_body(&version));
+            targets.push((p.member, !p.lacks_body && (holds || ask_first)));
+        }
+        for (member, restamp) in targets {
+            match restamp {
+                true => self.send(member.address, Message::Restamp { version }),
+                false => self.send_state(member, StatePurpose::Replicate, state.clone()),
+            }
+        }
     }
 
     pub(crate) fn stamp_lacks_body(&mut self, from: Member, version: Version) {
@@ -327,10 +366,10 @@
         let Phase::Stamp { state, .. } = &t.phase else { return };
         if state.version() == version
             && let Some(p) = t.promises.get_mut(&from.id)
-            && p.version.take().is_some()
+            && !std::mem::replace(&mut p.lacks_body, true)
         {
             let state = state.clone();
-            self.send(from.address, Message::Replicate { state });
+            self.send_state(from, StatePurpose::Replicate, state);
         }
     }
 
--- a/crates/headworks/src/types.rs
+++ b/crates/headworks/src/types.rs
@@ -163,7 +163,7 @@
     }
 }
 
-fn encode_body<C, W: minicbor::encode::Write>(
+pub(crate) fn encode_body<C, W: minicbor::encode::Write>(
     body: &Arc<[u8]>,
     e: &mut minicbor::Encoder<W>,
     _: &mut C,
@@ -172,7 +172,10 @@
     Ok(())
 }
 
-fn decode_body<C>(d: &mut minicbor::Decoder<'_>, _: &mut C) -> Result<Arc<[u8]>, minicbor::decode::Error> {
+pub(crate) fn decode_body<C>(
+    d: &mut minicbor::Decoder<'_>,
+    _: &mut C,
+) -> Result<Arc<[u8]>, minicbor::decode::Error> {
     Ok(d.bytes()?.into())
 }
 
--- a/crates/headworks/tests/codec.rs
+++ b/crates/headworks/tests/codec.rs
@@ -2,8 +2,8 @@
 
 use minicbor::{decode, to_vec};
 use mosshead_headworks::{
-    Ballot, Call, ContactStamp, Fault, Input, Member, MemberId, Message, Node, Output, Record, Settings,
-    State, Verdict, Version,
+    Ballot, Call, ContactStamp, Delta, Fault, Input, Member, MemberId, Message, Node, Offer, Output, Piece,
+    PieceSizes, Record, Settings, State, StateChange, StatePurpose, Verdict, Version, checksum,
 };
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use rand_core::SeedableRng;
@@ -55,6 +55,31 @@
     State { ballot: v.stamp, origin: v.origin, revision: v.revision, body, taken: taken.into() }
 }
 
+fn change(g: &mut Gen) -> StateChange {
+    let previous = state(g);
+    let longer = Delta::between(&previous.body, &[&previous.body[..], &[7; 9]].concat());
+    let shorter = Delta::between(&[1; 50], &[1; 40]).expect("a delta");
+    let call = Call { revision: u64::arbitrary(g) % 6, digest: u64::arbitrary(g) };
+    let delta = longer.unwrap_or(shorter);
+    StateChange { previous: previous.version(), ballot: ballot(g), call, delta }
+}
+
+fn offer(g: &mut Gen) -> Offer {
+    let purpose = match u8::arbitrary(g) % 3 {
+        0 => StatePurpose::Committed,
+        1 => StatePurpose::Replicate,
+        _ => StatePurpose::Fetched { ballot: ballot(g) },
+    };
+    let encoded = to_vec(state(g)).unwrap_or_default();
+    let length = if bool::arbitrary(g) { encoded.len() as u64 } else { u64::arbitrary(g) };
+    Offer { purpose, version: version(g), length, checksum: checksum(&encoded) }
+}
+
+fn piece(g: &mut Gen) -> Piece {
+    let offset = if bool::arbitrary(g) { 0 } else { u64::arbitrary(g) };
+    Piece { version: version(g), offset, bytes: to_vec(state(g)).unwrap_or_default().into() }
+}
+
 fn flip<T>(g: &mut Gen, make: impl Fn(&mut Gen) -> T) -> Option<T> {
     bool::arbitrary(g).then(|| make(g))
 }
@@ -62,7 +87,7 @@
 impl Arbitrary for Any {
     fn arbitrary(g: &mut Gen) -> Any {
         let yes = bool::arbitrary(g);
-        Any(match u8::arbitrary(g) % 19 {
+        Any(match u8::arbitrary(g) % 24 {
             0 => Message::PreVote,
             1 => {
                 Message::PreVoteAnswer { willing: yes, founder: bool::arbitrary(g), record: flip(g, record) }
@@ -104,7 +129,14 @@
             15 => Message::Committed { state: state(g) },
             16 => Message::Join { founder: yes, seen: ballot(g) },
             17 => Message::Members { record: record(g) },
-            _ => Message::HandOver { ballot: ballot(g) },
+            18 => Message::HandOver { ballot: ballot(g) },
+            19 => Message::ReplicateChange { change: change(g) },
+            20 => {
+                Message::CommittedChanges { changes: (0..u8::arbitrary(g) % 4).map(|_| change(g)).collect() }
+            }
+            21 => Message::OfferState { offer: offer(g) },
+            22 => Message::FetchPiece { version: version(g), offset: u64::arbitrary(g) % 100 },
+            _ => Message::Piece { piece: piece(g) },
         })
     }
 }
@@ -123,6 +155,7 @@
     let other = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 2), 7720);
     let mut settings = Settings::new(here, failures, true, vec![here, other]);
     settings.rewrite_bytes = 500;
+    settings.piece_sizes = PieceSizes { large: 30, piece: 20 };
     Node::new(settings, records, 0, Pcg64Mcg::seed_from_u64(1))
 }
 
--- a/crates/headworks/tests/fleet/book.rs
+++ b/crates/headworks/tests/fleet/book.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use mosshead_headworks::{Ballot, MemberId, REMEMBERED_CALLS, State, Verdict};
+use mosshead_headworks::{Ballot, MAX_BODY_BYTES, MemberId, REMEMBERED_CALLS, State, Verdict};
 
 /// A machine and the life of its process.
 pub type Life = (usize, u64);
@@ -118,6 +118,10 @@
                 }
                 self.seen(state);
             }
+            // Never taken: as a stale one it may not be committed later.
+            (Kind::Change(change), Verdict::TooLarge) if change.body.len() > MAX_BODY_BYTES => {
+                self.stale.insert(change.digest, 0);
+            }
             (_, Verdict::NotPrimary { .. } | Verdict::Unavailable) => {}
             (kind, verdict) => self.broken("one answer", format!("{kind:?} got {verdict:?}")),
         }
--- a/crates/headworks/tests/fleet/contact.rs
+++ b/crates/headworks/tests/fleet/contact.rs
@@ -88,7 +88,8 @@
 
 /// What is committed never reaches a witness, while heartbeats do.
 fn states_lost(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = calm(430, 3, 1, flaw)?;
+    // The machines of this seed send no state in pieces: all news of committed states is of this kind.
+    let mut world = calm(431, 3, 1, flaw)?;
     let (_, _, witnesses) = roles(&world)?;
     let committed = KINDS.iter().position(|kind| *kind == "Committed").ok_or("no such kind")?;
     world.kind_loss[committed] = 1_000;
--- a/crates/headworks/tests/fleet/main.rs
+++ b/crates/headworks/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod contact;
 mod day;
 mod days;
+mod large;
 mod mutants;
 mod operator;
 mod recovery;
--- a/crates/headworks/tests/fleet/mutants.rs
+++ b/crates/headworks/tests/fleet/mutants.rs
@@ -72,3 +72,8 @@
 fn members_kept() {
     finds(Flaw::KeepMembers, &["settled", "liveness"]);
 }
+
+#[test]
+fn a_change_applied_to_another_state() {
+    finds(Flaw::ChangeOnAnyState, &["committed", "race", "stale", "lost", "settled"]);
+}
--- a/crates/headworks/tests/fleet/operator.rs
+++ b/crates/headworks/tests/fleet/operator.rs
@@ -3,7 +3,7 @@
 use mosshead_headworks::Verdict;
 
 use crate::book::{Change, Kind};
-use crate::world::{Event, World};
+use crate::world::{Event, World, body};
 
 #[derive(Default)]
 pub struct Operator {
@@ -70,7 +70,7 @@
                 Kind::Change(operator.taken[which].clone())
             }
             Some(base) => {
-                let body = digest.to_le_bytes().repeat(1 + length as usize);
+                let body = body(digest, length as usize);
                 Kind::Change(Change { base, revision: base + 1 + step, digest, body })
             }
             None => Kind::Read,
--- a/crates/headworks/tests/fleet/scenarios.rs
+++ b/crates/headworks/tests/fleet/scenarios.rs
@@ -13,7 +13,7 @@
     calm_with(World::new(seed, machines, failures, flaw))
 }
 
-fn calm_with(mut world: World) -> Result<World, String> {
+pub fn calm_with(mut world: World) -> Result<World, String> {
     world.noise = 0;
     world.run(3_000)?;
     for _ in 0..3 {
@@ -52,7 +52,12 @@
     }
 }
 
-fn verdict_at(world: &mut World, machine: usize, kind: Kind, span: u64) -> Result<Option<Verdict>, String> {
+pub fn verdict_at(
+    world: &mut World,
+    machine: usize,
+    kind: Kind,
+    span: u64,
+) -> Result<Option<Verdict>, String> {
     let ask = world.ask(machine, kind);
     world.run(span)?;
     Ok(world.book.verdict(ask).cloned())
@@ -498,3 +503,26 @@
     };
     story().unwrap_or_else(|what: String| panic!("{what}"));
 }
+
+/// A backup's write of a change is on disk but told to have failed, and comes again.
+fn change_written_twice(flaw: Option<Flaw>) -> Result<(), String> {
+    let mut world = World::new(16, 3, 1, flaw);
+    world.machines.iter_mut().for_each(|m| m.settings.rewrite_bytes = 1 << 20);
+    let mut world = calm_with(world)?;
+    let (primary, backups, witnesses) = roles(&world)?;
+    // Nobody is there to take the backup's place.
+    world.act(Act::Kill(witnesses));
+    world.run(500)?;
+    world.machines[backups[0]].disk.failed_yet_written = 1;
+    taken_at(&mut world, primary, 1_000)?;
+    taken(&mut world, 300)?;
+    world.act(Act::Kill(backups.clone()));
+    world.start(backups[0]);
+    world.run(2_000)?;
+    taken(&mut world, 300).map(|_| ())
+}
+
+#[test]
+fn a_change_is_written_only_after_the_state_before_it() {
+    told(change_written_twice, Flaw::ChangeOnUnsureState);
+}
--- a/crates/headworks/tests/fleet/world.rs
+++ b/crates/headworks/tests/fleet/world.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use mosshead_headworks::{Flaw, Input, Member, Message, Node, Output, Settings, Verdict};
+use mosshead_headworks::{Flaw, Input, Member, Message, Node, Output, PieceSizes, Settings, Verdict};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -26,6 +26,8 @@
     queue: VecDeque<(u64, bool, Vec<u8>)>,
     pub stalled_until: u64,
     pub full: bool,
+    /// So many writes are done and told to have failed.
+    pub failed_yet_written: usize,
     busy: bool,
 }
 
@@ -43,6 +45,24 @@
     pub gone: bool,
 }
 
+/// What a machine's link and disk carry; without it, everything takes the same time.
+#[derive(Clone, Copy)]
+pub struct Bandwidth {
+    /// Bytes that a machine sends in a millisecond.
+    pub link: u64,
+    /// Bytes that a disk writes in a millisecond.
+    pub disk: u64,
+    /// Longer messages are lost.
+    pub most_message: u64,
+    /// Longer messages are large: few are on the way to one machine at a time, and they queue on the link.
+    pub large_message: u64,
+}
+
+/// So many large messages are on the way to one machine.
+const MOST_LARGE: usize = 2;
+/// A large message that takes longer is lost.
+const LARGE_DEADLINE: u64 = 4_000;
+
 pub struct World {
     pub now: u64,
     pub rng: Pcg64Mcg,
@@ -70,8 +90,17 @@
     pub disk_span: u64,
     pub failures: usize,
     flaw: Option<Flaw>,
+    sizes: usize,
     next_ask: u64,
     pub sent: u64,
+    /// Counted only where a bandwidth is given.
+    pub sent_bytes: u64,
+    pub written_bytes: u64,
+    pub bandwidth: Option<Bandwidth>,
+    /// When a machine's link is free for the next large message.
+    link_free: BTreeMap<usize, u64>,
+    /// When the large messages from one machine to another arrive.
+    large_arrivals: BTreeMap<(usize, usize), Vec<u64>>,
     pub sent_states: u64,
     pub trace: bool,
 }
@@ -88,7 +117,7 @@
 const LINK_BACKLOG: usize = 8;
 
 /// Kinds of messages, as they are printed.
-pub const KINDS: [&str; 12] = [
+pub const KINDS: [&str; 16] = [
     "Heartbeat ",
     "HeartbeatAnswer",
     "Prepare",
@@ -101,12 +130,24 @@
     "PreVote",
     "Committed",
     "Members",
+    "ReplicateChange",
+    "OfferState",
+    "FetchPiece",
+    "Piece ",
 ];
 
 pub fn address(index: usize) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, (index / 200) as u8, (index % 200) as u8 + 1), 7720)
 }
 
+/// A body that has most in common with all others, as one configuration has with the next.
+pub fn body(digest: u64, length: usize) -> Vec<u8> {
+    let mut body = b"what most changes leave as it is: ".repeat(4);
+    body.extend(digest.to_le_bytes().repeat(1 + length));
+    body.extend_from_slice(b", and an end that stays");
+    body
+}
+
 impl World {
     /// A fleet that starts for the first time.
     pub fn new(seed: u64, machines: usize, failures: usize, flaw: Option<Flaw>) -> World {
@@ -129,8 +170,14 @@
             disk_span: 4,
             failures,
             flaw,
+            sizes: (seed % 3) as usize,
             next_ask: 0,
             sent: 0,
+            sent_bytes: 0,
+            written_bytes: 0,
+            bandwidth: None,
+            link_free: BTreeMap::new(),
+            large_arrivals: BTreeMap::new(),
             sent_states: 0,
             trace: std::env::var("HEADWORKS_TRACE").is_ok(),
         };
@@ -149,8 +196,18 @@
         let mut settings = Settings::new(address(index), self.failures, bootstrap, seeds);
         settings.flaw = self.flaw;
         settings.rewrite_bytes = 2_000;
-        let disk =
-            Disk { records: vec![], queue: VecDeque::new(), stalled_until: 0, full: false, busy: false };
+        // Some fleets send every state in pieces, some the longer ones, some none.
+        let sizes = [(10, 700), (180, 100), (1 << 20, 1 << 20)];
+        let (large, piece) = sizes[self.sizes];
+        settings.piece_sizes = PieceSizes { large, piece };
+        let disk = Disk {
+            records: vec![],
+            queue: VecDeque::new(),
+            stalled_until: 0,
+            full: false,
+            failed_yet_written: 0,
+            busy: false,
+        };
         self.machines.push(Machine {
             address: address(index),
             settings,
@@ -358,7 +415,10 @@
         self.sent += 1;
         let big = matches!(
             message,
-            Message::Replicate { .. } | Message::Committed { .. } | Message::Fetched { .. }
+            Message::Replicate { .. }
+                | Message::Committed { .. }
+                | Message::Fetched { .. }
+                | Message::OfferState { .. }
         );
         self.sent_states += u64::from(big);
         let Some(target) = self.at(to) else { return };
@@ -379,8 +439,9 @@
                 return;
             }
         }
+        let Some(carried) = self.carry(from, target, &message) else { return };
         let late = self.below(1_000) < self.noise;
-        let delay = 1 + self.below(3) + if late { self.below(500) } else { 0 };
+        let delay = carried + 1 + self.below(3) + if late { self.below(500) } else { 0 };
         if self.below(1_000) < self.noise {
             let again = self.below(300);
             self.after(again, Event::Deliver { to, from: member, message: message.clone() });
@@ -396,13 +457,36 @@
         }
     }
 
+    /// How long the links need for a message; none if it is lost for its size.
+    fn carry(&mut self, from: usize, to: usize, message: &Message) -> Option<u64> {
+        let Some(bandwidth) = self.bandwidth else { return Some(0) };
+        let size = message.state_bytes() as u64 + 200;
+        self.sent_bytes += size;
+        if size <= bandwidth.large_message {
+            return Some(size / bandwidth.link);
+        }
+        let now = self.now;
+        let arrivals = self.large_arrivals.entry((from, to)).or_default();
+        arrivals.retain(|at| *at > now);
+        if size > bandwidth.most_message || arrivals.len() >= MOST_LARGE {
+            return None;
+        }
+        let free = self.link_free.entry(from).or_default();
+        *free = (*free).max(now) + size / bandwidth.link;
+        arrivals.push(*free);
+        Some(*free - now).filter(|span| *span <= LARGE_DEADLINE)
+    }
+
     fn enqueue(&mut self, machine: usize, write: (u64, bool, Vec<u8>)) {
+        self.written_bytes += write.2.len() as u64;
         self.machines[machine].disk.queue.push_back(write);
         self.disk_go(machine);
     }
 
     fn disk_go(&mut self, machine: usize) {
-        let span = 2 + self.below(self.disk_span);
+        let disk_rate = self.bandwidth.map_or(u64::MAX, |b| b.disk);
+        let size = self.machines[machine].disk.queue.front().map_or(0, |(_, _, record)| record.len() as u64);
+        let span = 2 + self.below(self.disk_span) + size / disk_rate;
         let disk = &mut self.machines[machine].disk;
         if !disk.busy && !disk.queue.is_empty() {
             disk.busy = true;
@@ -419,7 +503,9 @@
             return self.disk_go(machine);
         }
         let Some((token, rewrite, record)) = disk.queue.pop_front() else { return };
-        let full = disk.full;
+        let astray = astray || disk.failed_yet_written > 0;
+        let full = disk.full || disk.failed_yet_written > 0;
+        disk.failed_yet_written = disk.failed_yet_written.saturating_sub(1);
         if !full || astray && !rewrite {
             disk.put(rewrite, record);
         }
@@ -509,7 +595,8 @@
         let base = self.node(machine).and_then(Node::committed).map_or(0, |s| s.revision);
         let revision = base + 1 + self.below(3);
         let digest = self.rng.next_u64();
-        let body = digest.to_le_bytes().repeat(1 + self.below(4) as usize);
+        let length = self.below(4) as usize;
+        let body = body(digest, length);
         Change { base, revision, digest, body }
     }
 }
--- a/crates/works/src/control.rs
+++ b/crates/works/src/control.rs
@@ -158,6 +158,7 @@
     match core.change(base, config.revision, text, digest).await {
         Verdict::Taken { revision } => answer(StatusCode::OK, format!("{{\"revision\":{revision}}}")),
         Verdict::Stale { current } => stale(current),
+        Verdict::TooLarge => answer(StatusCode::PAYLOAD_TOO_LARGE, "{\"code\":\"C10\"}"),
         Verdict::NotPrimary { primary } => elsewhere(core, primary, path),
         Verdict::Unavailable | Verdict::Current { .. } => later(),
     }
