Hold the bounds of configuration, state, message and record against each other

Cause: a request to the control plane was read up to 8 MiB, a configuration is valid up to 4 MiB, a message holds 8 MiB with what stands around it, a record 16 MiB; each bound was set on its own.

Change: one module names them and holds them against each other when it is compiled.

Test: crates/works/tests/limits.rs encodes the largest state with all that it remembers.

--- a/crates/culvert/src/call.rs
+++ b/crates/culvert/src/call.rs
@@ -7,7 +7,7 @@
 use crate::CallFault;
 
 /// The longest body of a call or an answer, in bytes.
-pub(crate) const MAX_BODY: usize = 8 << 20;
+pub const MAX_BODY: usize = 8 << 20;
 
 /// A question of one process to another, paired with its answer.
 pub trait Call: Encode<()> + for<'bytes> Decode<'bytes, ()> + 'static {
--- a/crates/culvert/src/lib.rs
+++ b/crates/culvert/src/lib.rs
@@ -13,7 +13,7 @@
 mod pool;
 mod server;
 
-pub use call::{Call, Peer, Transport};
+pub use call::{Call, MAX_BODY, Peer, Transport};
 pub use caller::Caller;
 pub use fault::{CODE_HEADER, CallFault, Refusal};
 pub use handlers::{Handlers, Limits};
--- a/crates/headworks/src/types.rs
+++ b/crates/headworks/src/types.rs
@@ -152,7 +152,7 @@
     }
 
     /// The state after a call.
-    pub(crate) fn after(&self, ballot: Ballot, call: Call, body: Arc<[u8]>) -> State {
+    pub fn after(&self, ballot: Ballot, call: Call, body: Arc<[u8]>) -> State {
         let skip = (self.taken.len() + 1).saturating_sub(REMEMBERED_CALLS);
         let taken = self.taken.iter().skip(skip).copied().chain([call]).collect();
         State { ballot, origin: ballot, revision: call.revision, body, taken }
--- a/crates/works/src/control.rs
+++ b/crates/works/src/control.rs
@@ -20,9 +20,8 @@
 use tokio::time::{Duration, sleep, timeout};
 
 use crate::core::Core;
+use crate::limits::MAX_REQUEST_BYTES;
 
-/// The largest configuration.
-const LONGEST: usize = 8 * 1024 * 1024;
 /// Connections at once.
 const MOST: usize = 3000;
 
@@ -74,7 +73,7 @@
 async fn handle(core: Rc<Core>, request: Request<Incoming>) -> Answer {
     let (head, body) = request.into_parts();
     let path = head.uri.path().to_owned();
-    let body = match timeout(Duration::from_secs(10), Limited::new(body, LONGEST).collect()).await {
+    let body = match timeout(Duration::from_secs(10), Limited::new(body, MAX_REQUEST_BYTES).collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(_)) => return answer(StatusCode::PAYLOAD_TOO_LARGE, "{\"code\":\"C02\"}"),
         Err(_) => return answer(StatusCode::REQUEST_TIMEOUT, "{\"code\":\"C03\"}"),
--- a/crates/works/src/lib.rs
+++ b/crates/works/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod core;
 pub mod duties;
 pub mod gossip;
+pub mod limits;
 pub mod log;
 pub mod message_lanes;
 pub mod proxy;
--- /dev/null
+++ b/crates/works/tests/limits.rs
@@ -0,0 +1,30 @@
+//! The largest state that may be taken can be sent and written.
+
+use mosshead_culvert::MAX_BODY;
+use mosshead_headworks::{Ballot, Call, MAX_BODY_BYTES, MAX_STATE_BYTES, Member, MemberId, Message, State};
+use mosshead_works::calls::Epoch;
+use mosshead_works::limits::MAX_REQUEST_BYTES;
+
+/// A body of that length, and as many calls as are remembered, with the longest numbers.
+fn largest_state() -> State {
+    let ballot = Ballot { round: u64::MAX, member: MemberId(u64::MAX) };
+    let empty = State { ballot, origin: ballot, revision: u64::MAX, ..State::default() };
+    let body: std::sync::Arc<[u8]> = vec![b'x'; MAX_BODY_BYTES].into();
+    let call = |back: u64| Call { revision: u64::MAX - back, digest: u64::MAX };
+    (0..2_000).rev().fold(empty, |state, back| state.after(ballot, call(back), body.clone()))
+}
+
+#[test]
+fn the_largest_state_fits_a_message_and_a_transfer() {
+    let state = largest_state();
+    assert!(minicbor::to_vec(&state).is_ok_and(|bytes| bytes.len() <= MAX_STATE_BYTES));
+    let from = Member { id: MemberId(u64::MAX), address: "10.0.0.1:7720".parse().expect("an address") };
+    let epoch = Epoch { from, message: Message::Replicate { state } };
+    assert!(minicbor::to_vec(&epoch).is_ok_and(|bytes| bytes.len() <= MAX_BODY));
+}
+
+#[test]
+fn a_request_that_is_read_whole_holds_the_largest_configuration() {
+    const { assert!(MAX_REQUEST_BYTES > mosshead_mains::MAX_BYTES) };
+    const { assert!(MAX_REQUEST_BYTES < MAX_BODY) };
+}
