--- a/crates/culvert/src/lib.rs
+++ b/crates/culvert/src/lib.rs
@@ -14,7 +14,7 @@
 mod pool;
 mod server;
 
-pub use call::{Call, Peer, Transport};
+pub use call::{Call, MAX_BODY, Peer, Transport};
 pub use caller::Caller;
 pub use fault::{CALL_ID_HEADER, CODE_HEADER, CallFault, Refusal};
 pub use handlers::{Handlers, Limits};
--- a/crates/headworks/src/types.rs
+++ b/crates/headworks/src/types.rs
@@ -152,7 +152,7 @@
     }
 
     /// The state after a call.
-    pub(crate) fn after(&self, ballot: Ballot, call: Call, body: Arc<[u8]>) -> State {
+    pub fn after(&self, ballot: Ballot, call: Call, body: Arc<[u8]>) -> State {
         let skip = (self.taken.len() + 1).saturating_sub(REMEMBERED_CALLS);
         let taken = self.taken.iter().skip(skip).copied().chain([call]).collect();
         State { ballot, origin: ballot, revision: call.revision, body, taken }
@@ -163,7 +163,7 @@
     }
 }
 
-fn encode_body<C, W: minicbor::encode::Write>(
+pub(crate) fn encode_body<C, W: minicbor::encode::Write>(
     body: &Arc<[u8]>,
     e: &mut minicbor::Encoder<W>,
     _: &mut C,
@@ -172,7 +172,10 @@
     Ok(())
 }
 
-fn decode_body<C>(d: &mut minicbor::Decoder<'_>, _: &mut C) -> Result<Arc<[u8]>, minicbor::decode::Error> {
+pub(crate) fn decode_body<C>(
+    d: &mut minicbor::Decoder<'_>,
+    _: &mut C,
+) -> Result<Arc<[u8]>, minicbor::decode::Error> {
     Ok(d.bytes()?.into())
 }
 
--- a/crates/headworks/tests/fleet/mutants.rs
+++ b/crates/headworks/tests/fleet/mutants.rs
@@ -77,3 +77,8 @@
 fn members_kept() {
     finds(Flaw::KeepMembers, &["settled", "liveness"]);
 }
+
+#[test]
+fn a_change_applied_to_another_state() {
+    finds(Flaw::ChangeOnAnyState, &["committed", "race", "stale", "lost", "settled"]);
+}
