--- a/crates/works/src/duties.rs
+++ b/crates/works/src/duties.rs
@@ -1,17 +1,18 @@
 //! The duties of whoever is primary: orders to model servers, one holder at a time under a fence that rises.
 
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue};
+use http_body_util::Full;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
 use mosshead_catchment::Stage;
 use mosshead_conduit::{Link, Opening, Side};
 use mosshead_headworks::Ballot;
 use mosshead_penstock::{Answer, Order, Penstock, Terms, fence};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::core::Core;
 
@@ -19,6 +20,9 @@
 const TURN: Duration = Duration::from_millis(200);
 /// An order is answered within this.
 const WITHIN: Duration = Duration::from_millis(600);
+/// How a connection for an order is opened.
+const CONNECTING: Opening =
+    Opening { within: Duration::from_millis(250), user_timeout: Some(Duration::from_millis(400)) };
 /// Ends of these connections are not logged one by one.
 const SERVER: Side = Side { name: "server", log: |_| {} };
 
@@ -46,43 +50,79 @@
             if core.holds() != Some(ballot) {
                 break;
             }
-            let answer = send(&core, &order, fence(ballot.round, ballot.member.0)).await;
+            let answer = send(&core, &order, ballot).await;
             spdlog::info!("penstock: {} is to be {:?}: {:?}.", order.id, order.stage, answer);
             penstock.answered(&order.id, answer);
         }
     }
 }
 
-async fn send(core: &Rc<Core>, order: &Order, fence: u64) -> Answer {
+async fn send(core: &Rc<Core>, order: &Order, ballot: Ballot) -> Answer {
     let Some(address) = core.address_of(&order.id) else { return Answer::Unclear };
-    let stage = match order.stage {
-        Stage::Prefill => "prefill",
-        Stage::Decode => "decode",
+    let message = OrderMessage {
+        address,
+        order,
+        owner: &core.settings.node_name,
+        fence: fence(ballot.round, ballot.member.0),
     };
-    let owner = &core.settings.node_name;
-    let body = format!(r#"{{"opcode":"stage","stage":"{stage}","owner":"{owner}","fence_token":{fence}}}"#);
-    let sent = async {
-        let how =
-            Opening { within: Duration::from_millis(250), user_timeout: Some(Duration::from_millis(400)) };
-        let mut link: Link<Full<Bytes>> = Link::open(SERVER, address.into(), how, ()).await?;
-        if !link.ready().await {
-            return None;
-        }
-        let length = body.len();
-        let mut request = Request::post("/order").body(Full::new(Bytes::from(body))).ok()?;
-        let headers = request.headers_mut();
-        headers.insert(HOST, HeaderValue::from_str(&address.to_string()).ok()?);
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
-        headers.insert("x-target-instance", HeaderValue::from_str(&order.id).ok()?);
-        let answer = link.send(request, length).await.ok()?;
-        let status = answer.status();
-        let _ = Limited::new(answer.into_body(), 4096).collect().await;
-        Some(status)
-    };
-    match timeout(WITHIN, sent).await {
+    send_order(&message, || core.holds() == Some(ballot)).await
+}
+
+/// An order as it goes to a model server.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderMessage<'a> {
+    /// Where the server listens.
+    pub address: SocketAddrV4,
+    /// What it is to do.
+    pub order: &'a Order,
+    /// Who holds the duty.
+    pub owner: &'a str,
+    /// The fencing token of the holder.
+    pub fence: u64,
+}
+
+impl OrderMessage<'_> {
+    fn request(&self) -> Option<Request<Full<Bytes>>> {
+        let stage = match self.order.stage {
+            Stage::Prefill => "prefill",
+            Stage::Decode => "decode",
+        };
+        let (owner, fence) = (self.owner, self.fence);
+        let body =
+            format!(r#"{{"opcode":"stage","stage":"{stage}","owner":"{owner}","fence_token":{fence}}}"#);
+        Request::post("/order")
+            .header(HOST, self.address.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .header(CONTENT_LENGTH, body.len())
+            .header("x-target-instance", &self.order.id)
+            .body(Full::new(Bytes::from(body)))
+            .ok()
+    }
+}
+
+/// Sends an order once, on a connection of its own, and never again: what came of one without an answer nobody knows.
+/// `may_send` is asked right before the first byte.
+pub async fn send_order(message: &OrderMessage<'_>, may_send: impl Fn() -> bool) -> Answer {
+    let deadline = Instant::now() + WITHIN;
+    match timeout_at(deadline, exchange(message, may_send, deadline)).await {
         Ok(Some(status)) if status.is_success() => Answer::Taken,
         Ok(Some(StatusCode::PRECONDITION_FAILED)) => Answer::Fenced,
         _ => Answer::Unclear,
     }
 }
+
+/// The status of the answer.
+async fn exchange(
+    message: &OrderMessage<'_>,
+    may_send: impl Fn() -> bool,
+    deadline: Instant,
+) -> Option<StatusCode> {
+    let mut link: Link<Full<Bytes>> = Link::open(SERVER, message.address.into(), CONNECTING, ()).await?;
+    let request = message.request()?;
+    // Danger: the place may have been lost while the connection came up.
+    if !link.ready().await || !may_send() {
+        return None;
+    }
+    let answer = link.send_before(request, deadline).await.ok()?;
+    Some(answer.status())
+}
