Play the proof that a request never ran against servers that break off anywhere

A server reads any number of the bytes of an 8 MiB request, the last one too, and resets: whenever it had the last byte, the request counts as left whole.

--- a/crates/conduit/tests/link.rs
+++ b/crates/conduit/tests/link.rs
@@ -323,3 +323,38 @@
         assert_eq!(refused.err(), Some(OpenFault::Refused));
     });
 }
+
+/// The proof that a request never ran, against a server that breaks off after any number of its bytes, the last one too.
+#[test]
+fn what_a_server_has_to_the_last_byte_has_left_whole() {
+    const BODY: usize = 8 << 20;
+    const LAST: u8 = 9;
+    run(async {
+        let mut seen = Vec::new();
+        for reads in [0, 1, 40, 1 << 16, 1 << 20, BODY - 1, usize::MAX] {
+            let (mut link, mut server) = connected().await;
+            assert!(link.ready().await);
+            let mut body = vec![7; BODY];
+            body[BODY - 1] = LAST;
+            let request = hyper::Request::post("/").body(Full::new(Bytes::from(body)));
+            let server = std::thread::spawn(move || {
+                let (mut got, mut buffer, mut whole) = (0, vec![0; 1 << 16], false);
+                while got < reads && !whole {
+                    let most = buffer.len().min(reads - got);
+                    let count = server.read(&mut buffer[..most]).expect("bytes");
+                    got += count;
+                    whole = buffer[..count].ends_with(&[LAST]);
+                }
+                SockRef::from(&server).set_linger(Some(Duration::ZERO)).expect("an option");
+                whole
+            });
+            let deadline = tokio::time::Instant::now() + PATIENCE;
+            let fault = link.send_before(request.expect("a request"), deadline).await.expect_err("a reset");
+            let whole = server.join().expect("no fault");
+            assert!(fault.progress.may_have_run() || !whole, "{reads}: {fault:?}");
+            assert!(!whole || reads == usize::MAX);
+            seen.push(fault.progress);
+        }
+        assert!(seen.contains(&SendProgress::Partial) && seen.contains(&SendProgress::Complete), "{seen:?}");
+    });
+}
