Reset a client without chunks whose answer is cut off, so that it does not look whole

To an HTTP/1.0 client the end of the connection is the end of the body; a stream that broke off ended in good order. Seen to fail: 'it looks whole: HTTP/1.0 200 OK'.

Change: where the proxy cuts its answer to such a client, the connection is reset. Other clients are told by the missing last chunk, as before, and lose nothing that is on its way.

--- a/crates/sluice/src/door.rs
+++ b/crates/sluice/src/door.rs
@@ -7,14 +7,16 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{Duration, sleep};
 
+use crate::client_stream::ClientStream;
 use crate::view::Sluice;
 
 /// Clients' connections at once.
@@ -68,7 +70,13 @@
         let _ = stream.set_nodelay(true);
         let idle = self.sluice.config().map_or(15_000, |config| config.limits.idle_timeout_ms.max(3000));
         let sluice = self.sluice.clone();
-        let service = service_fn(move |request| sluice.clone().answer(request));
+        let (resets, without_chunks) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+        let told = without_chunks.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            told.set(request.version() < Version::HTTP_11);
+            sluice.clone().answer(request)
+        });
+        let stream = ClientStream::new(stream, resets.clone());
         let connection = Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(Duration::from_millis(idle))
@@ -76,11 +84,16 @@
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let mut close = self.close.subscribe();
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            _ = close.wait_for(|close| *close) => connection.as_mut().graceful_shutdown(),
-        }
-        let _ = connection.await;
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            _ = close.wait_for(|close| *close) => {
+                connection.as_mut().graceful_shutdown();
+                connection.as_mut().await
+            }
+        };
+        // Danger: to a client that knows no chunks the end of the connection is the end of the body, and what was cut
+        // off would look complete.
+        resets.set(without_chunks.get() && ended.is_err_and(|fault| fault.is_user()));
     }
 }
 
--- a/crates/sluice/src/lib.rs
+++ b/crates/sluice/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod answer;
 mod attempt;
+mod client_stream;
 mod door;
 mod events;
 mod forward;
--- a/crates/sluice/tests/prompts.rs
+++ b/crates/sluice/tests/prompts.rs
@@ -378,3 +378,23 @@
         assert_eq!((answer.status, reader.seen().len(), runner.seen().len()), (503, 1, 0));
     });
 }
+
+/// To such a client the end of the connection is the end of the body: a cut answer must be told apart by a reset.
+#[test]
+fn to_a_client_without_chunks_a_broken_stream_does_not_look_complete() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    run(async {
+        let script = |_: &Seen| Act::Events { ids: 1..=4, seal: SEAL, cut: true };
+        let (reader, runner) = (reader().await, runner("i-run", script).await);
+        let proxy = Proxy::with(1, &[&reader.server, &runner.server]).await;
+        let mut client = tokio::net::TcpStream::connect(proxy.front).await.expect("a connection");
+        let head = format!("POST /broken/2f HTTP/1.0\r\nHost: {}\r\nX-Attempt-Id: {ID}\r\n", common::HOST);
+        let prompt = "X-Model-Name: m\r\nX-Token-Count: 1460,80\r\nX-Prompt-Prefix: 5c1e07a2:800\r\n";
+        let request = format!("{head}{prompt}X-Deadline-Ms: {WAIT}\r\nContent-Length: 6\r\n\r\na body");
+        client.write_all(request.as_bytes()).await.expect("room");
+        let mut got = Vec::new();
+        let end = client.read_to_end(&mut got).await;
+        let text = String::from_utf8_lossy(&got);
+        assert!(end.is_err() || text.contains("502"), "it looks whole: {text}");
+    });
+}
