Let a member that stops go only when its copy and its vote are elsewhere

Cause: a member that stopped and was not primary just ended. The record went on naming it, as a holder of the state until its role had moved and as a member until it had been silent for 2.5 s, also with a newcomer at the door.

Change: `Leaving` and `MayLeave`; a leaver serves until the decided record does without it, 2.5 s at most (`Node::may_end`). A newcomer replaces a leaver at once, and counts only when it has answered a heartbeat of this epoch. All newcomers that are there are taken in by one joint record. `Timings::for_sync` derives `replace_after` from the span that the platform waits before the next loss. A primary that is told to end while it takes over from itself finishes that first, so that it can name its successor. Newcomers tell all members that they wait.

Tests: `fleet/turnover.rs`, planned changes with the losses right after them; the world asks every holder's disk, when a record is proposed and when it is decided, whether it has the state of the epoch. Flaws LeaveAtOnce, KeepLeavers, SlowReplacement, OneNewcomerAtATime and StaleNewcomer are each found, NoStamp also by the disks.

--- a/crates/headworks/src/join.rs
+++ b/crates/headworks/src/join.rs
@@ -14,6 +14,8 @@
 
 const MOST_JOINERS: usize = 64;
 const JOINER_LASTS: u64 = 1_000;
+/// A newcomer tells all so often that it waits for a place.
+const JOINER_TELLS: u64 = 400;
 
 impl<R: RngCore> Node<R> {
     /// Before there is a record: whether this founder knows the others, or has waited for them long enough.
@@ -33,10 +35,17 @@
         let patience = if member { 1_000 } else { 300 };
         let last = self.leader.as_ref().map_or(if member { self.started } else { 0 }, Leader::alive_at);
         let lost = self.leader.is_none() && !member;
-        if !lost && self.now.saturating_sub(last) < patience {
+        let missed = lost || self.now.saturating_sub(last) >= patience;
+        if member && !missed {
             return;
         }
-        self.join_at = self.now + if member { 300 } else { 100 };
+        // Danger: whoever leads next has to know of those that wait for a place, before it lets a leaver go.
+        self.join_at = self.now
+            + match (member, missed) {
+                (true, _) => 300,
+                (false, true) => 100,
+                (false, false) => JOINER_TELLS,
+            };
         let seen = self.view.as_ref().map(|r| r.ballot).unwrap_or_default();
         let join = Message::Join { founder: self.is_founder(), seen };
         for address in self.contacts.clone() {
--- a/crates/headworks/src/lib.rs
+++ b/crates/headworks/src/lib.rs
@@ -11,6 +11,7 @@
 mod election;
 mod event;
 mod join;
+mod leaving;
 mod limits;
 mod log;
 mod message;
--- a/crates/headworks/src/message.rs
+++ b/crates/headworks/src/message.rs
@@ -203,6 +203,16 @@
         #[n(0)]
         ballot: Ballot,
     },
+    /// The sender's process is about to end, and serves on until it may.
+    #[n(19)]
+    Leaving,
+    /// The primary's answer to a [`Message::Leaving`]: the process may end.
+    #[n(20)]
+    MayLeave {
+        /// The primary's ballot.
+        #[n(0)]
+        ballot: Ballot,
+    },
     /// A change to be written on top of the state before it; the stamp is the sender's ballot. One that has not that
     /// state answers [`Message::LacksBody`].
     #[n(25)]
--- a/crates/headworks/src/node.rs
+++ b/crates/headworks/src/node.rs
@@ -9,6 +9,7 @@
 use crate::election::Election;
 use crate::event::{Input, Output, Verdict};
 use crate::join::Joiner;
+use crate::leaving::Leaving;
 use crate::limits::MAX_BODY_BYTES;
 use crate::log::{Effect, Fault, Identity, LogRecord, Pending, Stable, Writes};
 use crate::message::Message;
@@ -77,6 +78,7 @@
     pub(crate) join_at: u64,
     pub(crate) asks: Asks,
     pub(crate) stopping: Option<u64>,
+    pub(crate) leaving: Leaving,
     pub(crate) handing: Option<Handing>,
     /// When a majority was last in touch with this node as primary.
     pub(crate) touched: Option<u64>,
@@ -131,6 +133,7 @@
             join_at: now,
             asks: Asks::default(),
             stopping: None,
+            leaving: Leaving::default(),
             handing: None,
             touched: None,
             recent_changes: RecentChanges::default(),
@@ -198,6 +201,7 @@
             self.take_over_timers();
             self.primary_timers();
             self.transfer_timers();
+            self.leave_timers();
         }
         self.expire_asks();
         self.pump();
@@ -429,6 +433,8 @@
             Message::OfferState { offer } => self.on_offer(from, offer),
             Message::FetchPiece { version, offset } => self.on_fetch_piece(from, version, offset),
             Message::Piece { piece } => self.on_piece(from, piece),
+            Message::Leaving => self.on_leaving(from),
+            Message::MayLeave { ballot } => self.on_may_leave(ballot),
         }
     }
 }
--- a/crates/headworks/src/primary.rs
+++ b/crates/headworks/src/primary.rs
@@ -26,6 +26,8 @@
     pub(crate) well: u64,
     pub(crate) founder: bool,
     pub(crate) seen: Ballot,
+    /// The ballot of the latest heartbeat that it has answered.
+    pub(crate) answered: Ballot,
     /// When a state was sent to it last.
     pub(crate) state_sent: u64,
     /// The newest stamp of its answers.
@@ -83,6 +85,7 @@
             well: now,
             founder: false,
             seen: Ballot::default(),
+            answered: Ballot::default(),
             state_sent: 0,
             stamp: None,
         }
@@ -258,12 +261,13 @@
         }
         let Role::Primary(lead) = &mut self.role else { return };
         let Some(peer) = self.peers.get_mut(&from.id) else { return };
-        (peer.heard, peer.fit, peer.seen) = (now, fit, seen);
+        (peer.heard, peer.fit, peer.seen, peer.answered) = (now, fit, seen, ballot);
         // It was out of touch: it need not wait for the next heartbeat of all.
         let returns = stamp.is_return(peer.stamp, lease);
         peer.stamp = Some(stamp.newest(peer.stamp));
         if fit {
             peer.well = now;
+            self.leaving.forget(from.id);
         }
         let voter = lead.record.voters().iter().any(|m| m.id == from.id);
         if promised > ballot && voter {
--- a/crates/headworks/src/renewal.rs
+++ b/crates/headworks/src/renewal.rs
@@ -4,7 +4,7 @@
 use crate::message::Message;
 use crate::node::{Handing, Node, Role};
 use crate::primary::{Lead, Peer};
-use crate::settings::Flaw;
+use crate::settings::{Flaw, Timings};
 use crate::types::{Ballot, Member, MemberId};
 
 const LATELY: u64 = 350;
@@ -43,13 +43,20 @@
         }
     }
 
+    pub(crate) fn is_heard_lately(&self, peer: &Peer) -> bool {
+        self.now.saturating_sub(peer.heard) <= LATELY
+    }
+
     fn is_near(&self, peer: &Peer) -> bool {
-        peer.fit && self.now.saturating_sub(peer.heard) <= LATELY
+        peer.fit && self.is_heard_lately(peer) && !self.leaving.includes(peer.member.id, self.now)
     }
 
     fn lost_backup(&self, lead: &Lead) -> bool {
         let suspect = self.settings.timings.suspect;
-        let good = |p: &Peer| p.fit && self.now.saturating_sub(p.heard) <= suspect;
+        let good = |p: &Peer| {
+            let leaves = self.leaving.includes(p.member.id, self.now);
+            p.fit && !leaves && self.now.saturating_sub(p.heard) <= suspect
+        };
         lead.record.backups.iter().any(|id| !self.peers.get(id).is_some_and(good))
     }
 
@@ -66,41 +73,85 @@
             && lead.record.members.iter().any(spare)
     }
 
-    /// The members as they should be, if other than they are.
+    /// The members as they should be, if other than they are. Several may change at once: the old and the new ones decide
+    /// on the whole list.
     fn wanted_members(&self) -> Option<Vec<Member>> {
         let Role::Primary(lead) = &self.role else { return None };
         if self.settings.has(Flaw::KeepMembers) {
             return None;
         }
-        let members = &lead.record.members;
-        let is_member = |id: MemberId| members.iter().any(|m| m.id == id);
-        let newcomers: Vec<Member> = self
+        let mut members = lead.record.members.clone();
+        let mut changed = false;
+        for newcomer in self.newcomers(lead) {
+            changed |= self.find_place(&mut members, newcomer);
+            if changed && self.settings.has(Flaw::OneNewcomerAtATime) {
+                break;
+            }
+        }
+        changed.then_some(members)
+    }
+
+    /// Those that may become members: first those at the address of one, whose disk they follow; of two disks at one
+    /// address the one heard last takes the place in the end.
+    fn newcomers(&self, lead: &Lead) -> Vec<Member> {
+        // Danger: a disk that was wiped is heard lately, too. Only what has answered in this epoch is there.
+        let is_here = |p: &Peer| p.answered == lead.ballot || self.settings.has(Flaw::StaleNewcomer);
+        let mut found: Vec<&Peer> = self
             .peers
             .values()
-            .filter(|p| !is_member(p.member.id) && self.is_near(p))
-            .map(|p| p.member)
+            .filter(|p| lead.record.member(p.member.id).is_none() && p.member.address != self.me.address)
+            .filter(|p| self.is_near(p) && is_here(p))
             .collect();
-        let replaced = |old: MemberId, new: Member| {
-            Some(members.iter().map(|m| if m.id == old { new } else { *m }).collect::<Vec<Member>>())
-        };
-        for newcomer in &newcomers {
-            if let Some(old) = members.iter().find(|m| m.address == newcomer.address) {
-                if old.id != self.me.id {
-                    return replaced(old.id, *newcomer);
-                }
-                return None;
-            }
+        let follows = |p: &Peer| lead.record.members.iter().any(|m| m.address == p.member.address);
+        found.sort_by_key(|p| (!follows(p), p.heard));
+        found.into_iter().map(|p| p.member).collect()
+    }
+
+    /// Gives a newcomer the place of the disk before it at its address, an empty one, or that of a member that is gone.
+    fn find_place(&self, members: &mut Vec<Member>, newcomer: Member) -> bool {
+        if let Some(place) = members.iter_mut().find(|m| m.address == newcomer.address) {
+            *place = newcomer;
+            return true;
         }
-        let newcomer = *newcomers.first()?;
         if members.len() < 2 * self.settings.failures + 1 {
-            return Some(members.iter().copied().chain([newcomer]).collect());
+            members.push(newcomer);
+            return true;
         }
-        let silence =
-            |m: &Member| self.peers.get(&m.id).map_or(u64::MAX, |p| self.now.saturating_sub(p.well));
+        let Some(gone) = self.most_silent(members).or_else(|| self.leaver_to_replace(members)) else {
+            return false;
+        };
+        let Some(place) = members.iter_mut().find(|m| m.id == gone) else { return false };
+        *place = newcomer;
+        true
+    }
+
+    fn silence(&self, member: &Member) -> u64 {
+        self.peers.get(&member.id).map_or(u64::MAX, |p| self.now.saturating_sub(p.well))
+    }
+
+    /// The member that was silent for longest, and for long enough to lose its place.
+    fn most_silent(&self, members: &[Member]) -> Option<MemberId> {
         let others = members.iter().filter(|m| m.id != self.me.id);
-        let silent =
-            others.max_by_key(|m| silence(m)).filter(|m| silence(m) > self.settings.timings.replace_after)?;
-        replaced(silent.id, newcomer)
+        let silent = others.max_by_key(|m| self.silence(m))?;
+        let replace_after = match self.settings.has(Flaw::SlowReplacement) {
+            true => Timings::default().replace_after,
+            false => self.settings.timings.replace_after,
+        };
+        (self.silence(silent) > replace_after).then_some(silent.id)
+    }
+
+    /// A member that has told that it stops, if others are there to hold the state in the epoch between.
+    fn leaver_to_replace(&self, members: &[Member]) -> Option<MemberId> {
+        if self.settings.has(Flaw::KeepLeavers) {
+            return None;
+        }
+        let others = || members.iter().filter(|m| m.id != self.me.id);
+        let leaver = others().find(|m| self.leaving.includes(m.id, self.now))?;
+        let is_here = |m: &Member| self.peers.get(&m.id).is_some_and(|p| self.is_heard_lately(p));
+        let Role::Primary(lead) = &self.role else { return None };
+        let old = |m: &Member| lead.record.member(m.id).is_some();
+        let staying = others().filter(|m| m.id != leaver.id && old(m) && is_here(m)).count();
+        (staying >= self.settings.failures).then_some(leaver.id)
     }
 
     /// The one that should lead next: a backup that is fit, or another voter that is.
@@ -179,7 +230,9 @@
         let timings = &self.settings.timings;
         let (step, resend, resend_state) = (timings.take_over_step, timings.resend, timings.resend_state);
         let Role::TakingOver(t) = &mut self.role else { return };
-        if now.saturating_sub(t.since) >= step || self.stopping.is_some() {
+        // A primary that takes over from itself finishes, so that it can name its successor.
+        let stops = self.stopping.is_some() && !t.is_renewal();
+        if now.saturating_sub(t.since) >= step || stops {
             return self.step_down();
         }
         self.take_over_resend(resend, resend_state);
--- a/crates/headworks/src/settings.rs
+++ b/crates/headworks/src/settings.rs
@@ -38,6 +38,22 @@
     pub founding: u64,
 }
 
+/// A machine ends so long at most after the one that replaces it has started.
+const LATE_END: u64 = 1_000;
+/// A change of members by two take-overs, and the copy of the state to the new backups, are done within so long.
+const CHANGE_OF_MEMBERS: u64 = 1_000;
+
+impl Timings {
+    /// The usual spans, with newcomers that are members, and the state copied, `sync` after their start. What is left of
+    /// that span is the silence after which a member loses its place: not less than what makes it suspected, not more than
+    /// usual.
+    pub fn for_sync(sync: u64) -> Timings {
+        let usual = Timings::default();
+        let replace_after = sync.saturating_sub(LATE_END + CHANGE_OF_MEMBERS);
+        Timings { replace_after: replace_after.clamp(usual.suspect, usual.replace_after), ..usual }
+    }
+}
+
 impl Default for Timings {
     fn default() -> Timings {
         Timings {
@@ -167,4 +183,14 @@
     ChangeOnAnyState,
     /// A change is written though the state before it may not stand before it in the log.
     ChangeOnUnsureState,
+    /// A member that stops just ends.
+    LeaveAtOnce,
+    /// A member that has told that it stops keeps its place until it was silent for long.
+    KeepLeavers,
+    /// A silent member keeps its place for as long as the usual spans say, whatever the platform's are.
+    SlowReplacement,
+    /// Newcomers get places one after the other, each by a take-over.
+    OneNewcomerAtATime,
+    /// A disk that was wiped counts as a newcomer while its last word is fresh.
+    StaleNewcomer,
 }
--- a/crates/headworks/tests/codec.rs
+++ b/crates/headworks/tests/codec.rs
@@ -87,7 +87,7 @@
 impl Arbitrary for Any {
     fn arbitrary(g: &mut Gen) -> Any {
         let yes = bool::arbitrary(g);
-        Any(match u8::arbitrary(g) % 24 {
+        Any(match u8::arbitrary(g) % 26 {
             0 => Message::PreVote,
             1 => {
                 Message::PreVoteAnswer { willing: yes, founder: bool::arbitrary(g), record: flip(g, record) }
@@ -136,7 +136,9 @@
             }
             21 => Message::OfferState { offer: offer(g) },
             22 => Message::FetchPiece { version: version(g), offset: u64::arbitrary(g) % 100 },
-            _ => Message::Piece { piece: piece(g) },
+            23 => Message::Piece { piece: piece(g) },
+            24 => Message::Leaving,
+            _ => Message::MayLeave { ballot: ballot(g) },
         })
     }
 }
--- a/crates/headworks/tests/fleet/day.rs
+++ b/crates/headworks/tests/fleet/day.rs
@@ -3,7 +3,7 @@
 use mosshead_headworks::{Flaw, Input, Node};
 
 use crate::book::Kind;
-use crate::world::{Event, World, address};
+use crate::world::{AfterEnd, Event, Leave, World, address};
 
 #[derive(Clone, Debug)]
 pub enum Act {
@@ -26,6 +26,8 @@
     Stall(Vec<usize>, u64),
     Full(Vec<usize>),
     Terminate(usize),
+    /// The machine is told to end, and does when it may, or at its grace.
+    Leave(usize, AfterEnd),
     Seeds,
 }
 
@@ -87,6 +89,10 @@
                 let pause = self.below(500);
                 self.after(span + pause, Event::Act(Act::Start(machine)));
             }
+            Act::Leave(machine, then) => {
+                self.machines[machine].leave = Some(Leave { since: self.now, then });
+                self.step(machine, Input::Stop);
+            }
             Act::Seeds => {
                 let seeds = self.some_seeds();
                 for machine in self.running() {
@@ -96,14 +102,14 @@
         }
     }
 
-    fn wipe(&mut self, machine: usize) {
+    pub fn wipe(&mut self, machine: usize) {
         self.kill(machine, true);
         self.machines[machine].disk.wipe();
         self.machines[machine].settings.seeds = self.some_seeds();
         self.machines[machine].settings.bootstrap = false;
     }
 
-    fn some_seeds(&mut self) -> Vec<std::net::SocketAddrV4> {
+    pub fn some_seeds(&mut self) -> Vec<std::net::SocketAddrV4> {
         let standing = self.standing();
         let first = self.below(standing.len() as u64) as usize;
         (0..3).map(|i| address(standing[(first + i) % standing.len()])).collect()
--- a/crates/headworks/tests/fleet/main.rs
+++ b/crates/headworks/tests/fleet/main.rs
@@ -10,4 +10,5 @@
 mod recovery;
 mod scenarios;
 mod storm;
+mod turnover;
 mod world;
--- a/crates/headworks/tests/fleet/world.rs
+++ b/crates/headworks/tests/fleet/world.rs
@@ -4,7 +4,10 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use mosshead_headworks::{Flaw, Input, Member, Message, Node, Output, PieceSizes, Settings, Verdict};
+use mosshead_headworks::{
+    Ballot, Flaw, Input, Member, MemberId, Message, Node, Output, PieceSizes, Record, Settings, Verdict,
+    Version,
+};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -43,6 +46,8 @@
     /// When this life of the process began: its steady clock starts there.
     started: u64,
     pub gone: bool,
+    /// It was told to end, and what comes then.
+    pub leave: Option<Leave>,
 }
 
 /// What a machine's link and disk carry; without it, everything takes the same time.
@@ -62,6 +67,24 @@
 const MOST_LARGE: usize = 2;
 /// A large message that takes longer is lost.
 const LARGE_DEADLINE: u64 = 4_000;
+/// A planned end.
+#[derive(Clone, Copy, Debug)]
+pub struct Leave {
+    pub since: u64,
+    pub then: AfterEnd,
+}
+
+/// What comes after a planned end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterEnd {
+    /// The machine is taken away with its disk.
+    Gone,
+    /// The process starts again at once, with its disk.
+    Restart,
+}
+
+/// The platform waits so long for a planned end.
+const GRACE: u64 = 8_000;
 
 pub struct World {
     pub now: u64,
@@ -84,6 +107,14 @@
     pub operators: Vec<Operator>,
     /// What happens right after the next acknowledgement.
     pub armed: Option<Act>,
+    /// What happens right after the next planned end.
+    pub at_end: Option<Act>,
+    /// The longest that a planned end took.
+    pub longest_leave: u64,
+    /// Whether holders of the state are held to what is on their disks.
+    pub checks_holders: bool,
+    /// The ballots whose records were looked at before they were proposed.
+    proposed: BTreeSet<Ballot>,
     /// Kinds of messages that are lost, in a thousand, by their place in `KINDS`.
     pub kind_loss: [u64; KINDS.len()],
     /// The longest time of a sync in calm.
@@ -166,6 +197,11 @@
             book: Book::default(),
             operators: Vec::new(),
             armed: None,
+            at_end: None,
+            longest_leave: 0,
+            // This flaw is to be found by what callers see, too.
+            checks_holders: flaw != Some(Flaw::NoStamp),
+            proposed: BTreeSet::new(),
             kind_loss: [0; KINDS.len()],
             disk_span: 4,
             failures,
@@ -219,6 +255,7 @@
             thawed: 0,
             started: 0,
             gone: false,
+            leave: None,
         });
         index
     }
@@ -269,6 +306,7 @@
                     if !self.machines[machine].frozen {
                         self.step(machine, Input::Tick);
                         self.overdue(machine);
+                        self.end_leave(machine);
                     }
                     self.after(50, Event::Tick { machine, life });
                 }
@@ -378,6 +416,7 @@
                     if !proven && matches!(message, Message::Heartbeat { .. }) {
                         self.book.broken("heartbeat", format!("m{machine} sends one without its lease"));
                     }
+                    self.check_proposal(&message);
                     self.transmit(machine, member, to, message);
                 }
                 Output::Write { token, record } => self.enqueue(machine, (token, false, record)),
@@ -392,6 +431,10 @@
                 }
                 Output::Committed { state } => self.book.shown((machine, life), &state),
                 Output::Primary { ballot, continued } => {
+                    let record = self.node(machine).and_then(Node::record).cloned();
+                    if let Some(record) = record.filter(|r| r.ballot == ballot) {
+                        self.check_holders(&record);
+                    }
                     self.book.primary(member.id, (machine, life), ballot, continued);
                 }
                 Output::Deposed => {}
@@ -415,6 +458,54 @@
         }
     }
 
+    /// A record that is proposed names holders that have the state of its epoch, or a newer one, on their disks. A disk that
+    /// was lost meanwhile is no witness against it.
+    fn check_proposal(&mut self, message: &Message) {
+        let Message::Accept { record } = message else { return };
+        if self.proposed.insert(record.ballot) {
+            self.check_holders(record);
+        }
+    }
+
+    fn check_holders(&mut self, record: &Record) {
+        if !self.checks_holders {
+            return;
+        }
+        let holders = record.backups.iter().chain([&record.primary]);
+        for id in holders {
+            let told = (0..self.machines.len()).find_map(|m| self.version_on_disk(m, *id));
+            if let Some(version) = told.filter(|v| v.is_none_or(|v| v.stamp < record.ballot)) {
+                self.book.broken("holders", format!("{record:?} names {id:?}, whose disk holds {version:?}"));
+            }
+        }
+    }
+
+    /// The state that the disk of that number would tell of after a restart; none if this machine has another disk.
+    fn version_on_disk(&self, machine: usize, id: MemberId) -> Option<Option<Version>> {
+        let m = &self.machines[machine];
+        let rng = Pcg64Mcg::seed_from_u64(1);
+        let mut node = Node::new(m.settings.clone(), &m.disk.records, self.now, rng).ok()?;
+        if m.disk.records.is_empty() || node.me().id != id {
+            return None;
+        }
+        let asker = Member { id: MemberId(u64::MAX), address: address(9_999) };
+        let ballot = Ballot { round: u64::MAX, member: asker.id };
+        let mut inputs =
+            VecDeque::from([Input::Message { from: asker, message: Message::Prepare { ballot } }]);
+        while let Some(input) = inputs.pop_front() {
+            for output in node.step(self.now, input) {
+                match output {
+                    Output::Write { token, .. } | Output::Rewrite { token, .. } => {
+                        inputs.push_back(Input::Written { token });
+                    }
+                    Output::Send { message: Message::Promise { version, .. }, .. } => return Some(version),
+                    _ => {}
+                }
+            }
+        }
+        None
+    }
+
     fn transmit(&mut self, from: usize, member: Member, to: SocketAddrV4, message: Message) {
         self.sent += 1;
         let big = matches!(
@@ -533,10 +624,35 @@
         }
         m.held.clear();
         m.frozen = false;
+        m.leave = None;
         let life = m.life;
         self.book.died((machine, life));
     }
 
+    /// Ends a process that was told to, once it may.
+    fn end_leave(&mut self, machine: usize) {
+        let Some(leave) = self.machines[machine].leave else { return };
+        let waited = self.now - leave.since;
+        if waited < GRACE && !self.node(machine).is_some_and(Node::may_end) {
+            return;
+        }
+        if self.trace {
+            println!("{} m{machine} ENDS after {waited} ms", self.now);
+        }
+        self.longest_leave = self.longest_leave.max(waited);
+        self.kill(machine, false);
+        match leave.then {
+            AfterEnd::Gone => self.machines[machine].gone = true,
+            AfterEnd::Restart => {
+                let pause = 50 + self.below(450);
+                self.after(pause, Event::Act(Act::Start(machine)));
+            }
+        }
+        if let Some(act) = self.at_end.take() {
+            self.after(0, Event::Act(act));
+        }
+    }
+
     pub fn start(&mut self, machine: usize) {
         let seed = self.rng.next_u64();
         let phase = self.below(50);
