Wait at a planned end until the control state lets the machine go

Cause: the core program ended 150 ms after SIGTERM when it was not primary, and after 1.2 s at most when it was; nothing was agreed. Its spans were fixed, whatever `bounds.sync_s` said.

Change: the host serves on until `Node::may_end`, a third of `bounds.grace_s` and 2.5 s at most. The spans of the control state come from `Timings::for_sync`, with `bounds.sync_s`.

The sockets' side of the stop path has no test of its own.

--- a/crates/headworks/src/leaving.rs
+++ b/crates/headworks/src/leaving.rs
@@ -11,8 +11,8 @@
 use crate::settings::Flaw;
 use crate::types::{Ballot, Member, MemberId, Record};
 
-/// A node that stops ends after so long, let go or not.
-pub(crate) const LEAVE_WITHIN: u64 = 2_500;
+/// A node that stops may end after so many milliseconds, let go or not.
+pub const LEAVE_WITHIN: u64 = 2_500;
 /// The word of a leaver counts for so long; after it, only its silence does.
 const LEAVER_LASTS: u64 = 3_000;
 const MOST_LEAVERS: usize = 64;
--- a/crates/headworks/src/lib.rs
+++ b/crates/headworks/src/lib.rs
@@ -28,6 +28,7 @@
 pub use contact::ContactStamp;
 pub use delta::Delta;
 pub use event::{Input, Output, Verdict};
+pub use leaving::LEAVE_WITHIN;
 pub use limits::{MAX_BODY_BYTES, MAX_STATE_BYTES};
 pub use log::Fault;
 pub use message::Message;
--- a/crates/works/src/core/host.rs
+++ b/crates/works/src/core/host.rs
@@ -9,7 +9,7 @@
 use mosshead_catchment::{Catchment, SourceId, Vector};
 use mosshead_cistern::{Cistern, Done, Keeper, Store};
 use mosshead_culvert::{Caller, Handlers};
-use mosshead_headworks::{Input, Node, Settings as NodeSettings};
+use mosshead_headworks::{Input, LEAVE_WITHIN, Node, Settings as NodeSettings, Timings};
 use mosshead_ripple::{Ripple, Settings as RippleSettings};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -28,6 +28,18 @@
 
 /// How often the control state is looked after.
 const TICK: Duration = Duration::from_millis(50);
+/// How often it is looked after while this machine waits to be let go.
+const LEAVE_TICK: Duration = Duration::from_millis(20);
+/// A planned end waits no longer than the control state does.
+const LEAVE: Duration = Duration::from_millis(LEAVE_WITHIN);
+/// The usual grace of the platform.
+const GRACE_S: f64 = 8.0;
+/// A longer one changes nothing here.
+const MOST_GRACE_S: f64 = 3_600.0;
+/// The usual span from a machine's start to the next loss.
+const SYNC_S: f64 = 4.5;
+/// A longer one changes nothing here.
+const MOST_SYNC_S: f64 = 3_600.0;
 /// So many writes wait for the disk.
 pub(super) const WRITES: usize = 256;
 
@@ -157,17 +169,34 @@
     }
     spdlog::info!("reservoir: told to end.");
     core.step(Input::Stop);
-    let told = Instant::now();
-    while told.elapsed() < Duration::from_millis(1200) && core.is_primary() {
-        core.step(Input::Tick);
-        sleep(Duration::from_millis(20)).await;
-    }
+    core.until_it_may_end(leave_within(&settings)).await;
     core.gossip.leave().await;
     sleep(Duration::from_millis(150)).await;
     spdlog::info!("reservoir: ends.");
     Ok(())
 }
 
+/// How long a planned end waits for the word of the others at most: well below the platform's grace.
+fn leave_within(settings: &Settings) -> Duration {
+    LEAVE.min(Duration::from_secs_f64(settings.bound("grace_s", GRACE_S).min(MOST_GRACE_S) / 3.0))
+}
+
+impl Core {
+    /// Serves on until the others need nothing more of this machine.
+    async fn until_it_may_end(self: &Rc<Self>, most: Duration) {
+        let told = Instant::now();
+        while told.elapsed() < most && !self.may_end() {
+            self.step(Input::Tick);
+            sleep(LEAVE_TICK).await;
+        }
+        spdlog::info!("headworks: waited {} ms to be let go.", told.elapsed().as_millis());
+    }
+
+    fn may_end(&self) -> bool {
+        self.node.borrow().as_ref().is_none_or(Node::may_end)
+    }
+}
+
 fn reread(core: &Rc<Core>, path: &Path) {
     match Settings::load(path) {
         Ok(settings) => {
@@ -195,7 +224,11 @@
         }
     };
     let (failures, seeds) = (core.settings.node_failures, core.settings.internal_seeds());
-    let settings = NodeSettings::new(core.settings.internal(), failures, core.settings.bootstrap, seeds);
+    let sync = core.settings.bound("sync_s", SYNC_S).min(MOST_SYNC_S);
+    let settings = NodeSettings {
+        timings: Timings::for_sync((1_000.0 * sync) as u64),
+        ..NodeSettings::new(core.settings.internal(), failures, core.settings.bootstrap, seeds)
+    };
     match Node::new(settings, &records, core.now(), Pcg64Mcg::seed_from_u64(seed)) {
         Ok(node) => core.node.replace(Some(node)),
         Err(fault) => {
