Replace a lost primary, and members lost together, without waiting twice

Cause: a new primary counted the silence of the one before it from its own take-over, so that its place was free only 1.3 s after the loss; with 1.5 s until the next loss that leaves next to nothing. Of two members lost together one is missed some milliseconds earlier, so that two newcomers were taken in one after the other all the same.

Change: the silence of a primary that has no part in the take-over counts from when it was heard last. A change of members waits for another member that is missed within the same heartbeat, if a newcomer is there for its place.

--- a/crates/headworks/src/primary.rs
+++ b/crates/headworks/src/primary.rs
@@ -5,7 +5,7 @@
 use crate::change::StateChange;
 use crate::contact::ContactStamp;
 use crate::message::Message;
-use crate::node::{Node, Role};
+use crate::node::{Leader, Node, Role};
 use crate::quorum::Votes;
 use crate::settings::Flaw;
 use crate::transfer::StatePurpose;
@@ -137,6 +137,7 @@
         for peer in self.peers.values_mut() {
             peer.acked = 0;
         }
+        let silent_leader = self.silent_leader(votes).filter(|_| !renewal);
         for member in record.voters() {
             if member.id == self.me.id || member.id == MemberId(0) {
                 continue;
@@ -147,6 +148,10 @@
                 // Until it says otherwise.
                 peer.fit = true;
             }
+            if let Some(leader) = silent_leader.as_ref().filter(|leader| leader.member.id == member.id) {
+                peer.heard = leader.heard;
+                peer.well = leader.heard;
+            }
             if votes.covers(&member) {
                 peer.founder = votes.is_founder(member.id);
                 peer.contact = peer.contact.max(since);
@@ -158,6 +163,14 @@
         }
     }
 
+    /// The primary before, if it has no part in this take-over: its silence began when it was heard last.
+    fn silent_leader(&self, votes: &Votes) -> Option<Leader> {
+        if self.settings.has(Flaw::ForgetSilence) {
+            return None;
+        }
+        self.leader.clone().filter(|leader| !votes.covers(&leader.member))
+    }
+
     /// The highest value that a majority of the members has reached, as the primary knows it.
     fn majority_of(&self, record: &Record, value: impl Fn(&Peer) -> u64) -> u64 {
         let reached = |members: &[Member]| {
--- a/crates/headworks/src/renewal.rs
+++ b/crates/headworks/src/renewal.rs
@@ -81,14 +81,19 @@
             return None;
         }
         let mut members = lead.record.members.clone();
-        let mut changed = false;
+        let one_at_a_time = self.settings.has(Flaw::OneNewcomerAtATime);
+        let (mut changed, mut unplaced) = (false, false);
         for newcomer in self.newcomers(lead) {
-            changed |= self.find_place(&mut members, newcomer);
-            if changed && self.settings.has(Flaw::OneNewcomerAtATime) {
+            match self.find_place(&mut members, newcomer) {
+                true => changed = true,
+                false => unplaced = true,
+            }
+            if changed && one_at_a_time {
                 break;
             }
         }
-        changed.then_some(members)
+        let waits = unplaced && members.iter().any(|m| self.is_nearly_replaceable(m)) && !one_at_a_time;
+        (changed && !waits).then_some(members)
     }
 
     /// Those that may become members: first those at the address of one, whose disk they follow; of two disks at one
@@ -129,6 +134,15 @@
         self.peers.get(&member.id).map_or(u64::MAX, |p| self.now.saturating_sub(p.well))
     }
 
+    /// Whether the member was lost along with one that may be replaced now: both are, a moment later.
+    fn is_nearly_replaceable(&self, member: &Member) -> bool {
+        let timings = &self.settings.timings;
+        let silence = self.silence(member);
+        member.id != self.me.id
+            && silence <= timings.replace_after
+            && silence + timings.heartbeat > timings.replace_after
+    }
+
     /// The member that was silent for longest, and for long enough to lose its place.
     fn most_silent(&self, members: &[Member]) -> Option<MemberId> {
         let others = members.iter().filter(|m| m.id != self.me.id);
--- a/crates/headworks/src/settings.rs
+++ b/crates/headworks/src/settings.rs
@@ -189,6 +189,8 @@
     KeepLeavers,
     /// A silent member keeps its place for as long as the usual spans say, whatever the platform's are.
     SlowReplacement,
+    /// The silence of a primary that is gone counts from the take-over.
+    ForgetSilence,
     /// Newcomers get places one after the other, each by a take-over.
     OneNewcomerAtATime,
     /// A disk that was wiped counts as a newcomer while its last word is fresh.
