Hold faults beside a sound configuration against those of the whole read

Cause: a mutant that parses a plain field without its guard before the parse (depth, doubled keys) was found by no test. Change: a test that puts such faults into a field and into an item.

--- a/crates/mains/tests/stepwise.rs
+++ b/crates/mains/tests/stepwise.rs
@@ -409,3 +409,32 @@
         assert_eq!(mosshead_mains::revision(text.as_bytes()), None, "{text}");
     }
 }
+
+/// What is wrong within a field or an item must be found as well where all around it is as before.
+#[test]
+fn a_fault_beside_a_sound_configuration_is_the_same_fault() {
+    let base = common::whole();
+    let deep = "[".repeat(100_000);
+    let nested = |levels: usize| format!("{}0{}", "[".repeat(levels), "]".repeat(levels));
+    let spots =
+        [("\"a b\\t\\u0041\"", mosshead_mains::MAX_DEPTH - 2), ("\"blue\"", mosshead_mains::MAX_DEPTH - 3)];
+    for (spot, levels) in spots {
+        assert!(common::WHOLE.contains(spot), "{spot}");
+        let pieces = [
+            (4, nested(levels + 1)),
+            (4, deep.clone()),
+            (5, "{\"k\":1,\"k\":2}".to_owned()),
+            (3, "\"\\u 0041\"".to_owned()),
+            (3, "[1,]".to_owned()),
+            (3, "[1}".to_owned()),
+        ];
+        for (code, piece) in pieces {
+            let text = common::WHOLE.replace(spot, &piece);
+            let fault = base.read_after(text.as_bytes()).expect_err(&text[..200]);
+            assert_eq!((fault.code(), Err(fault)), (code, read(&text)));
+        }
+        let text = common::WHOLE.replace(spot, &nested(levels));
+        assert_eq!(base.read_after(text.as_bytes()), read(&text));
+        assert!(read(&text).is_ok());
+    }
+}
