Never refuse a change that was taken and has been forgotten

Cause: a state remembers the calls of the last 256 changes.

Change: the state keeps the highest revision that it has forgotten. What can be told is refused as before. A state that was written without the floor is read: if its list is full, whatever it dropped lies below the oldest revision remembered.

--- a/crates/headworks/src/asks.rs
+++ b/crates/headworks/src/asks.rs
@@ -4,7 +4,7 @@
 use crate::event::{Output, Verdict};
 use crate::node::{Node, Role};
 use crate::settings::Flaw;
-use crate::types::Call;
+use crate::types::{Call, Judgement, State};
 use rand_core::RngCore;
 
 /// An operator's change, not judged yet.
@@ -99,28 +99,43 @@
 
     /// Judges changes in turn, one being written at a time.
     pub(crate) fn pump(&mut self) {
-        while let Role::Primary(lead) = &self.role {
+        while matches!(self.role, Role::Primary(_)) {
             if self.asks.flight.is_some() || self.stopping.is_some() {
                 break;
             }
-            let current = lead.state.revision;
             let Some(change) = self.asks.queue.pop_front() else { break };
-            let Role::Primary(lead) = &self.role else { break };
-            if lead.state.has_taken(change.call) && !self.settings.has(Flaw::ForgetTaken) {
-                self.answer(change.ask, Verdict::Taken { revision: change.call.revision });
-            } else if change.base != current || change.call.revision <= current {
-                if self.settings.has(Flaw::StaleUnconfirmed) {
-                    self.answer(change.ask, Verdict::Stale { current });
-                } else {
-                    self.await_confirmation(change.ask, change.since, Claim::Stale { current });
-                }
-            } else {
+            self.judge(change);
+        }
+        self.confirm();
+    }
+
+    fn judge(&mut self, change: Change) {
+        let Role::Primary(lead) = &self.role else { return };
+        let current = lead.state.revision;
+        match self.judgement(&lead.state, &change) {
+            Judgement::Taken => self.answer(change.ask, Verdict::Taken { revision: change.call.revision }),
+            Judgement::Forgotten => self.answer(change.ask, Verdict::Forgotten),
+            Judgement::Stale if self.settings.has(Flaw::StaleUnconfirmed) => {
+                self.answer(change.ask, Verdict::Stale { current });
+            }
+            Judgement::Stale => {
+                self.await_confirmation(change.ask, change.since, Claim::Stale { current });
+            }
+            Judgement::Acceptable => {
                 let state = lead.state.after(lead.ballot, change.call, change.body.clone());
                 self.asks.flight = Some((change, false));
                 self.fly(state);
             }
         }
-        self.confirm();
+    }
+
+    fn judgement(&self, state: &State, change: &Change) -> Judgement {
+        let forgets = self.settings.has(Flaw::ForgetTaken);
+        match state.judge(change.base, change.call) {
+            Judgement::Taken if forgets => Judgement::Stale,
+            Judgement::Forgotten if forgets || self.settings.has(Flaw::RefuseForgotten) => Judgement::Stale,
+            judgement => judgement,
+        }
     }
 
     /// Answers what a majority has confirmed, and asks it about the rest.
--- a/crates/headworks/src/event.rs
+++ b/crates/headworks/src/event.rs
@@ -109,6 +109,8 @@
         /// The current revision.
         current: u64,
     },
+    /// The change can't be told from one that was taken long ago: no clear answer.
+    Forgotten,
     /// Another node is to be asked; nothing was done.
     NotPrimary {
         /// The primary's internal address, if known.
--- a/crates/headworks/src/settings.rs
+++ b/crates/headworks/src/settings.rs
@@ -127,6 +127,8 @@
     ShowUncommitted,
     /// The calls that were taken aren't remembered.
     ForgetTaken,
+    /// A call that can't be told from a forgotten one is refused.
+    RefuseForgotten,
     /// What is shown may go back.
     ShowOlder,
     /// A follower is in touch from the moment at which any heartbeat arrives.
--- a/crates/headworks/src/types.rs
+++ b/crates/headworks/src/types.rs
@@ -3,6 +3,8 @@
 
 use minicbor::{Decode, Encode};
 
+use crate::stored::StoredState;
+
 /// How many of the latest calls a state remembers.
 pub const REMEMBERED_CALLS: usize = 256;
 
@@ -117,8 +119,21 @@
     pub digest: u64,
 }
 
+/// What a state says of an operator's call, before anything is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Judgement {
+    /// Exactly this call has been taken.
+    Taken,
+    /// It builds on the current revision and numbers above it.
+    Acceptable,
+    /// It has never been taken, and never will be.
+    Stale,
+    /// It is so old that it can't be told from a call that was taken and has been forgotten: no clear answer.
+    Forgotten,
+}
+
 /// The control state. Cheap to clone.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Encode)]
 pub struct State {
     /// The ballot under which it was written.
     #[n(0)]
@@ -130,11 +145,14 @@
     #[n(2)]
     pub revision: u64,
     /// What the operator wrote, opaque here.
-    #[cbor(n(3), encode_with = "encode_body", decode_with = "decode_body")]
+    #[cbor(n(3), encode_with = "encode_body")]
     pub body: Arc<[u8]>,
     /// The latest calls that were taken, oldest first.
-    #[cbor(n(4), encode_with = "encode_taken", decode_with = "decode_taken")]
+    #[cbor(n(4), encode_with = "encode_taken")]
     pub taken: Arc<[Call]>,
+    /// The highest revision whose call was taken and is remembered no more; zero while all are remembered.
+    #[n(5)]
+    pub forgotten: u64,
 }
 
 impl State {
@@ -151,11 +169,27 @@
         self.taken.contains(&call)
     }
 
+    /// What is to be said of a call that builds on the revision `base`, if this state is the newest one.
+    pub fn judge(&self, base: u64, call: Call) -> Judgement {
+        if self.has_taken(call) {
+            Judgement::Taken
+        } else if base == self.revision {
+            // A call that was taken on this base would have made another revision current.
+            if call.revision > base { Judgement::Acceptable } else { Judgement::Stale }
+        } else if call.revision <= base || call.revision > self.forgotten {
+            // Each call that was taken numbers above its base, and all above `forgotten` are remembered.
+            Judgement::Stale
+        } else {
+            Judgement::Forgotten
+        }
+    }
+
     /// The state after a call.
     pub fn after(&self, ballot: Ballot, call: Call, body: Arc<[u8]>) -> State {
-        let skip = (self.taken.len() + 1).saturating_sub(REMEMBERED_CALLS);
-        let taken = self.taken.iter().skip(skip).copied().chain([call]).collect();
-        State { ballot, origin: ballot, revision: call.revision, body, taken }
+        let dropped = (self.taken.len() + 1).saturating_sub(REMEMBERED_CALLS);
+        let forgotten = self.taken.iter().take(dropped).map(|c| c.revision).fold(self.forgotten, u64::max);
+        let taken = self.taken.iter().skip(dropped).copied().chain([call]).collect();
+        State { ballot, origin: ballot, revision: call.revision, body, taken, forgotten }
     }
 
     pub(crate) fn is_sane(&self) -> bool {
@@ -191,10 +225,8 @@
     Ok(())
 }
 
-fn decode_taken<C>(
-    d: &mut minicbor::Decoder<'_>,
-    context: &mut C,
-) -> Result<Arc<[Call]>, minicbor::decode::Error> {
-    let calls: Vec<Call> = Decode::decode(d, context)?;
-    Ok(calls.into())
+impl<'b, C> Decode<'b, C> for State {
+    fn decode(d: &mut minicbor::Decoder<'b>, context: &mut C) -> Result<State, minicbor::decode::Error> {
+        StoredState::decode(d, context).map(State::from)
+    }
 }
--- a/crates/headworks/tests/codec.rs
+++ b/crates/headworks/tests/codec.rs
@@ -52,7 +52,8 @@
     let call = |g: &mut Gen| Call { revision: u64::arbitrary(g), digest: u64::arbitrary(g) };
     let taken: Vec<Call> = (0..u8::arbitrary(g) % 4).map(|_| call(g)).collect();
     let body = Vec::<u8>::arbitrary(g).into();
-    State { ballot: v.stamp, origin: v.origin, revision: v.revision, body, taken: taken.into() }
+    let forgotten = u64::arbitrary(g) % 3;
+    State { ballot: v.stamp, origin: v.origin, revision: v.revision, body, taken: taken.into(), forgotten }
 }
 
 fn change(g: &mut Gen) -> StateChange {
--- a/crates/headworks/tests/fleet/book.rs
+++ b/crates/headworks/tests/fleet/book.rs
@@ -99,13 +99,16 @@
                 self.taken(change);
             }
             (Kind::Change(change), Verdict::Stale { current }) => {
-                // Calls are remembered for a while only.
-                let later = self.committed.range(change.revision + 1..).count();
-                if self.committed.get(&change.revision) == Some(&change.digest) && later < REMEMBERED_CALLS {
+                if self.committed.get(&change.revision) == Some(&change.digest) {
                     self.broken("stale", format!("{change:?} is committed, got stale by {current}"));
                 }
+                self.stale.insert(change.digest, *current);
+            }
+            (Kind::Change(change), Verdict::Forgotten) => {
+                // Only what so many others came after is forgotten.
+                let later = self.committed.range(change.revision..).count();
                 if later < REMEMBERED_CALLS {
-                    self.stale.insert(change.digest, *current);
+                    self.broken("forgotten", format!("{change:?} has {later} after it"));
                 }
             }
             (Kind::Read, Verdict::Current { state }) => {
--- a/crates/headworks/tests/fleet/main.rs
+++ b/crates/headworks/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod mutants;
 mod operator;
 mod recovery;
+mod repeats;
 mod scenarios;
 mod storm;
 mod world;
--- a/crates/works/src/control.rs
+++ b/crates/works/src/control.rs
@@ -34,12 +34,21 @@
     answer
 }
 
-fn later() -> Answer {
-    let mut answer = answer(StatusCode::SERVICE_UNAVAILABLE, "{\"code\":\"C01\"}");
+fn unclear(code: &str) -> Answer {
+    let mut answer = answer(StatusCode::SERVICE_UNAVAILABLE, format!("{{\"code\":\"{code}\"}}"));
     answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("0.2"));
     answer
 }
 
+fn later() -> Answer {
+    unclear("C01")
+}
+
+/// The call can't be told from one that was taken long ago, so it is neither acknowledged nor refused.
+fn forgotten() -> Answer {
+    unclear("C11")
+}
+
 /// Takes connections for as long as it is polled.
 pub async fn serve(core: Rc<Core>, listener: TcpListener) {
     let open = Rc::new(std::cell::Cell::new(0_usize));
@@ -137,10 +146,14 @@
         // Asked of the others all the same: one that was cut off may know only old times.
         return match core.change(base, revision, Vec::new(), digest).await {
             Verdict::Taken { .. } => answer(StatusCode::OK, format!("{{\"revision\":{revision}}}")),
+            Verdict::Forgotten => forgotten(),
             Verdict::NotPrimary { primary } => elsewhere(core, primary, path),
             _ => later(),
         };
     }
+    if core.has_forgotten(base, revision, digest) {
+        return forgotten();
+    }
     if current.as_ref().map_or(0, |current| current.revision) != base {
         return stale(current.map_or(0, |current| current.revision));
     }
@@ -158,6 +171,7 @@
         Verdict::Taken { revision } => answer(StatusCode::OK, format!("{{\"revision\":{revision}}}")),
         Verdict::Stale { current } => stale(current),
         Verdict::TooLarge => answer(StatusCode::PAYLOAD_TOO_LARGE, "{\"code\":\"C10\"}"),
+        Verdict::Forgotten => forgotten(),
         Verdict::NotPrimary { primary } => elsewhere(core, primary, path),
         Verdict::Unavailable | Verdict::Current { .. } => later(),
     }
--- a/crates/works/src/core.rs
+++ b/crates/works/src/core.rs
@@ -15,7 +15,7 @@
 use mosshead_catchment::{Catchment, Vector};
 use mosshead_cistern::Keeper;
 use mosshead_culvert::Caller;
-use mosshead_headworks::{Ballot, Input, Node, Output, Verdict};
+use mosshead_headworks::{Ballot, Call, Input, Judgement, Node, Output, Verdict};
 use mosshead_mains::Config;
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::{oneshot, watch};
@@ -89,6 +89,13 @@
         })
     }
 
+    /// Whether this change can't be told from one that was taken long ago.
+    pub fn has_forgotten(&self, base: u64, revision: u64, digest: u64) -> bool {
+        let node = self.node.borrow();
+        let state = node.as_ref().and_then(|node| node.committed());
+        state.is_some_and(|state| state.judge(base, Call { revision, digest }) == Judgement::Forgotten)
+    }
+
     async fn ask(self: &Rc<Self>, input: impl FnOnce(u64) -> Input) -> Verdict {
         let ask = self.next_ask.get();
         self.next_ask.set(ask + 1);
