--- a/crates/headworks/tests/fleet/main.rs
+++ b/crates/headworks/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod large;
 mod mutants;
 mod operator;
+mod orders;
 mod recovery;
 mod repeats;
 mod scenarios;
