--- a/crates/headworks/src/lib.rs
+++ b/crates/headworks/src/lib.rs
@@ -20,6 +20,7 @@
 mod quorum;
 mod renewal;
 mod settings;
+mod stored;
 mod take_over;
 mod transfer;
 mod types;
@@ -37,4 +38,6 @@
 pub use settings::Flaw;
 pub use settings::{Settings, Timings};
 pub use transfer::{Offer, Piece, PieceSizes, StatePurpose, checksum};
-pub use types::{Ballot, Call, Member, MemberId, REMEMBERED_CALLS, Record, State, Version};
+pub use types::{
+    Ballot, Call, CallDigest, Judgement, Member, MemberId, REMEMBERED_CALLS, Record, State, Version,
+};
--- a/crates/headworks/tests/fleet/mutants.rs
+++ b/crates/headworks/tests/fleet/mutants.rs
@@ -55,7 +55,7 @@
 
 #[test]
 fn backups_without_the_state() {
-    finds(Flaw::NoStamp, &["lost", "settled", "race"]);
+    finds(Flaw::NoStamp, &["lost", "settled", "race", "stale"]);
 }
 
 #[test]
@@ -82,3 +82,8 @@
 fn a_change_applied_to_another_state() {
     finds(Flaw::ChangeOnAnyState, &["committed", "race", "stale", "lost", "settled"]);
 }
+
+#[test]
+fn answered_when_the_caller_has_left() {
+    finds(Flaw::AnswerLate, &["one answer"]);
+}
--- a/crates/headworks/tests/fleet/operator.rs
+++ b/crates/headworks/tests/fleet/operator.rs
@@ -2,7 +2,7 @@
 
 use mosshead_headworks::Verdict;
 
-use crate::book::{Change, Kind};
+use crate::book::{Change, Kind, digest};
 use crate::world::{Event, World, body};
 
 #[derive(Default)]
@@ -37,7 +37,7 @@
         self.after(20, Event::Operator(index));
         let now = self.now;
         let operator = &mut self.operators[index];
-        if operator.ask.is_some_and(|(_, at)| now < at + 1_400) || now < operator.wait_until {
+        if operator.ask.is_some_and(|(_, at)| now < at + 1_000) || now < operator.wait_until {
             return;
         }
         operator.ask = None;
@@ -62,16 +62,16 @@
 
     fn next_call(&mut self, index: usize) {
         let repeat = self.below(12) == 0;
-        let (digest, step, length) = (self.rng_u64(), self.below(3), self.below(4));
+        let (number, step, length) = (self.rng_u64(), self.below(self.revision_steps), self.below(4));
         let operator = &mut self.operators[index];
         let kind = match operator.base.take() {
             _ if repeat && !operator.taken.is_empty() => {
-                let which = digest as usize % operator.taken.len();
+                let which = number as usize % operator.taken.len();
                 Kind::Change(operator.taken[which].clone())
             }
             Some(base) => {
-                let body = body(digest, length as usize);
-                Kind::Change(Change { base, revision: base + 1 + step, digest, body })
+                let body = body(number, length as usize);
+                Kind::Change(Change { base, revision: base + 1 + step, digest: digest(number), body })
             }
             None => Kind::Read,
         };
@@ -112,7 +112,7 @@
                 operator.call = None;
             }
             (Verdict::Taken { revision }, Some(Kind::Change(change))) => {
-                if operator.taken.len() >= 40 {
+                if operator.taken.len() >= 1_000 {
                     operator.taken.remove(0);
                 }
                 operator.taken.push(change.clone());
@@ -125,6 +125,8 @@
                 operator.base = Some(current);
                 operator.call = None;
             }
+            // Neither taken nor refused, however often it comes.
+            (Verdict::Forgotten, _) => operator.call = None,
             (Verdict::NotPrimary { .. }, _) if operator.hops < 2 && hint.is_some() => {
                 operator.hops += 1;
                 if let Some(target) = hint {
--- a/crates/works/src/control.rs
+++ b/crates/works/src/control.rs
@@ -13,8 +13,9 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mosshead_catchment::{Model, OperState, Server, Stage};
-use mosshead_headworks::Verdict;
+use mosshead_headworks::{CallDigest, Verdict};
 use mosshead_mains::Config;
+use sha2::{Digest, Sha256};
 use tinyjson::JsonValue;
 use tokio::net::TcpListener;
 use tokio::time::{Duration, sleep, timeout};
@@ -34,12 +35,21 @@
     answer
 }
 
-fn later() -> Answer {
-    let mut answer = answer(StatusCode::SERVICE_UNAVAILABLE, "{\"code\":\"C01\"}");
+fn unclear(code: &str) -> Answer {
+    let mut answer = answer(StatusCode::SERVICE_UNAVAILABLE, format!("{{\"code\":\"{code}\"}}"));
     answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("0.2"));
     answer
 }
 
+fn later() -> Answer {
+    unclear("C01")
+}
+
+/// The call can't be told from one that was taken long ago, so it is neither acknowledged nor refused.
+fn forgotten() -> Answer {
+    unclear("C11")
+}
+
 /// Takes connections for as long as it is polled.
 pub async fn serve(core: Rc<Core>, listener: TcpListener) {
     let open = Rc::new(std::cell::Cell::new(0_usize));
@@ -137,10 +147,14 @@
         // Asked of the others all the same: one that was cut off may know only old times.
         return match core.change(base, revision, Vec::new(), digest).await {
             Verdict::Taken { .. } => answer(StatusCode::OK, format!("{{\"revision\":{revision}}}")),
+            Verdict::Forgotten => forgotten(),
             Verdict::NotPrimary { primary } => elsewhere(core, primary, path),
             _ => later(),
         };
     }
+    if core.has_forgotten(base, revision, digest) {
+        return forgotten();
+    }
     if current.as_ref().map_or(0, |current| current.revision) != base {
         return stale(current.map_or(0, |current| current.revision));
     }
@@ -158,6 +172,7 @@
         Verdict::Taken { revision } => answer(StatusCode::OK, format!("{{\"revision\":{revision}}}")),
         Verdict::Stale { current } => stale(current),
         Verdict::TooLarge => answer(StatusCode::PAYLOAD_TOO_LARGE, "{\"code\":\"C10\"}"),
+        Verdict::Forgotten => forgotten(),
         Verdict::NotPrimary { primary } => elsewhere(core, primary, path),
         Verdict::Unavailable | Verdict::Current { .. } => later(),
     }
@@ -185,12 +200,15 @@
     JsonValue::from(text.to_owned()).stringify().unwrap_or_else(|_| "\"\"".into())
 }
 
-/// What tells a repeat of a call from another one.
-pub fn digest(path: &str, base: u64, body: &[u8]) -> u64 {
-    let parts = [path.as_bytes(), &base.to_be_bytes(), body];
-    parts.iter().flat_map(|part| part.iter()).fold(0xcbf2_9ce4_8422_2325, |sum, byte| {
-        (sum ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3).rotate_left(5)
-    })
+/// What tells a repeat of a call from another one. The parts are hashed with their lengths, so that no byte can be taken
+/// for one of another part.
+pub fn digest(path: &str, base: u64, body: &[u8]) -> CallDigest {
+    let mut hash = Sha256::new();
+    for part in [path.as_bytes(), &base.to_be_bytes(), body] {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    CallDigest(hash.finalize().into())
 }
 
 type Fields = HashMap<String, JsonValue>;
