Refuse changes and hand out configurations only by confirmed state

Cause: works/control.rs answered 412 and 400 from the state that the machine knew, before any contact with a majority: one that was cut off or thawed said "another version is in place" of a change on top of the newest one. And a machine out of touch went on handing out its configuration: Fetch asked nothing about contact, and a proxy fetched whatever Pull had said of it, so one that started beside cut-off machines took an old one into force.

Change: the new package control-plane, without I/O and clock, decides. admission: a refusal is given only by a state that a majority has confirmed after the change came in, judged again if that is newer; an accepted change has no round trip more. serving: out of touch, no revision is named and no configuration offered. subscription: a proxy fetches from machines in touch only. control.rs, puller.rs and core/serving.rs carry these out; an answer of the older form has the same meaning on the wire. A call below all remembered ones is left without a clear answer.

--- /dev/null
+++ b/crates/control-plane/tests/admission.rs
@@ -0,0 +1,209 @@
+//! How an operator's change is answered: refusals only by a state that a majority has confirmed.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use mosshead_control_plane::InjectedFault;
+use mosshead_control_plane::admission::{
+    Admission, ChangeAnswer, ChangeKind, ChangeRequest, Leader, ReadAnswer, Step, answer_read,
+};
+use mosshead_headworks::{Call, REMEMBERED_CALLS, State, Verdict};
+use mosshead_mains::Config;
+use quickcheck::quickcheck;
+
+const DIGEST: u64 = 77;
+
+fn text(revision: u64) -> String {
+    format!(r#"{{"revision":{revision},"route_entries":[],"backend_services":[]}}"#)
+}
+
+/// The state that the change with this revision and `digest` made.
+fn state(revision: u64, digest: u64) -> State {
+    let taken: Arc<[Call]> = Arc::from([Call { revision, digest }]);
+    let body = text(revision).into_bytes().into();
+    State { revision, body, taken, ..State::default() }
+}
+
+fn request(kind: ChangeKind, base: Option<u64>, body: &str) -> ChangeRequest<Vec<u8>> {
+    ChangeRequest { kind, base, body: body.as_bytes().to_vec(), digest: DIGEST }
+}
+
+fn replace(base: u64, revision: u64) -> ChangeRequest<Vec<u8>> {
+    request(ChangeKind::Replace, Some(base), &text(revision))
+}
+
+/// Begins at a machine that believes to lead and knows this state.
+fn begin(
+    request: ChangeRequest<Vec<u8>>,
+    known: Option<&State>,
+    injected: Option<InjectedFault>,
+) -> (Admission<Vec<u8>>, Step) {
+    let config = known.map(|state| Arc::new(Config::read(&state.body).expect("a configuration")));
+    Admission::begin(request, Leader::Here, known, config, injected)
+}
+
+fn current(state: &State) -> Verdict {
+    Verdict::Current { state: state.clone() }
+}
+
+fn stale(current: u64) -> Step {
+    Step::Answer(ChangeAnswer::Stale { current })
+}
+
+fn is_invalid(step: &Step) -> bool {
+    matches!(step, Step::Answer(ChangeAnswer::Invalid { .. }))
+}
+
+#[test]
+fn a_proper_change_needs_no_confirmation_of_its_own() {
+    let (admission, step) = begin(replace(5, 6), Some(&state(5, 1)), None);
+    let Step::Submit(submission) = step else { panic!("{step:?}") };
+    assert_eq!((submission.base, submission.revision, submission.digest), (5, 6, DIGEST));
+    assert_eq!(submission.body, text(6).into_bytes());
+    assert_eq!(admission.submitted(Verdict::Taken { revision: 6 }), ChangeAnswer::Accepted { revision: 6 });
+    assert_eq!(admission.submitted(Verdict::TooLarge), ChangeAnswer::TooLarge);
+}
+
+#[test]
+fn the_first_change_is_submitted_where_nothing_is_known() {
+    let (_, step) = begin(replace(0, 1), None, None);
+    assert!(matches!(step, Step::Submit(_)), "{step:?}");
+}
+
+#[test]
+fn a_stale_base_is_refused_only_by_the_confirmed_state() {
+    let known = state(5, 1);
+    let (mut admission, step) = begin(replace(7, 8), Some(&known), None);
+    assert_eq!(step, Step::Confirm);
+    assert_eq!(admission.confirmed(current(&state(9, 2))), stale(9));
+}
+
+#[test]
+fn what_old_knowledge_calls_stale_is_taken_by_the_newer_state() {
+    let (mut admission, step) = begin(replace(7, 8), Some(&state(5, 1)), None);
+    assert_eq!(step, Step::Confirm);
+    let step = admission.confirmed(current(&state(7, 2)));
+    let Step::Submit(submission) = step else { panic!("{step:?}") };
+    assert_eq!((submission.base, submission.body), (7, text(8).into_bytes()));
+}
+
+#[test]
+fn a_repeat_of_what_the_others_have_taken_is_accepted() {
+    let (mut admission, step) = begin(replace(5, 8), Some(&state(4, 1)), None);
+    assert_eq!(step, Step::Confirm);
+    let step = admission.confirmed(current(&state(8, DIGEST)));
+    assert_eq!(step, Step::Answer(ChangeAnswer::Accepted { revision: 8 }));
+}
+
+#[test]
+fn a_repeat_of_what_is_known_here_is_confirmed_by_the_consensus_state() {
+    let (admission, step) = begin(replace(5, 8), Some(&state(8, DIGEST)), None);
+    let Step::Submit(submission) = step else { panic!("{step:?}") };
+    assert!(submission.body.is_empty());
+    assert_eq!(admission.submitted(Verdict::Taken { revision: 8 }), ChangeAnswer::Accepted { revision: 8 });
+    assert_eq!(admission.submitted(Verdict::Unavailable), ChangeAnswer::Unavailable);
+}
+
+#[test]
+fn an_invalid_change_is_refused_only_by_the_confirmed_state() {
+    let bad = request(ChangeKind::Replace, Some(5), r#"{"revision":6,"route_entries":4}"#);
+    let (mut admission, step) = begin(bad.clone(), Some(&state(5, 1)), None);
+    assert_eq!(step, Step::Confirm);
+    assert!(is_invalid(&admission.confirmed(current(&state(5, 1)))));
+    let (mut admission, _) = begin(bad, Some(&state(5, 1)), None);
+    assert_eq!(admission.confirmed(current(&state(6, 2))), stale(6));
+}
+
+#[test]
+fn an_unconfirmed_refusal_is_no_answer() {
+    let elsewhere = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7);
+    let answers = [
+        (Verdict::Unavailable, ChangeAnswer::Unavailable),
+        (Verdict::NotPrimary { primary: None }, ChangeAnswer::Unavailable),
+        (Verdict::NotPrimary { primary: Some(elsewhere) }, ChangeAnswer::Redirect { leader: elsewhere }),
+    ];
+    for (verdict, answer) in answers {
+        let (mut admission, _) = begin(replace(7, 8), Some(&state(5, 1)), None);
+        assert_eq!(admission.confirmed(verdict), Step::Answer(answer));
+    }
+}
+
+#[test]
+fn a_call_older_than_what_is_remembered_is_left_without_a_clear_answer() {
+    let calls = (0..REMEMBERED_CALLS as u64).map(|at| Call { revision: 100 + at, digest: at });
+    let newest = 99 + REMEMBERED_CALLS as u64;
+    let remembered = State { taken: calls.collect(), ..state(newest, 1) };
+    let (mut admission, _) = begin(replace(98, 99), Some(&remembered), None);
+    assert_eq!(admission.confirmed(current(&remembered)), Step::Answer(ChangeAnswer::Unavailable));
+    let (mut admission, _) = begin(replace(99, 100), Some(&remembered), None);
+    assert_eq!(admission.confirmed(current(&remembered)), stale(newest));
+}
+
+#[test]
+fn who_does_not_lead_judges_nothing() {
+    let other = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7);
+    for (leader, answer) in [
+        (Leader::Unknown, ChangeAnswer::Unavailable),
+        (Leader::Elsewhere(other), ChangeAnswer::Redirect { leader: other }),
+    ] {
+        let bad = request(ChangeKind::Replace, None, "no JSON");
+        let (_, step) = Admission::begin(bad, leader, None, None, None);
+        assert_eq!(step, Step::Answer(answer));
+    }
+}
+
+#[test]
+fn what_no_state_could_make_valid_is_refused_at_once() {
+    for request in [
+        request(ChangeKind::Replace, None, &text(6)),
+        request(ChangeKind::Replace, Some(5), "no JSON"),
+        request(ChangeKind::Modify, Some(5), "{}"),
+    ] {
+        let (_, step) = begin(request, Some(&state(5, 1)), None);
+        assert!(is_invalid(&step), "{step:?}");
+    }
+}
+
+/// The code as it was: the first lead of point 1.
+#[test]
+fn the_former_refusals_by_local_state_are_found() {
+    let injected = Some(InjectedFault::RefuseFromLocalState);
+    assert_eq!(begin(replace(7, 8), Some(&state(5, 1)), injected).1, stale(5));
+    let bad = request(ChangeKind::Replace, Some(5), r#"{"revision":6,"route_entries":4}"#);
+    assert!(is_invalid(&begin(bad, Some(&state(5, 1)), injected).1));
+}
+
+#[test]
+fn a_read_back_tells_what_a_majority_has_confirmed() {
+    assert_eq!(answer_read(current(&state(5, 1))), ReadAnswer::Current(state(5, 1)));
+    assert_eq!(answer_read(current(&State::default())), ReadAnswer::Empty);
+    assert_eq!(answer_read(Verdict::Unavailable), ReadAnswer::Unavailable);
+}
+
+quickcheck! {
+    /// Whatever the machine knew and the others confirm: a change that they have taken is never refused, and what is
+    /// refused is refused by what they have confirmed.
+    fn refusals_tell_the_confirmed_state(base: u8, known: u8, confirmed: u8, taken: bool) -> bool {
+        let (base, known, confirmed) = (u64::from(base), u64::from(known), u64::from(confirmed).max(1));
+        let confirmed = state(confirmed, if taken { DIGEST } else { 1 });
+        let call = replace(base, if taken { confirmed.revision } else { base + 1 });
+        let known = (known > 0).then(|| state(known, 1));
+        let (mut admission, mut step) = begin(call, known.as_ref(), None);
+        if step == Step::Confirm {
+            step = admission.confirmed(current(&confirmed));
+        }
+        match step {
+            Step::Answer(ChangeAnswer::Accepted { .. }) => taken,
+            Step::Answer(ChangeAnswer::Stale { current }) => !taken && current == confirmed.revision && base != current,
+            Step::Submit(_) => true,
+            _ => false,
+        }
+    }
+
+    fn any_bytes_do_no_harm(body: Vec<u8>, base: Option<u64>) -> bool {
+        let call = ChangeRequest { kind: ChangeKind::Modify, base, body, digest: DIGEST };
+        let (mut admission, _) = begin(call, Some(&state(5, 1)), None);
+        let _ = admission.confirmed(current(&state(6, 1)));
+        true
+    }
+}
--- a/crates/works/src/calls.rs
+++ b/crates/works/src/calls.rs
@@ -4,6 +4,7 @@
 
 use minicbor::{Decode, Encode};
 use mosshead_catchment::{Delta, Vector};
+use mosshead_control_plane::serving::ConfigOffer;
 use mosshead_culvert::{Call, RetryPolicy};
 use mosshead_headworks::{Member, Message};
 
@@ -36,7 +37,7 @@
 /// The news.
 #[derive(Clone, Debug, Encode, Decode)]
 pub struct Pulled {
-    /// The newest configuration that the answerer knows to be committed.
+    /// The newest configuration that the answerer knows to be committed; 0 while it is not in touch.
     #[n(0)]
     pub revision: u64,
     /// Entries of the register above the asker's vector.
@@ -76,7 +77,7 @@
     pub revision: u64,
 }
 
-/// The way to the newest configuration.
+/// The way to the newest configuration; none, and revision 0, from a machine that is not in touch or has none.
 #[derive(Clone, Debug, Encode, Decode)]
 pub struct Fetched {
     /// Where the way leads.
@@ -90,6 +91,28 @@
     pub whole: Option<String>,
 }
 
+impl Fetched {
+    /// The answer on the wire for what is offered.
+    pub fn from_offer(offer: ConfigOffer) -> Fetched {
+        match offer {
+            ConfigOffer::Withheld => Fetched { revision: 0, patches: Vec::new(), whole: None },
+            ConfigOffer::Patches { revision, patches } => Fetched { revision, patches, whole: None },
+            ConfigOffer::Whole { revision, text } => {
+                Fetched { revision, patches: Vec::new(), whole: Some(text) }
+            }
+        }
+    }
+
+    /// What an answer offers.
+    pub fn into_offer(self) -> ConfigOffer {
+        match self {
+            Fetched { revision, whole: Some(text), .. } => ConfigOffer::Whole { revision, text },
+            Fetched { revision: 0, .. } => ConfigOffer::Withheld,
+            Fetched { revision, patches, .. } => ConfigOffer::Patches { revision, patches },
+        }
+    }
+}
+
 impl Call for Fetch {
     const NAME: &'static str = "Fetch";
     const RETRY: RetryPolicy = RetryPolicy::Always;
--- a/crates/works/src/control.rs
+++ b/crates/works/src/control.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -13,8 +14,9 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mosshead_catchment::{Model, OperState, Server, Stage};
-use mosshead_headworks::Verdict;
-use mosshead_mains::Config;
+use mosshead_control_plane::admission::{
+    Admission, ChangeAnswer, ChangeKind, ChangeRequest, Leader, ReadAnswer, Step, answer_read,
+};
 use tinyjson::JsonValue;
 use tokio::net::TcpListener;
 use tokio::time::{Duration, sleep, timeout};
@@ -90,11 +92,13 @@
     match (&head.method, path.as_str()) {
         (&Method::POST, "/Configuration.Replace" | "/Configuration.Modify") => {
             let whole = path == "/Configuration.Replace";
+            let kind = if whole { ChangeKind::Replace } else { ChangeKind::Modify };
             let base = head
                 .headers
                 .get("x-base-revision")
                 .and_then(|value| value.to_str().ok()?.trim().parse().ok());
-            change(&core, whole, base, &body, &path).await
+            let digest = digest(&path, base.unwrap_or(0), &body);
+            change(&core, ChangeRequest { kind, base, body, digest }, &path).await
         }
         (&Method::GET, "/Configuration.Show") => show(&core, &path).await,
         (&Method::GET, "/Status" | "/status") => answer(StatusCode::OK, core.status()),
@@ -107,76 +111,60 @@
 }
 
 /// The one that decides on the configuration, as far as it is known here.
-fn elsewhere(core: &Core, primary: Option<std::net::SocketAddrV4>, path: &str) -> Answer {
-    let Some(primary) = primary.filter(|primary| *primary != core.settings.internal()) else {
+fn elsewhere(core: &Core, leader: SocketAddrV4, path: &str) -> Answer {
+    if leader == core.settings.internal() {
         return later();
-    };
+    }
     let Some(own) = core.settings.control_plane else { return later() };
     let mut answer = answer(StatusCode::TEMPORARY_REDIRECT, "{\"code\":\"C06\"}");
-    if let Ok(to) = HeaderValue::from_str(&format!("http://{}:{}{path}", primary.ip(), own.port())) {
+    if let Ok(to) = HeaderValue::from_str(&format!("http://{}:{}{path}", leader.ip(), own.port())) {
         answer.headers_mut().insert(LOCATION, to);
     }
     answer
 }
 
-async fn change(core: &Rc<Core>, whole: bool, base: Option<u64>, body: &[u8], path: &str) -> Answer {
-    let bad = |fault: String| answer(StatusCode::BAD_REQUEST, format!("{{\"fault\":{}}}", quoted(&fault)));
-    // While a primary takes over from itself, what is asked of it waits there for a moment.
-    if core.primary() != Some(core.settings.internal()) {
-        return elsewhere(core, core.primary(), path);
-    }
-    let Some(base) = base else { return bad("C07 X-Base-Revision is missing".into()) };
-    let Some(revision) = mosshead_mains::revision(body) else {
-        let fault =
-            Config::read(body).err().map_or("M08 at revision: is missing".into(), |fault| fault.to_string());
-        return bad(fault);
-    };
-    let digest = digest(path, base, body);
-    let current = core.config();
-    if core.took(revision, digest) {
-        // Asked of the others all the same: one that was cut off may know only old times.
-        return match core.change(base, revision, Vec::new(), digest).await {
-            Verdict::Taken { .. } => answer(StatusCode::OK, format!("{{\"revision\":{revision}}}")),
-            Verdict::NotPrimary { primary } => elsewhere(core, primary, path),
-            _ => later(),
+async fn change(core: &Rc<Core>, request: ChangeRequest<Bytes>, path: &str) -> Answer {
+    let (state, config) = (core.committed_state(), core.config());
+    let (mut admission, mut step) = Admission::begin(request, core.leader(), state.as_ref(), config, None);
+    loop {
+        step = match step {
+            Step::Answer(result) => return change_answer(core, result, path),
+            Step::Confirm => admission.confirmed(core.read().await),
+            Step::Submit(submission) => {
+                let verdict = core.change(submission).await;
+                Step::Answer(admission.submitted(verdict))
+            }
         };
     }
-    if current.as_ref().map_or(0, |current| current.revision) != base {
-        return stale(current.map_or(0, |current| current.revision));
-    }
-    let config = match (whole, current.as_ref()) {
-        (true, current) => Config::replaced(current.map(|current| &**current), body),
-        (false, Some(current)) => current.changed(body),
-        (false, None) => return stale(0),
-    };
-    let config = match config {
-        Ok(config) => config,
-        Err(fault) => return bad(fault.to_string()),
-    };
-    let text = config.to_text().into_bytes();
-    match core.change(base, config.revision, text, digest).await {
-        Verdict::Taken { revision } => answer(StatusCode::OK, format!("{{\"revision\":{revision}}}")),
-        Verdict::Stale { current } => stale(current),
-        Verdict::TooLarge => answer(StatusCode::PAYLOAD_TOO_LARGE, "{\"code\":\"C10\"}"),
-        Verdict::NotPrimary { primary } => elsewhere(core, primary, path),
-        Verdict::Unavailable | Verdict::Current { .. } => later(),
-    }
 }
 
-fn stale(current: u64) -> Answer {
-    answer(StatusCode::PRECONDITION_FAILED, format!("{{\"code\":\"C08\",\"revision\":{current}}}"))
+fn change_answer(core: &Core, result: ChangeAnswer, path: &str) -> Answer {
+    match result {
+        ChangeAnswer::Accepted { revision } => answer(StatusCode::OK, format!("{{\"revision\":{revision}}}")),
+        ChangeAnswer::Stale { current } => {
+            let body = format!("{{\"code\":\"C08\",\"revision\":{current}}}");
+            answer(StatusCode::PRECONDITION_FAILED, body)
+        }
+        ChangeAnswer::Invalid { fault } => {
+            answer(StatusCode::BAD_REQUEST, format!("{{\"fault\":{}}}", quoted(&fault)))
+        }
+        ChangeAnswer::TooLarge => answer(StatusCode::PAYLOAD_TOO_LARGE, "{\"code\":\"C10\"}"),
+        ChangeAnswer::Redirect { leader } => elsewhere(core, leader, path),
+        ChangeAnswer::Unavailable => later(),
+    }
 }
 
 async fn show(core: &Rc<Core>, path: &str) -> Answer {
-    // While a primary takes over from itself, what is asked of it waits there for a moment.
-    if core.primary() != Some(core.settings.internal()) {
-        return elsewhere(core, core.primary(), path);
-    }
-    match core.read().await {
-        Verdict::Current { state } if state.revision > 0 => answer(StatusCode::OK, state.body.to_vec()),
-        Verdict::Current { .. } => answer(StatusCode::NOT_FOUND, "{\"code\":\"C09\"}"),
-        Verdict::NotPrimary { primary } => elsewhere(core, primary, path),
-        _ => later(),
+    let read = match core.leader() {
+        Leader::Here => answer_read(core.read().await),
+        Leader::Elsewhere(leader) => ReadAnswer::Redirect { leader },
+        Leader::Unknown => ReadAnswer::Unavailable,
+    };
+    match read {
+        ReadAnswer::Current(state) => answer(StatusCode::OK, state.body.to_vec()),
+        ReadAnswer::Empty => answer(StatusCode::NOT_FOUND, "{\"code\":\"C09\"}"),
+        ReadAnswer::Redirect { leader } => elsewhere(core, leader, path),
+        ReadAnswer::Unavailable => later(),
     }
 }
 
--- a/crates/works/src/core.rs
+++ b/crates/works/src/core.rs
@@ -7,22 +7,23 @@
 mod status;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddrV4;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use mosshead_catchment::{Catchment, Vector};
 use mosshead_cistern::Keeper;
+use mosshead_control_plane::Contact;
+use mosshead_control_plane::admission::{Leader, Submission};
+use mosshead_control_plane::serving::ConfigHistory;
 use mosshead_culvert::Caller;
-use mosshead_headworks::{Ballot, Input, Node, Output, Verdict};
+use mosshead_headworks::{Ballot, Input, Node, Output, State, Verdict};
 use mosshead_mains::Config;
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::{oneshot, watch};
 use tokio::time::{Duration, Instant, timeout};
 
 pub use self::host::serve;
-use self::serving::Step;
 use crate::gossip::Gossip;
 use crate::message_lanes::MessageLanes;
 use crate::puller::millis;
@@ -43,8 +44,7 @@
     caller: Caller,
     asks: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
     next_ask: Cell<u64>,
-    config: RefCell<Option<Arc<Config>>>,
-    steps: RefCell<VecDeque<Step>>,
+    history: RefCell<ConfigHistory>,
     news: watch::Sender<u64>,
     askers: RefCell<HashMap<String, Instant>>,
     message_lanes: RefCell<MessageLanes>,
@@ -62,7 +62,18 @@
 
     /// The newest configuration that is committed.
     pub fn config(&self) -> Option<Arc<Config>> {
-        self.config.borrow().clone()
+        self.history.borrow().current().cloned()
+    }
+
+    /// The newest state that is committed, as far as it is known here.
+    pub fn committed_state(&self) -> Option<State> {
+        self.node.borrow().as_ref().and_then(|node| node.committed().cloned())
+    }
+
+    /// Whether this machine lately heard from a majority.
+    pub fn contact(&self) -> Contact {
+        let node = self.node.borrow();
+        Contact::from_flag(node.as_ref().is_some_and(|node| node.in_touch(self.now())))
     }
 
     /// Whether this machine decides on the configuration and its lease holds at this moment.
@@ -71,22 +82,16 @@
         node.as_ref().is_some_and(|node| node.leads(self.now()))
     }
 
-    /// Who does.
-    pub fn primary(&self) -> Option<SocketAddrV4> {
-        self.node
-            .borrow()
-            .as_ref()
-            .and_then(|node| node.primary_at(self.now()))
-            .map(|primary| primary.address)
-    }
-
-    /// Whether exactly this change has been taken before.
-    pub fn took(&self, revision: u64, digest: u64) -> bool {
+    /// Who decides on the configuration, as far as this machine knows.
+    pub fn leader(&self) -> Leader {
         let node = self.node.borrow();
-        let state = node.as_ref().and_then(|node| node.committed());
-        state.is_some_and(|state| {
-            state.taken.iter().any(|call| call.revision == revision && call.digest == digest)
-        })
+        let primary = node.as_ref().and_then(|node| node.primary_at(self.now()));
+        match primary.map(|primary| primary.address) {
+            // While a primary takes over from itself, what is asked of it waits there for a moment.
+            Some(address) if address == self.settings.internal() => Leader::Here,
+            Some(address) => Leader::Elsewhere(address),
+            None => Leader::Unknown,
+        }
     }
 
     async fn ask(self: &Rc<Self>, input: impl FnOnce(u64) -> Input) -> Verdict {
@@ -101,7 +106,8 @@
     }
 
     /// Asks for a change of the configuration.
-    pub async fn change(self: &Rc<Self>, base: u64, revision: u64, body: Vec<u8>, digest: u64) -> Verdict {
+    pub async fn change(self: &Rc<Self>, change: Submission) -> Verdict {
+        let Submission { base, revision, body, digest } = change;
         self.ask(|ask| Input::Change { ask, base, revision, body, digest }).await
     }
 
--- a/crates/works/src/core/serving.rs
+++ b/crates/works/src/core/serving.rs
@@ -5,16 +5,11 @@
 
 use mosshead_catchment::Delta;
 use mosshead_headworks::State;
-use mosshead_mains::Config;
-use std::sync::Arc;
 use tokio::time::{Duration, Instant, timeout};
 
 use super::Core;
 use crate::calls::{Fetched, Pull, Pulled};
 
-/// Steps of the configuration that are kept for those that pull, and their length together.
-const STEPS: usize = 1024;
-const STEPS_LENGTH: usize = 4 * 1024 * 1024;
 /// Entries given at once.
 const PAGE: usize = 400;
 /// A proxy that has not asked for so long is not counted.
@@ -22,60 +17,21 @@
 /// So long after its start a machine says that it may lack entries.
 const NEW: Duration = Duration::from_secs(6);
 
-/// The patch from one committed configuration to the next.
-pub(super) struct Step {
-    from: u64,
-    to: u64,
-    patch: String,
-}
-
 impl Core {
     pub(super) fn committed(&self, state: &State) {
-        let old = self.config();
-        if state.revision == 0 || old.as_ref().is_some_and(|old| old.revision >= state.revision) {
-            return;
-        }
-        let read = match old.as_ref() {
-            Some(old) => old.read_after(&state.body),
-            None => Config::read(&state.body),
-        };
-        let config = match read {
-            Ok(config) => Arc::new(config),
-            Err(fault) => {
-                spdlog::error!("mains: what was committed can't be read: {fault}.");
-                return;
-            }
-        };
-        if let Some(old) = old {
-            let patch = old.patch(&config);
-            let mut steps = self.steps.borrow_mut();
-            steps.push_back(Step { from: old.revision, to: config.revision, patch });
-            while steps.len() > STEPS
-                || steps.iter().map(|step| step.patch.len()).sum::<usize>() > STEPS_LENGTH
-            {
-                steps.pop_front();
+        let committed = self.history.borrow_mut().commit(state);
+        match committed {
+            Ok(Some(config)) => {
+                spdlog::info!("mains: configuration {} is committed.", config.revision);
+                self.tell();
             }
+            Ok(None) => {}
+            Err(fault) => spdlog::error!("mains: what was committed can't be read: {fault}."),
         }
-        spdlog::info!("mains: configuration {} is committed.", config.revision);
-        self.config.replace(Some(config));
-        self.tell();
     }
 
     pub(super) fn fetch(&self, have: u64) -> Fetched {
-        let Some(config) = self.config() else {
-            return Fetched { revision: 0, patches: Vec::new(), whole: None };
-        };
-        let revision = config.revision;
-        let steps = self.steps.borrow();
-        let from = steps.iter().position(|step| step.from == have);
-        let patches: Vec<String> =
-            from.map_or(Vec::new(), |from| steps.iter().skip(from).map(|step| step.patch.clone()).collect());
-        let leads = from.is_some() && steps.back().is_some_and(|step| step.to == revision);
-        let shorter = patches.iter().map(String::len).sum::<usize>() < config.text_length();
-        if leads && shorter {
-            return Fetched { revision, patches, whole: None };
-        }
-        Fetched { revision, patches: Vec::new(), whole: Some(config.to_text()) }
+        Fetched::from_offer(self.history.borrow().offer(have, self.contact()))
     }
 
     pub(super) fn proxies(&self) -> u32 {
@@ -139,8 +95,9 @@
         let wants =
             self.start.elapsed() < NEW && (register.unknown(&call.vector) || register.behind(&call.vector));
         drop(register);
-        let revision = self.config.borrow().as_ref().map_or(0, |config| config.revision);
-        let current = self.node.borrow().as_ref().is_some_and(|node| node.in_touch(self.now()));
+        let contact = self.contact();
+        let revision = self.history.borrow().advertised_revision(contact);
+        let current = contact.is_in_touch();
         let cores = self.all();
         Pulled { revision, delta, behind, cores, proxies: self.proxies(), current, wants, source: self.life }
     }
--- a/crates/works/src/core/status.rs
+++ b/crates/works/src/core/status.rs
@@ -23,7 +23,7 @@
             ballot.map_or(0, |ballot| ballot.round),
             members,
             node.as_ref().is_some_and(|node| node.in_touch(self.now())),
-            self.config.borrow().as_ref().map_or(0, |config| config.revision),
+            self.config().map_or(0, |config| config.revision),
             self.register.borrow().len(),
             self.gossip.count(false),
             self.keeper.borrow().as_ref().map_or(0, Keeper::length),
--- a/crates/works/src/puller.rs
+++ b/crates/works/src/puller.rs
@@ -6,11 +6,13 @@
 use std::sync::Arc;
 
 use mosshead_catchment::{Catchment, Vector};
+use mosshead_control_plane::Contact;
+use mosshead_control_plane::subscription::{Assembled, Session, Subscription, assemble};
 use mosshead_culvert::Caller;
 use mosshead_mains::Config;
 use tokio::time::{Duration, Instant, sleep};
 
-use crate::calls::{Fetch, Fetched, Hand, Pull, Pulled};
+use crate::calls::{Fetch, Hand, Pull, Pulled};
 
 /// From so many machines of the core a proxy pulls at once.
 pub const SLOTS: usize = 3;
@@ -23,6 +25,10 @@
 /// After word of a newer configuration the slots ask again so much later, one after the other: changes that follow
 /// each other closely come together, and a slot whose machine is gone holds none up by more than the next one's pause.
 const PAUSE: Duration = Duration::from_millis(50);
+/// A process that has nobody to ask looks again after this.
+const IDLE: Duration = Duration::from_millis(150);
+/// The revision to ask from for the whole configuration.
+const WHOLE: u64 = 0;
 /// The whole configuration comes within this.
 const FETCH: Duration = Duration::from_millis(1500);
 
@@ -38,13 +44,6 @@
     fn proxies(&self, count: usize);
 }
 
-struct Known {
-    address: SocketAddrV4,
-    /// It failed last then.
-    failed: Option<Instant>,
-    busy: bool,
-}
-
 /// What one process knows of the core and has pulled from it.
 pub struct Puller<B> {
     name: String,
@@ -53,7 +52,7 @@
     basin: Rc<B>,
     /// The register as far as it is known here.
     pub register: Rc<RefCell<Catchment>>,
-    cores: RefCell<Vec<Known>>,
+    subscription: RefCell<Subscription>,
     fetching: Cell<bool>,
     /// When a machine of the core that is in touch last answered.
     pub heard: Cell<Option<Instant>>,
@@ -69,91 +68,43 @@
         register: Rc<RefCell<Catchment>>,
         seeds: &[SocketAddrV4],
     ) -> Rc<Self> {
-        let (cores, fetching) = (RefCell::default(), Cell::new(false));
-        let heard = Cell::new(None);
-        let puller = Self { name: name.to_owned(), life, caller, basin, register, cores, fetching, heard };
-        puller.learn(seeds);
-        Rc::new(puller)
+        let subscription = RefCell::new(Subscription::new(seeds));
+        let (name, fetching, heard) = (name.to_owned(), Cell::new(false), Cell::new(None));
+        Rc::new(Self { name, life, caller, basin, register, subscription, fetching, heard })
     }
 
     /// These are machines of the core, too.
     pub fn learn(&self, cores: &[SocketAddrV4]) {
-        let mut known = self.cores.borrow_mut();
-        for address in cores {
-            if known.len() < 64 && !known.iter().any(|core| core.address == *address) {
-                known.push(Known { address: *address, failed: None, busy: false });
-            }
-        }
-    }
-
-    /// These are all; others that fail are forgotten.
-    fn settle(&self, cores: &[SocketAddrV4]) {
-        if cores.is_empty() {
-            return;
-        }
-        self.learn(cores);
-        self.cores
-            .borrow_mut()
-            .retain(|core| core.busy || core.failed.is_none() || cores.contains(&core.address));
+        self.subscription.borrow_mut().learn(cores);
     }
 
     /// Machines of the core that are known.
     pub fn cores(&self) -> Vec<SocketAddrV4> {
-        self.cores.borrow().iter().map(|core| core.address).collect()
+        self.subscription.borrow().cores()
     }
 
     /// Pulls for as long as it is polled, from one machine at a time.
     pub async fn run(self: Rc<Self>, slot: usize) {
-        let mut misled: Option<Instant> = None;
         loop {
-            let Some(core) = self.pick() else {
-                sleep(Duration::from_millis(150)).await;
+            let chosen = self.subscription.borrow_mut().choose(now());
+            let Some(core) = chosen else {
+                sleep(IDLE).await;
                 continue;
             };
-            let mut good = true;
+            let mut session = Session::default();
             let mut first = true;
-            while good {
-                good = match self.pull(core, slot, first).await {
-                    Some(true) => {
-                        misled = None;
-                        true
-                    }
-                    // It does not hear from the core itself: another one may.
-                    Some(false) => {
-                        misled.get_or_insert_with(Instant::now).elapsed() < Duration::from_millis(600)
-                    }
-                    None => false,
-                };
+            while let Some(contact) = self.pull(core, slot, first).await
+                && session.goes_on(now(), contact)
+            {
                 first = false;
             }
-            misled = None;
-            self.let_go(core);
+            self.subscription.borrow_mut().release(now(), core);
             sleep(Duration::from_millis(60 + 40 * slot as u64)).await;
         }
     }
 
-    fn pick(&self) -> Option<SocketAddrV4> {
-        let mut known = self.cores.borrow_mut();
-        let free = known.iter_mut().filter(|core| !core.busy);
-        let core = free.min_by_key(|core| core.failed)?;
-        // Danger: a machine that refuses at once must not be asked in a circle.
-        if core.failed.is_some_and(|failed| failed.elapsed() < Duration::from_millis(250)) {
-            return None;
-        }
-        core.busy = true;
-        Some(core.address)
-    }
-
-    fn let_go(&self, address: SocketAddrV4) {
-        let mut known = self.cores.borrow_mut();
-        known.iter_mut().filter(|core| core.address == address).for_each(|core| {
-            core.busy = false;
-            core.failed = Some(Instant::now());
-        });
-    }
-
     /// One call. `None`: it failed; else whether the answerer is in touch with the core.
-    async fn pull(self: &Rc<Self>, core: SocketAddrV4, slot: usize, first: bool) -> Option<bool> {
+    async fn pull(self: &Rc<Self>, core: SocketAddrV4, slot: usize, first: bool) -> Option<Contact> {
         let revision = self.basin.config().map_or(0, |config| config.revision);
         let vector = self.register.borrow().vector();
         let wait = if first { Duration::from_millis(1) } else { WAIT };
@@ -167,17 +118,16 @@
             wait_ms: wait.as_millis() as u64,
         };
         let answer: Pulled = self.caller.call(core, &call, wait + GRACE).await.ok()?;
+        let contact = Contact::from_flag(answer.current);
         self.take(core, slot, &answer).await;
-        if answer.current {
+        if contact.is_in_touch() {
             self.heard.set(Some(Instant::now()));
-            self.settle(&answer.cores);
-        } else {
-            self.learn(&answer.cores);
         }
         if answer.revision > revision {
             sleep(pause(slot)).await;
         }
-        Some(answer.current)
+        self.subscription.borrow_mut().named(&answer.cores, contact);
+        Some(contact)
     }
 
     async fn take(self: &Rc<Self>, core: SocketAddrV4, slot: usize, answer: &Pulled) {
@@ -210,7 +160,9 @@
         if answer.wants {
             self.hand(core).await;
         }
-        if answer.revision > self.basin.config().map_or(0, |config| config.revision) {
+        let in_force = self.basin.config().map_or(0, |config| config.revision);
+        let contact = Contact::from_flag(answer.current);
+        if self.subscription.borrow().wants_configuration(in_force, answer.revision, contact) {
             self.fetch(core).await;
         }
     }
@@ -234,19 +186,30 @@
         }
         let have = self.basin.config();
         let revision = have.as_ref().map_or(0, |config| config.revision);
-        let mut fetched = self.caller.call(core, &Fetch { revision }, FETCH).await.ok();
-        if let Some(config) = fetched.as_ref().and_then(|fetched| put_together(have.as_deref(), fetched)) {
+        let mut assembled = self.fetch_from(core, revision, have.as_deref()).await;
+        if assembled == Some(Assembled::Misfit) {
+            assembled = self.fetch_from(core, WHOLE, have.as_deref()).await;
+        }
+        if let Some(Assembled::Config(config)) = assembled {
             self.basin.configure(config);
-        } else if fetched.take().is_some() {
-            // Patches that don't fit: the whole.
-            if let Ok(fetched) = self.caller.call(core, &Fetch { revision: 0 }, FETCH).await
-                && let Some(config) = put_together(None, &fetched)
-            {
-                self.basin.configure(config);
-            }
         }
         self.fetching.set(false);
     }
+
+    /// Asks for the way from a revision to the newest.
+    async fn fetch_from(
+        self: &Rc<Self>,
+        core: SocketAddrV4,
+        revision: u64,
+        have: Option<&Config>,
+    ) -> Option<Assembled> {
+        let fetched = self.caller.call(core, &Fetch { revision }, FETCH).await.ok()?;
+        Some(assemble(have, &fetched.into_offer()))
+    }
+}
+
+fn now() -> u64 {
+    millis(Instant::now())
 }
 
 /// How long a slot waits after word of a newer configuration until it asks again.
@@ -261,20 +224,3 @@
     }
     START.with(|start| now.saturating_duration_since(*start).as_millis() as u64) + 1
 }
-
-/// The configuration that an answer leads to.
-pub fn put_together(have: Option<&Config>, fetched: &Fetched) -> Option<Arc<Config>> {
-    if let Some(whole) = &fetched.whole {
-        let read = match have {
-            Some(have) => have.read_after(whole.as_bytes()),
-            None => Config::read(whole.as_bytes()),
-        };
-        return read.ok().map(Arc::new);
-    }
-    let mut config: Option<Config> = None;
-    for patch in &fetched.patches {
-        let next = config.as_ref().or(have)?.patched(patch).ok()?;
-        config = Some(next);
-    }
-    config.filter(|config| config.revision == fetched.revision).map(Arc::new)
-}
--- a/crates/works/tests/pulled.rs
+++ b/crates/works/tests/pulled.rs
@@ -1,8 +1,11 @@
 //! The configuration that a proxy puts together from what it pulled.
 
+use std::sync::Arc;
+
+use mosshead_control_plane::subscription::{Assembled, assemble};
 use mosshead_mains::Config;
 use mosshead_works::calls::Fetched;
-use mosshead_works::puller::{SLOTS, pause, put_together};
+use mosshead_works::puller::{SLOTS, pause};
 use tokio::time::Duration;
 
 const WHOLE: &str = include_str!("samples/replace.json");
@@ -17,6 +20,14 @@
     [first, second, third]
 }
 
+/// The configuration that an answer on the wire leads to.
+fn put_together(have: Option<&Config>, fetched: &Fetched) -> Option<Arc<Config>> {
+    match assemble(have, &fetched.clone().into_offer()) {
+        Assembled::Config(config) => Some(config),
+        Assembled::Withheld | Assembled::Misfit => None,
+    }
+}
+
 fn patches(revision: u64, patches: Vec<String>) -> Fetched {
     Fetched { revision, patches, whole: None }
 }
