Acknowledge a leaving server only in touch and with a copy at f others

Cause: a draining or a deregistration was acknowledged when any one other core machine had it, in touch or not. In a cut-off minority of two out of five both had it and nobody else; two losses took the only copies. A server that repeated its refused word was acknowledged without further copies: the register calls an entry urgent only until one other holds it, and an entry of another source never.

Change: control-plane/acknowledgement decides by the entry in force: f other members of the record show it in their vectors (fewer only where fewer exist, one more where this machine is no member), and the machine is in touch. A machine that lacks the entry after the first copy (a gap, or another source's) is given what its vector lacks. Catchment gets entry().

Tests: control-plane/tests/acknowledgement.rs, with the former behaviour as three injected faults.

--- a/crates/catchment/src/catchment.rs
+++ b/crates/catchment/src/catchment.rs
@@ -332,6 +332,11 @@
         self.records.get(id).map(|record| &record.entry.server)
     }
 
+    /// The entry of a server by its id; also of a gone one, while its tombstone is held.
+    pub fn entry(&self, id: &str) -> Option<&Entry> {
+        self.records.get(id).map(|record| &record.entry)
+    }
+
     /// All entries, tombstones too, by source and version.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> + '_ {
         self.sources.instances().filter_map(|id| self.records.get(id)).map(|record| &record.entry)
--- /dev/null
+++ b/crates/control-plane/src/acknowledgement.rs
@@ -0,0 +1,185 @@
+//! When the word of a server that leaves (`draining`, or its deregistration) is acknowledged.
+//!
+//! Invariant *leaving words survive*: such a word is acknowledged only by a machine that is in touch, and only when so
+//! many members have it that it outlives as many losses as the deployment may have at once.
+
+use core::net::SocketAddrV4;
+use std::collections::BTreeSet;
+
+use mosshead_catchment::{Catchment, Delta, Entry, Heard, OperState, SourceId, Vector};
+
+use crate::{Contact, InjectedFault};
+
+/// Acknowledged entries that are remembered; one that is forgotten is only handed to the members again.
+const MOST_REMEMBERED: usize = 4_096;
+/// So many of the latest entries go with a copy, so that it fits without a gap to what the other has seen.
+const LATEST_VERSIONS: u64 = 64;
+/// And at most so many.
+const MOST_LATEST: usize = 128;
+
+/// The number of an entry of the register.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EntryNumber {
+    /// Who made the entry.
+    pub source: SourceId,
+    /// The number that its source gave it.
+    pub version: u64,
+}
+
+impl EntryNumber {
+    /// The number of an entry by which a server leaves; none where it does not leave.
+    pub fn of_leaving(entry: &Entry) -> Option<EntryNumber> {
+        let leaves = entry.server.state >= OperState::Draining;
+        leaves.then_some(EntryNumber { source: entry.source, version: entry.version })
+    }
+
+    /// Whether whoever shows this vector has the entry, or one that holds against it.
+    pub fn is_covered_by(&self, vector: &Vector) -> bool {
+        vector.get(self.source) >= self.version
+    }
+}
+
+/// Who is to hold the copies.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    /// The machine that heard the server.
+    pub me: SocketAddrV4,
+    /// The members of the newest record of the control state that it knows.
+    pub members: Vec<SocketAddrV4>,
+    /// How many members may be lost at once.
+    pub failures: usize,
+}
+
+/// Whether a leaving server's word is acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Yes.
+    Acknowledge,
+    /// More copies are needed, and may come.
+    Wait,
+    /// No; the server comes again.
+    Refuse,
+}
+
+/// The copies of one entry that are being made.
+#[derive(Clone, Debug)]
+pub struct CopyCollection {
+    entry: EntryNumber,
+    needed: usize,
+    /// Members that have not answered.
+    open: BTreeSet<SocketAddrV4>,
+    holders: BTreeSet<SocketAddrV4>,
+    injected: Option<InjectedFault>,
+}
+
+impl CopyCollection {
+    /// No other machine is known to have the entry yet.
+    pub fn new(
+        entry: EntryNumber,
+        membership: &Membership,
+        injected: Option<InjectedFault>,
+    ) -> CopyCollection {
+        let members: BTreeSet<SocketAddrV4> = membership.members.iter().copied().collect();
+        let is_member = members.contains(&membership.me);
+        let open: BTreeSet<SocketAddrV4> =
+            members.into_iter().filter(|member| *member != membership.me).collect();
+        // Danger: what a machine that is no member holds does not count, for it may go beside the others.
+        let wanted = if is_member { membership.failures.max(1) } else { membership.failures + 1 };
+        let wanted = if injected == Some(InjectedFault::AcknowledgeAfterOneCopy) { 1 } else { wanted };
+        let needed = wanted.min(open.len());
+        CopyCollection { entry, needed, open, holders: BTreeSet::new(), injected }
+    }
+
+    /// Which entry is copied.
+    pub fn entry(&self) -> EntryNumber {
+        self.entry
+    }
+
+    /// A machine has answered with its vector, or not at all.
+    pub fn answered(&mut self, from: SocketAddrV4, shown: Option<&Vector>) {
+        let covers = shown.is_some_and(|vector| self.entry.is_covered_by(vector));
+        if self.open.remove(&from) && covers {
+            self.holders.insert(from);
+        }
+    }
+
+    /// What is answered to the server now.
+    pub fn decision(&self, contact: Contact) -> Decision {
+        let may_acknowledge =
+            contact.is_in_touch() || self.injected == Some(InjectedFault::AcknowledgeOutOfTouch);
+        if self.holders.len() + self.open.len() < self.needed {
+            Decision::Refuse
+        } else if self.holders.len() < self.needed {
+            Decision::Wait
+        } else if may_acknowledge {
+            Decision::Acknowledge
+        } else {
+            Decision::Refuse
+        }
+    }
+}
+
+/// What comes of a server's word.
+#[derive(Clone, Debug)]
+pub enum Start {
+    /// The server is told at once: it doesn't leave, or was told before.
+    Acknowledge,
+    /// The server is told to come again.
+    Refuse,
+    /// Copies are needed first.
+    Collect(CopyCollection),
+}
+
+/// The entries that were acknowledged, so that a server which repeats its word costs no further copies.
+#[derive(Clone, Debug, Default)]
+pub struct Acknowledgements {
+    entries: BTreeSet<EntryNumber>,
+    injected: Option<InjectedFault>,
+}
+
+impl Acknowledgements {
+    /// Nothing is acknowledged yet; with a fault built in, for tests.
+    #[doc(hidden)]
+    pub fn with_fault(injected: Option<InjectedFault>) -> Acknowledgements {
+        Acknowledgements { injected, ..Acknowledgements::default() }
+    }
+
+    /// Looks at the word of a server that the register has taken in.
+    ///
+    /// What counts is the entry in force, whoever made it: a server that repeats its word elsewhere, because it was not
+    /// acknowledged, is not acknowledged there before there are copies enough.
+    pub fn start(
+        &self,
+        register: &Catchment,
+        id: &str,
+        heard: &Heard,
+        contact: Contact,
+        membership: &Membership,
+    ) -> Start {
+        let Some(entry) = register.entry(id).and_then(EntryNumber::of_leaving) else {
+            return Start::Acknowledge;
+        };
+        if self.injected == Some(InjectedFault::AcknowledgeRepeats) && !heard.urgent {
+            return Start::Acknowledge;
+        }
+        if self.entries.contains(&entry) {
+            return if contact.is_in_touch() { Start::Acknowledge } else { Start::Refuse };
+        }
+        Start::Collect(CopyCollection::new(entry, membership, self.injected))
+    }
+
+    /// Remembers that a server was told.
+    pub fn acknowledged(&mut self, entry: EntryNumber) {
+        if self.entries.len() >= MOST_REMEMBERED {
+            self.entries.pop_first();
+        }
+        self.entries.insert(entry);
+    }
+}
+
+/// The latest entries that a register has made itself: the first copy that another machine is given.
+pub fn latest_entries(register: &Catchment) -> Delta {
+    let mut vector = register.vector();
+    vector.0.insert(register.me(), register.version().saturating_sub(LATEST_VERSIONS));
+    register.lacking(&vector, MOST_LATEST)
+}
--- /dev/null
+++ b/crates/control-plane/tests/acknowledgement.rs
@@ -0,0 +1,220 @@
+//! When a leaving server is acknowledged.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use mosshead_catchment::{Catchment, Heard, OperState, Server, SourceId, Vector};
+use mosshead_control_plane::acknowledgement::{
+    Acknowledgements, CopyCollection, Decision, EntryNumber, Membership, Start, latest_entries,
+};
+use mosshead_control_plane::{Contact, InjectedFault};
+use quickcheck::quickcheck;
+
+const ID: &str = "i-1";
+
+fn address(last: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 7720)
+}
+
+/// The machine at the first address among so many members.
+fn membership(members: u8, failures: usize) -> Membership {
+    Membership { me: address(1), members: (1..=members).map(address).collect(), failures }
+}
+
+fn server(state: OperState, sequence: u64) -> Server {
+    Server {
+        id: ID.into(),
+        service: "s".into(),
+        address: address(99),
+        zone: "z".into(),
+        software: "v1".into(),
+        slots: 8,
+        state,
+        silent: false,
+        warmup_left_ms: 0,
+        stage: None,
+        models: Vec::new(),
+        sequence,
+    }
+}
+
+/// A register that has heard the server leave, and what came of it.
+fn draining() -> (Catchment, Heard) {
+    let mut register = Catchment::new(SourceId(1), 500);
+    register.beat(0, server(OperState::Up, 1));
+    let heard = register.beat(10, server(OperState::Draining, 2));
+    (register, heard)
+}
+
+fn start(
+    acknowledgements: &Acknowledgements,
+    register: &Catchment,
+    heard: &Heard,
+    contact: Contact,
+    membership: &Membership,
+) -> Start {
+    acknowledgements.start(register, ID, heard, contact, membership)
+}
+
+fn collect(membership: &Membership, injected: Option<InjectedFault>) -> CopyCollection {
+    let (register, heard) = draining();
+    let acknowledgements = Acknowledgements::with_fault(injected);
+    match start(&acknowledgements, &register, &heard, Contact::InTouch, membership) {
+        Start::Collect(copies) => copies,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn has_it() -> Vector {
+    let (register, _) = draining();
+    register.vector()
+}
+
+#[test]
+fn a_server_that_stays_is_acknowledged_at_once() {
+    let mut register = Catchment::new(SourceId(1), 500);
+    let heard = register.beat(0, server(OperState::Up, 1));
+    let started =
+        start(&Acknowledgements::default(), &register, &heard, Contact::OutOfTouch, &membership(3, 1));
+    assert!(matches!(started, Start::Acknowledge), "{started:?}");
+}
+
+#[test]
+fn as_many_others_have_it_as_may_be_lost() {
+    let mut copies = collect(&membership(5, 2), None);
+    assert_eq!(copies.decision(Contact::InTouch), Decision::Wait);
+    copies.answered(address(2), Some(&has_it()));
+    assert_eq!(copies.decision(Contact::InTouch), Decision::Wait);
+    copies.answered(address(3), None);
+    copies.answered(address(4), Some(&Vector::default()));
+    assert_eq!(copies.decision(Contact::InTouch), Decision::Wait);
+    copies.answered(address(5), Some(&has_it()));
+    assert_eq!(copies.decision(Contact::InTouch), Decision::Acknowledge);
+    assert_eq!(copies.decision(Contact::OutOfTouch), Decision::Refuse);
+}
+
+#[test]
+fn too_few_copies_are_refused() {
+    let mut copies = collect(&membership(5, 2), None);
+    for silent in 2..=4 {
+        assert_eq!(copies.decision(Contact::InTouch), Decision::Wait);
+        copies.answered(address(silent), None);
+    }
+    assert_eq!(copies.decision(Contact::InTouch), Decision::Refuse);
+}
+
+#[test]
+fn one_answer_counts_once_and_only_a_member_s() {
+    let mut copies = collect(&membership(5, 2), None);
+    for from in [address(2), address(2), address(77), address(1)] {
+        copies.answered(from, Some(&has_it()));
+    }
+    assert_eq!(copies.decision(Contact::InTouch), Decision::Wait);
+}
+
+#[test]
+fn fewer_are_enough_only_where_fewer_exist() {
+    let alone = collect(&membership(1, 2), None);
+    assert_eq!(alone.decision(Contact::InTouch), Decision::Acknowledge);
+    let mut two = collect(&membership(2, 2), None);
+    assert_eq!(two.decision(Contact::InTouch), Decision::Wait);
+    two.answered(address(2), Some(&has_it()));
+    assert_eq!(two.decision(Contact::InTouch), Decision::Acknowledge);
+}
+
+#[test]
+fn a_machine_that_is_no_member_needs_one_copy_more() {
+    let newcomer = Membership { me: address(9), ..membership(3, 1) };
+    let mut copies = collect(&newcomer, None);
+    copies.answered(address(1), Some(&has_it()));
+    assert_eq!(copies.decision(Contact::InTouch), Decision::Wait);
+    copies.answered(address(2), Some(&has_it()));
+    assert_eq!(copies.decision(Contact::InTouch), Decision::Acknowledge);
+}
+
+/// A server whose word was not acknowledged repeats it: to the same machine, where one other has it by now, and to
+/// that other.
+#[test]
+fn a_repeat_needs_the_same_copies() {
+    let (mut register, _) = draining();
+    register.held(&has_it());
+    let again = register.beat(20, server(OperState::Draining, 3));
+    assert!(!again.urgent);
+    let members = membership(5, 2);
+    let started = start(&Acknowledgements::default(), &register, &again, Contact::InTouch, &members);
+    assert!(matches!(started, Start::Collect(_)), "{started:?}");
+
+    let mut other = Catchment::new(SourceId(2), 500);
+    other.merge(20, latest_entries(&register));
+    let heard = other.beat(30, server(OperState::Draining, 4));
+    let there = Membership { me: address(2), ..members };
+    let started = start(&Acknowledgements::default(), &other, &heard, Contact::InTouch, &there);
+    assert!(matches!(started, Start::Collect(_)), "{started:?}");
+}
+
+#[test]
+fn what_was_acknowledged_is_again_but_only_in_touch() {
+    let (register, heard) = draining();
+    let mut acknowledgements = Acknowledgements::default();
+    let entry = register.entry(ID).and_then(EntryNumber::of_leaving).expect("it leaves");
+    acknowledgements.acknowledged(entry);
+    let members = membership(5, 2);
+    let started = start(&acknowledgements, &register, &heard, Contact::InTouch, &members);
+    assert!(matches!(started, Start::Acknowledge), "{started:?}");
+    let started = start(&acknowledgements, &register, &heard, Contact::OutOfTouch, &members);
+    assert!(matches!(started, Start::Refuse), "{started:?}");
+}
+
+#[test]
+fn a_deregistration_is_another_word_than_draining() {
+    let (mut register, _) = draining();
+    let mut acknowledgements = Acknowledgements::default();
+    let entry = register.entry(ID).and_then(EntryNumber::of_leaving).expect("it leaves");
+    acknowledgements.acknowledged(entry);
+    let heard = register.deregister(40, ID);
+    let started = start(&acknowledgements, &register, &heard, Contact::InTouch, &membership(5, 2));
+    assert!(matches!(started, Start::Collect(_)), "{started:?}");
+}
+
+/// The code as it was: the third lead of point 1, in a minority of two out of five that are cut off.
+#[test]
+fn the_former_acknowledgements_of_a_minority_are_found() {
+    let minority = |injected| {
+        let mut copies = collect(&membership(5, 2), injected);
+        copies.answered(address(2), Some(&has_it()));
+        copies
+    };
+    assert_eq!(minority(None).decision(Contact::OutOfTouch), Decision::Wait);
+    let one_copy = minority(Some(InjectedFault::AcknowledgeAfterOneCopy));
+    assert_eq!(one_copy.decision(Contact::InTouch), Decision::Acknowledge);
+    let mut untouched = minority(Some(InjectedFault::AcknowledgeOutOfTouch));
+    untouched.answered(address(3), Some(&has_it()));
+    assert_eq!(untouched.decision(Contact::OutOfTouch), Decision::Acknowledge);
+    let (mut register, _) = draining();
+    register.held(&has_it());
+    let again = register.beat(20, server(OperState::Draining, 3));
+    let repeats = Acknowledgements::with_fault(Some(InjectedFault::AcknowledgeRepeats));
+    let started = start(&repeats, &register, &again, Contact::OutOfTouch, &membership(5, 2));
+    assert!(matches!(started, Start::Acknowledge), "{started:?}");
+}
+
+quickcheck! {
+    /// Whoever answers, and with or without the entry: of those that hold an acknowledged word, so many are members
+    /// that one is left after the losses.
+    fn an_acknowledged_word_outlives_the_losses(failures: u8, me: u8, answers: Vec<(u8, bool)>) -> bool {
+        let failures = usize::from(failures % 3);
+        let members = 2 * failures as u8 + 1;
+        let membership = Membership { me: address(1 + me % (members + 1)), ..membership(members, failures) };
+        let mut copies = collect(&membership, None);
+        let mut holders = vec![membership.me];
+        for (from, has) in answers {
+            let from = address(1 + from % (members + 2));
+            let known = holders.contains(&from);
+            copies.answered(from, has.then(has_it).as_ref());
+            if has && !known {
+                holders.push(from);
+            }
+        }
+        holders.retain(|holder| membership.members.contains(holder));
+        copies.decision(Contact::InTouch) != Decision::Acknowledge || holders.len() > failures
+    }
+}
--- a/crates/works/src/core.rs
+++ b/crates/works/src/core.rs
@@ -14,6 +14,7 @@
 use mosshead_catchment::{Catchment, Vector};
 use mosshead_cistern::Keeper;
 use mosshead_control_plane::Contact;
+use mosshead_control_plane::acknowledgement::Acknowledgements;
 use mosshead_control_plane::admission::{Leader, Submission};
 use mosshead_control_plane::serving::ConfigHistory;
 use mosshead_culvert::Caller;
@@ -45,6 +46,7 @@
     asks: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
     next_ask: Cell<u64>,
     history: RefCell<ConfigHistory>,
+    acknowledgements: RefCell<Acknowledgements>,
     news: watch::Sender<u64>,
     askers: RefCell<HashMap<String, Instant>>,
     message_lanes: RefCell<MessageLanes>,
--- a/crates/works/src/core/host.rs
+++ b/crates/works/src/core/host.rs
@@ -123,6 +123,7 @@
         asks: RefCell::default(),
         next_ask: Cell::new(1),
         history: RefCell::default(),
+        acknowledgements: RefCell::default(),
         news: watch::Sender::new(0),
         askers: RefCell::default(),
         message_lanes: RefCell::default(),
--- a/crates/works/src/core/registrar.rs
+++ b/crates/works/src/core/registrar.rs
@@ -6,6 +6,9 @@
 
 use mosshead_catchment::{Delta, Heard, Server, SourceId, Vector};
 use mosshead_cistern::Keeper;
+use mosshead_control_plane::acknowledgement::{
+    CopyCollection, Decision, EntryNumber, Membership, Start, latest_entries,
+};
 use mosshead_penstock::{Order, Penstock};
 use tokio::sync::mpsc;
 use tokio::time::{Duration, sleep};
@@ -15,7 +18,7 @@
 use crate::calls::{Hand, Hears, Pull};
 use crate::message_lanes::Lane;
 
-/// An urgent entry reaches another machine within this, or is not acknowledged.
+/// An urgent entry reaches another machine within this, or that machine does not count.
 const URGENT: Duration = Duration::from_millis(350);
 /// The register's log is rewritten beyond this.
 const REGISTER_LONG: u64 = 8 * 1024 * 1024;
@@ -35,17 +38,18 @@
 
     /// A server's heartbeat. Whether it may be acknowledged.
     pub async fn beat(self: &Rc<Self>, server: Server) -> bool {
+        let id = server.id.clone();
         let heard = self.register.borrow_mut().beat(self.now(), server);
-        self.heard(heard).await
+        self.heard(&id, heard).await
     }
 
     /// A server has ended.
     pub async fn deregister(self: &Rc<Self>, id: &str) -> bool {
         let heard = self.register.borrow_mut().deregister(self.now(), id);
-        self.heard(heard).await
+        self.heard(id, heard).await
     }
 
-    pub(super) async fn heard(self: &Rc<Self>, heard: Heard) -> bool {
+    async fn heard(self: &Rc<Self>, id: &str, heard: Heard) -> bool {
         if let Some(fault) = heard.refused {
             spdlog::warn!("catchment: a server's word was not taken: {} {fault}.", fault.code());
             return false;
@@ -53,42 +57,67 @@
         if heard.changed {
             self.tell();
         }
-        if !heard.urgent {
-            return true;
-        }
-        // Danger: if this machine dies with the only word of a leaving server, requests go on to it.
-        let others = self.others();
-        if others.is_empty() {
-            return true;
+        match self.start_acknowledgement(id, &heard) {
+            Start::Acknowledge => true,
+            Start::Refuse => false,
+            Start::Collect(copies) => self.collect(copies).await,
         }
+    }
+
+    fn start_acknowledgement(&self, id: &str, heard: &Heard) -> Start {
+        let (contact, membership) = (self.contact(), self.membership());
+        let register = self.register.borrow();
+        self.acknowledgements.borrow().start(&register, id, heard, contact, &membership)
+    }
+
+    /// Hands a leaving server's word to the other machines until enough have it. Whether it may be acknowledged.
+    // Danger: if all machines that have the word are lost, requests go on to the server.
+    async fn collect(self: &Rc<Self>, mut copies: CopyCollection) -> bool {
+        let entry = copies.entry();
         let (to, mut from) = mpsc::unbounded_channel();
-        for other in others {
+        for other in self.others() {
             let (core, to) = (self.clone(), to.clone());
             tokio::task::spawn_local(async move {
-                let delta = core.latest();
-                let handed = core.caller.call(other, &Hand { delta }, URGENT).await;
-                if let Ok(handed) = &handed {
-                    core.register.borrow_mut().held(&handed.vector);
-                }
-                let handed = handed.is_ok();
-                let _ = to.send(handed);
+                let _ = to.send((other, core.copy_to(other, entry).await));
             });
         }
         drop(to);
-        while let Some(handed) = from.recv().await {
-            if handed {
-                return true;
+        loop {
+            match copies.decision(self.contact()) {
+                Decision::Acknowledge => {
+                    self.acknowledgements.borrow_mut().acknowledged(entry);
+                    return true;
+                }
+                Decision::Refuse => return false,
+                Decision::Wait => {}
             }
+            let Some((other, shown)) = from.recv().await else { return false };
+            copies.answered(other, shown.as_ref());
         }
-        false
     }
 
-    /// The latest entries of this machine's own.
-    pub(super) fn latest(&self) -> Delta {
-        let register = self.register.borrow();
-        let mut vector = register.vector();
-        vector.0.insert(SourceId(self.life), register.version().saturating_sub(64));
-        register.lacking(&vector, 128)
+    /// Gives another machine an entry. What it has seen then, if it answered.
+    async fn copy_to(self: &Rc<Self>, other: SocketAddrV4, entry: EntryNumber) -> Option<Vector> {
+        let latest = latest_entries(&self.register.borrow());
+        let shown = self.hand_to(other, latest).await?;
+        if entry.is_covered_by(&shown) {
+            return Some(shown);
+        }
+        // The entry is another source's, or there was a gap before it.
+        let lacking = self.register.borrow().lacking(&shown, PAGE);
+        self.hand_to(other, lacking).await
+    }
+
+    async fn hand_to(self: &Rc<Self>, other: SocketAddrV4, delta: Delta) -> Option<Vector> {
+        let handed = self.caller.call(other, &Hand { delta }, URGENT).await.ok()?;
+        self.register.borrow_mut().held(&handed.vector);
+        Some(handed.vector)
+    }
+
+    fn membership(&self) -> Membership {
+        let node = self.node.borrow();
+        let members = node.iter().flat_map(|node| node.members()).map(|member| member.address).collect();
+        Membership { me: self.settings.internal(), members, failures: self.settings.node_failures }
     }
 
     /// The orders that are due.
