Play control machines, proxies, operators and servers together

Change: control-plane/tests/fleet, in virtual time: consensus, register and the new decisions as the programs wire them, with operators that race on one number and repeat lost calls, servers that drain, the duty with its fences, cuts, freezes, kills, losses of power and disks, and replacements. Checkers read what callers saw. The former behaviours are mutants: refusals by local state (a thawed primary), configurations from machines out of touch, one copy of a leaving server's word, repeats without copies.

--- a/crates/control-plane/src/acknowledgement.rs
+++ b/crates/control-plane/src/acknowledgement.rs
@@ -85,7 +85,7 @@
             members.into_iter().filter(|member| *member != membership.me).collect();
         // Danger: what a machine that is no member holds does not count, for it may go beside the others.
         let wanted = if is_member { membership.failures.max(1) } else { membership.failures + 1 };
-        let wanted = if injected == Some(InjectedFault::AcknowledgeAfterOneCopy) { 1 } else { wanted };
+        let wanted = if has(injected, InjectedFault::AcknowledgeAfterOneCopy) { 1 } else { wanted };
         let needed = wanted.min(open.len());
         CopyCollection { entry, needed, open, holders: BTreeSet::new(), injected }
     }
@@ -106,7 +106,7 @@
     /// What is answered to the server now.
     pub fn decision(&self, contact: Contact) -> Decision {
         let may_acknowledge =
-            contact.is_in_touch() || self.injected == Some(InjectedFault::AcknowledgeOutOfTouch);
+            contact.is_in_touch() || has(self.injected, InjectedFault::AcknowledgeOutOfTouch);
         if self.holders.len() + self.open.len() < self.needed {
             Decision::Refuse
         } else if self.holders.len() < self.needed {
@@ -159,7 +159,7 @@
         let Some(entry) = register.entry(id).and_then(EntryNumber::of_leaving) else {
             return Start::Acknowledge;
         };
-        if self.injected == Some(InjectedFault::AcknowledgeRepeats) && !heard.urgent {
+        if has(self.injected, InjectedFault::AcknowledgeRepeats) && !heard.urgent {
             return Start::Acknowledge;
         }
         if self.entries.contains(&entry) {
@@ -183,3 +183,7 @@
     vector.0.insert(register.me(), register.version().saturating_sub(LATEST_VERSIONS));
     register.lacking(&vector, MOST_LATEST)
 }
+
+fn has(injected: Option<InjectedFault>, fault: InjectedFault) -> bool {
+    injected.is_some_and(|injected| injected.includes(fault))
+}
--- a/crates/control-plane/src/injected_fault.rs
+++ b/crates/control-plane/src/injected_fault.rs
@@ -14,4 +14,18 @@
     AcknowledgeAfterOneCopy,
     /// The contact and copies of a leaving server's word are not looked at again once one other machine has it.
     AcknowledgeRepeats,
+    /// All three faults of acknowledgements at once.
+    AcknowledgeCarelessly,
+}
+
+impl InjectedFault {
+    /// Whether this fault is, or holds, another one.
+    pub(crate) fn includes(self, other: InjectedFault) -> bool {
+        let all = [
+            InjectedFault::AcknowledgeOutOfTouch,
+            InjectedFault::AcknowledgeAfterOneCopy,
+            InjectedFault::AcknowledgeRepeats,
+        ];
+        self == other || self == InjectedFault::AcknowledgeCarelessly && all.contains(&other)
+    }
 }
--- /dev/null
+++ b/crates/control-plane/tests/fleet/duty.rs
@@ -0,0 +1,62 @@
+//! The holder of the stages duty on a control machine, wired as the program wires it.
+
+use mosshead_headworks::Ballot;
+use mosshead_penstock::{Answer as OrderAnswer, Penstock, Terms, fence};
+
+use crate::messages::{Answer, Call, Party, Purpose};
+use crate::world::World;
+
+const LEASE_MS: u64 = 3_000;
+const MARGIN_MS: u64 = 500;
+const ORDER_MS: u64 = 600;
+
+#[derive(Default)]
+pub struct Duty {
+    held: Option<(Ballot, u64, Penstock)>,
+}
+
+impl World {
+    fn holds(&self, core: usize) -> Option<Ballot> {
+        let node = &self.cores[core].process.as_ref()?.node;
+        node.leads(self.now).then(|| node.ballot())
+    }
+
+    pub fn duty_turn(&mut self, core: usize) {
+        let (now, ballot) = (self.now, self.holds(core));
+        let Some(process) = &mut self.cores[core].process else { return };
+        let Some(ballot) = ballot else {
+            process.duty.held = None;
+            return;
+        };
+        if process.duty.held.as_ref().is_none_or(|held| held.0 != ballot) {
+            process.duty.held = Some((ballot, now, Penstock::new(Terms::default())));
+        }
+        let Some((_, since, penstock)) = &mut process.duty.held else { return };
+        if now < *since + LEASE_MS + MARGIN_MS {
+            return;
+        }
+        let fence = match self.mutant.fence_without_ballot {
+            true => 1,
+            false => fence(ballot.round, ballot.member.0),
+        };
+        for order in penstock.due(now, process.register.servers()) {
+            self.ledger.order_sent((core, self.cores[core].life), fence);
+            let server = self.servers.iter().position(|server| server.word.id == order.id);
+            let Some(server) = server else { continue };
+            let purpose = Purpose::Order { id: order.id.clone() };
+            let call = Call::Order { id: order.id, stage: order.stage, fence };
+            self.request(Party::Control(core), Party::Server(server), call, purpose, ORDER_MS);
+        }
+    }
+
+    pub fn order_answered(&mut self, core: usize, id: &str, answer: Option<Answer>) {
+        let answer = match answer {
+            Some(Answer::Ordered(answer)) => answer,
+            _ => OrderAnswer::Unclear,
+        };
+        let Some(process) = &mut self.cores[core].process else { return };
+        if let Some((_, _, penstock)) = &mut process.duty.held {
+            penstock.answered(id, answer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control-plane/tests/fleet/messages.rs
@@ -0,0 +1,145 @@
+//! What crosses the network, as typed calls and answers.
+
+use std::net::SocketAddrV4;
+
+use mosshead_catchment::{Delta, Server, Stage, Vector};
+use mosshead_control_plane::Contact;
+use mosshead_control_plane::admission::{ChangeAnswer, ReadAnswer};
+use mosshead_control_plane::serving::ConfigOffer;
+use mosshead_headworks::{Member, Message};
+use mosshead_penstock::Answer as OrderAnswer;
+
+/// Who sends and receives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Party {
+    Control(usize),
+    Proxy(usize),
+    Operator(usize),
+    Server(usize),
+}
+
+#[derive(Clone, Debug)]
+pub enum Packet {
+    Consensus { from: Member, message: Message },
+    Request(Inbound, Call),
+    Response { request: u64, answer: Answer },
+}
+
+/// Whom to answer, and under which number.
+#[derive(Clone, Copy, Debug)]
+pub struct Inbound {
+    pub request: u64,
+    pub from: Party,
+}
+
+#[derive(Clone, Debug)]
+pub enum Call {
+    Pull {
+        vector: Vector,
+        is_proxy: bool,
+    },
+    Fetch {
+        have: u64,
+    },
+    Hand {
+        delta: Delta,
+    },
+    Hears {
+        source: u64,
+        digest: Vec<(String, u64)>,
+    },
+    /// An operator's change, by its place in the ledger.
+    Change {
+        change: usize,
+    },
+    Show,
+    Beat(Server),
+    Deregister {
+        id: String,
+    },
+    Order {
+        id: String,
+        stage: Stage,
+        fence: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub enum Answer {
+    Pulled(Pulled),
+    Fetched(Fetched),
+    Handed(Vector),
+    Changed(ChangeAnswer),
+    Shown(ReadAnswer),
+    Heard(Heard),
+    Ordered(OrderAnswer),
+}
+
+#[derive(Clone, Debug)]
+pub struct Pulled {
+    pub revision: u64,
+    pub delta: Delta,
+    pub cores: Vec<SocketAddrV4>,
+    pub contact: Contact,
+    pub wants: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Fetched {
+    pub offer: ConfigOffer,
+    /// How long the machine had been cut off from a majority when it answered: the network's truth, for the checker.
+    pub isolated_ms: u64,
+}
+
+/// The answer to a server's word.
+#[derive(Clone, Copy, Debug)]
+pub struct Heard {
+    pub is_acknowledged: bool,
+    /// As with [`Fetched`].
+    pub isolated_ms: u64,
+}
+
+/// What a request was sent for.
+#[derive(Clone, Debug)]
+pub enum Purpose {
+    ProxyPull {
+        slot: usize,
+        core: SocketAddrV4,
+    },
+    ProxyFetch {
+        core: SocketAddrV4,
+        whole: bool,
+    },
+    Copy {
+        collection: u64,
+        other: SocketAddrV4,
+        again: bool,
+    },
+    Follow {
+        other: SocketAddrV4,
+    },
+    /// With the highest revision that was acknowledged when it was sent.
+    OperatorChange {
+        change: usize,
+        acknowledged: u64,
+    },
+    OperatorShow {
+        acknowledged: u64,
+    },
+    /// A heartbeat or a deregistration; whether it says that the server leaves.
+    ServerWord {
+        leaves: bool,
+    },
+    Order {
+        id: String,
+    },
+    Nothing,
+}
+
+/// A request that has no answer yet.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    pub from: Party,
+    pub life: u64,
+    pub purpose: Purpose,
+}
