Take the tests that others have added to the digest of 32 bytes

Cause: the tests of large states and of the limits came with a digest of 64 bits while it became one of 32 bytes; they did not compile. Change: the typed digest in them, nothing else.

--- a/crates/headworks/tests/codec.rs
+++ b/crates/headworks/tests/codec.rs
@@ -67,7 +67,7 @@
     let previous = state(g);
     let longer = Delta::between(&previous.body, &[&previous.body[..], &[7; 9]].concat());
     let shorter = Delta::between(&[1; 50], &[1; 40]).expect("a delta");
-    let call = Call { revision: u64::arbitrary(g) % 6, digest: u64::arbitrary(g) };
+    let call = Call { revision: u64::arbitrary(g) % 6, digest: digest(u64::arbitrary(g)) };
     let delta = longer.unwrap_or(shorter);
     StateChange { previous: previous.version(), ballot: ballot(g), call, delta }
 }
--- a/crates/headworks/tests/fleet/large.rs
+++ b/crates/headworks/tests/fleet/large.rs
@@ -6,7 +6,7 @@
 use mosshead_headworks::{Flaw, Input, MAX_BODY_BYTES, Message, Node, PieceSizes, Verdict};
 use rand_core::RngCore;
 
-use crate::book::{Change, Kind};
+use crate::book::{Change, Kind, digest};
 use crate::day::Act;
 use crate::scenarios::{calm_with, lead, other_lead, roles, told, verdict_at, want};
 use crate::world::{Bandwidth, World};
@@ -49,12 +49,12 @@
 /// A change of a few bytes somewhere in the present configuration.
 fn small_change(world: &mut World, machine: usize) -> Option<Change> {
     let state = world.node(machine)?.committed()?.clone();
-    let digest = world.rng.next_u64();
+    let number = world.rng.next_u64();
     let mut body = state.body.to_vec();
     let at = world.below(body.len() as u64) as usize;
     let end = (at + 40).min(body.len());
-    body.splice(at..end, digest.to_le_bytes().repeat(5).into_iter().take(end - at));
-    Some(Change { base: state.revision, revision: state.revision + 1, digest, body })
+    body.splice(at..end, number.to_le_bytes().repeat(5).into_iter().take(end - at));
+    Some(Change { base: state.revision, revision: state.revision + 1, digest: digest(number), body })
 }
 
 /// Changes follow each other for a while; says how many were taken.
--- a/crates/works/tests/limits.rs
+++ b/crates/works/tests/limits.rs
@@ -1,7 +1,9 @@
 //! The largest state that may be taken can be sent and written.
 
 use mosshead_culvert::MAX_BODY;
-use mosshead_headworks::{Ballot, Call, MAX_BODY_BYTES, MAX_STATE_BYTES, Member, MemberId, Message, State};
+use mosshead_headworks::{
+    Ballot, Call, CallDigest, MAX_BODY_BYTES, MAX_STATE_BYTES, Member, MemberId, Message, State,
+};
 use mosshead_works::calls::Epoch;
 use mosshead_works::limits::MAX_REQUEST_BYTES;
 
@@ -10,7 +12,7 @@
     let ballot = Ballot { round: u64::MAX, member: MemberId(u64::MAX) };
     let empty = State { ballot, origin: ballot, revision: u64::MAX, ..State::default() };
     let body: std::sync::Arc<[u8]> = vec![b'x'; MAX_BODY_BYTES].into();
-    let call = |back: u64| Call { revision: u64::MAX - back, digest: u64::MAX };
+    let call = |back: u64| Call { revision: u64::MAX - back, digest: CallDigest([u8::MAX; 32]) };
     (0..2_000).rev().fold(empty, |state, back| state.after(ballot, call(back), body.clone()))
 }
 
