Count a lost primary as silent for its time of suspicion, not since its last word

Cause: the moment when the old primary was last heard went into the new primary's state, and the model walked four minutes in place of ten seconds over states that differ in this moment only.

Change: a primary that has no part in the take-over and is suspected counts as silent for the time that made it suspected. The mutant NoStamp may also be found by the rule "contact" (a machine in touch shows less than was acknowledged): with the messages that newcomers send now, a first storm ends there.

--- a/crates/headworks/src/primary.rs
+++ b/crates/headworks/src/primary.rs
@@ -5,7 +5,7 @@
 use crate::change::StateChange;
 use crate::contact::ContactStamp;
 use crate::message::Message;
-use crate::node::{Leader, Node, Role};
+use crate::node::{Node, Role};
 use crate::quorum::Votes;
 use crate::settings::Flaw;
 use crate::transfer::StatePurpose;
@@ -148,9 +148,8 @@
                 // Until it says otherwise.
                 peer.fit = true;
             }
-            if let Some(leader) = silent_leader.as_ref().filter(|leader| leader.member.id == member.id) {
-                peer.heard = leader.heard;
-                peer.well = leader.heard;
+            if silent_leader == Some(member.id) {
+                peer.well = now.saturating_sub(self.settings.timings.suspect);
             }
             if votes.covers(&member) {
                 peer.founder = votes.is_founder(member.id);
@@ -163,12 +162,11 @@
         }
     }
 
-    /// The primary before, if it has no part in this take-over: its silence began when it was heard last.
-    fn silent_leader(&self, votes: &Votes) -> Option<Leader> {
-        if self.settings.has(Flaw::ForgetSilence) {
-            return None;
-        }
-        self.leader.clone().filter(|leader| !votes.covers(&leader.member))
+    /// The primary before, if it has no part in this take-over and is suspected.
+    fn silent_leader(&self, votes: &Votes) -> Option<MemberId> {
+        let leader = self.leader.as_ref().filter(|leader| !votes.covers(&leader.member))?;
+        let suspected = self.now.saturating_sub(leader.heard) >= self.settings.timings.suspect;
+        (suspected && !self.settings.has(Flaw::ForgetSilence)).then_some(leader.member.id)
     }
 
     /// The highest value that a majority of the members has reached, as the primary knows it.
--- a/crates/headworks/tests/fleet/mutants.rs
+++ b/crates/headworks/tests/fleet/mutants.rs
@@ -55,7 +55,7 @@
 
 #[test]
 fn backups_without_the_state() {
-    finds(Flaw::NoStamp, &["lost", "settled", "race", "stale"]);
+    finds(Flaw::NoStamp, &["lost", "settled", "race", "stale", "contact"]);
 }
 
 #[test]
