--- a/crates/control-plane/tests/fleet/day.rs
+++ b/crates/control-plane/tests/fleet/day.rs
@@ -79,7 +79,6 @@
         self.after_change = None;
         self.after_drain = None;
         self.heal_all();
-        self.operators.iter_mut().for_each(Operator::read_back_next);
         let accepted = self.ledger.accepted_count();
         self.run(CALM_MS)?;
         let (now, reads) = (self.now, self.ledger.reads);
@@ -93,6 +92,7 @@
                 return Err(format!("at {now}: proxy {index} has {revision}, and {wanted} was acknowledged"));
             }
         }
+        self.operators.iter_mut().for_each(Operator::read_back_next);
         self.run(3_000)?;
         if self.ledger.reads == reads {
             return Err("nothing was read back in the calm".into());
--- a/crates/control-plane/tests/fleet/operator.rs
+++ b/crates/control-plane/tests/fleet/operator.rs
@@ -23,13 +23,15 @@
     redirects: usize,
     is_waiting: bool,
     rests_until: u64,
-    pub is_dismissed: bool,
+    /// Reads the configuration back before its next new change.
+    reads_next: bool,
 }
 
 impl Operator {
     /// Reads the configuration back before its next change.
     pub fn read_back_next(&mut self) {
         self.base = None;
+        self.reads_next = true;
     }
 }
 
@@ -43,7 +45,7 @@
     pub fn operator_timer(&mut self, index: usize) {
         self.after(TURN_MS, Event::Operator { operator: index });
         let operator = &mut self.operators[index];
-        if operator.is_waiting || self.now < operator.rests_until || operator.is_dismissed {
+        if operator.is_waiting || self.now < operator.rests_until {
             return;
         }
         operator.redirects = 0;
@@ -140,7 +142,7 @@
         operator.change = None;
         operator.rests_until = self.now + rest;
         let is_repeat = operator.accepted.contains(&change);
-        operator.base = (goes_on && !is_repeat).then_some(base);
+        operator.base = (goes_on && !is_repeat && !operator.reads_next).then_some(base);
         operator.accepted.push(change);
         if operator.accepted.len() > 40 {
             operator.accepted.remove(0);
@@ -155,6 +157,9 @@
     }
 
     fn show_answered(&mut self, index: usize, acknowledged: u64, answer: ReadAnswer) {
+        if matches!(answer, ReadAnswer::Current(_) | ReadAnswer::Empty) {
+            self.operators[index].reads_next = false;
+        }
         match answer {
             ReadAnswer::Current(state) => {
                 let text = String::from_utf8_lossy(&state.body).into_owned();
