Count members that had no part in a take-over as silent for some time already

Cause: a new primary counted the silence of lost members from its own beginning. Change: such a member counts as silent for the suspicion time less two heartbeats, in which it can answer.

--- a/crates/headworks/src/primary.rs
+++ b/crates/headworks/src/primary.rs
@@ -137,7 +137,15 @@
         for peer in self.peers.values_mut() {
             peer.acked = 0;
         }
-        let silent_leader = self.silent_leader(votes).filter(|_| !renewal);
+        let silent_leader = self.silent_leader(votes);
+        let timings = &self.settings.timings;
+        // Who has no part in the take-over is missed for nearly as long as its primary was: it has two heartbeats to answer.
+        let unheard = match self.settings.has(Flaw::ForgetSilence) {
+            true => 0,
+            false => timings.suspect.saturating_sub(2 * timings.heartbeat),
+        };
+        let suspect = timings.suspect;
+        let silence = |id| if silent_leader == Some(id) { suspect } else { unheard };
         for member in record.voters() {
             if member.id == self.me.id || member.id == MemberId(0) {
                 continue;
@@ -148,8 +156,8 @@
                 // Until it says otherwise.
                 peer.fit = true;
             }
-            if silent_leader == Some(member.id) {
-                peer.well = now.saturating_sub(self.settings.timings.suspect);
+            if !renewal {
+                peer.well = now.saturating_sub(silence(member.id));
             }
             if votes.covers(&member) {
                 peer.founder = votes.is_founder(member.id);
