--- a/crates/works/src/settings.rs
+++ b/crates/works/src/settings.rs
@@ -85,6 +85,12 @@
 
     /// Reads settings.
     pub fn read(text: &[u8]) -> Result<Self, Fault> {
+        // Danger: the library's decoder panics at the start of a byte order mark that is cut off.
+        if let Err(error) = std::str::from_utf8(text) {
+            let sound = text.get(..error.valid_up_to()).unwrap_or_default();
+            let line = 1 + sound.iter().filter(|byte| **byte == b'\n').count();
+            return Err(Fault::Line(line, "is not UTF-8".into()));
+        }
         let mut values = BTreeMap::new();
         for line in PropertiesIter::new(text) {
             let line =
--- a/crates/works/tests/settings.rs
+++ b/crates/works/tests/settings.rs
@@ -130,6 +130,14 @@
     assert_eq!(Settings::load(&path).expect("sound").keepalive_ms, 1200);
 }
 
+#[test]
+fn a_byte_order_mark_that_is_cut_off_is_a_fault_of_its_line() {
+    for bytes in [&[0xEF][..], &[0xEF, 0xBB], b"a=b\n\xEF"] {
+        let fault = Settings::read(bytes).expect_err("no text");
+        assert!(fault.to_string().starts_with("S02 line"), "{fault}");
+    }
+}
+
 quickcheck! {
     fn any_bytes_do_no_harm(bytes: Vec<u8>) -> bool {
         let _ = Settings::read(&bytes);
