Bring the configuration to proxies packed and in pieces

Cause: a change of 6,000 routes is a patch of 1.5 MB. On links of 10 Mbit/s, 81 proxies at once, it took longer than the 1.5 s of its one call; the proxies gave up and began anew, filled the links with it, and none had it in time. Change: Fetch carries packed pieces of 64 KiB, asked for one after the other, each with a deadline of its own; receivers with the same configuration share a transfer, and it goes on while newer configurations are committed.

--- a/crates/soundings/src/configuration.rs
+++ b/crates/soundings/src/configuration.rs
@@ -5,6 +5,7 @@
 
 use mosshead_mains::Config;
 use mosshead_works::calls::{Fetch, Fetched};
+use mosshead_works::config_transfer::{OutgoingTransfers, PieceRequest};
 
 use crate::counter::{encoded, processor_time};
 use crate::memory;
@@ -103,7 +104,9 @@
             first.find(&format!("tenant-{}.example", next % 1800), &format!("/v1/part-{}/x", next / 1800))
         });
         let answer = Fetched { revision: 2, patches: vec![patch], whole: None };
-        let bytes = encoded(&Fetch { revision: 1 }).len() + encoded(&answer).len();
+        let request = PieceRequest { have: 1, target: 0, offset: 0 };
+        let piece = OutgoingTransfers::default().piece(request, 2, || answer);
+        let bytes = encoded(&Fetch(request)).len() + encoded(&piece).len();
         let share = 1e-6 * 100.0 * CHANGES_A_SECOND;
         table.row(
             size,
@@ -123,6 +126,6 @@
         );
     }
     table.notes.push("find includes the making of its host and path".into());
-    table.notes.push("a change: Fetch and Fetched with one patch, without HTTP headers".into());
+    table.notes.push("a change: Fetch and its only piece, one patch packed, without HTTP headers".into());
     table
 }
--- a/crates/works/src/calls.rs
+++ b/crates/works/src/calls.rs
@@ -8,6 +8,8 @@
 use mosshead_culvert::{Call, RetryPolicy};
 use mosshead_headworks::{Member, Message};
 
+use crate::config_transfer::{Piece, PieceRequest};
+
 /// What is newer than this? Answered when something is, or after `wait_ms`.
 #[derive(Clone, Debug, Encode, Decode)]
 pub struct Pull {
@@ -69,16 +71,13 @@
     type Answer = Pulled;
 }
 
-/// The configuration, from what the asker has.
-#[derive(Clone, Debug, Encode, Decode)]
-pub struct Fetch {
-    /// What it has; 0: nothing.
-    #[n(0)]
-    pub revision: u64,
-}
+/// A piece of the configuration, from what the asker has.
+#[derive(Clone, Copy, Debug, Encode, Decode)]
+#[cbor(transparent)]
+pub struct Fetch(#[n(0)] pub PieceRequest);
 
 /// The way to the newest configuration; none, and revision 0, from a machine that is not in touch or has none.
-#[derive(Clone, Debug, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Fetched {
     /// Where the way leads.
     #[n(0)]
@@ -116,7 +115,7 @@
 impl Call for Fetch {
     const NAME: &'static str = "Fetch";
     const RETRY: RetryPolicy = RetryPolicy::Always;
-    type Answer = Fetched;
+    type Answer = Piece;
 }
 
 /// Entries of the register that the other should have: urgent ones, or all after it lost its memory.
--- a/crates/works/src/core.rs
+++ b/crates/works/src/core.rs
@@ -25,6 +25,7 @@
 use tokio::time::{Duration, Instant, timeout};
 
 pub use self::host::serve;
+use crate::config_transfer::OutgoingTransfers;
 use crate::gossip::Gossip;
 use crate::message_lanes::MessageLanes;
 use crate::puller::millis;
@@ -46,6 +47,7 @@
     asks: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
     next_ask: Cell<u64>,
     history: RefCell<ConfigHistory>,
+    transfers: RefCell<OutgoingTransfers>,
     acknowledgements: RefCell<Acknowledgements>,
     news: watch::Sender<u64>,
     askers: RefCell<HashMap<String, Instant>>,
--- a/crates/works/src/core/host.rs
+++ b/crates/works/src/core/host.rs
@@ -81,7 +81,7 @@
         (core.clone(), core.clone(), core.clone(), core.clone(), core.clone());
     Handlers::new()
         .on::<Pull>(async move |call, _| Ok(pull.clone().pull(call).await))
-        .on::<Fetch>(async move |call, _| Ok(fetch.fetch(call.revision)))
+        .on::<Fetch>(async move |call, _| Ok(fetch.fetch(call.0)))
         .on::<Hand>(async move |call, _| {
             let changed = hand.hand(call.delta);
             Ok(Handed { changed, vector: hand.register.borrow().vector() })
@@ -123,6 +123,7 @@
         asks: RefCell::default(),
         next_ask: Cell::new(1),
         history: RefCell::default(),
+        transfers: RefCell::default(),
         acknowledgements: RefCell::default(),
         news: watch::Sender::new(0),
         askers: RefCell::default(),
--- a/crates/works/src/core/serving.rs
+++ b/crates/works/src/core/serving.rs
@@ -9,6 +9,7 @@
 
 use super::Core;
 use crate::calls::{Fetched, Pull, Pulled};
+use crate::config_transfer::{Piece, PieceRequest};
 
 /// Entries given at once.
 const PAGE: usize = 400;
@@ -30,8 +31,14 @@
         }
     }
 
-    pub(super) fn fetch(&self, have: u64) -> Fetched {
-        Fetched::from_offer(self.history.borrow().offer(have, self.contact()))
+    pub(super) fn fetch(&self, request: PieceRequest) -> Piece {
+        let (history, contact) = (self.history.borrow(), self.contact());
+        let newest = history.advertised_revision(contact);
+        if newest == 0 {
+            return Piece::withheld();
+        }
+        let offer = || Fetched::from_offer(history.offer(request.have, contact));
+        self.transfers.borrow_mut().piece(request, newest, offer)
     }
 
     pub(super) fn proxies(&self) -> u32 {
--- a/crates/works/src/lib.rs
+++ b/crates/works/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod calls;
 pub mod command;
+pub mod config_transfer;
 pub mod control;
 pub mod core;
 pub mod duties;
--- a/crates/works/src/puller.rs
+++ b/crates/works/src/puller.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Duration, Instant, sleep};
 
 use crate::calls::{Fetch, Hand, Pull, Pulled};
+use crate::config_transfer::{IncomingTransfer, TransferProgress};
 
 /// From so many machines of the core a proxy pulls at once.
 pub const SLOTS: usize = 3;
@@ -29,7 +30,7 @@
 const IDLE: Duration = Duration::from_millis(150);
 /// The revision to ask from for the whole configuration.
 const WHOLE: u64 = 0;
-/// The whole configuration comes within this.
+/// A piece of the configuration comes within this.
 const FETCH: Duration = Duration::from_millis(1500);
 
 /// Who takes what was pulled.
@@ -203,8 +204,15 @@
         revision: u64,
         have: Option<&Config>,
     ) -> Option<Assembled> {
-        let fetched = self.caller.call(core, &Fetch { revision }, FETCH).await.ok()?;
-        Some(assemble(have, &fetched.into_offer()))
+        let mut transfer = IncomingTransfer::new(revision);
+        loop {
+            let piece = self.caller.call(core, &Fetch(transfer.request()), FETCH).await.ok()?;
+            match transfer.take(&piece) {
+                TransferProgress::More => {}
+                TransferProgress::Complete(fetched) => return Some(assemble(have, &fetched.into_offer())),
+                TransferProgress::Broken => return None,
+            }
+        }
     }
 }
 
--- a/crates/works/tests/calls.rs
+++ b/crates/works/tests/calls.rs
@@ -8,6 +8,7 @@
 use mosshead_catchment::{Delta, Entry, Model, OperState, Server, SourceId, Stage, Vector};
 use mosshead_headworks::{Ballot, Member, MemberId, Message, Record, State, Version};
 use mosshead_works::calls::{Epoch, Fetch, Fetched, Hand, Handed, Hears, Pull, Pulled};
+use mosshead_works::config_transfer::PieceRequest;
 use quickcheck::quickcheck;
 
 /// Encoded, decoded and encoded again it is the same; cut off or followed by garbage it does no harm.
@@ -113,7 +114,7 @@
     }
 
     fn a_fetch(revision: u64, patches: Vec<String>, whole: Option<String>) -> bool {
-        round(&Fetch { revision }) && round(&Fetched { revision, patches, whole })
+        round(&Fetch(PieceRequest { have: revision, target: revision / 2, offset: revision / 3 })) && round(&Fetched { revision, patches, whole })
     }
 
     fn a_hand_over(text: String, number: u64, of: Vec<(u64, u64)>, mark: bool) -> bool {
