--- a/crates/soundings/src/configuration.rs
+++ b/crates/capacity-bench/src/configuration.rs
@@ -3,9 +3,9 @@
 use std::fmt::Write;
 use std::hint::black_box;
 
-use mosshead_mains::Config;
-use mosshead_works::calls::{Fetch, Fetched};
-use mosshead_works::config_transfer::{OutgoingTransfers, PieceRequest};
+use mosshead_config::Config;
+use mosshead_programs::calls::{Fetch, Fetched};
+use mosshead_programs::config_transfer::{OutgoingTransfers, PieceRequest};
 
 use crate::counter::{encoded, processor_time};
 use crate::memory;
--- a/crates/soundings/src/control_state.rs
+++ b/crates/capacity-bench/src/control_state.rs
@@ -3,8 +3,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-use mosshead_headworks::{CallDigest, Input, Member, Message, Node, Output, Settings, Verdict};
-use mosshead_works::calls::Epoch;
+use mosshead_consensus::{CallDigest, Input, Member, Message, Node, Output, Settings, Verdict};
+use mosshead_programs::calls::Epoch;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -161,7 +161,7 @@
         "us a change",
         "KB/s at 11,000/day",
     ];
-    let title = format!("Control state (headworks), changes of {routes} routes");
+    let title = format!("Control state (consensus), changes of {routes} routes");
     let mut table = Table::new(title, "members", &columns);
     for &size in sizes {
         let before = memory::resident();
--- a/crates/soundings/src/fleet.rs
+++ b/crates/capacity-bench/src/fleet.rs
@@ -4,10 +4,10 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddrV4;
 
-use mosshead_catchment::{Catchment, Delta, SourceId, Vector};
-use mosshead_works::calls::{Hand, Handed, Hears, Pull, Pulled};
-use mosshead_works::control;
-use mosshead_works::puller::SLOTS;
+use mosshead_programs::calls::{Hand, Handed, Hears, Pull, Pulled};
+use mosshead_programs::control;
+use mosshead_programs::puller::SLOTS;
+use mosshead_registry::{Delta, Registry, SourceId, Vector};
 
 use crate::counter::{Counter, encoded};
 use crate::memory;
@@ -57,7 +57,7 @@
 pub struct Core {
     /// In and out.
     pub counter: Counter,
-    pub(crate) register: Catchment,
+    pub(crate) register: Registry,
     pub(crate) open: BTreeMap<u64, Open>,
 }
 
@@ -65,7 +65,7 @@
 pub struct Proxy {
     /// In and out; the time only of those with a register.
     pub counter: Counter,
-    pub(crate) register: Option<Catchment>,
+    pub(crate) register: Option<Registry>,
     pub(crate) vector: Vector,
 }
 
@@ -110,7 +110,7 @@
     pub fn new(size: Size) -> Fleet {
         let core = |at| Core {
             counter: Counter::default(),
-            register: Catchment::new(SourceId(SOURCE + at as u64), KEEPALIVE),
+            register: Registry::new(SourceId(SOURCE + at as u64), KEEPALIVE),
             open: BTreeMap::new(),
         };
         let server = |_| Server { generation: 1, sequence: 0, state: "up", beats: true };
@@ -161,7 +161,7 @@
         let vector = self.cores.first().map(|core| core.register.vector()).unwrap_or_default();
         for at in 0..size.pullers {
             let register = (at < size.real).then(|| {
-                let mut register = Catchment::follower(SourceId(1 + at as u64), KEEPALIVE);
+                let mut register = Registry::follower(SourceId(1 + at as u64), KEEPALIVE);
                 let mut have = Vector::default();
                 while let Some(core) = self.cores.first() {
                     let delta = core.register.lacking(&have, PAGE);
@@ -350,7 +350,7 @@
 
     fn hand_all(&mut self, from: usize, to: usize) {
         let Some(core) = self.cores.get(from) else { return };
-        let mine = |entry: &&mosshead_catchment::Entry| entry.source == core.register.me();
+        let mine = |entry: &&mosshead_registry::Entry| entry.source == core.register.me();
         let entries = core.register.entries().filter(mine).cloned().collect();
         let vector = Vector([(core.register.me(), core.register.version())].into());
         let delta = Delta { entries, vector: vector.clone(), more: true, ..Delta::default() };
--- a/crates/soundings/src/listing.rs
+++ b/crates/capacity-bench/src/listing.rs
@@ -1,8 +1,8 @@
 //! The part of a proxy's list: the register walked whole into the board, once a second and at each change.
 
-use mosshead_catchment::{Catchment, SourceId};
-use mosshead_weir::{BudgetTerms, Terms, Weir};
-use mosshead_works::control;
+use mosshead_programs::control;
+use mosshead_registry::{Registry, SourceId};
+use mosshead_routing::{BudgetTerms, Router, Terms};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -14,26 +14,26 @@
 /// Lists of these sizes, each walked `turns` times after a first time.
 pub fn cost(sizes: &[usize], turns: u64) -> Table {
     let columns = ["us the first", "us again", "core % once a second", "KB of board"];
-    let mut table = Table::new("A proxy's list (weir)", "servers", &columns);
+    let mut table = Table::new("A proxy's list (router)", "servers", &columns);
     for &size in sizes {
-        let mut register = Catchment::new(SourceId(1), KEEPALIVE);
+        let mut register = Registry::new(SourceId(1), KEEPALIVE);
         for at in 0..size {
             let beat = control::beat(&format!("instance-{at:05}-0001"), body(at, 1, "up").as_bytes());
             beat.map(|server| register.beat(1, server));
         }
         let terms = Terms::new(BudgetTerms { ratio: 0.2, extra: 52.0, window: 10_000 });
-        let mut weir = Weir::new(terms, "region-1-zone-1", Pcg64Mcg::seed_from_u64(1));
+        let mut router = Router::new(terms, "region-1-zone-1", Pcg64Mcg::seed_from_u64(1));
         let (mut first, mut again) = (Counter::default(), Counter::default());
         let before = memory::resident();
-        first.time(|| weir.list(register.servers()));
+        first.time(|| router.list(register.servers()));
         let kb = memory::each(before, memory::resident(), 1) / 1024.0;
-        (0..turns).for_each(|_| again.time(|| weir.list(register.servers())));
+        (0..turns).for_each(|_| again.time(|| router.list(register.servers())));
         let micros = again.busy.as_secs_f64() * 1e6 / turns.max(1) as f64;
         table.row(size, vec![first.busy.as_secs_f64() * 1e6, micros, micros * 1e-4, kb]);
-        std::mem::forget((register, weir));
+        std::mem::forget((register, router));
     }
     table.notes.push(
-        "crates/works/src/proxy.rs does this every second and with each answer that brings entries".into(),
+        "crates/programs/src/proxy.rs does this every second and with each answer that brings entries".into(),
     );
     table
 }
--- a/crates/soundings/src/main.rs
+++ b/crates/capacity-bench/src/main.rs
@@ -3,8 +3,8 @@
 use std::time::Instant;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use mosshead_soundings::fleet::Size;
-use mosshead_soundings::{configuration, control_state, listing, membership, memory, registry};
+use mosshead_capacity_bench::fleet::Size;
+use mosshead_capacity_bench::{configuration, control_state, listing, membership, memory, registry};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Part {
--- a/crates/soundings/src/membership.rs
+++ b/crates/capacity-bench/src/membership.rs
@@ -28,7 +28,7 @@
         "bytes/s in news",
         "core % in news",
     ];
-    let mut table = Table::new("Membership (ripple), calm and while it forms", "members", &columns);
+    let mut table = Table::new("Membership (membership), calm and while it forms", "members", &columns);
     for &size in sizes {
         let before = memory::resident();
         let mut pool = Pool::new(size, CORES.min(size / 10), size as u64);
@@ -58,7 +58,9 @@
     table.notes.push(
         "in news: the first 5 s after all know of all; s of news: from then until datagrams are short".into(),
     );
-    table.notes.push("a list of cores: what crates/works/src/core.rs walks for each answer to a pull".into());
+    table
+        .notes
+        .push("a list of cores: what crates/programs/src/core.rs walks for each answer to a pull".into());
     table
 }
 
@@ -79,11 +81,11 @@
 
 /// Microseconds of one walk over all members for those of the core.
 fn walk(pool: &Pool) -> f64 {
-    let Some(ripple) = pool.ripples().next() else { return 0.0 };
+    let Some(membership) = pool.ripples().next() else { return 0.0 };
     let start = processor_time();
     let turns = 200;
     for _ in 0..turns {
-        let cores = ripple.members().filter(|(peer, health)| peer.core && health.lives());
+        let cores = membership.members().filter(|(peer, health)| peer.core && health.lives());
         black_box(cores.map(|(peer, _)| peer.address).collect::<Vec<_>>());
     }
     processor_time().saturating_sub(start).as_secs_f64() * 1e6 / f64::from(turns)
--- a/crates/soundings/src/pool.rs
+++ b/crates/capacity-bench/src/pool.rs
@@ -4,7 +4,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use mosshead_ripple::{Peer, Ripple, Settings};
+use mosshead_membership::{Membership, Peer, Settings};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -25,7 +25,7 @@
 
 struct Member {
     peer: Peer,
-    ripple: Option<Ripple>,
+    membership: Option<Membership>,
     wake: u64,
 }
 
@@ -92,7 +92,7 @@
             let name = format!("edge-{}-{machine}", machine % ZONES);
             let peer = Peer { name, life: 0, address: address(machine), core: machine < cores, zone };
             pool.places.insert(peer.address, machine);
-            pool.members.push(Member { peer, ripple: None, wake: u64::MAX });
+            pool.members.push(Member { peer, membership: None, wake: u64::MAX });
             let at = pool.generator.next_u64() % 3000;
             pool.start(machine, at);
         }
@@ -106,7 +106,7 @@
         let seeds = self.seeds.clone();
         let Some(member) = self.members.get_mut(machine) else { return };
         member.peer.life = life;
-        member.ripple = Ripple::new(member.peer.clone(), seeds, Settings::default(), generator).ok();
+        member.membership = Membership::new(member.peer.clone(), seeds, Settings::default(), generator).ok();
         member.wake = u64::MAX;
         self.wake(machine, at);
     }
@@ -114,7 +114,7 @@
     /// Ends without a word.
     pub fn kill(&mut self, machine: usize) {
         if let Some(member) = self.members.get_mut(machine) {
-            member.ripple = None;
+            member.membership = None;
         }
     }
 
@@ -126,7 +126,7 @@
     /// Starts all that have ended.
     pub fn start_ended(&mut self) {
         let now = self.now;
-        let ended = |pool: &Pool, at: usize| pool.members.get(at).is_some_and(|it| it.ripple.is_none());
+        let ended = |pool: &Pool, at: usize| pool.members.get(at).is_some_and(|it| it.membership.is_none());
         for machine in 0..self.size() {
             if ended(self, machine) {
                 self.start(machine, now);
@@ -141,25 +141,26 @@
 
     /// How many run.
     pub fn running(&self) -> usize {
-        self.members.iter().filter(|member| member.ripple.is_some()).count()
+        self.members.iter().filter(|member| member.membership.is_some()).count()
     }
 
     /// Whether each that runs counts as many members as run.
     pub fn agree(&self) -> bool {
         let running = self.running();
-        self.ripples().all(|ripple| ripple.count(true) + ripple.count(false) == running)
+        self.ripples().all(|membership| membership.count(true) + membership.count(false) == running)
     }
 
     /// Whether all that run know a member by its present life.
     pub fn knows_life_of(&self, machine: usize) -> bool {
         let Some(member) = self.members.get(machine) else { return false };
         let is_it = |peer: &Peer| peer.life == member.peer.life && peer.name == member.peer.name;
-        self.ripples().all(|ripple| ripple.members().any(|(peer, health)| health.lives() && is_it(peer)))
+        self.ripples()
+            .all(|membership| membership.members().any(|(peer, health)| health.lives() && is_it(peer)))
     }
 
     /// The members' state machines.
-    pub fn ripples(&self) -> impl Iterator<Item = &Ripple> {
-        self.members.iter().filter_map(|member| member.ripple.as_ref())
+    pub fn ripples(&self) -> impl Iterator<Item = &Membership> {
+        self.members.iter().filter_map(|member| member.membership.as_ref())
     }
 
     /// Runs until all agree; how long that took, none if not within `most` milliseconds.
@@ -189,16 +190,16 @@
         let (now, counter) = (self.now, &mut self.counter);
         let Some(member) = self.members.get_mut(due.member) else { return };
         let is_late = matches!(due.act, Act::Wake) && member.wake != due.at;
-        let (Some(ripple), false) = (member.ripple.as_mut(), is_late) else { return };
+        let (Some(membership), false) = (member.membership.as_mut(), is_late) else { return };
         let (from, mut out) = (member.peer.address, Vec::new());
         let next = counter.time(|| {
             if let Act::Deliver(from, bytes) = &due.act {
-                out = ripple.receive(now, *from, bytes);
+                out = membership.receive(now, *from, bytes);
             }
-            out.extend(ripple.tick(now));
+            out.extend(membership.tick(now));
             // The host folds its views of them; kept here, they would only grow.
-            drop(ripple.changes());
-            ripple.next_wake(now).clamp(now + WAKE.0, now + WAKE.1)
+            drop(membership.changes());
+            membership.next_wake(now).clamp(now + WAKE.0, now + WAKE.1)
         });
         if member.wake <= now || next < member.wake {
             self.wake(due.member, next);
--- a/crates/soundings/src/pulls.rs
+++ b/crates/capacity-bench/src/pulls.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddrV4;
 
-use mosshead_catchment::{Delta, SourceId};
-use mosshead_works::calls::{Pull, Pulled};
+use mosshead_programs::calls::{Pull, Pulled};
+use mosshead_registry::{Delta, SourceId};
 
 use crate::counter::encoded;
 use crate::fleet::{Asker, Event, Fleet, Open, PAGE, Proxy, SOURCE, WAIT};
--- a/crates/soundings/src/registry.rs
+++ b/crates/capacity-bench/src/registry.rs
@@ -9,7 +9,7 @@
 
 /// What was counted in a span.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Sounding {
+pub struct Measurement {
     /// Each proxy.
     pub proxy: Rates,
     /// The core process that does most.
@@ -19,7 +19,7 @@
 }
 
 /// Counts for a span, with `churn` ends of servers a second.
-pub fn sound(fleet: &mut Fleet, span_ms: u64, churn: u64) -> Sounding {
+pub fn sound(fleet: &mut Fleet, span_ms: u64, churn: u64) -> Measurement {
     fleet.clear();
     for _ in 0..span_ms / 1_000 {
         (0..churn).for_each(|_| fleet.churn());
@@ -34,7 +34,7 @@
     fleet.cores.iter().for_each(|it| core.add(&it.counter));
     let busiest = fleet.cores.iter().map(|core| core.counter).max_by_key(|counter| counter.busy);
     let share = real.rates(span, count).share;
-    Sounding {
+    Measurement {
         proxy: Rates { share, ..all.rates(span, fleet.proxies.len()) },
         busiest: busiest.unwrap_or_default().rates(span, 1),
         core: core.rates(span, fleet.cores.len()),
@@ -43,7 +43,7 @@
 
 /// Runs these sizes: three tables, of proxies, of core processes, and of one change.
 pub fn cost(by: &'static str, sizes: &[Size], span_ms: u64) -> Vec<Table> {
-    let title = |what: &str| format!("Register of servers (catchment) by {by}: {what}");
+    let title = |what: &str| format!("Register of servers (registry) by {by}: {what}");
     let columns = ["msgs/s", "bytes/s", "core %", "MB each", "KB a list", "ms a list"];
     let mut proxies = Table::new(title("a proxy, calm"), by, &columns);
     let columns =
--- a/crates/soundings/tests/small.rs
+++ b/crates/capacity-bench/tests/small.rs
@@ -1,11 +1,11 @@
 //! Each part at small sizes.
 
-use mosshead_mains::Config;
-use mosshead_soundings::control_state::Bench;
-use mosshead_soundings::fleet::{Fleet, KEEPALIVE, Size, body};
-use mosshead_soundings::membership::{self, Trouble};
-use mosshead_soundings::pool::Pool;
-use mosshead_soundings::{configuration, control_state, listing, registry};
+use mosshead_capacity_bench::control_state::Bench;
+use mosshead_capacity_bench::fleet::{Fleet, KEEPALIVE, Size, body};
+use mosshead_capacity_bench::membership::{self, Trouble};
+use mosshead_capacity_bench::pool::Pool;
+use mosshead_capacity_bench::{configuration, control_state, listing, registry};
+use mosshead_config::Config;
 
 const SMALL: Size = Size { servers: 60, sources: 5, pullers: 20, real: 4 };
 
@@ -42,7 +42,7 @@
     assert!(fleet.agree());
     fleet.run(10 * KEEPALIVE);
     assert_eq!(fleet.known(), 60);
-    let server = mosshead_works::control::beat("instance-1", body(1, 2, "up").as_bytes());
+    let server = mosshead_programs::control::beat("instance-1", body(1, 2, "up").as_bytes());
     let server = server.expect("a beat as in the protocol");
     assert_eq!((server.sequence, server.slots), (2, 64));
 }
--- a/crates/mains/examples/change_cost.rs
+++ b/crates/config/examples/change_cost.rs
@@ -1,11 +1,11 @@
 //! Prints what one changed, added or removed route costs, and a thousand more, by the number of routes, in microseconds.
 //!
-//! `cargo run --release -p mosshead-mains --example change_cost`
+//! `cargo run --release -p mosshead-config --example change_cost`
 
 use std::hint::black_box;
 use std::time::Instant;
 
-use mosshead_mains::Config;
+use mosshead_config::Config;
 
 fn route(number: usize, timeout_ms: u64) -> String {
     format!(
@@ -50,7 +50,7 @@
 /// How many configurations are held at once to tell the memory of one.
 const COPIES: usize = 20;
 
-fn main() -> Result<(), mosshead_mains::Fault> {
+fn main() -> Result<(), mosshead_config::Fault> {
     println!("{:>6} {:>8} {:>10} {:>10}", "routes", "change", "step", "us");
     for routes in [20, 500, 5_000, 10_000] {
         let text = whole(routes);
--- a/crates/mains/tests/bytes.rs
+++ b/crates/config/tests/bytes.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Sample, WHOLE, pick, read, same, whole};
-use mosshead_mains::Config;
+use mosshead_config::Config;
 use quickcheck::{Arbitrary, Gen, QuickCheck, quickcheck};
 use tinyjson::JsonValue;
 
--- a/crates/mains/tests/common/mod.rs
+++ b/crates/config/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Configurations for the tests.
 #![allow(dead_code)] // each test file uses a part of these
 
-use mosshead_mains::{Config, Fault};
+use mosshead_config::{Config, Fault};
 use quickcheck::{Arbitrary, Gen};
 
 pub const WHOLE: &str = r#"{
--- a/crates/mains/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{WHOLE, read, whole};
-use mosshead_mains::{CODES, Cause, Config, Fault, MAX_BYTES, MAX_DEPTH};
+use mosshead_config::{CODES, Cause, Config, Fault, MAX_BYTES, MAX_DEPTH};
 
 /// The example with one piece of text exchanged.
 fn with(old: &str, new: &str) -> Fault {
--- a/crates/mains/tests/find.rs
+++ b/crates/config/tests/find.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use common::{pick, read, whole};
-use mosshead_mains::{Config, Route};
+use mosshead_config::{Config, Route};
 use quickcheck::{Arbitrary, Gen, quickcheck};
 
 fn name<'a>(config: &'a Config, host: &str, path: &str) -> Option<&'a str> {
--- a/crates/mains/tests/modify.rs
+++ b/crates/config/tests/modify.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Items, Sample, SampleChange, read, same, whole};
-use mosshead_mains::{Config, Fault, Limits, MAX_BYTES};
+use mosshead_config::{Config, Fault, Limits, MAX_BYTES};
 use quickcheck::quickcheck;
 
 fn modify(text: &str) -> Result<Config, Fault> {
--- a/crates/mains/tests/patch.rs
+++ b/crates/config/tests/patch.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Sample, WHOLE, read, same, whole};
-use mosshead_mains::Config;
+use mosshead_config::Config;
 use quickcheck::{TestResult, quickcheck};
 
 fn goes(from: &Config, to: &Config) {
--- a/crates/mains/tests/read.rs
+++ b/crates/config/tests/read.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{WHOLE, read, whole};
-use mosshead_mains::{Config, Limits, RouteType};
+use mosshead_config::{Config, Limits, RouteType};
 
 #[test]
 fn the_example_is_read_whole() {
--- a/crates/mains/tests/stepwise.rs
+++ b/crates/config/tests/stepwise.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Items, pick, read, same};
-use mosshead_mains::{Config, Route};
+use mosshead_config::{Config, Route};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 const SERVICES: usize = 6;
@@ -401,12 +401,12 @@
 #[test]
 fn the_revision_is_told_before_the_whole_is_read() {
     let lists = Lists::first(3);
-    assert_eq!(mosshead_mains::revision(lists.text().as_bytes()), Some(1));
-    assert_eq!(mosshead_mains::revision(br#"{"upsert":{"revision":3},"revision":4}"#), Some(4));
+    assert_eq!(mosshead_config::revision(lists.text().as_bytes()), Some(1));
+    assert_eq!(mosshead_config::revision(br#"{"upsert":{"revision":3},"revision":4}"#), Some(4));
     for text in
         ["", "[]", "{}", "{\"revision\":1.5}", "{\"revision\":\"1\"}", "{\"revision\":1", "{\"revision\":1}}"]
     {
-        assert_eq!(mosshead_mains::revision(text.as_bytes()), None, "{text}");
+        assert_eq!(mosshead_config::revision(text.as_bytes()), None, "{text}");
     }
 }
 
@@ -417,7 +417,7 @@
     let deep = "[".repeat(100_000);
     let nested = |levels: usize| format!("{}0{}", "[".repeat(levels), "]".repeat(levels));
     let spots =
-        [("\"a b\\t\\u0041\"", mosshead_mains::MAX_DEPTH - 2), ("\"blue\"", mosshead_mains::MAX_DEPTH - 3)];
+        [("\"a b\\t\\u0041\"", mosshead_config::MAX_DEPTH - 2), ("\"blue\"", mosshead_config::MAX_DEPTH - 3)];
     for (spot, levels) in spots {
         assert!(common::WHOLE.contains(spot), "{spot}");
         let pieces = [
--- a/crates/headworks/src/acceptor.rs
+++ b/crates/consensus/src/acceptor.rs
@@ -4,7 +4,7 @@
 use crate::log::{Effect, LogRecord, Pending};
 use crate::message::Message;
 use crate::node::{Node, Role};
-use crate::settings::Flaw;
+use crate::settings::InjectedFault;
 use crate::transfer::StatePurpose;
 use crate::types::{Ballot, Member, Record, State, Version};
 
@@ -14,7 +14,7 @@
     }
 
     pub(crate) fn founders(&self) -> Option<&[core::net::SocketAddrV4]> {
-        if self.settings.has(Flaw::AnyFounder) && self.settings.seeds.contains(&self.me.address) {
+        if self.settings.has(InjectedFault::AnyFounder) && self.settings.seeds.contains(&self.me.address) {
             return Some(&self.settings.seeds);
         }
         self.identity.founders.as_deref()
@@ -79,7 +79,7 @@
 
     /// Whether a state is to be written.
     fn takes_state(&mut self, from: Member, version: &Version) -> bool {
-        let forgets = self.settings.has(Flaw::ForgetPromise) && version.stamp.member == from.id;
+        let forgets = self.settings.has(InjectedFault::ForgetPromise) && version.stamp.member == from.id;
         (forgets || self.admit(from, version.stamp)) && !self.is_known(from, version)
     }
 
@@ -98,14 +98,14 @@
     }
 
     fn changed(&self, previous: &State, change: &StateChange) -> Option<State> {
-        match self.settings.has(Flaw::ChangeOnAnyState) {
+        match self.settings.has(InjectedFault::ChangeOnAnyState) {
             true => change.apply_to_any(previous),
             false => change.apply(previous),
         }
     }
 
     pub(crate) fn on_committed_changes(&mut self, changes: Vec<StateChange>) {
-        if self.settings.has(Flaw::ChangeOnAnyState) {
+        if self.settings.has(InjectedFault::ChangeOnAnyState) {
             let last = changes
                 .last()
                 .filter(|c| self.committed.as_ref().is_some_and(|s| s.revision < c.call.revision));
@@ -125,7 +125,7 @@
     }
 
     fn write_replica(&mut self, from: Member, change: Option<StateChange>, state: State) {
-        if self.settings.has(Flaw::ShowUncommitted) {
+        if self.settings.has(InjectedFault::ShowUncommitted) {
             self.show(state.clone());
         }
         self.raise_promise(state.ballot);
@@ -136,7 +136,7 @@
     pub(crate) fn write_state(&mut self, change: Option<StateChange>, state: State, to: Member) {
         let in_log =
             |change: &StateChange| self.stable.version().is_some_and(|v| v.same_body(&change.previous));
-        let certain = self.may_refer() || self.settings.has(Flaw::ChangeOnUnsureState);
+        let certain = self.may_refer() || self.settings.has(InjectedFault::ChangeOnUnsureState);
         let change = change.filter(|change| certain && in_log(change));
         let effect = match change {
             Some(change) => Effect::Change(change, state),
--- a/crates/headworks/src/asks.rs
+++ b/crates/consensus/src/client_requests.rs
@@ -3,7 +3,7 @@
 
 use crate::event::{Output, Verdict};
 use crate::node::{Node, Role};
-use crate::settings::Flaw;
+use crate::settings::InjectedFault;
 use crate::types::{Call, Judgement, State};
 use rand_core::RngCore;
 
@@ -36,14 +36,14 @@
 
 /// The asks that have no answer yet.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub(crate) struct Asks {
+pub(crate) struct ClientRequests {
     queue: VecDeque<Change>,
     /// The one that is being written; answered or not.
-    flight: Option<(Change, bool)>,
+    pending_write: Option<(Change, bool)>,
     unconfirmed: VecDeque<Unconfirmed>,
 }
 
-impl Asks {
+impl ClientRequests {
     const MOST: usize = 64;
 }
 
@@ -64,7 +64,7 @@
     pub(crate) fn on_change(&mut self, ask: u64, base: u64, call: Call, body: Vec<u8>) {
         if !self.leads_or_may() {
             self.refuse(ask);
-        } else if self.asks.queue.len() >= Asks::MOST {
+        } else if self.asks.queue.len() >= ClientRequests::MOST {
             self.answer(ask, Verdict::Unavailable);
         } else {
             let change = Change { ask, since: self.now, base, call, body: body.into() };
@@ -75,7 +75,7 @@
     pub(crate) fn on_read(&mut self, ask: u64) {
         if !self.leads_or_may() {
             self.refuse(ask);
-        } else if self.settings.has(Flaw::ReadUnconfirmed)
+        } else if self.settings.has(InjectedFault::ReadUnconfirmed)
             && let (Role::Primary(_), Some(state)) = (&self.role, self.committed.clone())
         {
             self.answer(ask, Verdict::Current { state });
@@ -85,7 +85,7 @@
     }
 
     fn await_confirmation(&mut self, ask: u64, since: u64, claim: Claim) {
-        if self.asks.unconfirmed.len() >= Asks::MOST {
+        if self.asks.unconfirmed.len() >= ClientRequests::MOST {
             self.answer(ask, Verdict::Unavailable);
             return;
         }
@@ -100,7 +100,7 @@
     /// Judges changes in turn, one being written at a time.
     pub(crate) fn pump(&mut self) {
         while matches!(self.role, Role::Primary(_)) {
-            if self.asks.flight.is_some() || self.stopping.is_some() {
+            if self.asks.pending_write.is_some() || self.stopping.is_some() {
                 break;
             }
             let Some(change) = self.asks.queue.pop_front() else { break };
@@ -115,7 +115,7 @@
         match self.judgement(&lead.state, &change) {
             Judgement::Taken => self.answer(change.ask, Verdict::Taken { revision: change.call.revision }),
             Judgement::Forgotten => self.answer(change.ask, Verdict::Forgotten),
-            Judgement::Stale if self.settings.has(Flaw::StaleUnconfirmed) => {
+            Judgement::Stale if self.settings.has(InjectedFault::StaleUnconfirmed) => {
                 self.answer(change.ask, Verdict::Stale { current });
             }
             Judgement::Stale => {
@@ -123,17 +123,19 @@
             }
             Judgement::Acceptable => {
                 let state = lead.state.after(lead.ballot, change.call, change.body.clone());
-                self.asks.flight = Some((change, false));
-                self.fly(state);
+                self.asks.pending_write = Some((change, false));
+                self.start_write(state);
             }
         }
     }
 
     fn judgement(&self, state: &State, change: &Change) -> Judgement {
-        let forgets = self.settings.has(Flaw::ForgetTaken);
+        let forgets = self.settings.has(InjectedFault::ForgetTaken);
         match state.judge(change.base, change.call) {
             Judgement::Taken if forgets => Judgement::Stale,
-            Judgement::Forgotten if forgets || self.settings.has(Flaw::RefuseForgotten) => Judgement::Stale,
+            Judgement::Forgotten if forgets || self.settings.has(InjectedFault::RefuseForgotten) => {
+                Judgement::Stale
+            }
             judgement => judgement,
         }
     }
@@ -159,29 +161,29 @@
         // One round at a time, whatever the number of asks.
         let waits_for_new = self.asks.unconfirmed.front().and_then(|w| w.sequence).is_some_and(|s| s > sent);
         if waits_for_new {
-            self.beat(false);
+            self.send_heartbeats(false);
             if self.confirmed_sequence() > sent {
                 self.confirm();
             }
         }
     }
 
-    /// The flight is committed.
-    pub(crate) fn land(&mut self) {
-        if let Some((change, answered)) = self.asks.flight.take()
+    /// The pending_write is committed.
+    pub(crate) fn finish_write(&mut self) {
+        if let Some((change, answered)) = self.asks.pending_write.take()
             && !answered
         {
             self.answer(change.ask, Verdict::Taken { revision: change.call.revision });
         }
     }
 
-    /// A take-over from oneself is done: the flight is in the committed state, or never will be.
-    pub(crate) fn settle_flight(&mut self) {
+    /// A take-over from oneself is done: the pending_write is in the committed state, or never will be.
+    pub(crate) fn settle_pending_write(&mut self) {
         let Role::Primary(lead) = &self.role else { return };
-        let Some((change, _)) = &self.asks.flight else { return };
+        let Some((change, _)) = &self.asks.pending_write else { return };
         if lead.state.has_taken(change.call) {
-            self.land();
-        } else if let Some((change, answered)) = self.asks.flight.take()
+            self.finish_write();
+        } else if let Some((change, answered)) = self.asks.pending_write.take()
             && !answered
         {
             self.asks.queue.push_front(change);
@@ -189,19 +191,19 @@
     }
 
     /// A new epoch has heartbeats of its own.
-    pub(crate) fn renumber_asks(&mut self) {
+    pub(crate) fn renumber_client_requests(&mut self) {
         for waiting in &mut self.asks.unconfirmed {
             waiting.sequence = None;
         }
     }
 
     /// This node judges nothing any more.
-    pub(crate) fn drop_asks(&mut self) {
+    pub(crate) fn drop_client_requests(&mut self) {
         let asks = std::mem::take(&mut self.asks);
-        if self.settings.has(Flaw::DropAsks) {
+        if self.settings.has(InjectedFault::DropAsks) {
             return;
         }
-        if let Some((change, false)) = asks.flight {
+        if let Some((change, false)) = asks.pending_write {
             self.answer(change.ask, Verdict::Unavailable);
         }
         let unjudged = asks.queue.iter().map(|c| c.ask).chain(asks.unconfirmed.iter().map(|u| u.ask));
@@ -219,12 +221,12 @@
         }
     }
 
-    pub(crate) fn expire_asks(&mut self) {
-        let late_by = if self.settings.has(Flaw::AnswerLate) { 350 } else { 0 };
+    pub(crate) fn expire_client_requests(&mut self) {
+        let late_by = if self.settings.has(InjectedFault::AnswerLate) { 350 } else { 0 };
         let (now, most) = (self.now, self.settings.timings.ask + late_by);
         let late = |since: u64| now.saturating_sub(since) >= most;
         let mut expired = Vec::new();
-        if let Some((change, answered)) = &mut self.asks.flight
+        if let Some((change, answered)) = &mut self.asks.pending_write
             && !*answered
             && late(change.since)
         {
--- a/crates/headworks/src/contact.rs
+++ b/crates/consensus/src/contact.rs
@@ -10,7 +10,7 @@
 use rand_core::RngCore;
 
 use crate::node::{Node, Role};
-use crate::settings::{Flaw, Timings};
+use crate::settings::{InjectedFault, Timings};
 
 /// The steady time at which a node answered a heartbeat. Only that node reads it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Encode, Decode)]
@@ -124,6 +124,6 @@
 
     /// Whether a primary may tell that it lives.
     pub(crate) fn may_send_heartbeats(&self) -> bool {
-        self.is_within_lease(self.touched, self.now) || self.settings.has(Flaw::NoLease)
+        self.is_within_lease(self.touched, self.now) || self.settings.has(InjectedFault::NoLease)
     }
 }
--- a/crates/headworks/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -6,7 +6,7 @@
 use crate::message::Message;
 use crate::node::{Leader, Node, Role};
 use crate::quorum::Votes;
-use crate::settings::Flaw;
+use crate::settings::InjectedFault;
 use crate::types::{Ballot, Member, MemberId, Record};
 
 /// When to look for a primary, and who would promise.
@@ -87,7 +87,7 @@
 
     pub(crate) fn on_pre_vote(&mut self, from: Member) {
         let willing = match &self.role {
-            Role::Follower if self.settings.has(Flaw::AlwaysWilling) => true,
+            Role::Follower if self.settings.has(InjectedFault::AlwaysWilling) => true,
             Role::Follower => !self.hears_leader() && self.now >= self.election.quiet_until,
             Role::TakingOver(_) | Role::Primary(_) => false,
         };
@@ -130,7 +130,7 @@
     pub(crate) fn end_overdue_take_over(&mut self) {
         let step = self.settings.timings.take_over_step;
         let Role::TakingOver(t) = &self.role else { return };
-        if self.now.saturating_sub(t.since) > step && !self.settings.has(Flaw::LateTakeOver) {
+        if self.now.saturating_sub(t.since) > step && !self.settings.has(InjectedFault::LateTakeOver) {
             self.step_down();
         }
     }
@@ -195,18 +195,20 @@
 
     /// The time since when a heartbeat with this stamp was sent, if it tells any.
     fn proven_time(&self, echo: Option<ContactStamp>) -> Option<u64> {
-        if self.settings.has(Flaw::ContactByArrival) {
+        if self.settings.has(InjectedFault::ContactByArrival) {
             return Some(self.now);
         }
         let echo = echo?;
-        if self.settings.has(Flaw::ContactOfOtherLives) {
+        if self.settings.has(InjectedFault::ContactOfOtherLives) {
             return Some(echo.at).filter(|at| *at <= self.now);
         }
         self.contact.time_of(echo, self.now)
     }
 
     fn shown_revision(&self) -> Option<u64> {
-        if self.settings.has(Flaw::ContactByArrival) || self.settings.has(Flaw::ContactWithoutState) {
+        if self.settings.has(InjectedFault::ContactByArrival)
+            || self.settings.has(InjectedFault::ContactWithoutState)
+        {
             return Some(u64::MAX);
         }
         self.committed.as_ref().map(|state| state.revision)
--- a/crates/headworks/src/event.rs
+++ b/crates/consensus/src/event.rs
@@ -38,7 +38,7 @@
         /// The digest of the call.
         digest: CallDigest,
     },
-    /// Asks for the newest committed state.
+    /// ClientRequests for the newest committed state.
     Read {
         /// The number of the ask, unique within the node's life.
         ask: u64,
--- a/crates/headworks/src/leaving.rs
+++ b/crates/consensus/src/leaving.rs
@@ -8,7 +8,7 @@
 use crate::message::Message;
 use crate::node::{Node, Role};
 use crate::primary::{Lead, Peer};
-use crate::settings::Flaw;
+use crate::settings::InjectedFault;
 use crate::types::{Ballot, Member, MemberId, Record};
 
 /// A node that stops may end after so many milliseconds, let go or not.
@@ -16,7 +16,7 @@
 /// The word of a leaver counts for so long; after it, only its silence does.
 const LEAVER_LASTS: u64 = 3_000;
 const MOST_LEAVERS: usize = 64;
-/// A node with [`Flaw::LeaveAtOnce`] ends after so long.
+/// A node with [`InjectedFault::LeaveAtOnce`] ends after so long.
 const FLAWED_LEAVE: u64 = 150;
 
 /// What a node knows of those that stop, itself included.
@@ -61,7 +61,7 @@
         if !matches!(self.role, Role::Follower) {
             return false;
         }
-        if self.settings.has(Flaw::LeaveAtOnce) {
+        if self.settings.has(InjectedFault::LeaveAtOnce) {
             return waited >= FLAWED_LEAVE;
         }
         match &self.view {
@@ -88,7 +88,7 @@
     pub(crate) fn leave_timers(&mut self) {
         let resend = self.settings.timings.resend;
         let rested = self.leaving.told.is_none_or(|at| self.now.saturating_sub(at) >= resend);
-        if self.stopping.is_none() || !rested || self.settings.has(Flaw::LeaveAtOnce) {
+        if self.stopping.is_none() || !rested || self.settings.has(InjectedFault::LeaveAtOnce) {
             return;
         }
         self.leaving.told = Some(self.now);
--- a/crates/headworks/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -4,8 +4,8 @@
 //! outputs in their order, and answers every write in order. See `docs/design/0007-fleet.md`, "Control state".
 
 mod acceptor;
-mod asks;
 mod change;
+mod client_requests;
 mod contact;
 mod delta;
 mod election;
@@ -35,7 +35,7 @@
 pub use message::Message;
 pub use node::Node;
 #[doc(hidden)]
-pub use settings::Flaw;
+pub use settings::InjectedFault;
 pub use settings::{Settings, Timings};
 pub use transfer::{Offer, Piece, PieceSizes, StatePurpose, checksum};
 pub use types::{
--- a/crates/headworks/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -24,7 +24,7 @@
         #[n(2)]
         record: Option<Record>,
     },
-    /// Asks for the promise to take nothing of a lower ballot.
+    /// ClientRequests for the promise to take nothing of a lower ballot.
     #[n(2)]
     Prepare {
         /// The ballot.
@@ -60,7 +60,7 @@
         #[n(1)]
         promised: Ballot,
     },
-    /// Asks for a state whole.
+    /// ClientRequests for a state whole.
     #[n(5)]
     Fetch {
         /// The ballot of the take-over.
@@ -235,7 +235,7 @@
         #[n(0)]
         offer: Offer,
     },
-    /// Asks for the next piece of an offered state.
+    /// ClientRequests for the next piece of an offered state.
     #[n(28)]
     FetchPiece {
         /// The state.
--- a/crates/headworks/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -3,8 +3,8 @@
 
 use rand_core::RngCore;
 
-use crate::asks::Asks;
 use crate::change::{EarlyChanges, RecentChanges};
+use crate::client_requests::ClientRequests;
 use crate::contact::Contact;
 use crate::election::Election;
 use crate::event::{Input, Output, Verdict};
@@ -14,7 +14,7 @@
 use crate::log::{Effect, Fault, Identity, LogRecord, Pending, Stable, Writes};
 use crate::message::Message;
 use crate::primary::{Lead, Peer};
-use crate::settings::{Flaw, MOST_FAILURES, MOST_MEMBERS, Settings};
+use crate::settings::{InjectedFault, MOST_FAILURES, MOST_MEMBERS, Settings};
 use crate::take_over::TakeOver;
 use crate::transfer::Transfers;
 use crate::types::{Ballot, Call, Member, MemberId, Record, State};
@@ -76,7 +76,7 @@
     pub(crate) joiners: BTreeMap<MemberId, Joiner>,
     pub(crate) contacts: BTreeSet<SocketAddrV4>,
     pub(crate) join_at: u64,
-    pub(crate) asks: Asks,
+    pub(crate) asks: ClientRequests,
     pub(crate) stopping: Option<u64>,
     pub(crate) leaving: Leaving,
     pub(crate) handing: Option<Handing>,
@@ -132,7 +132,7 @@
             joiners: BTreeMap::new(),
             contacts: BTreeSet::new(),
             join_at: now,
-            asks: Asks::default(),
+            asks: ClientRequests::default(),
             stopping: None,
             leaving: Leaving::default(),
             handing: None,
@@ -204,7 +204,7 @@
             self.transfer_timers();
             self.leave_timers();
         }
-        self.expire_asks();
+        self.expire_client_requests();
         self.pump();
         std::mem::take(&mut self.out)
     }
@@ -266,7 +266,7 @@
     pub fn is_fit(&self) -> bool {
         let works =
             self.writes.failed.is_none() && self.writes.age(self.now) <= self.settings.timings.unfit_write;
-        self.stopping.is_none() && (works || self.settings.has(Flaw::AlwaysFit))
+        self.stopping.is_none() && (works || self.settings.has(InjectedFault::AlwaysFit))
     }
 
     /// One record that replaces the whole log; none while writes are under way.
@@ -296,7 +296,8 @@
     pub(crate) fn write(&mut self, effect: Effect, to: Option<Member>) {
         let token = self.writes.next_token;
         self.writes.next_token += 1;
-        let unsynced = self.settings.has(Flaw::AnswerUnsynced) && !matches!(effect, Effect::Identity(_));
+        let unsynced =
+            self.settings.has(InjectedFault::AnswerUnsynced) && !matches!(effect, Effect::Identity(_));
         let pending = Pending { token, since: self.now, effect, to };
         match pending.effect.record() {
             Some(record) => {
@@ -388,9 +389,9 @@
         let state = self.early_changes.advance(state);
         self.early_changes.forget_up_to(state.revision);
         let known = self.committed.as_ref().map(|s| s.revision);
-        if known
-            .is_none_or(|r| r < state.revision || self.settings.has(Flaw::ShowOlder) && r != state.revision)
-        {
+        if known.is_none_or(|r| {
+            r < state.revision || self.settings.has(InjectedFault::ShowOlder) && r != state.revision
+        }) {
             self.out.push(Output::Committed { state: state.clone() });
             self.contact.show(state.revision);
             self.committed = Some(state);
--- a/crates/headworks/src/primary.rs
+++ b/crates/consensus/src/primary.rs
@@ -7,7 +7,7 @@
 use crate::message::Message;
 use crate::node::{Node, Role};
 use crate::quorum::Votes;
-use crate::settings::Flaw;
+use crate::settings::InjectedFault;
 use crate::transfer::StatePurpose;
 use crate::types::{Ballot, Member, MemberId, Record, State, Version};
 
@@ -45,9 +45,9 @@
     pub(crate) sequence: u64,
     /// The first heartbeat that tells of the last state that was sent whole.
     told: u64,
-    beats: VecDeque<(u64, u64)>,
-    next_beat: u64,
-    pub(crate) flight: Option<Flight>,
+    heartbeats: VecDeque<(u64, u64)>,
+    next_heartbeat: u64,
+    pub(crate) pending_write: Option<PendingWrite>,
     /// Since when a higher promise of a voter is known.
     pub(crate) outbid: Option<u64>,
     pub(crate) since: u64,
@@ -55,7 +55,7 @@
 
 /// A change on its way to the disks.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Flight {
+pub(crate) struct PendingWrite {
     pub(crate) state: State,
     /// What it changes of the state before, where that is shorter.
     change: Option<StateChange>,
@@ -100,9 +100,9 @@
             state,
             sequence: 0,
             told: 1,
-            beats: VecDeque::new(),
-            next_beat: now,
-            flight: None,
+            heartbeats: VecDeque::new(),
+            next_heartbeat: now,
+            pending_write: None,
             outbid: None,
             since: now,
         }
@@ -120,7 +120,7 @@
     }
 
     fn sent_at(&self, sequence: u64) -> Option<u64> {
-        self.beats.iter().find(|(s, _)| *s == sequence).map(|(_, at)| *at)
+        self.heartbeats.iter().find(|(s, _)| *s == sequence).map(|(_, at)| *at)
     }
 }
 
@@ -140,7 +140,7 @@
         let silent_leader = self.silent_leader(votes);
         let timings = &self.settings.timings;
         // Who has no part in the take-over is missed for nearly as long as its primary was: it has two heartbeats to answer.
-        let unheard = match self.settings.has(Flaw::ForgetSilence) {
+        let unheard = match self.settings.has(InjectedFault::ForgetSilence) {
             true => 0,
             false => timings.suspect.saturating_sub(2 * timings.heartbeat),
         };
@@ -174,7 +174,7 @@
     fn silent_leader(&self, votes: &Votes) -> Option<MemberId> {
         let leader = self.leader.as_ref().filter(|leader| !votes.covers(&leader.member))?;
         let suspected = self.now.saturating_sub(leader.heard) >= self.settings.timings.suspect;
-        (suspected && !self.settings.has(Flaw::ForgetSilence)).then_some(leader.member.id)
+        (suspected && !self.settings.has(InjectedFault::ForgetSilence)).then_some(leader.member.id)
     }
 
     /// The highest value that a majority of the members has reached, as the primary knows it.
@@ -217,19 +217,19 @@
     }
 
     /// Tells all, or the voters only, that this primary lives.
-    pub(crate) fn beat(&mut self, all: bool) {
+    pub(crate) fn send_heartbeats(&mut self, all: bool) {
         if !self.may_send_heartbeats() {
             return;
         }
         let (now, heartbeat) = (self.now, self.settings.timings.heartbeat);
         let Role::Primary(lead) = &mut self.role else { return };
         lead.sequence += 1;
-        lead.beats.push_back((lead.sequence, now));
-        if lead.beats.len() > 64 {
-            lead.beats.pop_front();
+        lead.heartbeats.push_back((lead.sequence, now));
+        if lead.heartbeats.len() > 64 {
+            lead.heartbeats.pop_front();
         }
         if all {
-            lead.next_beat = now + heartbeat;
+            lead.next_heartbeat = now + heartbeat;
         }
         let mut messages = Vec::new();
         for peer in self.peers.values() {
@@ -239,7 +239,7 @@
                 messages.push((peer.member.address, lead.heartbeat_for(peer)));
             }
         }
-        messages.into_iter().for_each(|(to, beat)| self.send(to, beat));
+        messages.into_iter().for_each(|(to, send_heartbeats)| self.send(to, send_heartbeats));
     }
 
     /// Counts in a node that is no member.
@@ -332,12 +332,12 @@
     }
 
     /// Sends a change to the disks that have to hold it.
-    pub(crate) fn fly(&mut self, state: State) {
+    pub(crate) fn start_write(&mut self, state: State) {
         let now = self.now;
-        let whole = self.settings.has(Flaw::WholeStates);
+        let whole = self.settings.has(InjectedFault::WholeStates);
         let Role::Primary(lead) = &mut self.role else { return };
         let change = if whole { None } else { StateChange::between(&lead.state, &state) };
-        let flight = Flight {
+        let pending_write = PendingWrite {
             state: state.clone(),
             change: change.clone(),
             lacking: BTreeSet::new(),
@@ -347,28 +347,30 @@
             started: now,
             sent: now,
         };
-        lead.flight = Some(flight);
+        lead.pending_write = Some(pending_write);
         self.write_state(change, state, self.me);
-        self.send_flight();
+        self.send_pending_write();
     }
 
     /// A backup is on its way to have the state: it is not slow.
     pub(crate) fn flight_progressed(&mut self, version: Version) {
         let now = self.now;
         let Role::Primary(lead) = &mut self.role else { return };
-        let Some(flight) = lead.flight.as_mut().filter(|f| f.state.version() == version) else { return };
-        if now.saturating_sub(flight.started) < MOST_TRANSFER {
-            flight.since = now;
+        let Some(pending_write) = lead.pending_write.as_mut().filter(|f| f.state.version() == version) else {
+            return;
+        };
+        if now.saturating_sub(pending_write.started) < MOST_TRANSFER {
+            pending_write.since = now;
         }
     }
 
-    fn send_flight(&mut self) {
+    fn send_pending_write(&mut self) {
         let Role::Primary(lead) = &self.role else { return };
-        let Some(flight) = &lead.flight else { return };
-        let backups = lead.record.backups.iter().filter(|id| !flight.done.contains(id));
+        let Some(pending_write) = &lead.pending_write else { return };
+        let backups = lead.record.backups.iter().filter(|id| !pending_write.done.contains(id));
         let backups: Vec<Member> = backups.filter_map(|id| lead.record.member(*id)).copied().collect();
-        let (state, lacking) = (flight.state.clone(), flight.lacking.clone());
-        let change = flight.change.clone().filter(|c| c.bytes() <= self.settings.piece_sizes.large);
+        let (state, lacking) = (pending_write.state.clone(), pending_write.lacking.clone());
+        let change = pending_write.change.clone().filter(|c| c.bytes() <= self.settings.piece_sizes.large);
         for backup in backups {
             match change.clone().filter(|_| !lacking.contains(&backup.id)) {
                 Some(change) => self.send(backup.address, Message::ReplicateChange { change }),
@@ -381,8 +383,10 @@
         let me = self.me.id;
         match &mut self.role {
             Role::Primary(lead) => {
-                if let Some(flight) = lead.flight.as_mut().filter(|f| f.state.version() == version) {
-                    flight.own = true;
+                if let Some(pending_write) =
+                    lead.pending_write.as_mut().filter(|f| f.state.version() == version)
+                {
+                    pending_write.own = true;
                     self.commit();
                 }
             }
@@ -394,8 +398,10 @@
     pub(crate) fn on_replicated(&mut self, from: Member, version: Version) {
         match &mut self.role {
             Role::Primary(lead) => {
-                if let Some(flight) = lead.flight.as_mut().filter(|f| f.state.version() == version) {
-                    flight.done.insert(from.id);
+                if let Some(pending_write) =
+                    lead.pending_write.as_mut().filter(|f| f.state.version() == version)
+                {
+                    pending_write.done.insert(from.id);
                     self.commit();
                 }
             }
@@ -407,26 +413,30 @@
     pub(crate) fn on_lacks_body(&mut self, from: Member, version: Version) {
         let Role::Primary(lead) = &mut self.role else { return self.stamp_lacks_body(from, version) };
         let is_backup = lead.record.backups.contains(&from.id);
-        let Some(flight) = lead.flight.as_mut().filter(|f| f.state.version() == version) else { return };
-        if is_backup && flight.lacking.insert(from.id) {
-            let state = flight.state.clone();
+        let Some(pending_write) = lead.pending_write.as_mut().filter(|f| f.state.version() == version) else {
+            return;
+        };
+        if is_backup && pending_write.lacking.insert(from.id) {
+            let state = pending_write.state.clone();
             self.send_state(from, StatePurpose::Replicate, state);
         }
     }
 
     /// A change is committed when it is on the disks of the primary and of all backups.
     fn commit(&mut self) {
-        let alone = self.settings.has(Flaw::CommitAlone);
+        let alone = self.settings.has(InjectedFault::CommitAlone);
         let (now, suspect) = (self.now, self.settings.timings.suspect);
         let Role::Primary(lead) = &mut self.role else { return };
-        let Some(flight) = &lead.flight else { return };
-        if !flight.own || !alone && !lead.record.backups.iter().all(|id| flight.done.contains(id)) {
+        let Some(pending_write) = &lead.pending_write else { return };
+        if !pending_write.own
+            || !alone && !lead.record.backups.iter().all(|id| pending_write.done.contains(id))
+        {
             return;
         }
-        let Some(flight) = lead.flight.take() else { return };
-        lead.state = flight.state.clone();
+        let Some(pending_write) = lead.pending_write.take() else { return };
+        lead.state = pending_write.state.clone();
         let large = self.settings.piece_sizes.large;
-        let change = flight.change.filter(|c| c.bytes() <= large);
+        let change = pending_write.change.filter(|c| c.bytes() <= large);
         if change.is_none() {
             lead.told = lead.sequence + 1;
         }
@@ -435,9 +445,9 @@
             Some(change) => self.recent_changes.push(now, change),
             None => self.recent_changes.clear(),
         }
-        self.show(flight.state.clone());
+        self.show(pending_write.state.clone());
         // The backups have it and need the word only.
-        self.beat(true);
+        self.send_heartbeats(true);
         let mut others = Vec::new();
         for (id, peer) in &mut self.peers {
             // Those that are silent get it when they answer again.
@@ -453,10 +463,10 @@
                 Some(change) => {
                     self.send(member.address, Message::CommittedChanges { changes: vec![change] });
                 }
-                None => self.send_state(member, StatePurpose::Committed, flight.state.clone()),
+                None => self.send_state(member, StatePurpose::Committed, pending_write.state.clone()),
             }
         }
-        self.land();
+        self.finish_write();
     }
 
     pub(crate) fn primary_timers(&mut self) {
@@ -464,24 +474,24 @@
         let now = self.now;
         let resend = self.settings.timings.resend_state;
         let Role::Primary(lead) = &mut self.role else { return };
-        let beats = now >= lead.next_beat;
-        let again = lead.flight.as_mut().is_some_and(|f| {
+        let heartbeats = now >= lead.next_heartbeat;
+        let again = lead.pending_write.as_mut().is_some_and(|f| {
             let again = now.saturating_sub(f.sent) >= resend;
             if again {
                 f.sent = now;
             }
             again
         });
-        if beats {
+        if heartbeats {
             let record = lead.record.clone();
             self.peers.retain(|id, p| {
                 let voter = record.members.iter().chain(&record.previous).any(|m| m.id == *id);
                 voter || now.saturating_sub(p.heard) <= LEARNER_LASTS
             });
-            self.beat(true);
+            self.send_heartbeats(true);
         }
         if again {
-            self.send_flight();
+            self.send_pending_write();
         }
         self.renewal_timers();
     }
--- a/crates/headworks/src/renewal.rs
+++ b/crates/consensus/src/renewal.rs
@@ -4,7 +4,7 @@
 use crate::message::Message;
 use crate::node::{Handing, Node, Role};
 use crate::primary::{Lead, Peer};
-use crate::settings::{Flaw, Timings};
+use crate::settings::{InjectedFault, Timings};
 use crate::types::{Ballot, Member, MemberId};
 
 const LATELY: u64 = 350;
@@ -16,24 +16,24 @@
         let now = self.now;
         let Role::Primary(lead) = &self.role else { return };
         let stalled =
-            self.writes.age(now) > timings.own_write && !self.settings.has(Flaw::KeepStalledPrimary);
-        let stops = self.stopping.is_some_and(|at| lead.flight.is_none() || now - at >= 300);
+            self.writes.age(now) > timings.own_write && !self.settings.has(InjectedFault::KeepStalledPrimary);
+        let stops = self.stopping.is_some_and(|at| lead.pending_write.is_none() || now - at >= 300);
         let refused = self.writes.failed.is_some() && self.successor().is_some();
         if stalled || stops || refused {
             return self.resign();
         }
-        if self.stopping.is_some() || !self.writes.queue.is_empty() && lead.flight.is_none() {
+        if self.stopping.is_some() || !self.writes.queue.is_empty() && lead.pending_write.is_none() {
             return;
         }
         let decided = Some(lead.ballot);
         let late = |since| now - since >= timings.backup_write || self.wants_other_backups();
-        let slow = lead.flight.as_ref().is_some_and(|f| f.own && late(f.since));
-        let slow = slow && !self.settings.has(Flaw::KeepStalledBackup);
+        let slow = lead.pending_write.as_ref().is_some_and(|f| f.own && late(f.since));
+        let slow = slow && !self.settings.has(InjectedFault::KeepStalledBackup);
         let outbid = lead.outbid.is_some_and(|at| now - at >= timings.suspect / 2);
         if lead.record.is_joint() || slow || outbid {
             return self.start_take_over(decided, None);
         }
-        if now - lead.since < timings.heartbeat || lead.flight.is_some() {
+        if now - lead.since < timings.heartbeat || lead.pending_write.is_some() {
             return;
         }
         if let Some(wish) = self.wanted_members() {
@@ -68,7 +68,7 @@
                 && !lead.record.backups.contains(&m.id)
                 && self.peers.get(&m.id).is_some_and(|p| self.is_near(p))
         };
-        !self.settings.has(Flaw::KeepStalledBackup)
+        !self.settings.has(InjectedFault::KeepStalledBackup)
             && self.lost_backup(lead)
             && lead.record.members.iter().any(spare)
     }
@@ -77,11 +77,11 @@
     /// on the whole list.
     fn wanted_members(&self) -> Option<Vec<Member>> {
         let Role::Primary(lead) = &self.role else { return None };
-        if self.settings.has(Flaw::KeepMembers) {
+        if self.settings.has(InjectedFault::KeepMembers) {
             return None;
         }
         let mut members = lead.record.members.clone();
-        let one_at_a_time = self.settings.has(Flaw::OneNewcomerAtATime);
+        let one_at_a_time = self.settings.has(InjectedFault::OneNewcomerAtATime);
         let (mut changed, mut unplaced) = (false, false);
         for newcomer in self.newcomers(lead) {
             match self.find_place(&mut members, newcomer) {
@@ -100,7 +100,7 @@
     /// address the one heard last takes the place in the end.
     fn newcomers(&self, lead: &Lead) -> Vec<Member> {
         // Danger: a disk that was wiped is heard lately, too. Only what has answered in this epoch is there.
-        let is_here = |p: &Peer| p.answered == lead.ballot || self.settings.has(Flaw::StaleNewcomer);
+        let is_here = |p: &Peer| p.answered == lead.ballot || self.settings.has(InjectedFault::StaleNewcomer);
         let mut found: Vec<&Peer> = self
             .peers
             .values()
@@ -147,7 +147,7 @@
     fn most_silent(&self, members: &[Member]) -> Option<MemberId> {
         let others = members.iter().filter(|m| m.id != self.me.id);
         let silent = others.max_by_key(|m| self.silence(m))?;
-        let replace_after = match self.settings.has(Flaw::SlowReplacement) {
+        let replace_after = match self.settings.has(InjectedFault::SlowReplacement) {
             true => Timings::default().replace_after,
             false => self.settings.timings.replace_after,
         };
@@ -156,7 +156,7 @@
 
     /// A member that has told that it stops, if others are there to hold the state in the epoch between.
     fn leaver_to_replace(&self, members: &[Member]) -> Option<MemberId> {
-        if self.settings.has(Flaw::KeepLeavers) {
+        if self.settings.has(InjectedFault::KeepLeavers) {
             return None;
         }
         let others = || members.iter().filter(|m| m.id != self.me.id);
@@ -236,7 +236,7 @@
         } else {
             self.election.at = self.now + 100 + self.below(250);
         }
-        self.drop_asks();
+        self.drop_client_requests();
     }
 
     pub(crate) fn take_over_timers(&mut self) {
--- a/crates/headworks/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -98,7 +98,7 @@
     pub piece_sizes: PieceSizes,
     /// A fault built in, to see that the checkers of the tests find it.
     #[doc(hidden)]
-    pub flaw: Option<Flaw>,
+    pub injected_fault: Option<InjectedFault>,
 }
 
 impl Settings {
@@ -118,12 +118,12 @@
             timings: Timings::default(),
             rewrite_bytes,
             piece_sizes: PieceSizes::default(),
-            flaw: None,
+            injected_fault: None,
         }
     }
 
-    pub(crate) fn has(&self, flaw: Flaw) -> bool {
-        self.flaw == Some(flaw)
+    pub(crate) fn has(&self, injected_fault: InjectedFault) -> bool {
+        self.injected_fault == Some(injected_fault)
     }
 }
 
@@ -131,7 +131,7 @@
 #[doc(hidden)]
 #[allow(missing_docs)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Flaw {
+pub enum InjectedFault {
     /// A change is acknowledged when it is on the primary's disk.
     CommitAlone,
     /// Promises, states and records are answered before they are synced.
@@ -148,7 +148,7 @@
     ShowUncommitted,
     /// The calls that were taken aren't remembered.
     ForgetTaken,
-    /// Asks are answered when their callers have long gone elsewhere.
+    /// ClientRequests are answered when their callers have long gone elsewhere.
     AnswerLate,
     /// A call that can't be told from a forgotten one is refused.
     RefuseForgotten,
@@ -178,7 +178,7 @@
     KeepStalledBackup,
     /// Members are never replaced.
     KeepMembers,
-    /// Asks are forgotten when the primary steps down.
+    /// ClientRequests are forgotten when the primary steps down.
     DropAsks,
     /// A node with a full disk says that it is fit.
     AlwaysFit,
--- a/crates/headworks/src/take_over.rs
+++ b/crates/consensus/src/take_over.rs
@@ -8,7 +8,7 @@
 use crate::node::{Leader, Node, Role};
 use crate::primary::{Lead, MOST_TRANSFER};
 use crate::quorum::Votes;
-use crate::settings::Flaw;
+use crate::settings::InjectedFault;
 use crate::transfer::StatePurpose;
 use crate::types::{Ballot, Member, MemberId, Record, State, Version};
 
@@ -109,9 +109,9 @@
             target: Default::default(),
         };
         self.role = Role::TakingOver(Box::new(take_over));
-        self.renumber_asks();
+        self.renumber_client_requests();
         self.write(Effect::Promise(ballot), Some(self.me));
-        if self.settings.has(Flaw::BallotUnsynced) {
+        if self.settings.has(InjectedFault::BallotUnsynced) {
             self.own_promise_written(ballot);
         }
     }
@@ -219,7 +219,7 @@
             return;
         }
         let votes = t.votes();
-        let new_only = self.settings.has(Flaw::NewMembersOnly);
+        let new_only = self.settings.has(InjectedFault::NewMembersOnly);
         // The highest record seen is as good as one accepted: somebody has proposed it.
         let base = self.view.clone().filter(|r| r.ballot < t.ballot);
         if base.as_ref().is_some_and(|r| r.member(self.me.id).is_none()) {
@@ -234,7 +234,7 @@
         }
         let target = self.next_members(t, base.as_ref());
         let Some(order) = self.choose_backups(t, &target.1) else { return };
-        let key = |v: &Version| match self.settings.has(Flaw::NewestByRevision) {
+        let key = |v: &Version| match self.settings.has(InjectedFault::NewestByRevision) {
             true => (Ballot::default(), v.revision, v.stamp, v.origin),
             false => (v.stamp, v.revision, v.origin, v.origin),
         };
@@ -304,7 +304,7 @@
             Phase::Stamp { state, .. } => state.version() == progressed,
             _ => false,
         };
-        let bound = if self.settings.has(Flaw::StepBoundKept) { 0 } else { MOST_TRANSFER };
+        let bound = if self.settings.has(InjectedFault::StepBoundKept) { 0 } else { MOST_TRANSFER };
         if waits && now.saturating_sub(t.entered) < bound {
             t.since = now;
         }
@@ -321,7 +321,7 @@
 
     fn stamp(&mut self, state: State, order: Vec<MemberId>) {
         let now = self.now;
-        let skip = self.settings.has(Flaw::NoStamp);
+        let skip = self.settings.has(InjectedFault::NoStamp);
         let wanted = self.settings.failures;
         let Role::TakingOver(t) = &mut self.role else { return };
         let state = state.stamped(t.ballot);
@@ -345,8 +345,8 @@
         let Phase::Stamp { state, order, asked, done, .. } = &t.phase else { return };
         let (state, version) = (state.clone(), state.version());
         // One that has not written the state may know it all the same: worth a question where it is large.
-        let ask_first =
-            state.body.len() > self.settings.piece_sizes.large && !self.settings.has(Flaw::WholeStates);
+        let ask_first = state.body.len() > self.settings.piece_sizes.large
+            && !self.settings.has(InjectedFault::WholeStates);
         let mut targets = Vec::new();
         for id in order.iter().take(*asked).skip(from).filter(|id| !done.contains(id)) {
             let Some(p) = t.promises.get(id) else { continue };
@@ -422,7 +422,7 @@
     }
 
     pub(crate) fn on_accepted(&mut self, from: Member, ballot: Ballot, founder: bool) {
-        let new_only = self.settings.has(Flaw::NewMembersOnly);
+        let new_only = self.settings.has(InjectedFault::NewMembersOnly);
         let Role::TakingOver(t) = &mut self.role else { return };
         let Phase::Accept { record, state, votes, own } = &mut t.phase else { return };
         if t.ballot != ballot {
@@ -445,8 +445,8 @@
         if !continued {
             self.refuse_unconfirmed();
         }
-        self.settle_flight();
-        self.beat(true);
+        self.settle_pending_write();
+        self.send_heartbeats(true);
     }
 
     pub(crate) fn take_over_resend(&mut self, resend: u64, resend_state: u64) {
--- a/crates/headworks/src/transfer.rs
+++ b/crates/consensus/src/transfer.rs
@@ -11,7 +11,7 @@
 use crate::limits::MAX_STATE_BYTES;
 use crate::message::Message;
 use crate::node::{Node, Role};
-use crate::settings::Flaw;
+use crate::settings::InjectedFault;
 use crate::types::{Ballot, Member, State, Version, decode_body, encode_body};
 
 /// An outgoing transfer that nobody asked for pieces of for so long is forgotten.
@@ -167,7 +167,9 @@
 impl<R: RngCore> Node<R> {
     /// Sends a state whole: in one message, or by an offer where it is large.
     pub(crate) fn send_state(&mut self, to: Member, purpose: StatePurpose, state: State) {
-        if state.body.len() <= self.settings.piece_sizes.large || self.settings.has(Flaw::WholeStates) {
+        if state.body.len() <= self.settings.piece_sizes.large
+            || self.settings.has(InjectedFault::WholeStates)
+        {
             let message = match purpose {
                 StatePurpose::Committed => Message::Committed { state },
                 StatePurpose::Replicate => Message::Replicate { state },
--- a/crates/headworks/tests/codec.rs
+++ b/crates/consensus/tests/codec.rs
@@ -1,7 +1,7 @@
 //! What comes from outside: messages and logs, whole, cut short or made up.
 
 use minicbor::{decode, to_vec};
-use mosshead_headworks::{
+use mosshead_consensus::{
     Ballot, Call, CallDigest, ContactStamp, Delta, Fault, Input, Member, MemberId, Message, Node, Offer,
     Output, Piece, PieceSizes, Record, Settings, State, StateChange, StatePurpose, Verdict, Version,
     checksum,
--- a/crates/headworks/tests/delta.rs
+++ b/crates/consensus/tests/delta.rs
@@ -1,7 +1,7 @@
 //! Deltas give back the target, pay, and do no harm when they are made up.
 
 use minicbor::Encoder;
-use mosshead_headworks::{Delta, MAX_BODY_BYTES};
+use mosshead_consensus::{Delta, MAX_BODY_BYTES};
 use quickcheck::{TestResult, quickcheck};
 
 /// Lines as in a configuration, each with its number.
--- a/crates/headworks/tests/fleet/book.rs
+++ b/crates/consensus/tests/fleet/book.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use mosshead_headworks::{Ballot, CallDigest, MAX_BODY_BYTES, MemberId, REMEMBERED_CALLS, State, Verdict};
+use mosshead_consensus::{Ballot, CallDigest, MAX_BODY_BYTES, MemberId, REMEMBERED_CALLS, State, Verdict};
 
 /// A machine and the life of its process.
 pub type Life = (usize, u64);
--- a/crates/headworks/tests/fleet/contact.rs
+++ b/crates/consensus/tests/fleet/contact.rs
@@ -1,6 +1,6 @@
 //! Who says that it is in touch shows no old state, whatever was held back by a network or a frozen process.
 
-use mosshead_headworks::Flaw;
+use mosshead_consensus::InjectedFault;
 
 use crate::day::Act;
 use crate::scenarios::{around, calm, lead, other_lead, roles, taken_at, told, want};
@@ -38,9 +38,9 @@
     world.settle()
 }
 
-fn frozen_follower(flaw: Option<Flaw>) -> Result<(), String> {
+fn frozen_follower(injected_fault: Option<InjectedFault>) -> Result<(), String> {
     for seed in 400..410 {
-        let mut world = calm(seed, 3, 1, flaw)?;
+        let mut world = calm(seed, 3, 1, injected_fault)?;
         world.frozen_backlog = 8;
         let (_, backups, witnesses) = roles(&world)?;
         let machine = if seed % 2 == 0 { backups[0] } else { witnesses[0] };
@@ -51,7 +51,7 @@
 
 #[test]
 fn a_thawed_follower_is_not_in_touch_by_what_was_held_back() {
-    told(frozen_follower, Flaw::ContactByArrival);
+    told(frozen_follower, InjectedFault::ContactByArrival);
 }
 
 /// What becomes of some links, by machines.
@@ -61,11 +61,11 @@
 const CUTS: [Cut; 2] = [Act::Cut, Act::Hold];
 const DIRECTIONS: [Direction; 3] = [Direction::To, Direction::From, Direction::Both];
 
-fn cut_follower(flaw: Option<Flaw>) -> Result<(), String> {
+fn cut_follower(injected_fault: Option<InjectedFault>) -> Result<(), String> {
     for seed in 410..414 {
         for direction in DIRECTIONS {
             for cut in CUTS {
-                let mut world = calm(seed, 3, 1, flaw)?;
+                let mut world = calm(seed, 3, 1, injected_fault)?;
                 let (_, backups, witnesses) = roles(&world)?;
                 let machine = if seed % 2 == 0 { backups[0] } else { witnesses[0] };
                 let links = links(&world, machine, direction);
@@ -78,20 +78,20 @@
 
 #[test]
 fn a_follower_that_was_cut_off_is_not_in_touch_by_what_was_held_back() {
-    told(cut_follower, Flaw::ContactByArrival);
+    told(cut_follower, InjectedFault::ContactByArrival);
 }
 
-fn cut_primary(flaw: Option<Flaw>) -> Result<(), String> {
+fn cut_primary(injected_fault: Option<InjectedFault>) -> Result<(), String> {
     for (machines, failures) in [(3, 1), (5, 2)] {
         for direction in DIRECTIONS {
             for cut in CUTS {
-                let mut world = calm(420 + machines as u64, machines, failures, flaw)?;
+                let mut world = calm(420 + machines as u64, machines, failures, injected_fault)?;
                 let primary = lead(&world)?;
                 let links = links(&world, primary, direction);
                 trouble(&mut world, cut(links))?;
             }
         }
-        let mut world = calm(430 + machines as u64, machines, failures, flaw)?;
+        let mut world = calm(430 + machines as u64, machines, failures, injected_fault)?;
         world.frozen_backlog = 8;
         let primary = lead(&world)?;
         trouble(&mut world, Act::Freeze(vec![primary]))?;
@@ -101,13 +101,13 @@
 
 #[test]
 fn a_primary_that_was_cut_off_is_not_in_touch_by_what_was_held_back() {
-    told(cut_primary, Flaw::ContactByArrival);
+    told(cut_primary, InjectedFault::ContactByArrival);
 }
 
 /// What is committed never reaches a witness, while heartbeats do.
-fn states_lost(flaw: Option<Flaw>) -> Result<(), String> {
+fn states_lost(injected_fault: Option<InjectedFault>) -> Result<(), String> {
     // The machines of this seed send no state in pieces: all news of committed states is of this kind.
-    let mut world = calm(431, 3, 1, flaw)?;
+    let mut world = calm(431, 3, 1, injected_fault)?;
     let (_, _, witnesses) = roles(&world)?;
     let committed = KINDS.iter().position(|kind| *kind == "Committed").ok_or("no such kind")?;
     world.kind_loss[committed] = 1_000;
@@ -122,12 +122,12 @@
 
 #[test]
 fn a_follower_that_lacks_the_state_is_not_in_touch() {
-    told(states_lost, Flaw::ContactWithoutState);
+    told(states_lost, InjectedFault::ContactWithoutState);
 }
 
 /// A heartbeat that was sent to an earlier run of a process reaches the next one, whose clock says the same.
-fn another_life(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = calm(440, 3, 1, flaw)?;
+fn another_life(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = calm(440, 3, 1, injected_fault)?;
     let (primary, backups, _) = roles(&world)?;
     let machine = backups[0];
     world.kill(machine, false);
@@ -150,12 +150,12 @@
 
 #[test]
 fn a_stamp_of_another_life_proves_nothing() {
-    told(another_life, Flaw::ContactOfOtherLives);
+    told(another_life, InjectedFault::ContactOfOtherLives);
 }
 
 /// A node is frozen so long after it has proposed its record; others lead meanwhile.
-fn frozen_take_over(delay: u64, flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = calm(450, 3, 1, flaw)?;
+fn frozen_take_over(delay: u64, injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = calm(450, 3, 1, injected_fault)?;
     let old = lead(&world)?;
     world.kill(old, false);
     let proposes = |w: &World, m: &usize| {
@@ -183,19 +183,19 @@
     world.settle()
 }
 
-fn frozen_take_overs(flaw: Option<Flaw>) -> Result<(), String> {
-    (0..20).try_for_each(|delay| frozen_take_over(delay, flaw))
+fn frozen_take_overs(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    (0..20).try_for_each(|delay| frozen_take_over(delay, injected_fault))
 }
 
 #[test]
 fn a_take_over_does_not_outlast_a_freeze() {
-    told(frozen_take_overs, Flaw::LateTakeOver);
+    told(frozen_take_overs, InjectedFault::LateTakeOver);
 }
 
 /// A thawed follower, with old heartbeats in its queue, doesn't hold up the election after a real loss.
-fn fooled_voter(flaw: Option<Flaw>) -> Result<(), String> {
+fn fooled_voter(injected_fault: Option<InjectedFault>) -> Result<(), String> {
     for seed in 460..470 {
-        let mut world = calm(seed, 3, 1, flaw)?;
+        let mut world = calm(seed, 3, 1, injected_fault)?;
         world.frozen_backlog = 8;
         let (primary, backups, witnesses) = roles(&world)?;
         let machine = if seed % 2 == 0 { backups[0] } else { witnesses[0] };
@@ -212,7 +212,7 @@
 
 #[test]
 fn old_heartbeats_do_not_hold_up_an_election() {
-    told(fooled_voter, Flaw::ContactByArrival);
+    told(fooled_voter, InjectedFault::ContactByArrival);
 }
 
 #[test]
@@ -260,10 +260,10 @@
 }
 
 /// One link fails in one direction: the same machine goes on leading, and takes changes.
-fn one_way(machines: usize, failures: usize, flaw: Option<Flaw>) -> Result<(), String> {
+fn one_way(machines: usize, failures: usize, injected_fault: Option<InjectedFault>) -> Result<(), String> {
     for from in 0..machines {
         for to in (0..machines).filter(|to| *to != from) {
-            let mut world = calm(500 + (machines * from + to) as u64, machines, failures, flaw)?;
+            let mut world = calm(500 + (machines * from + to) as u64, machines, failures, injected_fault)?;
             let primary = lead(&world)?;
             world.act(Act::Cut(vec![(from, to)]));
             for _ in 0..10 {
@@ -280,12 +280,12 @@
     Ok(())
 }
 
-fn one_way_links(flaw: Option<Flaw>) -> Result<(), String> {
-    one_way(3, 1, flaw)?;
-    one_way(5, 2, flaw)
+fn one_way_links(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    one_way(3, 1, injected_fault)?;
+    one_way(5, 2, injected_fault)
 }
 
 #[test]
 fn a_link_that_fails_one_way_moves_no_primary() {
-    told(one_way_links, Flaw::AlwaysWilling);
+    told(one_way_links, InjectedFault::AlwaysWilling);
 }
--- a/crates/headworks/tests/fleet/day.rs
+++ b/crates/consensus/tests/fleet/day.rs
@@ -1,6 +1,6 @@
 //! What may happen to the machines, and days full of it by seed.
 
-use mosshead_headworks::{Flaw, Input, Node};
+use mosshead_consensus::{InjectedFault, Input, Node};
 
 use crate::book::Kind;
 use crate::world::{AfterEnd, Event, Leave, World, address};
@@ -224,7 +224,7 @@
         let read = self.ask(primary, Kind::Read);
         self.run(700)?;
         let (change, read) = (self.book.verdict(ask).cloned(), self.book.verdict(read).cloned());
-        use mosshead_headworks::Verdict::{Current, Stale, Taken};
+        use mosshead_consensus::Verdict::{Current, Stale, Taken};
         let change_fine = matches!(change, Some(Taken { .. } | Stale { .. }));
         if !change_fine || !matches!(read, Some(Current { .. })) || self.book.taken == taken {
             return Err(format!("at {}: liveness: m{primary} answered {change:?}, {read:?}", self.now));
@@ -296,7 +296,7 @@
         let reads: Vec<u64> = primary.into_iter().map(|p| self.ask(p, Kind::Read)).collect();
         self.run(300)?;
         match reads.first().and_then(|r| self.book.verdict(*r)) {
-            Some(mosshead_headworks::Verdict::Current { .. }) => Ok(()),
+            Some(mosshead_consensus::Verdict::Current { .. }) => Ok(()),
             other => Err(format!("at {}: settled: read {other:?}", self.now)),
         }
     }
@@ -307,13 +307,13 @@
 }
 
 /// A whole day by its seed.
-pub fn play(seed: u64, flaw: Option<Flaw>) -> Result<World, String> {
+pub fn play(seed: u64, injected_fault: Option<InjectedFault>) -> Result<World, String> {
     let (machines, failures) = match seed % 4 {
         0 => (5, 2),
         1 => (4, 1),
         _ => (3, 1),
     };
-    let mut world = World::new(seed, machines, failures, flaw);
+    let mut world = World::new(seed, machines, failures, injected_fault);
     world.hire(2);
     let day = |world: &mut World| -> Result<(), String> {
         if seed.is_multiple_of(3) {
--- a/crates/headworks/tests/fleet/days.rs
+++ b/crates/consensus/tests/fleet/days.rs
@@ -1,11 +1,11 @@
 //! Random days: no rule is broken, and the fleet comes back each time.
 
-use mosshead_headworks::Flaw;
+use mosshead_consensus::InjectedFault;
 
 use crate::world::World;
 use crate::{day, storm};
 
-type Play = fn(u64, Option<Flaw>) -> Result<World, String>;
+type Play = fn(u64, Option<InjectedFault>) -> Result<World, String>;
 
 fn days(play: Play, seeds: std::ops::Range<u64>, least: u64) {
     let (mut taken, mut broken) = (0, Vec::new());
@@ -19,10 +19,10 @@
     assert!(taken >= least * (seeds.end - seeds.start), "{taken} changes");
 }
 
-/// One day, told whole with `HEADWORKS_TRACE`.
+/// One day, told whole with `CONSENSUS_TRACE`.
 #[test]
 fn day_of_a_seed() {
-    let seed = std::env::var("HEADWORKS_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
+    let seed = std::env::var("CONSENSUS_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
     if let Err(what) = day::play(seed, None) {
         panic!("{what}");
     }
@@ -58,19 +58,19 @@
     days(storm::play, 200..400, 10);
 }
 
-/// One storm, told whole with `HEADWORKS_TRACE`.
+/// One storm, told whole with `CONSENSUS_TRACE`.
 #[test]
 fn storm_of_a_seed() {
-    let seed = std::env::var("HEADWORKS_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
+    let seed = std::env::var("CONSENSUS_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
     if let Err(what) = storm::play(seed, None) {
         panic!("{what}");
     }
 }
 
-/// More of both, as many as `HEADWORKS_DAYS` and `HEADWORKS_STORMS` say.
+/// More of both, as many as `CONSENSUS_DAYS` and `CONSENSUS_STORMS` say.
 #[test]
 fn hunt() {
     let wanted = |name: &str| std::env::var(name).ok().and_then(|s| s.parse().ok()).unwrap_or(0);
-    days(day::play, 1_000..1_000 + wanted("HEADWORKS_DAYS"), 0);
-    days(storm::play, 400..400 + wanted("HEADWORKS_STORMS"), 0);
+    days(day::play, 1_000..1_000 + wanted("CONSENSUS_DAYS"), 0);
+    days(storm::play, 400..400 + wanted("CONSENSUS_STORMS"), 0);
 }
--- a/crates/headworks/tests/fleet/large.rs
+++ b/crates/consensus/tests/fleet/large.rs
@@ -3,7 +3,7 @@
 //! Sizes, links and disks are a tenth of the real ones, so that all times are real: a body of 300 KB stands for 3 MB, a link
 //! of 1,500 bytes a millisecond for one of 120 Mbit/s.
 
-use mosshead_headworks::{Flaw, Input, MAX_BODY_BYTES, Message, Node, PieceSizes, Verdict};
+use mosshead_consensus::{InjectedFault, Input, MAX_BODY_BYTES, Message, Node, PieceSizes, Verdict};
 use rand_core::RngCore;
 
 use crate::book::{Change, Kind, digest};
@@ -23,9 +23,9 @@
     machines: usize,
     failures: usize,
     real_bytes: usize,
-    flaw: Option<Flaw>,
+    injected_fault: Option<InjectedFault>,
 ) -> Result<World, String> {
-    let mut world = World::new(seed, machines, failures, flaw);
+    let mut world = World::new(seed, machines, failures, injected_fault);
     for machine in &mut world.machines {
         machine.settings.rewrite_bytes = (4 << 20) / SCALE;
         let sizes = PieceSizes::default();
@@ -94,9 +94,9 @@
     Err(format!("at {}: m{machine} is {} behind", world.now, behind(world, machine)?))
 }
 
-fn wiped_member(flaw: Option<Flaw>) -> Result<(), String> {
+fn wiped_member(injected_fault: Option<InjectedFault>) -> Result<(), String> {
     for seed in 0..3 {
-        let mut world = fleet(seed, 3, 1, 3_000_000, flaw)?;
+        let mut world = fleet(seed, 3, 1, 3_000_000, injected_fault)?;
         let taken = stream(&mut world, 1_500)?;
         want(taken >= 30, &format!("{taken} changes in 1.5 s"))?;
         let (_, backups, witnesses) = roles(&world)?;
@@ -113,13 +113,13 @@
 
 #[test]
 fn a_wiped_member_catches_up_while_changes_go_on() {
-    told(wiped_member, Flaw::WholeStates);
+    told(wiped_member, InjectedFault::WholeStates);
 }
 
 /// A member is away for hundreds of changes.
-fn restarted_member(flaw: Option<Flaw>) -> Result<(), String> {
+fn restarted_member(injected_fault: Option<InjectedFault>) -> Result<(), String> {
     for seed in 3..6 {
-        let mut world = fleet(seed, 3, 1, 3_000_000, flaw)?;
+        let mut world = fleet(seed, 3, 1, 3_000_000, injected_fault)?;
         let (_, backups, witnesses) = roles(&world)?;
         let away = if seed == 3 { backups[0] } else { witnesses[0] };
         world.act(Act::Kill(vec![away]));
@@ -136,7 +136,7 @@
 
 #[test]
 fn a_restarted_member_catches_up_after_hundreds_of_changes() {
-    told(restarted_member, Flaw::WholeStates);
+    told(restarted_member, InjectedFault::WholeStates);
 }
 
 #[test]
@@ -165,8 +165,8 @@
 }
 
 /// Whoever takes over lacks the state, and gets it from the only one that has it still.
-fn fetched_state(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = fleet(9, 3, 1, 4_000_000, flaw)?;
+fn fetched_state(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = fleet(9, 3, 1, 4_000_000, injected_fault)?;
     stream(&mut world, 1_000)?;
     // A third of the usual link: the state needs 0.8 s.
     world.bandwidth = Some(Bandwidth { link: 500, ..SLOW });
@@ -186,7 +186,7 @@
 
 #[test]
 fn a_take_over_waits_for_a_large_state_that_is_on_its_way() {
-    told(fetched_state, Flaw::StepBoundKept);
+    told(fetched_state, InjectedFault::StepBoundKept);
 }
 
 #[test]
@@ -213,8 +213,8 @@
 }
 
 /// The largest configuration that is taken, on five machines.
-fn largest_on_five_machines(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = fleet(12, 5, 2, 4_000_000, flaw)?;
+fn largest_on_five_machines(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = fleet(12, 5, 2, 4_000_000, injected_fault)?;
     let taken = stream(&mut world, 1_500)?;
     want(taken >= 30, &format!("{taken} changes in 1.5 s"))?;
     let (_, backups, _) = roles(&world)?;
@@ -225,7 +225,7 @@
 
 #[test]
 fn the_largest_configuration_is_replicated_on_five_machines() {
-    told(largest_on_five_machines, Flaw::WholeStates);
+    told(largest_on_five_machines, InjectedFault::WholeStates);
 }
 
 /// Random troubles while changes go on, each healed; no rule is broken, and all know all in the end.
@@ -264,8 +264,13 @@
 
 /// Wipes a witness while changes go on; says after how long it has caught up, and how many changes were taken in the two
 /// seconds before.
-fn catch_up(seed: u64, failures: usize, real_bytes: usize, flaw: Option<Flaw>) -> Result<(u64, u64), String> {
-    let mut world = fleet(seed, 2 * failures + 1, failures, real_bytes, flaw)?;
+fn catch_up(
+    seed: u64,
+    failures: usize,
+    real_bytes: usize,
+    injected_fault: Option<InjectedFault>,
+) -> Result<(u64, u64), String> {
+    let mut world = fleet(seed, 2 * failures + 1, failures, real_bytes, injected_fault)?;
     let taken = stream(&mut world, 2_000)?;
     let (_, _, witnesses) = roles(&world)?;
     world.act(Act::Wipe(witnesses[..1].to_vec()));
@@ -279,10 +284,14 @@
     for (failures, real_bytes) in
         [(1, 100_000), (1, 1_000_000), (1, 4_000_000), (2, 1_000_000), (2, 4_000_000)]
     {
-        for flaw in [None, Some(Flaw::WholeStates)] {
-            let spans: Vec<_> = (0..5).map(|seed| catch_up(seed, failures, real_bytes, flaw)).collect();
-            println!("f = {failures}, {real_bytes} bytes, {flaw:?}: {spans:?}");
-            assert!(flaw.is_some() || spans.iter().all(Result::is_ok), "{real_bytes} bytes: {spans:?}");
+        for injected_fault in [None, Some(InjectedFault::WholeStates)] {
+            let spans: Vec<_> =
+                (0..5).map(|seed| catch_up(seed, failures, real_bytes, injected_fault)).collect();
+            println!("f = {failures}, {real_bytes} bytes, {injected_fault:?}: {spans:?}");
+            assert!(
+                injected_fault.is_some() || spans.iter().all(Result::is_ok),
+                "{real_bytes} bytes: {spans:?}"
+            );
         }
     }
 }
@@ -292,9 +301,9 @@
 fn bytes_of_a_change_by_size() {
     for real_bytes in [100_000, 3_000_000] {
         let mut figures = Vec::new();
-        for flaw in [Some(Flaw::WholeStates), None] {
+        for injected_fault in [Some(InjectedFault::WholeStates), None] {
             let story = || {
-                let mut world = World::new(11, 3, 1, flaw);
+                let mut world = World::new(11, 3, 1, injected_fault);
                 world.noise = 0;
                 world.run(3_000)?;
                 let fast = 1 << 30;
@@ -322,7 +331,7 @@
             let (taken, sent, written) = story().unwrap_or_else(|what: String| panic!("{what}"));
             want(taken >= 10, "few changes").unwrap_or_else(|what| panic!("{what}"));
             println!(
-                "{real_bytes} bytes, {flaw:?}: {taken} changes, {sent} bytes sent and {written} written each"
+                "{real_bytes} bytes, {injected_fault:?}: {taken} changes, {sent} bytes sent and {written} written each"
             );
             figures.push((sent, written));
         }
--- a/crates/headworks/tests/fleet/operator.rs
+++ b/crates/consensus/tests/fleet/operator.rs
@@ -1,6 +1,6 @@
 //! Operators that race: each call is repeated unchanged until it has a clear answer.
 
-use mosshead_headworks::Verdict;
+use mosshead_consensus::Verdict;
 
 use crate::book::{Change, Kind, digest};
 use crate::world::{Event, World, body};
--- a/crates/headworks/tests/fleet/orders.rs
+++ b/crates/consensus/tests/fleet/orders.rs
@@ -1,7 +1,7 @@
 //! Hundreds of orders: eight operators at once who all pick the next number, repeats of all that was taken, and cuts of the
 //! primary amid them, so that the old one and the new one get different changes under one number.
 
-use mosshead_headworks::{Flaw, Node};
+use mosshead_consensus::{InjectedFault, Node};
 
 use crate::day::Act;
 use crate::scenarios::around;
@@ -11,9 +11,9 @@
 const CUTS: usize = 12;
 const SEEDS: u64 = 16;
 
-fn play(seed: u64, flaw: Option<Flaw>) -> Result<World, String> {
+fn play(seed: u64, injected_fault: Option<InjectedFault>) -> Result<World, String> {
     let failures = 1 + (seed % 2) as usize;
-    let mut world = World::new(seed ^ 0x0de5, 2 * failures + 1, failures, flaw);
+    let mut world = World::new(seed ^ 0x0de5, 2 * failures + 1, failures, injected_fault);
     world.revision_steps = 1;
     world.hire(OPERATORS);
     let day = |world: &mut World| -> Result<(), String> {
@@ -52,19 +52,19 @@
 }
 
 /// Some seed finds the flaw, by a rule that it breaks.
-fn finds(flaw: Flaw, rules: &[&str]) {
-    let what = (0..SEEDS).find_map(|seed| play(seed, Some(flaw)).err());
-    let what = what.unwrap_or_else(|| panic!("{flaw:?} was not found"));
-    assert!(rules.iter().any(|r| what.contains(r)), "{flaw:?}: {what:.300}");
-    println!("{flaw:?}: {what:.200}");
+fn finds(injected_fault: InjectedFault, rules: &[&str]) {
+    let what = (0..SEEDS).find_map(|seed| play(seed, Some(injected_fault)).err());
+    let what = what.unwrap_or_else(|| panic!("{injected_fault:?} was not found"));
+    assert!(rules.iter().any(|r| what.contains(r)), "{injected_fault:?}: {what:.300}");
+    println!("{injected_fault:?}: {what:.200}");
 }
 
 #[test]
 fn forgotten_calls_refused() {
-    finds(Flaw::RefuseForgotten, &["stale"]);
+    finds(InjectedFault::RefuseForgotten, &["stale"]);
 }
 
 #[test]
 fn taken_calls_refused() {
-    finds(Flaw::ForgetTaken, &["stale"]);
+    finds(InjectedFault::ForgetTaken, &["stale"]);
 }
--- a/crates/headworks/tests/fleet/recovery.rs
+++ b/crates/consensus/tests/fleet/recovery.rs
@@ -1,9 +1,9 @@
 //! How long until full service after a loss, in virtual time: a change is acknowledged again, and all live members are in touch.
 //!
-//! A few seeds run always. `HEADWORKS_RECOVERY=1000` runs as many and prints the table of
+//! A few seeds run always. `CONSENSUS_RECOVERY=1000` runs as many and prints the table of
 //! `docs/measurements/control-recovery.md`.
 
-use mosshead_headworks::{Node, Verdict};
+use mosshead_consensus::{Node, Verdict};
 
 use crate::book::Kind;
 use crate::day::Act;
@@ -60,7 +60,7 @@
     whole: u64,
 }
 
-/// Asks for changes like an operator who knows at each moment who leads.
+/// ClientRequests for changes like an operator who knows at each moment who leads.
 #[derive(Default)]
 struct Prober {
     asks: Vec<u64>,
@@ -201,7 +201,7 @@
 
 #[test]
 fn full_service_is_back_within_1500_ms_in_the_median() {
-    let asked = std::env::var("HEADWORKS_RECOVERY").ok().and_then(|s| s.parse().ok());
+    let asked = std::env::var("CONSENSUS_RECOVERY").ok().and_then(|s| s.parse().ok());
     let seeds: u64 = asked.unwrap_or(SEEDS);
     println!(
         "| loss | acknowledged: median | 99 in 100 | full service: median | 99 in 100 | worst | all members: median | 99 in 100 |"
--- a/crates/headworks/tests/fleet/repeats.rs
+++ b/crates/consensus/tests/fleet/repeats.rs
@@ -1,6 +1,6 @@
 //! Calls that are sent again, also hundreds of changes later: acknowledged or left without a clear answer, never refused.
 
-use mosshead_headworks::{Flaw, Node, Timings, Verdict};
+use mosshead_consensus::{InjectedFault, Node, Timings, Verdict};
 
 use crate::book::Kind;
 use crate::day::Act;
@@ -11,8 +11,8 @@
 const HUNDREDS: usize = 300;
 
 /// A change that was taken is sent again after every other one of some hundreds.
-fn repeated_after_hundreds(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = calm(11, 3, 1, flaw)?;
+fn repeated_after_hundreds(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = calm(11, 3, 1, injected_fault)?;
     let mut changes = Vec::new();
     for _ in 0..HUNDREDS {
         changes.push(taken(&mut world, 60)?);
@@ -23,12 +23,12 @@
         let verdict = verdict_at(&mut world, primary, Kind::Change(change), 250)?;
         acknowledged += usize::from(matches!(verdict, Some(Verdict::Taken { .. })));
     }
-    want(acknowledged == mosshead_headworks::REMEMBERED_CALLS, "the latest calls are acknowledged again")
+    want(acknowledged == mosshead_consensus::REMEMBERED_CALLS, "the latest calls are acknowledged again")
 }
 
 #[test]
 fn a_call_taken_hundreds_of_changes_ago_is_never_refused() {
-    told(repeated_after_hundreds, Flaw::RefuseForgotten);
+    told(repeated_after_hundreds, InjectedFault::RefuseForgotten);
 }
 
 /// The backup's disk stalls for longer than the caller listens: no clear answer in time, but the write goes on.
--- a/crates/headworks/tests/fleet/scenarios.rs
+++ b/crates/consensus/tests/fleet/scenarios.rs
@@ -1,16 +1,21 @@
 //! Single stories, each told of nodes as they are and of nodes with the flaw that the story is about.
 
-use mosshead_headworks::{Flaw, Input, Message, Node, Timings, Verdict};
+use mosshead_consensus::{InjectedFault, Input, Message, Node, Timings, Verdict};
 
 use crate::book::{Change, Kind, digest};
 use crate::day::Act;
 use crate::world::{World, address};
 
-pub type Story = fn(Option<Flaw>) -> Result<(), String>;
+pub type Story = fn(Option<InjectedFault>) -> Result<(), String>;
 
 /// A fleet in calm, without noise, with some state.
-pub fn calm(seed: u64, machines: usize, failures: usize, flaw: Option<Flaw>) -> Result<World, String> {
-    calm_with(World::new(seed, machines, failures, flaw))
+pub fn calm(
+    seed: u64,
+    machines: usize,
+    failures: usize,
+    injected_fault: Option<InjectedFault>,
+) -> Result<World, String> {
+    calm_with(World::new(seed, machines, failures, injected_fault))
 }
 
 pub fn calm_with(mut world: World) -> Result<World, String> {
@@ -79,19 +84,19 @@
 }
 
 /// Nodes as they are tell the story to its end; nodes with the flaw don't.
-pub fn told(story: Story, flaw: Flaw) {
+pub fn told(story: Story, injected_fault: InjectedFault) {
     if let Err(what) = story(None) {
-        panic!("without a flaw: {what}");
+        panic!("without a injected_fault: {what}");
     }
-    match story(Some(flaw)) {
-        Ok(()) => panic!("{flaw:?} was not found"),
-        Err(what) => println!("{flaw:?}: {what:.200}"),
+    match story(Some(injected_fault)) {
+        Ok(()) => panic!("{injected_fault:?} was not found"),
+        Err(what) => println!("{injected_fault:?}: {what:.200}"),
     }
 }
 
 /// A primary that takes its lease for longer than it is, cut off while another one writes.
-fn long_lease(flaw: Option<Flaw>) -> Result<(World, usize, usize, Change), String> {
-    let mut world = World::new(3, 3, 1, flaw);
+fn long_lease(injected_fault: Option<InjectedFault>) -> Result<(World, usize, usize, Change), String> {
+    let mut world = World::new(3, 3, 1, injected_fault);
     for machine in &mut world.machines {
         machine.settings.timings = Timings { lease: 60_000, ..Timings::default() };
     }
@@ -106,14 +111,14 @@
     Ok((world, old, new, change))
 }
 
-fn read_at_old_primary(flaw: Option<Flaw>) -> Result<(), String> {
-    let (mut world, old, _, _) = long_lease(flaw)?;
+fn read_at_old_primary(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let (mut world, old, _, _) = long_lease(injected_fault)?;
     let verdict = verdict_at(&mut world, old, Kind::Read, 1_400)?;
     want(verdict == Some(Verdict::Unavailable), "the old primary answers a read")
 }
 
-fn change_at_old_primary(flaw: Option<Flaw>) -> Result<(), String> {
-    let (mut world, old, new, last) = long_lease(flaw)?;
+fn change_at_old_primary(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let (mut world, old, new, last) = long_lease(injected_fault)?;
     let next = Change { base: last.revision, revision: last.revision + 1, digest: digest(77), body: vec![7] };
     let old_verdict = verdict_at(&mut world, old, Kind::Change(next.clone()), 1_400)?;
     let verdict = verdict_at(&mut world, new, Kind::Change(next), 500)?;
@@ -123,17 +128,17 @@
 
 #[test]
 fn a_read_is_confirmed() {
-    told(read_at_old_primary, Flaw::ReadUnconfirmed);
+    told(read_at_old_primary, InjectedFault::ReadUnconfirmed);
 }
 
 #[test]
 fn a_stale_base_is_confirmed() {
-    told(change_at_old_primary, Flaw::StaleUnconfirmed);
+    told(change_at_old_primary, InjectedFault::StaleUnconfirmed);
 }
 
 /// A backup has promised another one, and its old primary goes on.
-fn write_after_promise(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = World::new(4, 3, 1, flaw);
+fn write_after_promise(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = World::new(4, 3, 1, injected_fault);
     for machine in &mut world.machines {
         machine.settings.timings = Timings { lease: 60_000, ..Timings::default() };
     }
@@ -156,12 +161,12 @@
 
 #[test]
 fn a_promise_is_kept() {
-    told(write_after_promise, Flaw::ForgetPromise);
+    told(write_after_promise, InjectedFault::ForgetPromise);
 }
 
 /// What a lone primary wrote has a high revision, and was never committed.
-fn high_revision(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = calm(4, 3, 1, flaw)?;
+fn high_revision(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = calm(4, 3, 1, injected_fault)?;
     let old = lead(&world)?;
     let links = around(&world, old);
     world.act(Act::Cut(links));
@@ -182,11 +187,11 @@
 
 #[test]
 fn the_newest_state_is_the_one_with_the_highest_stamp() {
-    told(high_revision, Flaw::NewestByRevision);
+    told(high_revision, InjectedFault::NewestByRevision);
 }
 
-fn deaf_primary(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = calm(5, 3, 1, flaw)?;
+fn deaf_primary(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = calm(5, 3, 1, injected_fault)?;
     let old = lead(&world)?;
     let links = world.standing().into_iter().map(|m| (m, old)).collect();
     world.act(Act::Cut(links));
@@ -199,7 +204,7 @@
 
 #[test]
 fn a_primary_that_hears_nobody_steps_down() {
-    told(deaf_primary, Flaw::NoLease);
+    told(deaf_primary, InjectedFault::NoLease);
 }
 
 #[test]
@@ -216,8 +221,8 @@
     story().map_err(|what: String| panic!("{what}")).ok();
 }
 
-fn stalled_primary(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = calm(7, 3, 1, flaw)?;
+fn stalled_primary(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = calm(7, 3, 1, injected_fault)?;
     let old = lead(&world)?;
     world.act(Act::Stall(vec![old], 6_000));
     let change = world.fresh_change(old);
@@ -232,11 +237,11 @@
 
 #[test]
 fn a_primary_with_a_stalled_disk_gives_up_its_place() {
-    told(stalled_primary, Flaw::KeepStalledPrimary);
+    told(stalled_primary, InjectedFault::KeepStalledPrimary);
 }
 
-fn stalled_backup(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = calm(8, 3, 1, flaw)?;
+fn stalled_backup(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = calm(8, 3, 1, injected_fault)?;
     let (primary, backups, _) = roles(&world)?;
     world.act(Act::Stall(backups, 6_000));
     taken_at(&mut world, primary, 700)?;
@@ -245,11 +250,11 @@
 
 #[test]
 fn a_backup_with_a_stalled_disk_is_replaced() {
-    told(stalled_backup, Flaw::KeepStalledBackup);
+    told(stalled_backup, InjectedFault::KeepStalledBackup);
 }
 
-fn full_backup(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = calm(9, 3, 1, flaw)?;
+fn full_backup(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = calm(9, 3, 1, injected_fault)?;
     let (primary, backups, _) = roles(&world)?;
     world.act(Act::Full(backups));
     taken_at(&mut world, primary, 250).map(|_| ())
@@ -257,7 +262,7 @@
 
 #[test]
 fn a_full_disk_is_told() {
-    told(full_backup, Flaw::AlwaysFit);
+    told(full_backup, InjectedFault::AlwaysFit);
 }
 
 #[test]
@@ -279,8 +284,8 @@
 }
 
 /// The old side may not give away its places to newcomers while the rest goes on.
-fn two_sides(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = World::new(11, 5, 1, flaw);
+fn two_sides(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = World::new(11, 5, 1, injected_fault);
     for machine in &mut world.machines {
         machine.settings.timings = Timings { replace_after: 200, lease: 60_000, ..Timings::default() };
     }
@@ -310,12 +315,12 @@
 
 #[test]
 fn members_change_by_the_old_and_the_new() {
-    told(two_sides, Flaw::NewMembersOnly);
+    told(two_sides, InjectedFault::NewMembersOnly);
 }
 
 /// Two founders found; one loses its disk while the other is down and the third comes late.
-fn late_founder(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = World::new(12, 3, 1, flaw);
+fn late_founder(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = World::new(12, 3, 1, injected_fault);
     world.noise = 0;
     world.run(350)?;
     world.kill(2, false);
@@ -337,11 +342,11 @@
 
 #[test]
 fn only_founders_found() {
-    told(late_founder, Flaw::AnyFounder);
+    told(late_founder, InjectedFault::AnyFounder);
 }
 
-fn wiped_member(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = calm(13, 3, 1, flaw)?;
+fn wiped_member(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = calm(13, 3, 1, injected_fault)?;
     let (_, backups, _) = roles(&world)?;
     let old = world.node(backups[0]).map(|n| n.me()).ok_or("none")?;
     world.act(Act::Wipe(backups.clone()));
@@ -355,7 +360,7 @@
 
 #[test]
 fn a_wiped_machine_is_another_member_at_once() {
-    told(wiped_member, Flaw::KeepMembers);
+    told(wiped_member, InjectedFault::KeepMembers);
 }
 
 #[test]
@@ -505,8 +510,8 @@
 }
 
 /// A backup's write of a change is on disk but told to have failed, and comes again.
-fn change_written_twice(flaw: Option<Flaw>) -> Result<(), String> {
-    let mut world = World::new(16, 3, 1, flaw);
+fn change_written_twice(injected_fault: Option<InjectedFault>) -> Result<(), String> {
+    let mut world = World::new(16, 3, 1, injected_fault);
     world.machines.iter_mut().for_each(|m| m.settings.rewrite_bytes = 1 << 20);
     let mut world = calm_with(world)?;
     let (primary, backups, witnesses) = roles(&world)?;
@@ -524,5 +529,5 @@
 
 #[test]
 fn a_change_is_written_only_after_the_state_before_it() {
-    told(change_written_twice, Flaw::ChangeOnUnsureState);
+    told(change_written_twice, InjectedFault::ChangeOnUnsureState);
 }
--- a/crates/headworks/tests/fleet/storm.rs
+++ b/crates/consensus/tests/fleet/storm.rs
@@ -1,6 +1,6 @@
 //! Storms: troubles come and go at any moment, and the spans of the nodes are anything. Only what must always hold is asked.
 
-use mosshead_headworks::{Flaw, Timings};
+use mosshead_consensus::{InjectedFault, Timings};
 
 use crate::day::Act;
 use crate::world::World;
@@ -59,7 +59,7 @@
                 self.kind_loss[kind] = [300, 800, 1_000][self.below(3) as usize];
             }
             24..=26 => self.kind_loss.fill(0),
-            _ => self.step(machine, mosshead_headworks::Input::Stop),
+            _ => self.step(machine, mosshead_consensus::Input::Stop),
         }
     }
 
@@ -76,7 +76,7 @@
         let Some(record) = self.primary().and_then(|p| self.node(p)).and_then(|n| n.record()).cloned() else {
             return Ok(false);
         };
-        let alive = |m: &&mosshead_headworks::Member| {
+        let alive = |m: &&mosshead_consensus::Member| {
             standing.iter().any(|s| self.node(*s).is_some_and(|n| n.me() == **m))
         };
         let here = record.members.iter().filter(alive).count();
@@ -85,13 +85,13 @@
 }
 
 /// A whole storm by its seed.
-pub fn play(seed: u64, flaw: Option<Flaw>) -> Result<World, String> {
+pub fn play(seed: u64, injected_fault: Option<InjectedFault>) -> Result<World, String> {
     let (machines, failures) = match seed % 4 {
         0 => (5, 2),
         1 | 2 => (4, 1),
         _ => (3, 1),
     };
-    let mut world = World::new(seed ^ 0x5707, machines, failures, flaw);
+    let mut world = World::new(seed ^ 0x5707, machines, failures, injected_fault);
     let storm = |world: &mut World| -> Result<(), String> {
         let timings = any_timings(world);
         world.machines.iter_mut().for_each(|m| m.settings.timings = timings.clone());
--- a/crates/headworks/tests/fleet/turnover.rs
+++ b/crates/consensus/tests/fleet/turnover.rs
@@ -1,7 +1,7 @@
 //! Planned changes of machines, and the losses that the platform may add right after them: a machine that has started counts
 //! as back after a span of the platform, and others may be lost then.
 
-use mosshead_headworks::{Flaw, Node, Record, Timings};
+use mosshead_consensus::{InjectedFault, Node, Record, Timings};
 
 use crate::day::Act;
 use crate::scenarios::{calm, lead, roles, taken, want};
@@ -14,8 +14,13 @@
 type Story = fn(&mut World, u64) -> Result<(), String>;
 
 /// A fleet in calm whose spans follow from the platform's.
-fn fleet(seed: u64, sync: u64, failures: usize, flaw: Option<Flaw>) -> Result<World, String> {
-    let mut world = World::new(seed, 2 * failures + 1, failures, flaw);
+fn fleet(
+    seed: u64,
+    sync: u64,
+    failures: usize,
+    injected_fault: Option<InjectedFault>,
+) -> Result<World, String> {
+    let mut world = World::new(seed, 2 * failures + 1, failures, injected_fault);
     world.noise = 0;
     world.machines.iter_mut().for_each(|m| m.settings.timings = Timings::for_sync(sync));
     world.run(3_000)?;
@@ -215,8 +220,13 @@
     [replaced_after_a_wait, replaced, replaced_late, lost, rolled, wiped_twice, joined_by_old_seeds];
 
 /// A story, and the losses right after it: the rest goes on, and nothing that was acknowledged is lost.
-fn and_losses(story: Story, seed: u64, sync: u64, flaw: Option<Flaw>) -> Result<World, String> {
-    let mut world = fleet(seed, sync, 1 + seed as usize % 2, flaw)?;
+fn and_losses(
+    story: Story,
+    seed: u64,
+    sync: u64,
+    injected_fault: Option<InjectedFault>,
+) -> Result<World, String> {
+    let mut world = fleet(seed, sync, 1 + seed as usize % 2, injected_fault)?;
     world.hire(2 * (seed as usize / 2 % 2));
     story(&mut world, sync)?;
     world.lose_holders()?;
@@ -243,7 +253,7 @@
 }
 
 fn more_seeds() -> u64 {
-    std::env::var("HEADWORKS_TURNOVERS").ok().and_then(|s| s.parse().ok()).unwrap_or(0)
+    std::env::var("CONSENSUS_TURNOVERS").ok().and_then(|s| s.parse().ok()).unwrap_or(0)
 }
 
 /// What was broken over some seeds and all spans.
@@ -261,12 +271,12 @@
     assert!(found.is_empty(), "{}:\n{}", found.len(), found.join("\n"));
 }
 
-fn finds(story: Story, flaw: Flaw, rules: &[&str]) {
-    let found = broken(|seed, sync| and_losses(story, seed, sync, Some(flaw)), 30);
-    assert!(!found.is_empty(), "{flaw:?} was not found");
-    println!("{flaw:?}: {} of 90, {:.200}", found.len(), found[0]);
+fn finds(story: Story, injected_fault: InjectedFault, rules: &[&str]) {
+    let found = broken(|seed, sync| and_losses(story, seed, sync, Some(injected_fault)), 30);
+    assert!(!found.is_empty(), "{injected_fault:?} was not found");
+    println!("{injected_fault:?}: {} of 90, {:.200}", found.len(), found[0]);
     let named = |what: &String| rules.iter().any(|rule| what.contains(rule));
-    assert!(found.iter().all(named), "{flaw:?}:\n{}", found.join("\n"));
+    assert!(found.iter().all(named), "{injected_fault:?}:\n{}", found.join("\n"));
 }
 
 #[test]
@@ -312,23 +322,23 @@
 
 #[test]
 fn a_leaver_that_just_ends_is_missed() {
-    finds(replaced_after_a_wait, Flaw::LeaveAtOnce, &["no primary"]);
+    finds(replaced_after_a_wait, InjectedFault::LeaveAtOnce, &["no primary"]);
 }
 
 #[test]
 fn a_leaver_that_keeps_its_place_is_missed() {
-    finds(replaced_after_a_wait, Flaw::KeepLeavers, &["no primary"]);
+    finds(replaced_after_a_wait, InjectedFault::KeepLeavers, &["no primary"]);
 }
 
 #[test]
 fn a_place_that_is_kept_for_long_is_missed() {
-    finds(lost, Flaw::SlowReplacement, &["no primary"]);
+    finds(lost, InjectedFault::SlowReplacement, &["no primary"]);
 }
 
 #[test]
 fn a_record_names_no_holder_without_the_state() {
     let lax = |seed, sync| {
-        let mut world = World::new(seed, 3, 1, Some(Flaw::NoStamp));
+        let mut world = World::new(seed, 3, 1, Some(InjectedFault::NoStamp));
         world.checks_holders = true;
         replaced(&mut world, sync).map(|()| world)
     };
@@ -376,8 +386,8 @@
 }
 
 /// How many epochs the loss of a witness's disk makes; the machine is back soon.
-fn epochs_after_a_wipe(seed: u64, flaw: Option<Flaw>) -> Result<u64, String> {
-    let mut world = fleet(seed, 4_000, 1 + seed as usize % 2, flaw)?;
+fn epochs_after_a_wipe(seed: u64, injected_fault: Option<InjectedFault>) -> Result<u64, String> {
+    let mut world = fleet(seed, 4_000, 1 + seed as usize % 2, injected_fault)?;
     let (_, _, witnesses) = roles(&world)?;
     let before = world.round()?;
     world.act(Act::Wipe(vec![witnesses[0]]));
@@ -394,15 +404,15 @@
     for seed in 0..200 {
         assert_eq!(epochs_after_a_wipe(seed, None), Ok(2), "seed {seed}");
     }
-    let returns = |seed: &u64| epochs_after_a_wipe(*seed, Some(Flaw::StaleNewcomer)) != Ok(2);
+    let returns = |seed: &u64| epochs_after_a_wipe(*seed, Some(InjectedFault::StaleNewcomer)) != Ok(2);
     let found = (0..100).filter(returns).count();
     assert!(found > 0, "it was not found");
     println!("StaleNewcomer: {found} of 100");
 }
 
 /// How long a fleet of five is not whole after two losses and two newcomers, from the newcomers' start.
-fn after_two_losses(seed: u64, flaw: Option<Flaw>) -> Result<u64, String> {
-    let mut world = fleet(seed, 1_500, 2, flaw)?;
+fn after_two_losses(seed: u64, injected_fault: Option<InjectedFault>) -> Result<u64, String> {
+    let mut world = fleet(seed, 1_500, 2, injected_fault)?;
     world.lose_holders()?;
     let since = world.now;
     world.newcomers(2);
@@ -411,8 +421,8 @@
 }
 
 /// The same if both were followers: their silence begins at the same moment.
-fn after_two_lost_followers(seed: u64, flaw: Option<Flaw>) -> Result<u64, String> {
-    let mut world = fleet(seed, 1_500, 2, flaw)?;
+fn after_two_lost_followers(seed: u64, injected_fault: Option<InjectedFault>) -> Result<u64, String> {
+    let mut world = fleet(seed, 1_500, 2, injected_fault)?;
     let (_, backups, witnesses) = roles(&world)?;
     let since = world.now;
     [backups[0], witnesses[0]].into_iter().for_each(|machine| world.take_away(machine));
@@ -422,8 +432,8 @@
 }
 
 /// The same for a fleet of three that has lost its primary.
-fn after_a_lost_primary(seed: u64, flaw: Option<Flaw>) -> Result<u64, String> {
-    let mut world = fleet(seed, 1_500, 1, flaw)?;
+fn after_a_lost_primary(seed: u64, injected_fault: Option<InjectedFault>) -> Result<u64, String> {
+    let mut world = fleet(seed, 1_500, 1, injected_fault)?;
     world.lose_holders()?;
     let since = world.now;
     world.newcomer();
@@ -432,8 +442,8 @@
 }
 
 /// The same after a planned replacement of one, from the leaver's signal.
-fn after_a_leave(seed: u64, flaw: Option<Flaw>) -> Result<u64, String> {
-    let mut world = fleet(seed, 4_000, 1 + seed as usize % 2, flaw)?;
+fn after_a_leave(seed: u64, injected_fault: Option<InjectedFault>) -> Result<u64, String> {
+    let mut world = fleet(seed, 4_000, 1 + seed as usize % 2, injected_fault)?;
     world.newcomer();
     world.run(1_000)?;
     let old = world.some_member()?;
@@ -444,12 +454,16 @@
 }
 
 /// Median and the value that 99 in 100 don't pass.
-fn figures(measure: fn(u64, Option<Flaw>) -> Result<u64, String>, flaw: Option<Flaw>) -> (u64, u64) {
-    let spans = (0..300).map(|seed| measure(seed, flaw).unwrap_or_else(|what| panic!("seed {seed}: {what}")));
+fn figures(
+    measure: fn(u64, Option<InjectedFault>) -> Result<u64, String>,
+    injected_fault: Option<InjectedFault>,
+) -> (u64, u64) {
+    let spans = (0..300)
+        .map(|seed| measure(seed, injected_fault).unwrap_or_else(|what| panic!("seed {seed}: {what}")));
     let mut spans: Vec<u64> = spans.collect();
     spans.sort_unstable();
     let found = (spans[spans.len() / 2], spans[spans.len() * 99 / 100]);
-    println!("{flaw:?}: {} ms, {} ms in 99 of 100", found.0, found.1);
+    println!("{injected_fault:?}: {} ms, {} ms in 99 of 100", found.0, found.1);
     found
 }
 
@@ -458,14 +472,14 @@
     let (_, most) = figures(after_two_losses, None);
     assert!(most <= 1_500, "{most} ms");
     let together = figures(after_two_lost_followers, None);
-    let in_turn = figures(after_two_lost_followers, Some(Flaw::OneNewcomerAtATime));
+    let in_turn = figures(after_two_lost_followers, Some(InjectedFault::OneNewcomerAtATime));
     assert!(together.0 + 100 <= in_turn.0, "{together:?}, {in_turn:?}");
 }
 
 #[test]
 fn a_lost_primary_was_silent_before_the_take_over() {
     let found = figures(after_a_lost_primary, None);
-    let flawed = figures(after_a_lost_primary, Some(Flaw::ForgetSilence));
+    let flawed = figures(after_a_lost_primary, Some(InjectedFault::ForgetSilence));
     assert!(found.1 <= 1_200 && found.0 + 300 <= flawed.0, "{found:?}, {flawed:?}");
 }
 
--- a/crates/headworks/tests/fleet/world.rs
+++ b/crates/consensus/tests/fleet/world.rs
@@ -4,9 +4,9 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use mosshead_headworks::{
-    Ballot, Flaw, Input, Member, MemberId, Message, Node, Output, PieceSizes, Record, Settings, Verdict,
-    Version,
+use mosshead_consensus::{
+    Ballot, InjectedFault, Input, Member, MemberId, Message, Node, Output, PieceSizes, Record, Settings,
+    Verdict, Version,
 };
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -120,7 +120,7 @@
     /// The longest time of a sync in calm.
     pub disk_span: u64,
     pub failures: usize,
-    flaw: Option<Flaw>,
+    injected_fault: Option<InjectedFault>,
     sizes: usize,
     next_ask: u64,
     /// Operators number their changes above the base by less than this, and one.
@@ -186,7 +186,7 @@
 
 impl World {
     /// A fleet that starts for the first time.
-    pub fn new(seed: u64, machines: usize, failures: usize, flaw: Option<Flaw>) -> World {
+    pub fn new(seed: u64, machines: usize, failures: usize, injected_fault: Option<InjectedFault>) -> World {
         let mut world = World {
             now: 1_000,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -205,12 +205,12 @@
             at_end: None,
             longest_leave: 0,
             // This flaw is to be found by what callers see, too.
-            checks_holders: flaw != Some(Flaw::NoStamp),
+            checks_holders: injected_fault != Some(InjectedFault::NoStamp),
             proposed: BTreeSet::new(),
             kind_loss: [0; KINDS.len()],
             disk_span: 4,
             failures,
-            flaw,
+            injected_fault,
             sizes: (seed % 3) as usize,
             next_ask: 0,
             revision_steps: 3,
@@ -221,7 +221,7 @@
             link_free: BTreeMap::new(),
             large_arrivals: BTreeMap::new(),
             sent_states: 0,
-            trace: std::env::var("HEADWORKS_TRACE").is_ok(),
+            trace: std::env::var("CONSENSUS_TRACE").is_ok(),
         };
         for _ in 0..machines {
             let index = world.add_machine(true);
@@ -236,7 +236,7 @@
         let index = self.machines.len();
         let seeds = (0..3).map(address).collect();
         let mut settings = Settings::new(address(index), self.failures, bootstrap, seeds);
-        settings.flaw = self.flaw;
+        settings.injected_fault = self.injected_fault;
         settings.rewrite_bytes = 2_000;
         // Some fleets send every state in pieces, some the longer ones, some none. A remembered call has 38 bytes, so a full
         // list of them goes in 5 pieces or 33.
@@ -694,7 +694,7 @@
         }
     }
 
-    /// Asks a node; says under which number.
+    /// ClientRequests a node; says under which number.
     pub fn ask(&mut self, machine: usize, kind: Kind) -> u64 {
         let ask = self.next_ask;
         self.next_ask += 1;
--- a/crates/headworks/tests/judgement.rs
+++ b/crates/consensus/tests/judgement.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use minicbor::Encoder;
-use mosshead_headworks::{
+use mosshead_consensus::{
     Call, CallDigest, Input, Judgement, Node, Output, REMEMBERED_CALLS, Settings, State, Verdict,
 };
 use quickcheck::{QuickCheck, TestResult};
--- a/crates/headworks/tests/model.rs
+++ b/crates/consensus/tests/model.rs
@@ -6,8 +6,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use mosshead_headworks::{
-    Ballot, CallDigest, ContactStamp, Flaw, Input, Member, Message, Node, Output, Record, Settings, Verdict,
+use mosshead_consensus::{
+    Ballot, CallDigest, ContactStamp, InjectedFault, Input, Member, Message, Node, Output, Record, Settings,
+    Verdict,
 };
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -90,7 +91,7 @@
 /// What may happen, and how often.
 #[derive(Clone, Copy, Default)]
 struct Core {
-    flaw: Option<Flaw>,
+    injected_fault: Option<InjectedFault>,
     claims: u8,
     crashes: u8,
     changes: u64,
@@ -113,7 +114,7 @@
 impl Core {
     fn node(&self, machine: usize, log: &[Vec<u8>], now: u64) -> Node<Count> {
         let mut settings = Settings::new(address(machine), 1, true, (0..3).map(address).collect());
-        settings.flaw = self.flaw;
+        settings.injected_fault = self.injected_fault;
         settings.rewrite_bytes = 1 << 30;
         Node::new(settings, log, now, Count(100 * (machine as u64 + 1))).expect("its own log")
     }
@@ -121,7 +122,7 @@
     /// A node with an empty disk, which is no founder.
     fn fresh_node(&self, machine: usize, now: u64, wipes_left: u8) -> Node<Count> {
         let mut settings = Settings::new(address(machine), 1, false, (0..3).map(address).collect());
-        settings.flaw = self.flaw;
+        settings.injected_fault = self.injected_fault;
         settings.rewrite_bytes = 1 << 30;
         Node::new(settings, &[], now, Count(10_000 * (u64::from(wipes_left) + 1))).expect("an empty log")
     }
@@ -136,7 +137,7 @@
     fn step(&mut self, machine: usize, input: Input, all: bool) {
         let mut inputs = vec![input];
         // A change is stale only by a majority's word, which comes by heartbeats.
-        let beats = self.repeats > 0 || !self.stale.is_empty() || self.asks.contains_key(&FIRST_REPEAT);
+        let heartbeats = self.repeats > 0 || !self.stale.is_empty() || self.asks.contains_key(&FIRST_REPEAT);
         while let Some(input) = inputs.pop() {
             for output in self.nodes[machine].step(self.clocks[machine], input) {
                 match output {
@@ -151,9 +152,9 @@
                                 | Message::PreVoteAnswer { .. }
                                 | Message::Reject { .. }
                         );
-                        let beat =
+                        let send_heartbeats =
                             matches!(message, Message::Heartbeat { .. } | Message::HeartbeatAnswer { .. });
-                        if core || all || beats && beat {
+                        if core || all || heartbeats && send_heartbeats {
                             let to = to.ip().octets()[3] as usize;
                             let bytes = minicbor::to_vec(&message).expect("it fits in memory");
                             let from = self.nodes[machine].me();
@@ -464,7 +465,7 @@
 /// All of them are some 1,300,000; here the first of them.
 #[test]
 fn two_take_overs_and_a_change() {
-    let most = asked_for("HEADWORKS_STATES", 40_000);
+    let most = asked_for("CONSENSUS_STATES", 40_000);
     let (states, found) = look(Core { claims: 2, changes: 1, ..Core::default() }, most);
     assert_eq!(found, None, "in {states} states");
 }
@@ -478,12 +479,13 @@
 }
 
 /// Everything that may happen, a few times.
-const ALL: Core = Core { flaw: None, claims: 3, crashes: 2, changes: 3, wipes: 2, joins: 2, repeats: 3 };
+const ALL: Core =
+    Core { injected_fault: None, claims: 3, crashes: 2, changes: 3, wipes: 2, joins: 2, repeats: 3 };
 
 /// A disk is wiped and comes back as another member, and acknowledgements are lost, in any order.
 #[test]
 fn random_walks() {
-    let steps = asked_for("HEADWORKS_STEPS", 80_000);
+    let steps = asked_for("CONSENSUS_STEPS", 80_000);
     for seed in 0..4 {
         assert_eq!(walk(ALL, seed, steps), None, "seed {seed}");
     }
@@ -491,19 +493,20 @@
 
 #[test]
 fn flaws_are_found() {
-    for flaw in [Flaw::ForgetPromise, Flaw::CommitAlone] {
-        let core = Core { flaw: Some(flaw), claims: 1, changes: 1, ..Core::default() };
+    for injected_fault in [InjectedFault::ForgetPromise, InjectedFault::CommitAlone] {
+        let core = Core { injected_fault: Some(injected_fault), claims: 1, changes: 1, ..Core::default() };
         let (states, found) = look(core, usize::MAX);
-        assert!(found.is_some(), "{flaw:?} was not found in {states} states");
+        assert!(found.is_some(), "{injected_fault:?} was not found in {states} states");
     }
 }
 
 /// A wiped disk and repeats find what take-overs alone don't.
 #[test]
 fn flaws_are_found_by_walks() {
-    for flaw in [Flaw::NoStamp, Flaw::ForgetTaken] {
-        let found = (0..20).find_map(|seed| walk(Core { flaw: Some(flaw), ..ALL }, seed, 50_000));
-        println!("{flaw:?}: {found:?}");
-        assert!(found.is_some(), "{flaw:?} was not found");
+    for injected_fault in [InjectedFault::NoStamp, InjectedFault::ForgetTaken] {
+        let found =
+            (0..20).find_map(|seed| walk(Core { injected_fault: Some(injected_fault), ..ALL }, seed, 50_000));
+        println!("{injected_fault:?}: {found:?}");
+        assert!(found.is_some(), "{injected_fault:?} was not found");
     }
 }
--- a/crates/control-plane/src/acknowledgement.rs
+++ b/crates/control-plane/src/acknowledgement.rs
@@ -6,7 +6,7 @@
 use core::net::SocketAddrV4;
 use std::collections::BTreeSet;
 
-use mosshead_catchment::{Catchment, Delta, Entry, Heard, OperState, SourceId, Vector};
+use mosshead_registry::{Delta, Entry, Heard, OperState, Registry, SourceId, Vector};
 
 use crate::{Contact, InjectedFault};
 
@@ -150,7 +150,7 @@
     /// acknowledged, is not acknowledged there before there are copies enough.
     pub fn start(
         &self,
-        register: &Catchment,
+        register: &Registry,
         id: &str,
         heard: &Heard,
         contact: Contact,
@@ -178,7 +178,7 @@
 }
 
 /// The latest entries that a register has made itself: the first copy that another machine is given.
-pub fn latest_entries(register: &Catchment) -> Delta {
+pub fn latest_entries(register: &Registry) -> Delta {
     let mut vector = register.vector();
     vector.0.insert(register.me(), register.version().saturating_sub(LATEST_VERSIONS));
     register.lacking(&vector, MOST_LATEST)
--- a/crates/control-plane/src/admission.rs
+++ b/crates/control-plane/src/admission.rs
@@ -7,8 +7,8 @@
 use core::net::SocketAddrV4;
 use std::sync::Arc;
 
-use mosshead_headworks::{Call, CallDigest, Judgement, State, Verdict};
-use mosshead_mains::Config;
+use mosshead_config::Config;
+use mosshead_consensus::{Call, CallDigest, Judgement, State, Verdict};
 
 use crate::InjectedFault;
 use crate::serving::read_beside;
@@ -161,7 +161,7 @@
         let Some(base) = self.request.base else {
             return invalid("C07 X-Base-Revision is missing");
         };
-        let Some(revision) = mosshead_mains::revision(self.request.body.as_ref()) else {
+        let Some(revision) = mosshead_config::revision(self.request.body.as_ref()) else {
             let fault = Config::read(self.request.body.as_ref()).err();
             return invalid(
                 fault.map_or("M08 at revision: is missing".to_owned(), |fault| fault.to_string()),
--- a/crates/control-plane/src/serving.rs
+++ b/crates/control-plane/src/serving.rs
@@ -6,8 +6,8 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use mosshead_headworks::State;
-use mosshead_mains::{Config, Fault};
+use mosshead_config::{Config, Fault};
+use mosshead_consensus::State;
 
 use crate::{Contact, InjectedFault};
 
--- a/crates/control-plane/src/subscription.rs
+++ b/crates/control-plane/src/subscription.rs
@@ -6,7 +6,7 @@
 use core::net::SocketAddrV4;
 use std::sync::Arc;
 
-use mosshead_mains::Config;
+use mosshead_config::Config;
 
 use crate::serving::{ConfigOffer, read_beside};
 use crate::{Contact, InjectedFault};
--- a/crates/control-plane/tests/acknowledgement.rs
+++ b/crates/control-plane/tests/acknowledgement.rs
@@ -2,11 +2,11 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use mosshead_catchment::{Catchment, Heard, OperState, Server, SourceId, Vector};
 use mosshead_control_plane::acknowledgement::{
     Acknowledgements, CopyCollection, Decision, EntryNumber, Membership, Start, latest_entries,
 };
 use mosshead_control_plane::{Contact, InjectedFault};
+use mosshead_registry::{Heard, OperState, Registry, Server, SourceId, Vector};
 use quickcheck::quickcheck;
 
 const ID: &str = "i-1";
@@ -38,8 +38,8 @@
 }
 
 /// A register that has heard the server leave, and what came of it.
-fn draining() -> (Catchment, Heard) {
-    let mut register = Catchment::new(SourceId(1), 500);
+fn draining() -> (Registry, Heard) {
+    let mut register = Registry::new(SourceId(1), 500);
     register.beat(0, server(OperState::Up, 1));
     let heard = register.beat(10, server(OperState::Draining, 2));
     (register, heard)
@@ -47,7 +47,7 @@
 
 fn start(
     acknowledgements: &Acknowledgements,
-    register: &Catchment,
+    register: &Registry,
     heard: &Heard,
     contact: Contact,
     membership: &Membership,
@@ -71,7 +71,7 @@
 
 #[test]
 fn a_server_that_stays_is_acknowledged_at_once() {
-    let mut register = Catchment::new(SourceId(1), 500);
+    let mut register = Registry::new(SourceId(1), 500);
     let heard = register.beat(0, server(OperState::Up, 1));
     let started =
         start(&Acknowledgements::default(), &register, &heard, Contact::OutOfTouch, &membership(3, 1));
@@ -143,7 +143,7 @@
     let started = start(&Acknowledgements::default(), &register, &again, Contact::InTouch, &members);
     assert!(matches!(started, Start::Collect(_)), "{started:?}");
 
-    let mut other = Catchment::new(SourceId(2), 500);
+    let mut other = Registry::new(SourceId(2), 500);
     other.merge(20, latest_entries(&register));
     let heard = other.beat(30, server(OperState::Draining, 4));
     let there = Membership { me: address(2), ..members };
--- a/crates/control-plane/tests/admission.rs
+++ b/crates/control-plane/tests/admission.rs
@@ -3,12 +3,12 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 
+use mosshead_config::Config;
+use mosshead_consensus::{Call, CallDigest, REMEMBERED_CALLS, State, Verdict};
 use mosshead_control_plane::InjectedFault;
 use mosshead_control_plane::admission::{
     Admission, ChangeAnswer, ChangeKind, ChangeRequest, Leader, ReadAnswer, Step, answer_read,
 };
-use mosshead_headworks::{Call, CallDigest, REMEMBERED_CALLS, State, Verdict};
-use mosshead_mains::Config;
 use quickcheck::quickcheck;
 
 /// The number that stands for the call under test.
--- a/crates/control-plane/tests/fleet/control.rs
+++ b/crates/control-plane/tests/fleet/control.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
 
-use mosshead_catchment::{Catchment, Heard, SourceId, Vector};
+use mosshead_consensus::{Input, Member, Message, Node, Output, Settings, Verdict};
 use mosshead_control_plane::acknowledgement::{
     Acknowledgements, CopyCollection, Decision, EntryNumber, Membership, Start, latest_entries,
 };
@@ -12,7 +12,7 @@
 };
 use mosshead_control_plane::serving::ConfigHistory;
 use mosshead_control_plane::{Contact, InjectedFault};
-use mosshead_headworks::{Input, Member, Message, Node, Output, Settings, Verdict};
+use mosshead_registry::{Heard, Registry, SourceId, Vector};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -48,7 +48,7 @@
 /// What a process holds in memory.
 pub struct Process {
     pub node: Node<Pcg64Mcg>,
-    pub register: Catchment,
+    pub register: Registry,
     history: ConfigHistory,
     acknowledgements: Acknowledgements,
     asks: BTreeMap<u64, Ask>,
@@ -113,7 +113,7 @@
         let core = self.cores.len();
         let seeds = (0..3).map(address).collect();
         let mut settings = Settings::new(address(core), self.failures, bootstrap, seeds);
-        settings.flaw = self.mutant.consensus;
+        settings.injected_fault = self.mutant.consensus;
         settings.rewrite_bytes = 20_000;
         self.cores.push(ControlMachine {
             address: address(core),
@@ -144,7 +144,7 @@
         };
         machine.process = Some(Process {
             node,
-            register: Catchment::new(source, KEEPALIVE_MS),
+            register: Registry::new(source, KEEPALIVE_MS),
             history: ConfigHistory::with_fault(injected),
             acknowledgements: Acknowledgements::with_fault(injected),
             asks: BTreeMap::new(),
--- a/crates/control-plane/tests/fleet/day.rs
+++ b/crates/control-plane/tests/fleet/day.rs
@@ -302,7 +302,7 @@
         let has_word = |core: &usize| {
             let process = self.cores[*core].process.as_ref();
             let entry = process.and_then(|process| process.register.get(&id));
-            entry.is_some_and(|entry| entry.state > mosshead_catchment::OperState::Up)
+            entry.is_some_and(|entry| entry.state > mosshead_registry::OperState::Up)
         };
         let mut cores = vec![core];
         cores.extend(self.running().into_iter().filter(|other| *other != core).filter(has_word));
--- a/crates/control-plane/tests/fleet/duty.rs
+++ b/crates/control-plane/tests/fleet/duty.rs
@@ -1,7 +1,7 @@
 //! The holder of the stages duty on a control machine, wired as the program wires it.
 
-use mosshead_headworks::Ballot;
-use mosshead_penstock::{Answer as OrderAnswer, Penstock, Terms, fence};
+use mosshead_consensus::Ballot;
+use mosshead_stage_scheduler::{Answer as OrderAnswer, StageScheduler, Terms, fence};
 
 use crate::messages::{Answer, Call, Party, Purpose};
 use crate::world::World;
@@ -12,7 +12,7 @@
 
 #[derive(Default)]
 pub struct Duty {
-    held: Option<(Ballot, u64, Penstock)>,
+    held: Option<(Ballot, u64, StageScheduler)>,
 }
 
 impl World {
@@ -29,9 +29,9 @@
             return;
         };
         if process.duty.held.as_ref().is_none_or(|held| held.0 != ballot) {
-            process.duty.held = Some((ballot, now, Penstock::new(Terms::default())));
+            process.duty.held = Some((ballot, now, StageScheduler::new(Terms::default())));
         }
-        let Some((_, since, penstock)) = &mut process.duty.held else { return };
+        let Some((_, since, scheduler)) = &mut process.duty.held else { return };
         if now < *since + LEASE_MS + MARGIN_MS {
             return;
         }
@@ -39,7 +39,7 @@
             true => 1,
             false => fence(ballot.round, ballot.member.0),
         };
-        for order in penstock.due(now, process.register.servers()) {
+        for order in scheduler.due(now, process.register.servers()) {
             self.ledger.order_sent((core, self.cores[core].life), fence);
             let server = self.servers.iter().position(|server| server.word.id == order.id);
             let Some(server) = server else { continue };
@@ -55,8 +55,8 @@
             _ => OrderAnswer::Unclear,
         };
         let Some(process) = &mut self.cores[core].process else { return };
-        if let Some((_, _, penstock)) = &mut process.duty.held {
-            penstock.answered(id, answer);
+        if let Some((_, _, scheduler)) = &mut process.duty.held {
+            scheduler.answered(id, answer);
         }
     }
 }
--- a/crates/control-plane/tests/fleet/ledger.rs
+++ b/crates/control-plane/tests/fleet/ledger.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use mosshead_config::Config;
+use mosshead_consensus::CallDigest;
 use mosshead_control_plane::admission::ChangeKind;
-use mosshead_headworks::CallDigest;
-use mosshead_mains::Config;
 
 /// A machine that was cut off from a majority for so long hands out no configuration.
 pub const ISOLATED_MS: u64 = 2_000;
--- a/crates/control-plane/tests/fleet/messages.rs
+++ b/crates/control-plane/tests/fleet/messages.rs
@@ -2,12 +2,12 @@
 
 use std::net::SocketAddrV4;
 
-use mosshead_catchment::{Delta, Server, Stage, Vector};
+use mosshead_consensus::{Member, Message};
 use mosshead_control_plane::Contact;
 use mosshead_control_plane::admission::{ChangeAnswer, ReadAnswer};
 use mosshead_control_plane::serving::ConfigOffer;
-use mosshead_headworks::{Member, Message};
-use mosshead_penstock::Answer as OrderAnswer;
+use mosshead_registry::{Delta, Server, Stage, Vector};
+use mosshead_stage_scheduler::Answer as OrderAnswer;
 
 /// Who sends and receives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/control-plane/tests/fleet/mutants.rs
+++ b/crates/control-plane/tests/fleet/mutants.rs
@@ -1,8 +1,8 @@
 //! Each fault that is built in, most of them the code as it was, is found by a checker. Those that only a scenario
 //! finds are in `scenarios`.
 
+use mosshead_consensus::InjectedFault as ConsensusFault;
 use mosshead_control_plane::InjectedFault;
-use mosshead_headworks::Flaw;
 
 use crate::day;
 use crate::world::Mutant;
@@ -24,8 +24,8 @@
     Mutant { control: Some(fault), ..Mutant::default() }
 }
 
-fn consensus(flaw: Flaw) -> Mutant {
-    Mutant { consensus: Some(flaw), ..Mutant::default() }
+fn consensus(injected_fault: ConsensusFault) -> Mutant {
+    Mutant { consensus: Some(injected_fault), ..Mutant::default() }
 }
 
 /// Both sides as they were; either alone is made harmless by the other.
@@ -46,12 +46,12 @@
 
 #[test]
 fn changes_acknowledged_by_the_primary_alone() {
-    finds(0, consensus(Flaw::CommitAlone), &["lost:", "winners:", "refused:", "old knowledge:"]);
+    finds(0, consensus(ConsensusFault::CommitAlone), &["lost:", "winners:", "refused:", "old knowledge:"]);
 }
 
 #[test]
 fn states_shown_before_they_are_committed() {
-    finds(140, consensus(Flaw::ShowUncommitted), &["lost:", "winners:", "refused:"]);
+    finds(140, consensus(ConsensusFault::ShowUncommitted), &["lost:", "winners:", "refused:"]);
 }
 
 #[test]
@@ -62,5 +62,5 @@
 
 #[test]
 fn taken_calls_that_are_forgotten() {
-    finds(0, consensus(Flaw::ForgetTaken), &["refused:"]);
+    finds(0, consensus(ConsensusFault::ForgetTaken), &["refused:"]);
 }
--- a/crates/control-plane/tests/fleet/proxy.rs
+++ b/crates/control-plane/tests/fleet/proxy.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use mosshead_catchment::{Catchment, SourceId, Vector};
+use mosshead_config::Config;
 use mosshead_control_plane::subscription::{Assembled, Session, Subscription, assemble};
-use mosshead_mains::Config;
+use mosshead_registry::{Registry, SourceId, Vector};
 use rand_core::RngCore;
 
 use crate::control::KEEPALIVE_MS;
@@ -21,7 +21,7 @@
 pub struct Proxy {
     pub life: u64,
     pub config: Option<Arc<Config>>,
-    pub register: Catchment,
+    pub register: Registry,
     subscription: Subscription,
     slots: [Slot; SLOTS],
     is_fetching: bool,
@@ -41,7 +41,7 @@
         self.proxies.push(Proxy {
             life: 0,
             config: None,
-            register: Catchment::follower(source, KEEPALIVE_MS),
+            register: Registry::follower(source, KEEPALIVE_MS),
             subscription: Subscription::default(),
             slots: Default::default(),
             is_fetching: false,
@@ -59,7 +59,7 @@
         let proxy = &mut self.proxies[index];
         proxy.life += 1;
         proxy.config = None;
-        proxy.register = Catchment::follower(source, KEEPALIVE_MS);
+        proxy.register = Registry::follower(source, KEEPALIVE_MS);
         proxy.subscription = Subscription::new(seeds).with_fault(injected);
         proxy.slots = Default::default();
         proxy.is_fetching = false;
--- a/crates/control-plane/tests/fleet/server.rs
+++ b/crates/control-plane/tests/fleet/server.rs
@@ -2,8 +2,8 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use mosshead_catchment::{OperState, Server, Stage};
-use mosshead_penstock::Answer as OrderAnswer;
+use mosshead_registry::{OperState, Server, Stage};
+use mosshead_stage_scheduler::Answer as OrderAnswer;
 
 use crate::control::KEEPALIVE_MS;
 use crate::ledger::{Drain, ISOLATED_MS};
@@ -228,7 +228,7 @@
 
     /// What each process holds of a server.
     fn tell_entry(&self, id: &str) -> String {
-        let entry = |register: &mosshead_catchment::Catchment| {
+        let entry = |register: &mosshead_registry::Registry| {
             let entry = register.entry(id);
             entry.map(|entry| (entry.source, entry.version, entry.server.state, entry.server.sequence))
         };
--- a/crates/control-plane/tests/fleet/world.rs
+++ b/crates/control-plane/tests/fleet/world.rs
@@ -4,8 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use mosshead_consensus::InjectedFault as ConsensusFault;
 use mosshead_control_plane::InjectedFault;
-use mosshead_headworks::Flaw;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -60,7 +60,7 @@
 pub struct Mutant {
     pub control: Option<InjectedFault>,
     pub proxy: Option<InjectedFault>,
-    pub consensus: Option<Flaw>,
+    pub consensus: Option<ConsensusFault>,
     /// Who leads is told by the role alone, whatever the lease.
     pub leader_by_role: bool,
     /// Orders bear a fence that each process counts for itself.
--- a/crates/control-plane/tests/serving.rs
+++ b/crates/control-plane/tests/serving.rs
@@ -2,10 +2,10 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use mosshead_consensus::State;
 use mosshead_control_plane::serving::{ConfigHistory, ConfigOffer};
 use mosshead_control_plane::subscription::{Assembled, Session, Subscription, assemble};
 use mosshead_control_plane::{Contact, InjectedFault};
-use mosshead_headworks::State;
 
 fn state(revision: u64) -> State {
     let filler = "x".repeat(2_000);
--- a/crates/sluice/src/attempt.rs
+++ b/crates/data-plane/src/attempt.rs
@@ -10,12 +10,12 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode, Uri};
-use mosshead_conduit::{RetryPolicy, SendFaultCause};
-use mosshead_weir::Fault;
+use mosshead_http_links::{RetryPolicy, SendFaultCause};
+use mosshead_routing::Fault;
 use tokio::time::{Duration, Instant, timeout_at};
 
 use crate::links::{Opened, Origin, ServerLink};
-use crate::view::Sluice;
+use crate::proxy_state::DataPlane;
 
 /// An answer that is held is at most this long.
 const HELD: usize = 4 * 1024 * 1024;
@@ -128,7 +128,7 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
-impl Sluice {
+impl DataPlane {
     /// Sends once. `until`: for how long the head of an answer is waited for.
     pub(crate) async fn send(
         self: &Rc<Self>,
@@ -197,7 +197,7 @@
 
     pub(crate) fn heard(&self, id: &str) {
         let now = self.now();
-        self.weir.borrow_mut().heard(now, id);
+        self.router.borrow_mut().heard(now, id);
     }
 
     /// Ends once a server has shown that it is dark: it has been mute for `patience`, and then does not answer within
@@ -206,12 +206,12 @@
         loop {
             tokio::time::sleep(Duration::from_millis(patience)).await;
             let since = self.now().saturating_sub(patience);
-            if !self.weir.borrow().mute(since, &server.id) {
+            if !self.router.borrow().mute(since, &server.id) {
                 continue;
             }
             let asked = self.now();
             self.ask_figure(server, within).await;
-            if self.weir.borrow().mute(asked, &server.id) {
+            if self.router.borrow().mute(asked, &server.id) {
                 return;
             }
         }
@@ -219,7 +219,7 @@
 
     /// Reads what is left of an answer aside, and keeps the connection.
     pub(crate) fn spare(self: &Rc<Self>, id: &Rc<str>, link: ServerLink, head: Parts, mut body: Incoming) {
-        let (sluice, id) = (self.clone(), id.clone());
+        let (data_plane, id) = (self.clone(), id.clone());
         let until = Instant::now() + REST;
         tokio::task::spawn_local(async move {
             let rest = async {
@@ -231,7 +231,7 @@
                 true
             };
             if timeout_at(until, rest).await == Ok(true) {
-                sluice.links.put(&id, link, kept(&head), until).await;
+                data_plane.links.put(&id, link, kept(&head), until).await;
             }
         });
     }
--- a/crates/sluice/src/forward.rs
+++ b/crates/data-plane/src/forward.rs
@@ -9,16 +9,16 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use mosshead_catchment::OperState;
-use mosshead_conduit::RetryPolicy;
-use mosshead_mains::{Config, Route, RouteType, Service};
-use mosshead_weir::{Ask, Fault};
+use mosshead_config::{Config, Route, RouteType, Service};
+use mosshead_http_links::RetryPolicy;
+use mosshead_registry::OperState;
+use mosshead_routing::{Ask, Fault};
 use tokio::time::{Duration, timeout};
 
 use crate::answer::{Cut, Out, of_server, own, passed_on};
 use crate::attempt::{Message, Sent, Server, sealed};
 use crate::prompt::{Handle, MUTE, Unread, ask, refusal};
-use crate::view::{Running, Sluice, Under, add};
+use crate::proxy_state::{DataPlane, Running, Under, add};
 
 /// Bytes of bodies that may be held at once.
 const HELD_MOST: usize = 96 * 1024 * 1024;
@@ -45,7 +45,7 @@
 }
 
 /// Bytes that are held, until let go of.
-struct HeldBytes(Rc<Sluice>, usize);
+struct HeldBytes(Rc<DataPlane>, usize);
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
@@ -53,7 +53,7 @@
     }
 }
 
-impl Sluice {
+impl DataPlane {
     /// The final answer to a client's request. `Err`: the connection ends without one.
     pub(crate) async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Out>, Cut> {
         let mut answer = self.clone().decide(request).await?;
@@ -133,19 +133,19 @@
         let message = Message::of_client(head.method.clone(), uri, headers, body);
         let retry = if route.may_repeat() { RetryPolicy::Always } else { RetryPolicy::OnlyIfNeverSent };
         let priority = HeaderValue::from(u16::from(route.priority.min(9)));
-        self.weir.borrow_mut().asked(self.now(), &service.name);
+        self.router.borrow_mut().asked(self.now(), &service.name);
         Ok(Job { route, service, message, ask, deadline, priority, retry })
     }
 
     /// The service of a request: by weight, where a route has several.
     fn pick(&self, config: &Config, route: &Route) -> Option<Arc<Service>> {
-        let unit = self.weir.borrow_mut().chance();
+        let unit = self.router.borrow_mut().chance();
         config.service(route.draw(unit)?).cloned()
     }
 
     pub(crate) fn server(&self, job: &Job, id: &Rc<str>) -> Option<Server> {
-        let weir = self.weir.borrow();
-        let address = weir.board().get(id)?.server.address;
+        let router = self.router.borrow();
+        let address = router.board().get(id)?.server.address;
         let share = 2.0 * f64::from(job.service.max_connections) / self.proxies.get().max(2) as f64;
         Some(Server { id: id.clone(), address, most: (share as usize).max(6) })
     }
@@ -153,7 +153,7 @@
     /// What a request is told that has not run: at once, with the time to come back.
     pub(crate) fn refuse(&self, job: &Job) -> Response<Out> {
         add(&self.counts.refused);
-        let wait = 0.05 + self.weir.borrow_mut().chance() * job.route.target_latency_ms as f64 / 4000.0;
+        let wait = 0.05 + self.router.borrow_mut().chance() * job.route.target_latency_ms as f64 / 4000.0;
         own(StatusCode::SERVICE_UNAVAILABLE, Some(wait))
     }
 
@@ -165,7 +165,7 @@
 
     /// Whether a server still takes what is new.
     fn takes(&self, id: &str) -> bool {
-        self.weir.borrow().board().get(id).is_some_and(|one| one.server.state == OperState::Up)
+        self.router.borrow().board().get(id).is_some_and(|one| one.server.state == OperState::Up)
     }
 
     pub(crate) fn over(&self, job: &Job) -> bool {
@@ -186,13 +186,13 @@
                 return Ok(give_up(last));
             }
             let now = self.now();
-            let id = self.weir.borrow_mut().one(now, &job.service.name, &avoid);
+            let id = self.router.borrow_mut().one(now, &job.service.name, &avoid);
             let Some((id, server)) = id.and_then(|id| self.server(&job, &id).map(|server| (id, server)))
             else {
                 return Ok(give_up(last));
             };
-            if arrived > 0 && !self.weir.borrow_mut().repeat(now, &job.service.name) {
-                self.weir.borrow_mut().unknown(&id);
+            if arrived > 0 && !self.router.borrow_mut().repeat(now, &job.service.name) {
+                self.router.borrow_mut().unknown(&id);
                 return Ok(give_up(last));
             }
             let running = Running::new(self, &id);
@@ -261,17 +261,17 @@
             }
             self.ask_readers(&job, &ask).await;
             let now = self.now();
-            let pair = self.weir.borrow_mut().pair(now, &job.service.name, &ask, &avoid);
+            let pair = self.router.borrow_mut().pair(now, &job.service.name, &ask, &avoid);
             let Some(pair) = pair else {
                 return Ok(if ran { self.fail() } else { self.refuse(&job) });
             };
-            if arrived > 0 && !self.weir.borrow_mut().repeat(now, &job.service.name) {
-                self.weir.borrow_mut().unknown(&pair.runner);
+            if arrived > 0 && !self.router.borrow_mut().repeat(now, &job.service.name) {
+                self.router.borrow_mut().unknown(&pair.runner);
                 return Ok(if ran { self.fail() } else { self.refuse(&job) });
             }
             let mut handle: Option<Handle> = None;
             if let Some(reader) = pair.reader.as_ref().and_then(|id| self.server(&job, id)) {
-                let granted = reads == 0 || self.weir.borrow_mut().repeat(now, &job.service.name);
+                let granted = reads == 0 || self.router.borrow_mut().repeat(now, &job.service.name);
                 if granted {
                     match self.read_prompt(&reader, &job.message, &ask, job.deadline, &job.priority).await {
                         Ok(read) => {
@@ -279,12 +279,12 @@
                             handle = Some(read);
                         }
                         Err(unread) => {
-                            self.weir.borrow_mut().unknown(&pair.runner);
+                            self.router.borrow_mut().unknown(&pair.runner);
                             unsent += 1;
                             reads += u32::from(!matches!(unread, Unread::NotSent));
                             // What a server rejects has arrived there: it is a repeat by the rules.
                             let rejected = matches!(unread, Unread::Refused);
-                            if rejected && !self.weir.borrow_mut().repeat(now, &job.service.name) {
+                            if rejected && !self.router.borrow_mut().repeat(now, &job.service.name) {
                                 return Ok(self.refuse(&job));
                             }
                             avoid.push(reader.id.clone());
@@ -292,11 +292,11 @@
                         }
                     }
                 } else {
-                    self.weir.borrow_mut().unknown(&reader.id);
+                    self.router.borrow_mut().unknown(&reader.id);
                 }
             }
             let now = self.now();
-            let runner = self.weir.borrow_mut().runner(now, &job.service.name, &pair, &avoid);
+            let runner = self.router.borrow_mut().runner(now, &job.service.name, &pair, &avoid);
             let Some(server) = runner.as_ref().and_then(|runner| self.server(&job, runner)) else {
                 unsent += 1;
                 avoid.push(pair.runner.clone());
@@ -310,7 +310,7 @@
                         if let (true, Some(reader)) = (again, &reader) {
                             // The server had room: what it could not have was the memory.
                             let now = self.now();
-                            self.weir.borrow_mut().lapsed(now, reader);
+                            self.router.borrow_mut().lapsed(now, reader);
                         }
                         if let Some(under) = under.take() {
                             return Ok(self.clone().pass_on(job, ask, start, under));
@@ -329,7 +329,7 @@
                         // The memory could not be had: the same server reads the prompt itself.
                         again = true;
                         let now = self.now();
-                        if self.weir.borrow_mut().repeat(now, &job.service.name) {
+                        if self.router.borrow_mut().repeat(now, &job.service.name) {
                             continue;
                         }
                         return Ok(self.refuse(&job));
--- a/crates/sluice/src/door.rs
+++ b/crates/data-plane/src/frontend.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Duration, sleep};
 
 use crate::client_stream::ClientStream;
-use crate::view::Sluice;
+use crate::proxy_state::DataPlane;
 
 /// Clients' connections at once.
 const MOST: usize = 2600;
@@ -25,16 +25,16 @@
 const HEAD: usize = 64 * 1024;
 
 /// The door for clients.
-pub struct Door {
-    sluice: Rc<Sluice>,
+pub struct Frontend {
+    data_plane: Rc<DataPlane>,
     open: Rc<Cell<usize>>,
     close: watch::Sender<bool>,
 }
 
-impl Door {
+impl Frontend {
     /// A door to this data plane.
-    pub fn new(sluice: Rc<Sluice>) -> Rc<Self> {
-        Rc::new(Self { sluice, open: Rc::default(), close: watch::Sender::new(false) })
+    pub fn new(data_plane: Rc<DataPlane>) -> Rc<Self> {
+        Rc::new(Self { data_plane, open: Rc::default(), close: watch::Sender::new(false) })
     }
 
     /// Connections of clients.
@@ -68,13 +68,13 @@
 
     async fn connection(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let idle = self.sluice.config().map_or(15_000, |config| config.limits.idle_timeout_ms.max(3000));
-        let sluice = self.sluice.clone();
+        let idle = self.data_plane.config().map_or(15_000, |config| config.limits.idle_timeout_ms.max(3000));
+        let data_plane = self.data_plane.clone();
         let (resets, without_chunks) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
         let told = without_chunks.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             told.set(request.version() < Version::HTTP_11);
-            sluice.clone().answer(request)
+            data_plane.clone().answer(request)
         });
         let stream = ClientStream::new(stream, resets.clone());
         let connection = Builder::new()
--- a/crates/sluice/src/links.rs
+++ b/crates/data-plane/src/links.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use mosshead_conduit::{Link, Opening, Side};
+use mosshead_http_links::{Link, Opening, Side};
 use tokio::time::{Duration, Instant};
 
 /// On whose account a message goes to a server.
--- a/crates/sluice/src/prompt.rs
+++ b/crates/data-plane/src/prompt.rs
@@ -6,13 +6,13 @@
 
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
-use mosshead_weir::{Ask, Fault};
+use mosshead_routing::{Ask, Fault};
 use tinyjson::JsonValue;
 use tokio::time::{Duration, Instant, timeout_at};
 
 use crate::attempt::{Message, Sent, Server, kept, whole_body};
 use crate::forward::Job;
-use crate::view::{Reading, Sluice, add};
+use crate::proxy_state::{DataPlane, Reading, add};
 
 /// The parts of a prompt, as its request names them. `None`: it names none, or they make no sense.
 pub(crate) fn ask(headers: &HeaderMap) -> Option<Ask> {
@@ -36,7 +36,7 @@
 
 /// What a server keeps of a prompt until another takes it. Let go of untaken, it is freed.
 pub(crate) struct Handle {
-    sluice: Rc<Sluice>,
+    data_plane: Rc<DataPlane>,
     server: Server,
     handle: String,
     taken: Cell<bool>,
@@ -63,17 +63,17 @@
         if self.taken.get() {
             return;
         }
-        let (sluice, server) = (self.sluice.clone(), self.server.clone());
+        let (data_plane, server) = (self.data_plane.clone(), self.server.clone());
         let Ok(uri) = format!("/kv-handle/{}", self.handle).parse::<Uri>() else { return };
-        add(&sluice.counts.freed);
+        add(&data_plane.counts.freed);
         tokio::task::spawn_local(async move {
             let message = Message::of_proxy(Method::DELETE, uri);
             let until = Instant::now() + Duration::from_millis(500);
-            let deadline = sluice.now() + 500;
+            let deadline = data_plane.now() + 500;
             if let Sent::Answer { head, body, link } =
-                sluice.send(&server, &message, deadline, until, &[]).await
+                data_plane.send(&server, &message, deadline, until, &[]).await
             {
-                sluice.spare(&server.id, link, head, body);
+                data_plane.spare(&server.id, link, head, body);
             }
         });
     }
@@ -91,7 +91,7 @@
     if body.len() > 64 * 1024 {
         return None;
     }
-    let value = mosshead_mains::parse(body)?;
+    let value = mosshead_config::parse(body)?;
     let fields: &HashMap<String, JsonValue> = value.get()?;
     let count = |name: &str| fields.get(name).and_then(|value| value.get::<f64>().copied());
     let sum = count("queued")? + count("active")?;
@@ -108,16 +108,16 @@
     Lost,
 }
 
-impl Sluice {
-    /// Asks the readers that a prompt would be weighed between for their figures, where none is fresh.
+impl DataPlane {
+    /// ClientRequests the readers that a prompt would be weighed between for their figures, where none is fresh.
     pub(crate) async fn ask_readers(self: &Rc<Self>, job: &Job, ask: &Ask) {
-        let ids = self.weir.borrow_mut().unknown_readers(self.now(), &job.service.name, ask);
+        let ids = self.router.borrow_mut().unknown_readers(self.now(), &job.service.name, ask);
         let servers: Vec<Server> = ids.iter().filter_map(|id| self.server(job, id)).collect();
         let mut asked = Vec::new();
         for server in servers {
             // Danger: what asks must not stand in a request's way for longer than a figure is worth.
-            let sluice = self.clone();
-            asked.push(tokio::task::spawn_local(async move { sluice.ask_figure(&server, REPORT).await }));
+            let data_plane = self.clone();
+            asked.push(tokio::task::spawn_local(async move { data_plane.ask_figure(&server, REPORT).await }));
         }
         let until = Instant::now() + FIGURE;
         for asked in asked {
@@ -125,7 +125,7 @@
         }
     }
 
-    /// Asks a server for its figure.
+    /// ClientRequests a server for its figure.
     pub(crate) async fn ask_figure(self: &Rc<Self>, server: &Server, within: u64) {
         let message = Message::of_proxy(Method::GET, Uri::from_static("/report"));
         let until = Instant::now() + Duration::from_millis(within);
@@ -136,7 +136,7 @@
                 // Danger: what is no report answers another call, so the report may come yet: the connection goes.
                 if let Some(figure) = body.and_then(|body| figure(&body)) {
                     let now = self.now();
-                    self.weir.borrow_mut().figure(now, &server.id, figure);
+                    self.router.borrow_mut().figure(now, &server.id, figure);
                     self.links.put(&server.id, link, kept(&head), until).await;
                 }
             }
@@ -171,10 +171,10 @@
                     self.fault(&server.id, Fault::Broken);
                     Unread::Lost
                 })?;
-                self.weir.borrow_mut().served(&server.id);
+                self.router.borrow_mut().served(&server.id);
                 add(&self.counts.handed);
                 let taken = Cell::new(false);
-                Ok(Handle { sluice: self.clone(), server: server.clone(), handle, taken })
+                Ok(Handle { data_plane: self.clone(), server: server.clone(), handle, taken })
             }
             Sent::Answer { head, body, link } => {
                 self.spare(&server.id, link, head, body);
@@ -206,7 +206,7 @@
     if body.len() > 4096 {
         return None;
     }
-    let value = mosshead_mains::parse(body)?;
+    let value = mosshead_config::parse(body)?;
     let fields: &HashMap<String, JsonValue> = value.get()?;
     let handle: &String = fields.get("prefill_handle")?.get()?;
     let plain = handle.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
--- a/crates/sluice/src/view.rs
+++ b/crates/data-plane/src/proxy_state.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwapOption;
-use mosshead_catchment::Server;
-use mosshead_mains::Config;
-use mosshead_weir::{Fault, Millis, Terms, Weir};
+use mosshead_config::Config;
+use mosshead_registry::Server;
+use mosshead_routing::{Fault, Millis, Router, Terms};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::time::{Duration, Instant};
@@ -38,9 +38,9 @@
 }
 
 /// One proxy's data plane.
-pub struct Sluice {
+pub struct DataPlane {
     config: ArcSwapOption<Config>,
-    pub(crate) weir: RefCell<Weir<Pcg64Mcg>>,
+    pub(crate) router: RefCell<Router<Pcg64Mcg>>,
     pub(crate) links: Links,
     start: Instant,
     stopping: Cell<bool>,
@@ -53,12 +53,12 @@
     pub counts: Counts,
 }
 
-impl Sluice {
+impl DataPlane {
     /// A proxy in `zone` that knows nothing yet.
     pub fn new(terms: Terms, zone: &str, seed: u64) -> Rc<Self> {
         Rc::new(Self {
             config: ArcSwapOption::empty(),
-            weir: RefCell::new(Weir::new(terms, zone, Pcg64Mcg::seed_from_u64(seed))),
+            router: RefCell::new(Router::new(terms, zone, Pcg64Mcg::seed_from_u64(seed))),
             links: Links::default(),
             start: Instant::now(),
             stopping: Cell::new(false),
@@ -93,15 +93,15 @@
 
     /// The register's present list.
     pub fn list<'a>(&self, servers: impl Iterator<Item = &'a Server>) {
-        self.weir.borrow_mut().list(servers);
-        let weir = self.weir.borrow();
-        self.links.keep(|id| weir.board().get(id).is_some());
+        self.router.borrow_mut().list(servers);
+        let router = self.router.borrow();
+        self.links.keep(|id| router.board().get(id).is_some());
     }
 
     /// How many proxies share what all may spend.
     pub fn proxies(&self, count: usize) {
         self.proxies.set(count.max(1));
-        self.weir.borrow_mut().proxies(count);
+        self.router.borrow_mut().proxies(count);
     }
 
     /// The process ends soon: clients are told to go elsewhere.
@@ -125,84 +125,84 @@
             return false;
         }
         let Some(config) = self.config() else { return false };
-        let weir = self.weir.borrow();
-        config.services.keys().any(|service| weir.board().serves(service))
+        let router = self.router.borrow();
+        config.services.keys().any(|service| router.board().serves(service))
     }
 
     pub(crate) fn fault(&self, id: &str, fault: Fault) {
         let now = self.now();
-        self.weir.borrow_mut().failed(now, id, fault);
+        self.router.borrow_mut().failed(now, id, fault);
     }
 }
 
 /// Counts a request as under way until it is let go of.
 pub(crate) struct Under {
-    sluice: Rc<Sluice>,
+    data_plane: Rc<DataPlane>,
 }
 
 impl Under {
-    pub(crate) fn way(sluice: &Rc<Sluice>) -> Self {
-        sluice.open.set(sluice.open.get() + 1);
-        Self { sluice: sluice.clone() }
+    pub(crate) fn way(data_plane: &Rc<DataPlane>) -> Self {
+        data_plane.open.set(data_plane.open.get() + 1);
+        Self { data_plane: data_plane.clone() }
     }
 }
 
 impl Drop for Under {
     fn drop(&mut self) {
-        self.sluice.open.set(self.sluice.open.get().saturating_sub(1));
+        self.data_plane.open.set(self.data_plane.open.get().saturating_sub(1));
     }
 }
 
 /// A prompt that is being read at a server, on the board until it is let go of.
 pub(crate) struct Reading {
-    sluice: Rc<Sluice>,
+    data_plane: Rc<DataPlane>,
     id: Rc<str>,
     tokens: f64,
 }
 
 impl Reading {
-    pub(crate) fn new(sluice: &Rc<Sluice>, id: &Rc<str>, tokens: f64) -> Self {
-        sluice.weir.borrow_mut().reads(id, tokens);
-        Self { sluice: sluice.clone(), id: id.clone(), tokens }
+    pub(crate) fn new(data_plane: &Rc<DataPlane>, id: &Rc<str>, tokens: f64) -> Self {
+        data_plane.router.borrow_mut().reads(id, tokens);
+        Self { data_plane: data_plane.clone(), id: id.clone(), tokens }
     }
 }
 
 impl Drop for Reading {
     fn drop(&mut self) {
-        self.sluice.weir.borrow_mut().has_read(&self.id, self.tokens);
+        self.data_plane.router.borrow_mut().has_read(&self.id, self.tokens);
     }
 }
 
 /// A request that runs at a server, on the board until it is let go of.
 pub(crate) struct Running {
-    sluice: Rc<Sluice>,
+    data_plane: Rc<DataPlane>,
     id: Rc<str>,
     told: Cell<bool>,
 }
 
 impl Running {
-    pub(crate) fn new(sluice: &Rc<Sluice>, id: &Rc<str>) -> Self {
-        sluice.weir.borrow_mut().runs(id);
-        Self { sluice: sluice.clone(), id: id.clone(), told: Cell::new(false) }
+    pub(crate) fn new(data_plane: &Rc<DataPlane>, id: &Rc<str>) -> Self {
+        data_plane.router.borrow_mut().runs(id);
+        Self { data_plane: data_plane.clone(), id: id.clone(), told: Cell::new(false) }
     }
 
     pub(crate) fn served(&self) {
         self.told.set(true);
-        self.sluice.weir.borrow_mut().served(&self.id);
+        self.data_plane.router.borrow_mut().served(&self.id);
     }
 
     pub(crate) fn failed(&self, fault: Fault) {
         self.told.set(true);
-        self.sluice.fault(&self.id, fault);
+        self.data_plane.fault(&self.id, fault);
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
-        let mut weir = self.sluice.weir.borrow_mut();
-        weir.has_run(&self.id);
+        let mut router = self.data_plane.router.borrow_mut();
+        router.has_run(&self.id);
         if !self.told.get() {
-            weir.unknown(&self.id);
+            router.unknown(&self.id);
         }
     }
 }
--- a/crates/sluice/src/stream.rs
+++ b/crates/data-plane/src/stream.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
-use mosshead_weir::{Ask, Fault};
+use mosshead_routing::{Ask, Fault};
 use tokio::sync::mpsc;
 use tokio::time::{Duration, timeout, timeout_at};
 
@@ -18,7 +18,7 @@
 use crate::forward::{Job, Ran};
 use crate::links::ServerLink;
 use crate::prompt::{Handle, MUTE, REPORT, refusal};
-use crate::view::{Reading, Running, Sluice, Under, add};
+use crate::proxy_state::{DataPlane, Reading, Running, Under, add};
 
 /// So many pieces wait for a client that does not read.
 const WAITING: usize = 16;
@@ -46,7 +46,7 @@
     Over,
 }
 
-impl Sluice {
+impl DataPlane {
     /// Sends the request to the server that generates.
     pub(crate) async fn run(
         self: &Rc<Self>,
@@ -131,12 +131,12 @@
             splitter.forget_rest();
             resumed += 1;
             let now = self.now();
-            if !self.weir.borrow_mut().repeat(now, &job.service.name) {
+            if !self.router.borrow_mut().repeat(now, &job.service.name) {
                 break;
             }
-            let pair = self.weir.borrow_mut().pair(now, &job.service.name, &ask, &avoid);
+            let pair = self.router.borrow_mut().pair(now, &job.service.name, &ask, &avoid);
             let Some(pair) = pair else { break };
-            pair.reader.iter().for_each(|id| self.weir.borrow_mut().unknown(id));
+            pair.reader.iter().for_each(|id| self.router.borrow_mut().unknown(id));
             let Some(server) = self.server(&job, &pair.runner) else { break };
             avoid.push(server.id.clone());
             if let Ran::Stream(start) = self.run(&job, &ask, &server, None, splitter.last()).await {
--- a/crates/sluice/tests/common/mod.rs
+++ b/crates/data-plane/tests/common/mod.rs
@@ -18,10 +18,10 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use mosshead_catchment::{OperState, Server, Stage};
-use mosshead_mains::Config;
-use mosshead_sluice::{Door, Sluice};
-use mosshead_weir::{BudgetTerms, Terms};
+use mosshead_config::Config;
+use mosshead_data_plane::{DataPlane, Frontend};
+use mosshead_registry::{OperState, Server, Stage};
+use mosshead_routing::{BudgetTerms, Terms};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -340,8 +340,8 @@
 
 /// One proxy on loopback.
 pub struct Proxy {
-    pub sluice: Rc<Sluice>,
-    pub door: Rc<Door>,
+    pub data_plane: Rc<DataPlane>,
+    pub door: Rc<Frontend>,
     pub front: SocketAddrV4,
     pub readiness: SocketAddrV4,
 }
@@ -387,18 +387,18 @@
     /// A proxy that knows nothing, with this budget of repeats.
     pub async fn spending(seed: u64, ratio: f64, extra: f64) -> Self {
         let budget = BudgetTerms { ratio, extra, window: 10_000 };
-        let sluice = Sluice::new(Terms::new(budget), "here", seed);
-        let door = Door::new(sluice.clone());
+        let data_plane = DataPlane::new(Terms::new(budget), "here", seed);
+        let door = Frontend::new(data_plane.clone());
         let (listener, front) = bound().await;
         tokio::task::spawn_local(door.clone().serve(listener));
         let (listener, readiness) = bound().await;
-        let asked = sluice.clone();
-        tokio::task::spawn_local(mosshead_sluice::serve_readiness(
+        let asked = data_plane.clone();
+        tokio::task::spawn_local(mosshead_data_plane::serve_readiness(
             listener,
             move || asked.ready(),
             || "status".to_owned(),
         ));
-        Self { sluice, door, front, readiness }
+        Self { data_plane, door, front, readiness }
     }
 
     /// A proxy with the configuration and these servers.
@@ -408,8 +408,8 @@
 
     /// Gives it the configuration and these servers.
     pub fn knows(self, servers: &[&Server]) -> Self {
-        assert!(self.sluice.configure(Arc::new(config())));
-        self.sluice.list(servers.iter().copied());
+        assert!(self.data_plane.configure(Arc::new(config())));
+        self.data_plane.list(servers.iter().copied());
         self
     }
 
--- a/crates/sluice/tests/events.rs
+++ b/crates/data-plane/tests/events.rs
@@ -1,6 +1,6 @@
 //! Streams are cut into whole events, however they come in pieces.
 
-use mosshead_sluice::Splitter;
+use mosshead_data_plane::Splitter;
 use quickcheck::quickcheck;
 
 fn stream(count: u64) -> Vec<u8> {
--- a/crates/sluice/tests/hostile/mod.rs
+++ b/crates/data-plane/tests/hostile/mod.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mosshead_catchment::{Server, Stage};
+use mosshead_registry::{Server, Stage};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
--- a/crates/sluice/tests/own_answers.rs
+++ b/crates/data-plane/tests/own_answers.rs
@@ -9,7 +9,7 @@
 
 use common::{Proxy, event, events};
 use hostile::{Aftermath, Arrival, Hostile, Reply, answer, never_ran, own_answer, turns, until};
-use mosshead_catchment::Stage;
+use mosshead_registry::Stage;
 
 const AFTERMATHS: [Aftermath; 5] =
     [Aftermath::Quiet, Aftermath::Doubled, Aftermath::DoubledLate, Aftermath::Closes, Aftermath::Resets];
@@ -292,18 +292,18 @@
             None => Reply::Bytes(stream(arrival), Aftermath::Quiet),
         };
         let reader = Hostile::new("i-read", "llm", Some(Stage::Prefill), reads).await;
-        let changed = mosshead_catchment::Server { stage: Some(Stage::Decode), ..reader.server.clone() };
-        let known: Rc<RefCell<Option<Rc<mosshead_sluice::Sluice>>>> = Rc::default();
+        let changed = mosshead_registry::Server { stage: Some(Stage::Decode), ..reader.server.clone() };
+        let known: Rc<RefCell<Option<Rc<mosshead_data_plane::DataPlane>>>> = Rc::default();
         let lists = known.clone();
         let refuses = move |arrival: &Arrival| {
-            if let Some(sluice) = lists.borrow().as_ref() {
-                sluice.list([&changed].into_iter());
+            if let Some(data_plane) = lists.borrow().as_ref() {
+                data_plane.list([&changed].into_iter());
             }
             Reply::Bytes(answer(421, arrival.id(), "", ""), Aftermath::Quiet)
         };
         let runner = Hostile::new("i-run", "llm", Some(Stage::Decode), refuses).await;
         let proxy = Proxy::with(1, &[&reader.server, &runner.server]).await;
-        known.replace(Some(proxy.sluice.clone()));
+        known.replace(Some(proxy.data_plane.clone()));
         let answer = proxy.prompt("/broken/", &[]).await;
         assert_eq!((answer.status, answer.body.as_str()), (200, events(1..=2).as_str()), "{answer:?}");
         let ran = reader.requests().iter().filter(|it| it.header("x-serving-stage").is_none()).count();
--- a/crates/sluice/tests/prompts.rs
+++ b/crates/data-plane/tests/prompts.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use common::{Act, ID, Proxy, SEAL, Seen, Stand, WAIT, events, handle, never_ran, nowhere, run, server};
-use mosshead_catchment::Stage;
+use mosshead_registry::Stage;
 
 const HANDLE: &str = "/kv-handle/3fa09c41b7d5";
 
@@ -52,7 +52,7 @@
             let left = seen.header("x-deadline-ms").and_then(|left| left.parse().ok()).expect("a deadline");
             assert!((1..=WAIT).contains(&left), "{left}");
         }
-        assert_eq!((proxy.sluice.counts.handed.get(), proxy.sluice.counts.freed.get()), (1, 0));
+        assert_eq!((proxy.data_plane.counts.handed.get(), proxy.data_plane.counts.freed.get()), (1, 0));
     });
 }
 
@@ -126,7 +126,7 @@
             assert_eq!(after, ["4"]);
             let from = one.iter().chain(&two).filter(|seen| seen.header("kv-from").is_some()).count();
             assert!(from <= 1, "a handle is taken once");
-            assert_eq!(proxy.sluice.counts.resumed.get(), 1);
+            assert_eq!(proxy.data_plane.counts.resumed.get(), 1);
         }
     });
 }
@@ -237,7 +237,7 @@
     run(async {
         let (reader, runner) = (reader().await, runner("i-run", |_| stream(3)).await);
         let proxy = Proxy::with(1, &[&reader.server, &runner.server]).await;
-        proxy.sluice.stop();
+        proxy.data_plane.stop();
         let answer = proxy.prompt("/broken/", &[]).await;
         assert_eq!((answer.header("connection"), answer.body.clone()), (Some("close"), events(1..=3)));
         assert!(answer.whole);
--- a/crates/decide/src/policy/whom.rs
+++ b/crates/decide/src/policy/whom.rs
@@ -1,6 +1,6 @@
 //! Whom to send to: the candidates, the lower of a random pair of them, who is left out.
 
-use mosshead_gauge as gauge;
+use mosshead_load_board as load_board;
 
 use super::{Balancer, CROWDED, MEAN_GAIN};
 use crate::interface::*;
@@ -49,12 +49,12 @@
         let asked: Vec<usize> =
             candidates.iter().copied().filter(|index| job.asked.contains(index)).collect();
         let from = if asked.is_empty() || !job.attempts.is_empty() { candidates } else { &asked };
-        let Some((first, second)) = gauge::two(&mut self.rng, from.len()) else {
+        let Some((first, second)) = load_board::two(&mut self.rng, from.len()) else {
             return from.first().map(|&index| (EndpointId(index as u32), Vec::new()));
         };
         let pair = [from[first], from[second]];
         let [first, second] = pair.map(|index| (index, self.figure(&self.seen.endpoints[index], now)));
-        let lower = gauge::lower_of_drawn(first, second);
+        let lower = load_board::lower_of_drawn(first, second);
         // The more of a report holds on arrival, the sooner a new one is worth its price.
         let trust = PROBE_TRUST.powf(1.0 - self.credence());
         let stale = |index: usize| self.trust(&self.seen.endpoints[index], now) < trust;
@@ -66,7 +66,7 @@
             // What another one holds costs little to know.
             2 if cheap && due && known && self.crowding(&self.seen.endpoints[lower], now) > CROWDED => {
                 let strange = || candidates.iter().copied().filter(|index| !job.met.contains(index));
-                let other = gauge::below(&mut self.rng, strange().count());
+                let other = load_board::below(&mut self.rng, strange().count());
                 strange().nth(other).into_iter().collect()
             }
             _ => Vec::new(),
--- a/crates/conduit/tests/link.rs
+++ b/crates/http-links/tests/link.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http_body_util::{Empty, Full};
-use mosshead_conduit::{
+use mosshead_http_links::{
     BodyFault, Link, OpenFault, Opening, Reason, Record, SendFault, SendFaultCause, SendProgress, Side, whole,
 };
 use rstest::rstest;
--- a/crates/conduit/tests/record.rs
+++ b/crates/http-links/tests/record.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 
-use mosshead_conduit::{Line, Reason, Record, Side};
+use mosshead_http_links::{Line, Reason, Record, Side};
 
 thread_local! {
     static LOGGED: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
--- a/crates/conduit/tests/written.rs
+++ b/crates/http-links/tests/written.rs
@@ -2,7 +2,7 @@
 
 use std::io::IoSlice;
 
-use mosshead_conduit::{RetryPolicy, SendProgress, Written};
+use mosshead_http_links::{RetryPolicy, SendProgress, Written};
 use quickcheck::quickcheck;
 
 /// Guards the proof that a job never ran: it holds until the very last byte, however writes are cut.
--- a/crates/duty/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -4,8 +4,8 @@
 //! Who holds may act only under a [`Permit`], which ends before the store could give the duty to another, and carries a [`Token`]
 //! that only grows: whoever is acted upon refuses an older one.
 
-mod duty;
+mod singleton;
 mod terms;
 
-pub use duty::{Act, Duty, Event, Lease, Permit, Standing, Why, Word};
+pub use singleton::{Act, Duty, Event, Lease, Permit, Standing, Why, Word};
 pub use terms::{Instant, Terms, Token};
--- a/crates/duty/tests/model.rs
+++ b/crates/lease/tests/model.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use mosshead_duty::{Act, Duty, Event, Instant, Lease, Standing, Terms, Token, Why, Word};
+use mosshead_lease::{Act, Duty, Event, Instant, Lease, Standing, Terms, Token, Why, Word};
 use rstest::rstest;
 use stateright::{Checker, HasDiscoveries, Model, Property};
 
--- a/crates/gauge/tests/draw.rs
+++ b/crates/load-board/tests/draw.rs
@@ -1,6 +1,6 @@
 //! The draw of two and the lower of them.
 
-use mosshead_gauge::{below, lower, lower_of_drawn, pick, two};
+use mosshead_load_board::{below, lower, lower_of_drawn, pick, two};
 use quickcheck::quickcheck;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
--- a/crates/gauge/tests/entry.rs
+++ b/crates/load-board/tests/entry.rs
@@ -1,6 +1,6 @@
 //! What the board holds of one server.
 
-use mosshead_gauge::Entry;
+use mosshead_load_board::Entry;
 use quickcheck::{Arbitrary, Gen, quickcheck};
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/ripple/src/claims.rs
+++ b/crates/membership/src/claims.rs
@@ -1,8 +1,8 @@
 //! What is made of claims about others and about oneself.
 
 use crate::journal::Event;
+use crate::membership::Membership;
 use crate::peer::Health;
-use crate::ripple::Ripple;
 use crate::wire::{Claim, INCARNATION_MAX};
 
 /// How a claim came.
@@ -18,7 +18,7 @@
 
 const RECHECKS_MAX: usize = 256;
 
-impl Ripple {
+impl Membership {
     /// Takes a claim in.
     pub(crate) fn hear(&mut self, claim: &Claim, via: Via) {
         if claim.name == self.me.name {
--- a/crates/ripple/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,11 +16,11 @@
 mod claims;
 mod contacts;
 mod journal;
+mod membership;
 mod peer;
 mod probe;
 mod random;
 mod receive;
-mod ripple;
 mod roster;
 mod rumours;
 mod settings;
@@ -28,7 +28,7 @@
 mod wire;
 
 pub use journal::{Event, View};
+pub use membership::{Datagrams, Membership};
 pub use peer::{Error, Health, NAME_MAX, Peer, ZONE_MAX};
-pub use ripple::{Datagrams, Ripple};
 pub use settings::Settings;
 pub use wire::DATAGRAM_MAX;
--- a/crates/ripple/src/ripple.rs
+++ b/crates/membership/src/membership.rs
@@ -25,7 +25,7 @@
 const NOW_MAX: u64 = 1 << 62;
 
 /// One member of a fleet. The times handed in are milliseconds of a clock that doesn't go back; if it does, it stands.
-pub struct Ripple {
+pub struct Membership {
     pub(crate) me: Peer,
     pub(crate) incarnation: u64,
     pub(crate) settings: Settings,
@@ -63,14 +63,14 @@
     pub(crate) now: u64,
 }
 
-impl Ripple {
+impl Membership {
     /// A newcomer that knows of nobody but the seeds; its own address among them is passed over.
     pub fn new(
         me: Peer,
         seeds: Vec<SocketAddrV4>,
         settings: Settings,
         generator: impl RngCore + Send + 'static,
-    ) -> Result<Ripple, Error> {
+    ) -> Result<Membership, Error> {
         me.check()?;
         let settings = settings.bounded();
         let mut roster = Roster::new(settings.members_max);
@@ -80,7 +80,7 @@
         let mut contacts = Contacts::default();
         let mut generator = Box::new(generator);
         contacts.set_seeds(seeds, &mut *generator);
-        Ok(Ripple {
+        Ok(Membership {
             me,
             incarnation: 1,
             ask_gap: settings.ask_every_ms,
--- a/crates/ripple/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -5,9 +5,9 @@
 
 use rand_core::RngCore;
 
+use crate::membership::{Datagrams, Membership};
 use crate::peer::Health;
 use crate::random::{index, shuffle};
-use crate::ripple::{Datagrams, Ripple};
 use crate::wire::Body;
 
 /// Asked probes for others at a time.
@@ -85,7 +85,7 @@
     }
 }
 
-impl Ripple {
+impl Membership {
     pub(crate) fn tick_probe(&mut self, out: &mut Datagrams) {
         if self.now >= self.next_probe {
             if let Some(probe) = self.probe.take().filter(|probe| !probe.acked)
--- a/crates/ripple/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -3,13 +3,13 @@
 use core::net::SocketAddrV4;
 
 use crate::claims::Via;
-use crate::ripple::{Datagrams, Ripple};
+use crate::membership::{Datagrams, Membership};
 use crate::wire::{Body, Frame};
 
 /// Others told at once of one's own refutation.
 const REFUTATION_FAN_OUT: usize = 3;
 
-impl Ripple {
+impl Membership {
     /// Takes a datagram in; garbage and datagrams of other fleets are dropped without an answer.
     pub fn receive(&mut self, now: u64, from: SocketAddrV4, bytes: &[u8]) -> Datagrams {
         let mut out = Vec::new();
--- a/crates/ripple/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -5,8 +5,8 @@
 use rand_core::RngCore;
 
 use crate::claims::Via;
+use crate::membership::{Datagrams, Membership};
 use crate::random::{below, index};
-use crate::ripple::{Datagrams, Ripple};
 use crate::wire::{Body, Claim, DATAGRAM_MAX, Frame, TABLE_BYTES};
 
 /// So many contacts at a time are tried by one that doesn't have the list.
@@ -18,7 +18,7 @@
 /// So many datagrams in a row with the same digest show that it's oneself who has missed something.
 const AGREEING: u32 = 4;
 
-impl Ripple {
+impl Membership {
     /// A newcomer, or one that lost all others, asks somebody for the list.
     pub(crate) fn tick_ask(&mut self, out: &mut Datagrams) {
         if self.joined && self.roster.size() <= 1 {
--- a/crates/ripple/tests/pond/mod.rs
+++ b/crates/membership/tests/cluster/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use mosshead_ripple::{DATAGRAM_MAX, Datagrams, Event, Health, Peer, Ripple, Settings, View};
+use mosshead_membership::{DATAGRAM_MAX, Datagrams, Event, Health, Membership, Peer, Settings, View};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -15,7 +15,7 @@
 
 pub struct Node {
     pub peer: Peer,
-    pub ripple: Option<Ripple>,
+    pub membership: Option<Membership>,
     pub view: View,
     /// All events of this life, with their times.
     pub journal: Vec<(u64, Event)>,
@@ -31,7 +31,7 @@
     Deliver(SocketAddrV4, Vec<u8>),
 }
 
-pub struct Pond {
+pub struct Cluster {
     pub now: u64,
     pub nodes: Vec<Node>,
     pub settings: Settings,
@@ -58,21 +58,21 @@
     format!("edge-dixie-east-{}-{node}", ["a", "b", "c"][node % 3])
 }
 
-impl Pond {
+impl Cluster {
     /// `size` members that all start within 300 ms; the first three are seeds and core.
-    pub fn new(seed: u64, size: usize, settings: Settings) -> Pond {
-        let mut pond = Pond::empty(seed, settings);
-        pond.seeds = (0..size.min(3)).map(address).collect();
+    pub fn new(seed: u64, size: usize, settings: Settings) -> Cluster {
+        let mut cluster = Cluster::empty(seed, settings);
+        cluster.seeds = (0..size.min(3)).map(address).collect();
         for _ in 0..size {
-            let node = pond.add();
-            let at = pond.draw(300);
-            pond.wake_at(node, at);
+            let node = cluster.add();
+            let at = cluster.draw(300);
+            cluster.wake_at(node, at);
         }
-        pond
+        cluster
     }
 
-    pub fn empty(seed: u64, settings: Settings) -> Pond {
-        Pond {
+    pub fn empty(seed: u64, settings: Settings) -> Cluster {
+        Cluster {
             now: 0,
             nodes: Vec::new(),
             settings: Settings { fleet: FLEET, ..settings },
@@ -97,7 +97,7 @@
         self.places.insert(peer.address, node);
         self.nodes.push(Node {
             peer,
-            ripple: None,
+            membership: None,
             view: View::default(),
             journal: Vec::new(),
             frozen: false,
@@ -116,8 +116,9 @@
         let generator = Pcg64::seed_from_u64(self.generator.next_u64());
         let place = &mut self.nodes[node];
         place.peer.life = life;
-        let ripple = Ripple::new(place.peer.clone(), self.seeds.clone(), self.settings.clone(), generator);
-        place.ripple = Some(ripple.expect("sound peer"));
+        let membership =
+            Membership::new(place.peer.clone(), self.seeds.clone(), self.settings.clone(), generator);
+        place.membership = Some(membership.expect("sound peer"));
         place.view = View::default();
         place.journal.clear();
         place.kept.clear();
@@ -141,20 +142,20 @@
             zone: "dixie-east-a".to_owned(),
         };
         let generator = Pcg64::seed_from_u64(node as u64);
-        let mut ripple =
-            Ripple::new(peer, vec![address(0)], self.settings.clone(), generator).expect("sound peer");
-        let (_, bytes) = ripple.tick(0).into_iter().next().expect("asks a seed");
+        let mut membership =
+            Membership::new(peer, vec![address(0)], self.settings.clone(), generator).expect("sound peer");
+        let (_, bytes) = membership.tick(0).into_iter().next().expect("asks a seed");
         bytes
     }
 
     pub fn kill(&mut self, node: usize) {
-        self.nodes[node].ripple = None;
+        self.nodes[node].membership = None;
     }
 
     /// A planned end: tells it, and is gone after `grace` ms.
     pub fn leave(&mut self, node: usize, grace: u64) {
         let now = self.now;
-        let out = self.nodes[node].ripple.as_mut().expect("runs").leave(now);
+        let out = self.nodes[node].membership.as_mut().expect("runs").leave(now);
         self.after(node, out);
         self.run_to(now + grace);
         self.kill(node);
@@ -213,7 +214,7 @@
     }
 
     pub fn running(&self) -> impl Iterator<Item = &Node> {
-        self.nodes.iter().filter(|node| node.ripple.is_some())
+        self.nodes.iter().filter(|node| node.membership.is_some())
     }
 
     /// All that run believe in exactly those that run, and none is suspected.
@@ -244,8 +245,8 @@
 
     pub fn check_views(&self) {
         for node in self.running() {
-            let ripple = node.ripple.as_ref().expect("runs");
-            let living: BTreeMap<String, (Peer, Health)> = ripple
+            let membership = node.membership.as_ref().expect("runs");
+            let living: BTreeMap<String, (Peer, Health)> = membership
                 .members()
                 .filter(|(_, health)| health.lives())
                 .map(|(peer, health)| (peer.name.clone(), (peer.clone(), health)))
@@ -257,7 +258,7 @@
                 .collect();
             assert_eq!(folded, living, "the view folded by {}", node.peer.name);
             let count = |core| living.values().filter(|(peer, _)| peer.core == core).count();
-            assert_eq!((ripple.count(true), ripple.count(false)), (count(true), count(false)));
+            assert_eq!((membership.count(true), membership.count(false)), (count(true), count(false)));
         }
     }
 
@@ -274,12 +275,12 @@
     fn act(&mut self, node: usize, act: Act) {
         let now = self.now;
         let place = &mut self.nodes[node];
-        let Some(ripple) = &mut place.ripple else { return };
+        let Some(membership) = &mut place.membership else { return };
         let out = match act {
             Act::Wake if place.frozen || place.wake > now => return,
             Act::Wake => {
                 place.wake = u64::MAX;
-                ripple.tick(now)
+                membership.tick(now)
             }
             Act::Deliver(from, bytes) if place.frozen => {
                 // A socket's queue is bounded.
@@ -290,7 +291,7 @@
             }
             Act::Deliver(from, bytes) => {
                 place.received += bytes.len() as u64 + HEADERS;
-                ripple.receive(now, from, &bytes)
+                membership.receive(now, from, &bytes)
             }
         };
         self.after(node, out);
@@ -299,12 +300,12 @@
     fn after(&mut self, node: usize, out: Datagrams) {
         let now = self.now;
         let place = &mut self.nodes[node];
-        let ripple = place.ripple.as_mut().expect("runs");
-        for event in ripple.changes() {
+        let membership = place.membership.as_mut().expect("runs");
+        for event in membership.changes() {
             place.view.fold(&event);
             place.journal.push((now, event));
         }
-        let wake = ripple.next_wake(now);
+        let wake = membership.next_wake(now);
         if wake < place.wake || place.wake <= now {
             // Timers are late by a few milliseconds.
             let at = wake.saturating_add(1 + now % 3);
--- a/crates/ripple/tests/garbage.rs
+++ b/crates/membership/tests/garbage.rs
@@ -1,23 +1,23 @@
 //! Bytes that nobody sound has sent.
 
-mod pond;
+mod cluster;
 
-use mosshead_ripple::{DATAGRAM_MAX, NAME_MAX, Peer, Ripple, Settings, ZONE_MAX};
-use pond::{FLEET, Pond, address};
+use cluster::{Cluster, FLEET, address};
+use mosshead_membership::{DATAGRAM_MAX, Membership, NAME_MAX, Peer, Settings, ZONE_MAX};
 use quickcheck::{Gen, QuickCheck, TestResult, quickcheck};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64;
 
 /// A member that has others, a suspect, a dead one and one that left.
-fn experienced() -> Pond {
-    let mut pond = Pond::new(1, 8, Settings::default());
-    pond.run(5_000);
-    pond.kill(7);
-    pond.run(5_000);
-    pond.leave(6, 1_000);
-    pond.freeze(5);
-    pond.run(1_200);
-    pond
+fn experienced() -> Cluster {
+    let mut cluster = Cluster::new(1, 8, Settings::default());
+    cluster.run(5_000);
+    cluster.kill(7);
+    cluster.run(5_000);
+    cluster.leave(6, 1_000);
+    cluster.freeze(5);
+    cluster.run(1_200);
+    cluster
 }
 
 /// One datagram of each kind that comes up in a busy minute.
@@ -31,7 +31,7 @@
         zone: "zone".to_owned(),
     };
     let make = |node, name, seeds| {
-        Ripple::new(peer(node, name), seeds, settings.clone(), Pcg64::seed_from_u64(node as u64))
+        Membership::new(peer(node, name), seeds, settings.clone(), Pcg64::seed_from_u64(node as u64))
             .expect("sound")
     };
     let mut members = [make(0, "a", vec![]), make(1, "b", vec![address(0)]), make(2, "c", vec![address(0)])];
@@ -57,13 +57,13 @@
     kept
 }
 
-fn feed(pond: &mut Pond, datagrams: &[Vec<u8>]) -> usize {
-    let now = pond.now;
-    let ripple = pond.nodes[0].ripple.as_mut().expect("runs");
+fn feed(cluster: &mut Cluster, datagrams: &[Vec<u8>]) -> usize {
+    let now = cluster.now;
+    let membership = cluster.nodes[0].membership.as_mut().expect("runs");
     let mut answers = 0;
     for (turn, bytes) in datagrams.iter().enumerate() {
-        let mut out = ripple.receive(now + turn as u64, address(turn % 9), bytes);
-        out.extend(ripple.tick(now + turn as u64));
+        let mut out = membership.receive(now + turn as u64, address(turn % 9), bytes);
+        out.extend(membership.tick(now + turn as u64));
         assert!(out.iter().all(|(_, bytes)| !bytes.is_empty() && bytes.len() <= DATAGRAM_MAX));
         answers += out.len();
     }
@@ -72,15 +72,15 @@
 
 quickcheck! {
     fn random_bytes_are_dropped(datagrams: Vec<Vec<u8>>) -> bool {
-        let mut pond = experienced();
-        let members: Vec<String> = known(&pond);
-        feed(&mut pond, &datagrams);
-        known(&pond) == members
+        let mut cluster = experienced();
+        let members: Vec<String> = known(&cluster);
+        feed(&mut cluster, &datagrams);
+        known(&cluster) == members
     }
 }
 
-fn known(pond: &Pond) -> Vec<String> {
-    pond.nodes[0].ripple.as_ref().expect("runs").members().map(|(peer, _)| peer.name.clone()).collect()
+fn known(cluster: &Cluster) -> Vec<String> {
+    cluster.nodes[0].membership.as_ref().expect("runs").members().map(|(peer, _)| peer.name.clone()).collect()
 }
 
 #[test]
@@ -88,7 +88,7 @@
     fn spoil(changes: Vec<(usize, usize, u8)>) -> TestResult {
         let sound = sound_datagrams();
         assert!(sound.len() > 100);
-        let mut pond = experienced();
+        let mut cluster = experienced();
         let spoilt: Vec<Vec<u8>> = changes
             .iter()
             .map(|(which, at, byte)| {
@@ -105,10 +105,10 @@
                 bytes
             })
             .collect();
-        feed(&mut pond, &spoilt);
+        feed(&mut cluster, &spoilt);
         // It still works.
-        pond.nodes[0].ripple.as_mut().expect("runs").changes();
-        pond.run(1_000);
+        cluster.nodes[0].membership.as_mut().expect("runs").changes();
+        cluster.run(1_000);
         TestResult::passed()
     }
     QuickCheck::new()
@@ -119,7 +119,7 @@
 
 #[test]
 fn every_byte_of_a_datagram_may_be_any_other() {
-    let mut pond = experienced();
+    let mut cluster = experienced();
     let mut sound = sound_datagrams();
     sound.sort_by_key(Vec::len);
     sound.dedup_by_key(|bytes| bytes.len());
@@ -134,34 +134,34 @@
                         spoilt
                     })
                     .collect();
-            feed(&mut pond, &spoilt);
+            feed(&mut cluster, &spoilt);
         }
     }
 }
 
 #[test]
 fn what_is_too_long_or_of_another_fleet_is_not_answered() {
-    let mut pond = Pond::new(1, 1, Settings::default());
-    pond.run(400);
-    let mut other = Pond::empty(2, Settings::default());
+    let mut cluster = Cluster::new(1, 1, Settings::default());
+    cluster.run(400);
+    let mut other = Cluster::empty(2, Settings::default());
     let mut bytes = other.stranger(5);
-    let ripple = pond.nodes[0].ripple.as_mut().expect("runs");
-    assert!(!ripple.receive(400, address(5), &bytes).is_empty());
+    let membership = cluster.nodes[0].membership.as_mut().expect("runs");
+    assert!(!membership.receive(400, address(5), &bytes).is_empty());
     bytes.resize(DATAGRAM_MAX + 1, 0);
-    assert!(ripple.receive(400, address(5), &bytes).is_empty());
+    assert!(membership.receive(400, address(5), &bytes).is_empty());
     other.settings.fleet += 1;
-    assert!(ripple.receive(400, address(6), &other.stranger(6)).is_empty());
-    assert_eq!(ripple.members().count(), 2);
+    assert!(membership.receive(400, address(6), &other.stranger(6)).is_empty());
+    assert_eq!(membership.members().count(), 2);
 }
 
 #[test]
 fn times_of_all_sizes_are_borne() {
-    let mut pond = experienced();
-    let ripple = pond.nodes[0].ripple.as_mut().expect("runs");
+    let mut cluster = experienced();
+    let membership = cluster.nodes[0].membership.as_mut().expect("runs");
     for now in [0, 1, u64::MAX / 2, 5, u64::MAX - 1, u64::MAX, 0] {
-        ripple.tick(now);
-        ripple.receive(now, address(1), &[]);
-        ripple.next_wake(now);
+        membership.tick(now);
+        membership.receive(now, address(1), &[]);
+        membership.next_wake(now);
     }
 }
 
@@ -187,28 +187,28 @@
             members_max: small as usize,
             ..Settings::default()
         };
-        let mut pond = Pond::new(1, 4, settings);
-        pond.run(200);
-        pond.kill(3);
-        pond.run(200);
+        let mut cluster = Cluster::new(1, 4, settings);
+        cluster.run(200);
+        cluster.kill(3);
+        cluster.run(200);
     }
 }
 
 #[test]
 fn the_longest_names_fit() {
-    let mut pond = Pond::empty(1, Settings::default());
+    let mut cluster = Cluster::empty(1, Settings::default());
     for node in 0..60 {
-        pond.add();
-        let peer = &mut pond.nodes[node].peer;
+        cluster.add();
+        let peer = &mut cluster.nodes[node].peer;
         peer.name = format!("{node:0width$}", width = NAME_MAX);
         peer.zone = "z".repeat(ZONE_MAX);
         peer.address.set_port(65_535);
     }
-    pond.moved();
-    pond.seeds = (0..3).map(|node| pond.nodes[node].peer.address).collect();
-    (0..60).for_each(|node| pond.start(node));
-    pond.settle(10_000).expect("agree");
-    pond.loss = 300;
-    (30..40).for_each(|node| pond.kill(node));
-    pond.run(20_000);
+    cluster.moved();
+    cluster.seeds = (0..3).map(|node| cluster.nodes[node].peer.address).collect();
+    (0..60).for_each(|node| cluster.start(node));
+    cluster.settle(10_000).expect("agree");
+    cluster.loss = 300;
+    (30..40).for_each(|node| cluster.kill(node));
+    cluster.run(20_000);
 }
--- a/crates/ripple/tests/mutants.rs
+++ b/crates/membership/tests/mutants.rs
@@ -1,19 +1,19 @@
 //! What each part of the protocol is for: without it, a test of the others would fail.
 
-mod pond;
+mod cluster;
 
-use mosshead_ripple::{Event, Settings};
-use pond::Pond;
+use cluster::Cluster;
+use mosshead_membership::{Event, Settings};
 
 /// Twelve members, one link of which carries nothing, and some loss: (suspicions, deaths) in two minutes.
 fn with_a_bad_link(settings: Settings) -> (usize, usize) {
     let mut counts = (0, 0);
     for seed in 0..3 {
-        let mut pond = Pond::new(seed, 12, settings.clone());
-        pond.run(5_000);
-        pond.cut(&[2], &[7]);
-        pond.run(120_000);
-        for (_, event) in pond.running().flat_map(|node| &node.journal) {
+        let mut cluster = Cluster::new(seed, 12, settings.clone());
+        cluster.run(5_000);
+        cluster.cut(&[2], &[7]);
+        cluster.run(120_000);
+        for (_, event) in cluster.running().flat_map(|node| &node.journal) {
             match event {
                 Event::Suspected(_) => counts.0 += 1,
                 Event::Died(_) => counts.1 += 1,
@@ -45,10 +45,10 @@
 
 /// Deaths in two minutes with much loss, by settings.
 fn with_loss(settings: Settings) -> usize {
-    let mut pond = Pond::new(40, 40, settings);
-    pond.loss = 200;
-    pond.run(120_000);
-    let journals = pond.running().flat_map(|node| &node.journal);
+    let mut cluster = Cluster::new(40, 40, settings);
+    cluster.loss = 200;
+    cluster.run(120_000);
+    let journals = cluster.running().flat_map(|node| &node.journal);
     journals.filter(|(_, event)| matches!(event, Event::Died(_))).count()
 }
 
@@ -63,12 +63,12 @@
 #[test]
 fn without_refutation_a_frozen_one_does_not_come_back() {
     for refutes in [true, false] {
-        let mut pond = Pond::new(7, 12, Settings { refutes, ..Settings::default() });
-        pond.run(5_000);
-        pond.freeze(5);
-        pond.run(10_000);
-        pond.thaw(5);
-        assert_eq!(pond.settle(8_000).is_some(), refutes);
+        let mut cluster = Cluster::new(7, 12, Settings { refutes, ..Settings::default() });
+        cluster.run(5_000);
+        cluster.freeze(5);
+        cluster.run(10_000);
+        cluster.thaw(5);
+        assert_eq!(cluster.settle(8_000).is_some(), refutes);
     }
 }
 
@@ -84,20 +84,20 @@
 fn without_memory_of_the_dead_old_news_revives_them() {
     // A thawed one still believes in those that died meanwhile; how often they are taken in again by others.
     let revivals = |remember_ms| {
-        let mut pond = Pond::new(3, 12, Settings { remember_ms, ..Settings::default() });
-        pond.run(10_000);
-        pond.freeze(7);
-        pond.run(1_000);
-        (8..11).for_each(|node| pond.kill(node));
-        pond.run(30_000);
-        let thawed = pond.now;
-        pond.thaw(7);
-        pond.run(15_000);
-        let others = pond.running().filter(|node| node.peer.name != pond::name(7));
+        let mut cluster = Cluster::new(3, 12, Settings { remember_ms, ..Settings::default() });
+        cluster.run(10_000);
+        cluster.freeze(7);
+        cluster.run(1_000);
+        (8..11).for_each(|node| cluster.kill(node));
+        cluster.run(30_000);
+        let thawed = cluster.now;
+        cluster.thaw(7);
+        cluster.run(15_000);
+        let others = cluster.running().filter(|node| node.peer.name != cluster::name(7));
         others
             .flat_map(|node| &node.journal)
             .filter(|(at, event)| {
-                *at > thawed && matches!(event, Event::Joined(peer) if peer.name != pond::name(7))
+                *at > thawed && matches!(event, Event::Joined(peer) if peer.name != cluster::name(7))
             })
             .count()
     };
