--- a/crates/ripple/tests/properties.rs
+++ b/crates/membership/tests/properties.rs
@@ -1,9 +1,9 @@
 //! Whatever happens: when it ends, all that run soon agree on who runs.
 
-mod pond;
+mod cluster;
 
-use mosshead_ripple::Settings;
-use pond::Pond;
+use cluster::Cluster;
+use mosshead_membership::Settings;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 #[derive(Clone, Debug)]
@@ -42,60 +42,62 @@
     }
 }
 
-fn apply(pond: &mut Pond, trouble: &Trouble) {
-    let size = pond.nodes.len();
+fn apply(cluster: &mut Cluster, trouble: &Trouble) {
+    let size = cluster.nodes.len();
     match *trouble {
-        Trouble::Kill(node) => pond.kill(node % size),
-        Trouble::Start(node) => pond.start(node % size),
-        Trouble::Leave(node) if pond.nodes[node % size].ripple.is_some() => pond.leave(node % size, 300),
+        Trouble::Kill(node) => cluster.kill(node % size),
+        Trouble::Start(node) => cluster.start(node % size),
+        Trouble::Leave(node) if cluster.nodes[node % size].membership.is_some() => {
+            cluster.leave(node % size, 300)
+        }
         Trouble::Leave(_) => {}
-        Trouble::Freeze(node) => pond.freeze(node % size),
-        Trouble::Thaw(node) => pond.thaw(node % size),
-        Trouble::Cut(one, other) => pond.cut(&[one % size], &[other % size]),
+        Trouble::Freeze(node) => cluster.freeze(node % size),
+        Trouble::Thaw(node) => cluster.thaw(node % size),
+        Trouble::Cut(one, other) => cluster.cut(&[one % size], &[other % size]),
         Trouble::OneWay(one, other) => {
-            pond.cuts.insert((one % size, other % size));
+            cluster.cuts.insert((one % size, other % size));
         }
         Trouble::Split(by) => {
             let (one, other): (Vec<usize>, Vec<usize>) =
                 (0..size).partition(|node| (node >> (by % 3)) & 1 == 0);
-            pond.cut(&one, &other);
+            cluster.cut(&one, &other);
         }
-        Trouble::Heal => pond.cuts.clear(),
-        Trouble::Loss(loss) => pond.loss = loss,
+        Trouble::Heal => cluster.cuts.clear(),
+        Trouble::Loss(loss) => cluster.loss = loss,
         Trouble::Add if size < 16 => {
-            pond.add();
+            cluster.add();
         }
         Trouble::Add => {}
-        Trouble::Wait(ms) => pond.run(ms),
+        Trouble::Wait(ms) => cluster.run(ms),
     }
 }
 
-fn calm_down(pond: &mut Pond) {
-    pond.cuts.clear();
-    pond.loss = 0;
-    for node in 0..pond.nodes.len() {
-        if pond.nodes[node].frozen {
-            pond.thaw(node);
+fn calm_down(cluster: &mut Cluster) {
+    cluster.cuts.clear();
+    cluster.loss = 0;
+    for node in 0..cluster.nodes.len() {
+        if cluster.nodes[node].frozen {
+            cluster.thaw(node);
         }
     }
     // The seeds run, as the deployment has it at each start.
     for node in 0..3 {
-        if pond.nodes[node].ripple.is_none() {
-            pond.start(node);
+        if cluster.nodes[node].membership.is_none() {
+            cluster.start(node);
         }
     }
 }
 
 fn all_agree_in_the_end(seed: u64, troubles: Vec<Trouble>) -> bool {
-    let mut pond = Pond::new(seed, 9, Settings::default());
-    pond.run(3_000);
-    troubles.iter().for_each(|trouble| apply(&mut pond, trouble));
-    calm_down(&mut pond);
-    let agreed = pond.settle(20_000).is_some();
-    pond.check_views();
+    let mut cluster = Cluster::new(seed, 9, Settings::default());
+    cluster.run(3_000);
+    troubles.iter().for_each(|trouble| apply(&mut cluster, trouble));
+    calm_down(&mut cluster);
+    let agreed = cluster.settle(20_000).is_some();
+    cluster.check_views();
     // And it stays so.
-    pond.run(30_000);
-    agreed && pond.agree()
+    cluster.run(30_000);
+    agreed && cluster.agree()
 }
 
 #[test]
@@ -105,29 +107,29 @@
 
 /// Troubles of others only: cuts among the first half of them, kills, freezes, restarts.
 fn the_sound_stay(seed: u64, troubles: Vec<Trouble>) -> bool {
-    let mut pond = Pond::new(seed, 12, Settings::default());
-    pond.run(4_000);
+    let mut cluster = Cluster::new(seed, 12, Settings::default());
+    cluster.run(4_000);
     let mut missed = 0;
     for trouble in &troubles {
         match *trouble {
-            Trouble::Kill(node) => pond.kill(node % 6),
-            Trouble::Start(node) => pond.start(node % 6),
-            Trouble::Freeze(node) => pond.freeze(node % 6),
-            Trouble::Thaw(node) => pond.thaw(node % 6),
-            Trouble::Cut(one, other) => pond.cut(&[one % 6], &[other % 12]),
+            Trouble::Kill(node) => cluster.kill(node % 6),
+            Trouble::Start(node) => cluster.start(node % 6),
+            Trouble::Freeze(node) => cluster.freeze(node % 6),
+            Trouble::Thaw(node) => cluster.thaw(node % 6),
+            Trouble::Cut(one, other) => cluster.cut(&[one % 6], &[other % 12]),
             Trouble::OneWay(one, other) => {
-                pond.cuts.insert((one % 6, other % 12));
-                pond.cuts.insert((other % 12, (one + 1) % 6));
+                cluster.cuts.insert((one % 6, other % 12));
+                cluster.cuts.insert((other % 12, (one + 1) % 6));
             }
-            Trouble::Heal => pond.cuts.clear(),
-            Trouble::Wait(ms) => pond.run(ms),
-            _ => pond.run(100),
+            Trouble::Heal => cluster.cuts.clear(),
+            Trouble::Wait(ms) => cluster.run(ms),
+            _ => cluster.run(100),
         }
         // The second half is without trouble: each of them is believed in by the others of them.
         let sound = 6..12;
         for node in sound.clone() {
-            let peer = &pond.nodes[node].peer;
-            let lives = |other: usize| pond.nodes[other].view.living().any(|(known, _)| known == peer);
+            let peer = &cluster.nodes[node].peer;
+            let lives = |other: usize| cluster.nodes[other].view.living().any(|(known, _)| known == peer);
             missed += sound.clone().filter(|other| !lives(*other)).count();
         }
     }
@@ -143,13 +145,13 @@
 fn deaths_are_found(seed: u64, size: usize, dead: usize) -> bool {
     let size = size % 20 + 2;
     let dead = dead % (size / 2) + 1;
-    let mut pond = Pond::new(seed, size, Settings::default());
-    pond.run(6_000);
-    let agreed = pond.agree();
-    (0..dead).for_each(|node| pond.kill(node * 2 % size));
+    let mut cluster = Cluster::new(seed, size, Settings::default());
+    cluster.run(6_000);
+    let agreed = cluster.agree();
+    (0..dead).for_each(|node| cluster.kill(node * 2 % size));
     // Each is found within two rounds at the worst, and has its time to refute.
     let most = 1_000 + 800 * size as u64 + Settings::default().suspect_ms(size) + 1_000;
-    agreed && pond.settle(most).is_some()
+    agreed && cluster.settle(most).is_some()
 }
 
 #[test]
@@ -160,16 +162,16 @@
 /// With up to a tenth of all datagrams lost nobody that runs is dead for another for long.
 fn loss_is_borne(seed: u64, size: usize, loss: u64) -> bool {
     let size = size % 20 + 2;
-    let mut pond = Pond::new(seed, size, Settings::default());
-    pond.loss = loss % 100;
-    pond.run(10_000);
+    let mut cluster = Cluster::new(seed, size, Settings::default());
+    cluster.loss = loss % 100;
+    cluster.run(10_000);
     (0..30).all(|_| {
-        pond.run(1_000);
-        let lacking = |pond: &Pond| pond.running().any(|node| node.view.living().count() != size);
-        if lacking(&pond) {
-            pond.run(3_000);
+        cluster.run(1_000);
+        let lacking = |cluster: &Cluster| cluster.running().any(|node| node.view.living().count() != size);
+        if lacking(&cluster) {
+            cluster.run(3_000);
         }
-        !lacking(&pond)
+        !lacking(&cluster)
     })
 }
 
--- /dev/null
+++ b/crates/programs/src/bin/mosshead-router.rs
@@ -0,0 +1,6 @@
+//! The proxy of the fleet: carries clients' requests to model servers.
+
+fn main() {
+    let command = mosshead_programs::command::parser("The proxy of the router fleet").run();
+    std::process::exit(mosshead_programs::command::run(command, mosshead_programs::proxy::serve));
+}
--- a/crates/works/src/calls.rs
+++ b/crates/programs/src/calls.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddrV4;
 
 use minicbor::{Decode, Encode};
-use mosshead_catchment::{Delta, Vector};
+use mosshead_consensus::{Member, Message};
 use mosshead_control_plane::serving::ConfigOffer;
-use mosshead_culvert::{Call, RetryPolicy};
-use mosshead_headworks::{Member, Message};
+use mosshead_registry::{Delta, Vector};
+use mosshead_rpc::{Call, RetryPolicy};
 
 use crate::config_transfer::{Piece, PieceRequest};
 
--- a/crates/works/src/config_transfer.rs
+++ b/crates/programs/src/config_transfer.rs
@@ -21,7 +21,7 @@
 const MOST_OUTGOING: usize = 16;
 const MOST_OUTGOING_BYTES: usize = 8 * 1024 * 1024;
 
-/// Asks for a piece of the way from one configuration to a newer one.
+/// ClientRequests for a piece of the way from one configuration to a newer one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct PieceRequest {
     /// The revision that the receiver has; 0: nothing.
--- a/crates/works/src/control.rs
+++ b/crates/programs/src/control.rs
@@ -13,11 +13,11 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use mosshead_catchment::{Model, OperState, Server, Stage};
+use mosshead_consensus::CallDigest;
 use mosshead_control_plane::admission::{
     Admission, ChangeAnswer, ChangeKind, ChangeRequest, Leader, ReadAnswer, Step, answer_read,
 };
-use mosshead_headworks::CallDigest;
+use mosshead_registry::{Model, OperState, Server, Stage};
 use sha2::{Digest, Sha256};
 use tinyjson::JsonValue;
 use tokio::net::TcpListener;
@@ -213,7 +213,7 @@
     if id.is_empty() || id.len() > 200 || body.len() > 256 * 1024 {
         return None;
     }
-    let value = mosshead_mains::parse(body)?;
+    let value = mosshead_config::parse(body)?;
     let fields: &Fields = value.get()?;
     let state = match text(fields, "oper_state").as_deref() {
         Some("draining") => OperState::Draining,
--- a/crates/works/src/core.rs
+++ b/crates/programs/src/core.rs
@@ -11,15 +11,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use mosshead_catchment::{Catchment, Vector};
-use mosshead_cistern::Keeper;
+use mosshead_config::Config;
+use mosshead_consensus::{Ballot, Input, Node, Output, State, Verdict};
 use mosshead_control_plane::Contact;
 use mosshead_control_plane::acknowledgement::Acknowledgements;
 use mosshead_control_plane::admission::{Leader, Submission};
 use mosshead_control_plane::serving::ConfigHistory;
-use mosshead_culvert::Caller;
-use mosshead_headworks::{Ballot, Input, Node, Output, State, Verdict};
-use mosshead_mains::Config;
+use mosshead_record_log::Keeper;
+use mosshead_registry::{Registry, Vector};
+use mosshead_rpc::Caller;
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::{oneshot, watch};
 use tokio::time::{Duration, Instant, timeout};
@@ -42,7 +42,7 @@
     /// The register on disk, and how far it has got there.
     register_keeper: RefCell<Option<Keeper>>,
     register_kept: RefCell<Vector>,
-    register: RefCell<Catchment>,
+    register: RefCell<Registry>,
     caller: Caller,
     asks: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
     next_ask: Cell<u64>,
@@ -109,7 +109,7 @@
         verdict.ok().and_then(Result::ok).unwrap_or(Verdict::Unavailable)
     }
 
-    /// Asks for a change of the configuration.
+    /// ClientRequests for a change of the configuration.
     pub async fn change(self: &Rc<Self>, change: Submission) -> Verdict {
         let Submission { base, revision, body, digest } = change;
         self.ask(|ask| Input::Change { ask, base, revision, body, digest }).await
@@ -167,11 +167,11 @@
                 }
             }
             Output::Primary { ballot, .. } => {
-                spdlog::info!("headworks: this machine is primary under round {}.", ballot.round);
+                spdlog::info!("consensus: this machine is primary under round {}.", ballot.round);
                 self.tell();
             }
             Output::Deposed => {
-                spdlog::info!("headworks: this machine is primary no more.");
+                spdlog::info!("consensus: this machine is primary no more.");
                 self.tell();
             }
         }
--- a/crates/works/src/core/host.rs
+++ b/crates/programs/src/core/host.rs
@@ -6,11 +6,11 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-use mosshead_catchment::{Catchment, SourceId, Vector};
-use mosshead_cistern::{Cistern, Done, Keeper, Store};
-use mosshead_culvert::{Caller, Handlers};
-use mosshead_headworks::{Input, LEAVE_WITHIN, Node, Settings as NodeSettings, Timings};
-use mosshead_ripple::{Ripple, Settings as RippleSettings};
+use mosshead_consensus::{Input, LEAVE_WITHIN, Node, Settings as NodeSettings, Timings};
+use mosshead_membership::{Membership, Settings as MembershipSettings};
+use mosshead_record_log::{Done, Keeper, RecordLog, Store};
+use mosshead_registry::{Registry, SourceId, Vector};
+use mosshead_rpc::{Caller, Handlers};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::net::TcpListener;
@@ -44,13 +44,13 @@
 pub(super) const WRITES: usize = 256;
 
 /// Opens a log. Waits for a disk that is in trouble.
-fn open_disk(folder: &Path) -> (Cistern, Vec<Vec<u8>>) {
+fn open_disk(folder: &Path) -> (RecordLog, Vec<Vec<u8>>) {
     let mut told = false;
     loop {
-        let fault = match Cistern::open(folder) {
+        let fault = match RecordLog::open(folder) {
             Ok((mut log, records)) => {
                 if log.ignored() > 0 {
-                    spdlog::warn!("cistern: {} bytes at the end of a log are no records.", log.ignored());
+                    spdlog::warn!("record-log: {} bytes at the end of a log are no records.", log.ignored());
                 }
                 // Danger: what can't be written again must not be acted on, nor promised anew.
                 match log.is_kept() || log.sync().is_ok() {
@@ -61,14 +61,14 @@
             Err(fault) => format!("{} {fault}", fault.code()),
         };
         if !std::mem::replace(&mut told, true) {
-            spdlog::warn!("cistern: {fault}. Trying until it goes.");
+            spdlog::warn!("record-log: {fault}. Trying until it goes.");
         }
         std::thread::sleep(std::time::Duration::from_millis(200));
     }
 }
 
 /// Opens a log aside, on a thread of its own.
-pub(super) async fn open_aside(folder: PathBuf) -> Option<(Cistern, Vec<Vec<u8>>)> {
+pub(super) async fn open_aside(folder: PathBuf) -> Option<(RecordLog, Vec<Vec<u8>>)> {
     let (to, from) = oneshot::channel();
     std::thread::spawn(move || {
         let _ = to.send(open_disk(&folder));
@@ -104,12 +104,13 @@
     let mut rng = Pcg64Mcg::from_os_rng();
     let life: u64 = rng.random();
     let peer = peer(&settings, life, true);
-    let ripple = RippleSettings { fleet: FLEET, ..RippleSettings::default() };
-    let ripple = Ripple::new(peer, settings.internal_seeds(), ripple, Pcg64Mcg::from_rng(&mut rng));
-    let ripple = ripple.map_err(std::io::Error::other)?;
-    let gossip = Gossip::bind(settings.internal(), ripple).await?;
+    let membership = MembershipSettings { fleet: FLEET, ..MembershipSettings::default() };
+    let membership =
+        Membership::new(peer, settings.internal_seeds(), membership, Pcg64Mcg::from_rng(&mut rng));
+    let membership = membership.map_err(std::io::Error::other)?;
+    let gossip = Gossip::bind(settings.internal(), membership).await?;
     tokio::task::spawn_local(gossip.clone().run());
-    let register = RefCell::new(Catchment::new(SourceId(life), settings.keepalive_ms));
+    let register = RefCell::new(Registry::new(SourceId(life), settings.keepalive_ms));
     let core = Rc::new(Core {
         settings: settings.clone(),
         life,
@@ -131,7 +132,7 @@
         gossip,
     });
     let inside = TcpListener::bind(settings.internal()).await?;
-    tokio::task::spawn_local(mosshead_culvert::serve(inside, Rc::new(handlers(&core))));
+    tokio::task::spawn_local(mosshead_rpc::serve(inside, Rc::new(handlers(&core))));
     if let Some(address) = settings.control_plane {
         tokio::task::spawn_local(control::serve(core.clone(), TcpListener::bind(address).await?));
     }
@@ -139,7 +140,7 @@
     tokio::task::spawn_local(crate::duties::run(core.clone()));
     tokio::task::spawn_local(open_register(core.clone(), folder.clone()));
     tokio::task::spawn_local(open(core.clone(), folder, rng.random()));
-    spdlog::info!("reservoir: {} listens.", settings.node_name);
+    spdlog::info!("control: {} listens.", settings.node_name);
     let mut hangup = signal(SignalKind::hangup())?;
     let mut term = signal(SignalKind::terminate())?;
     let mut stop = signal(SignalKind::interrupt())?;
@@ -168,12 +169,12 @@
             }
         }
     }
-    spdlog::info!("reservoir: told to end.");
+    spdlog::info!("control: told to end.");
     core.step(Input::Stop);
     core.until_it_may_end(leave_within(&settings)).await;
     core.gossip.leave().await;
     sleep(Duration::from_millis(150)).await;
-    spdlog::info!("reservoir: ends.");
+    spdlog::info!("control: ends.");
     Ok(())
 }
 
@@ -190,7 +191,7 @@
             self.step(Input::Tick);
             sleep(LEAVE_TICK).await;
         }
-        spdlog::info!("headworks: waited {} ms to be let go.", told.elapsed().as_millis());
+        spdlog::info!("consensus: waited {} ms to be let go.", told.elapsed().as_millis());
     }
 
     fn may_end(&self) -> bool {
@@ -202,17 +203,32 @@
     match Settings::load(path) {
         Ok(settings) => {
             let seeds = settings.internal_seeds();
-            core.gossip.ripple.borrow_mut().set_seeds(seeds.clone());
+            core.gossip.membership.borrow_mut().set_seeds(seeds.clone());
             core.step(Input::Seeds(seeds));
         }
         Err(fault) => spdlog::warn!("settings: {fault}. Nothing has changed."),
     }
 }
 
+/// A folder of data: its name now, and its name in the first releases, which stays where it is.
+pub(super) struct DataFolder {
+    pub(super) name: &'static str,
+    pub(super) former_name: &'static str,
+}
+
+/// Where the control state is.
+const CONTROL_STATE: DataFolder = DataFolder { name: "consensus", former_name: "headworks" };
+
+/// Danger: a machine that looked past its own records would be an empty disk to the others.
+pub(super) fn data_folder(root: &Path, data: DataFolder) -> PathBuf {
+    let former = root.join(data.former_name);
+    if former.is_dir() { former } else { root.join(data.name) }
+}
+
 /// Opens the disk aside: it may hang for seconds while the rest of the machine serves.
 async fn open(core: Rc<Core>, folder: PathBuf, seed: u64) {
-    let Some((log, records)) = open_aside(folder.join("headworks")).await else { return };
-    spdlog::info!("cistern: {} records on disk.", records.len());
+    let Some((log, records)) = open_aside(data_folder(&folder, CONTROL_STATE)).await else { return };
+    spdlog::info!("record-log: {} records on disk.", records.len());
     let (done, mut finished) = mpsc::unbounded_channel::<Done>();
     let keeper = Keeper::start(log, WRITES, move |it| {
         let _ = done.send(it);
@@ -220,7 +236,7 @@
     match keeper {
         Ok(keeper) => core.keeper.replace(Some(keeper)),
         Err(fault) => {
-            spdlog::error!("cistern: {fault}. This machine keeps no control state.");
+            spdlog::error!("record-log: {fault}. This machine keeps no control state.");
             return;
         }
     };
@@ -233,7 +249,7 @@
     match Node::new(settings, &records, core.now(), Pcg64Mcg::seed_from_u64(seed)) {
         Ok(node) => core.node.replace(Some(node)),
         Err(fault) => {
-            spdlog::error!("headworks: what is on disk can't be read: {fault}.");
+            spdlog::error!("consensus: what is on disk can't be read: {fault}.");
             return;
         }
     };
--- a/crates/works/src/core/messages.rs
+++ b/crates/programs/src/core/messages.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-use mosshead_headworks::{Message, Node};
+use mosshead_consensus::{Message, Node};
 
 use super::Core;
 use crate::calls::Epoch;
--- a/crates/works/src/core/registrar.rs
+++ b/crates/programs/src/core/registrar.rs
@@ -4,20 +4,22 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
-use mosshead_catchment::{Delta, Heard, Server, SourceId, Vector};
-use mosshead_cistern::Keeper;
 use mosshead_control_plane::acknowledgement::{
     CopyCollection, Decision, EntryNumber, Membership, Start, latest_entries,
 };
-use mosshead_penstock::{Order, Penstock};
+use mosshead_record_log::Keeper;
+use mosshead_registry::{Delta, Heard, Server, SourceId, Vector};
+use mosshead_stage_scheduler::{Order, StageScheduler};
 use tokio::sync::mpsc;
 use tokio::time::{Duration, sleep};
 
 use super::Core;
-use super::host::{WRITES, open_aside};
+use super::host::{DataFolder, WRITES, data_folder, open_aside};
 use crate::calls::{Hand, Hears, Pull};
 use crate::message_lanes::Lane;
 
+/// Where the register is kept.
+const REGISTRY: DataFolder = DataFolder { name: "registry", former_name: "catchment" };
 /// An urgent entry reaches another machine within this, or that machine does not count.
 const URGENT: Duration = Duration::from_millis(350);
 /// The register's log is rewritten beyond this.
@@ -51,7 +53,7 @@
 
     async fn heard(self: &Rc<Self>, id: &str, heard: Heard) -> bool {
         if let Some(fault) = heard.refused {
-            spdlog::warn!("catchment: a server's word was not taken: {} {fault}.", fault.code());
+            spdlog::warn!("registry: a server's word was not taken: {} {fault}.", fault.code());
             return false;
         }
         if heard.changed {
@@ -121,9 +123,9 @@
     }
 
     /// The orders that are due.
-    pub fn orders(&self, penstock: &mut Penstock) -> Vec<Order> {
+    pub fn orders(&self, scheduler: &mut StageScheduler) -> Vec<Order> {
         let register = self.register.borrow();
-        penstock.due(self.now(), register.servers())
+        scheduler.due(self.now(), register.servers())
     }
 
     /// Where a server is.
@@ -214,13 +216,13 @@
 
 /// Opens the register's log: what was known of the servers before all memory was lost. It need not be the latest.
 pub(super) async fn open_register(core: Rc<Core>, folder: PathBuf) {
-    let Some((log, records)) = open_aside(folder.join("catchment")).await else { return };
+    let Some((log, records)) = open_aside(data_folder(&folder, REGISTRY)).await else { return };
     let deltas = records.iter().filter_map(|record| minicbor::decode::<Delta>(record).ok());
     let mut changed = false;
     for delta in deltas {
         changed |= core.register.borrow_mut().merge(core.now(), delta);
     }
-    spdlog::info!("catchment: {} servers known from disk.", core.register.borrow().len());
+    spdlog::info!("registry: {} servers known from disk.", core.register.borrow().len());
     if changed {
         core.tell();
     }
@@ -229,7 +231,7 @@
             core.register_keeper.replace(Some(keeper));
         }
         Err(fault) => {
-            spdlog::error!("cistern: {} {fault}. The register is kept in memory only.", fault.code())
+            spdlog::error!("record-log: {} {fault}. The register is kept in memory only.", fault.code())
         }
     }
 }
--- a/crates/works/src/core/serving.rs
+++ b/crates/programs/src/core/serving.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-use mosshead_catchment::Delta;
-use mosshead_headworks::State;
+use mosshead_consensus::State;
+use mosshead_registry::Delta;
 use tokio::time::{Duration, Instant, timeout};
 
 use super::Core;
@@ -23,11 +23,11 @@
         let committed = self.history.borrow_mut().commit(state);
         match committed {
             Ok(Some(config)) => {
-                spdlog::info!("mains: configuration {} is committed.", config.revision);
+                spdlog::info!("config: configuration {} is committed.", config.revision);
                 self.tell();
             }
             Ok(None) => {}
-            Err(fault) => spdlog::error!("mains: what was committed can't be read: {fault}."),
+            Err(fault) => spdlog::error!("config: what was committed can't be read: {fault}."),
         }
     }
 
@@ -59,9 +59,9 @@
         let node = self.node.borrow();
         let mut all: Vec<SocketAddrV4> =
             node.iter().flat_map(|node| node.members().iter().map(|member| member.address)).collect();
-        let ripple = self.gossip.ripple.borrow();
+        let membership = self.gossip.membership.borrow();
         all.extend(
-            ripple
+            membership
                 .members()
                 .filter(|(peer, health)| peer.core && health.lives())
                 .map(|(peer, _)| peer.address),
--- a/crates/works/src/core/status.rs
+++ b/crates/programs/src/core/status.rs
@@ -1,7 +1,7 @@
 //! What a core machine says of itself.
 
-use mosshead_cistern::Keeper;
-use mosshead_headworks::Node;
+use mosshead_consensus::Node;
+use mosshead_record_log::Keeper;
 
 use super::Core;
 
--- a/crates/works/src/duties.rs
+++ b/crates/programs/src/duties.rs
@@ -8,10 +8,10 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
-use mosshead_catchment::Stage;
-use mosshead_conduit::{Link, Opening, Side};
-use mosshead_headworks::Ballot;
-use mosshead_penstock::{Answer, Order, Penstock, Terms, fence};
+use mosshead_consensus::Ballot;
+use mosshead_http_links::{Link, Opening, Side};
+use mosshead_registry::Stage;
+use mosshead_stage_scheduler::{Answer, Order, StageScheduler, Terms, fence};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::core::Core;
@@ -29,7 +29,7 @@
 /// Carries the duties out for as long as it is polled, whenever this machine is primary.
 pub async fn run(core: Rc<Core>) {
     let lease = Duration::from_millis(core.settings.bound("lease_ms", 3000.0) as u64);
-    let mut held: Option<(Ballot, Instant, Penstock)> = None;
+    let mut held: Option<(Ballot, Instant, StageScheduler)> = None;
     loop {
         sleep(TURN).await;
         let Some(ballot) = core.holds() else {
@@ -38,21 +38,21 @@
         };
         let same = held.as_ref().is_some_and(|held| held.0 == ballot);
         if !same {
-            held = Some((ballot, Instant::now(), Penstock::new(Terms::default())));
+            held = Some((ballot, Instant::now(), StageScheduler::new(Terms::default())));
         }
-        let Some((_, since, penstock)) = &mut held else { continue };
+        let Some((_, since, scheduler)) = &mut held else { continue };
         // Danger: the former holder's last order may be on its way for as long as its lease ran.
         if since.elapsed() < lease + Duration::from_millis(500) {
             continue;
         }
-        for order in core.orders(penstock) {
+        for order in core.orders(scheduler) {
             // Danger: the place may have been lost while the order before was under way.
             if core.holds() != Some(ballot) {
                 break;
             }
             let answer = send(&core, &order, ballot).await;
-            spdlog::info!("penstock: {} is to be {:?}: {:?}.", order.id, order.stage, answer);
-            penstock.answered(&order.id, answer);
+            spdlog::info!("stages: {} is to be {:?}: {:?}.", order.id, order.stage, answer);
+            scheduler.answered(&order.id, answer);
         }
     }
 }
--- a/crates/works/src/gossip.rs
+++ b/crates/programs/src/gossip.rs
@@ -1,10 +1,10 @@
-//! The socket of membership: datagrams to and from `ripple`.
+//! The socket of membership: datagrams to and from `membership`.
 
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 
-use mosshead_ripple::Ripple;
+use mosshead_membership::Membership;
 use tokio::net::UdpSocket;
 use tokio::time::{Duration, Instant, sleep};
 
@@ -14,16 +14,16 @@
 /// Membership on its socket.
 pub struct Gossip {
     /// The state.
-    pub ripple: RefCell<Ripple>,
+    pub membership: RefCell<Membership>,
     socket: UdpSocket,
     start: Instant,
 }
 
 impl Gossip {
     /// Binds its socket.
-    pub async fn bind(address: SocketAddrV4, ripple: Ripple) -> std::io::Result<Rc<Self>> {
+    pub async fn bind(address: SocketAddrV4, membership: Membership) -> std::io::Result<Rc<Self>> {
         let socket = UdpSocket::bind(address).await?;
-        Ok(Rc::new(Self { ripple: RefCell::new(ripple), socket, start: Instant::now() }))
+        Ok(Rc::new(Self { membership: RefCell::new(membership), socket, start: Instant::now() }))
     }
 
     fn now(&self) -> u64 {
@@ -42,9 +42,9 @@
         let mut buffer = vec![0; LONGEST];
         loop {
             let now = self.now();
-            let due = self.ripple.borrow_mut().tick(now);
+            let due = self.membership.borrow_mut().tick(now);
             self.send(due).await;
-            let wake = self.ripple.borrow().next_wake(now).clamp(now + 20, now + 500);
+            let wake = self.membership.borrow().next_wake(now).clamp(now + 20, now + 500);
             let wait = sleep(Duration::from_millis(wake - now));
             tokio::select! {
                 () = wait => {}
@@ -52,7 +52,7 @@
                     if let Ok((length, SocketAddr::V4(from))) = came
                         && let Some(bytes) = buffer.get(..length)
                     {
-                        let answers = self.ripple.borrow_mut().receive(self.now(), from, bytes);
+                        let answers = self.membership.borrow_mut().receive(self.now(), from, bytes);
                         self.send(answers).await;
                     }
                 }
@@ -62,12 +62,12 @@
 
     /// Tells others of the planned end.
     pub async fn leave(&self) {
-        let last = self.ripple.borrow_mut().leave(self.now());
+        let last = self.membership.borrow_mut().leave(self.now());
         self.send(last).await;
     }
 
     /// Living proxies, or machines of the core.
     pub fn count(&self, core: bool) -> usize {
-        self.ripple.borrow().count(core)
+        self.membership.borrow().count(core)
     }
 }
--- a/crates/works/src/limits.rs
+++ b/crates/programs/src/limits.rs
@@ -3,10 +3,10 @@
 //! What is taken must fit a state, a state must fit a message between core machines and a record on disk. The bounds
 //! belong to the parts that hold them; here they are held against each other when this is compiled.
 
-use mosshead_cistern::{MAX_FILE, MAX_RECORD};
-use mosshead_culvert::MAX_BODY as MAX_CALL_BYTES;
-use mosshead_headworks::{MAX_BODY_BYTES, MAX_STATE_BYTES};
-use mosshead_mains::MAX_BYTES as MAX_CONFIGURATION_BYTES;
+use mosshead_config::MAX_BYTES as MAX_CONFIGURATION_BYTES;
+use mosshead_consensus::{MAX_BODY_BYTES, MAX_STATE_BYTES};
+use mosshead_record_log::{MAX_FILE, MAX_RECORD};
+use mosshead_rpc::MAX_BODY as MAX_CALL_BYTES;
 
 /// The longest body of a request to the control plane: a configuration with some room for what stands around it.
 pub const MAX_REQUEST_BYTES: usize = MAX_CONFIGURATION_BYTES + (1 << 10);
--- a/crates/works/src/proxy.rs
+++ b/crates/programs/src/proxy.rs
@@ -5,12 +5,12 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use mosshead_catchment::{Catchment, SourceId};
-use mosshead_culvert::Caller;
-use mosshead_mains::Config;
-use mosshead_ripple::{Peer, Ripple, Settings as RippleSettings};
-use mosshead_sluice::{Door, Sluice, serve_readiness};
-use mosshead_weir::{BudgetTerms, Terms};
+use mosshead_config::Config;
+use mosshead_data_plane::{DataPlane, Frontend, serve_readiness};
+use mosshead_membership::{Membership, Peer, Settings as MembershipSettings};
+use mosshead_registry::{Registry, SourceId};
+use mosshead_routing::{BudgetTerms, Terms};
+use mosshead_rpc::Caller;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::net::TcpListener;
@@ -18,7 +18,7 @@
 use tokio::time::{Duration, Instant, sleep};
 
 use crate::gossip::Gossip;
-use crate::puller::{Basin, Puller, SLOTS, millis};
+use crate::puller::{ConfigSink, Puller, SLOTS, millis};
 use crate::settings::Settings;
 
 /// The platform needs two misses, a second apart, until it sends no new clients.
@@ -30,31 +30,31 @@
 pub const FLEET: u64 = 0x6d6f_7373_6865_6164;
 
 struct Takes {
-    sluice: Rc<Sluice>,
-    register: Rc<RefCell<Catchment>>,
+    data_plane: Rc<DataPlane>,
+    register: Rc<RefCell<Registry>>,
     told: Cell<usize>,
     gossip: Rc<Gossip>,
 }
 
-impl Basin for Takes {
+impl ConfigSink for Takes {
     fn config(&self) -> Option<Arc<Config>> {
-        self.sluice.config()
+        self.data_plane.config()
     }
 
     fn configure(&self, config: Arc<Config>) {
         let (revision, routes) = (config.revision, config.routes.len());
-        if self.sluice.configure(config) {
-            spdlog::info!("mains: configuration {revision} is in force, {routes} routes.");
+        if self.data_plane.configure(config) {
+            spdlog::info!("config: configuration {revision} is in force, {routes} routes.");
         }
     }
 
     fn listed(&self) {
-        self.sluice.list(self.register.borrow().servers());
+        self.data_plane.list(self.register.borrow().servers());
     }
 
     fn proxies(&self, count: usize) {
         self.told.set(count);
-        self.sluice.proxies(count.max(self.gossip.count(false)));
+        self.data_plane.proxies(count.max(self.gossip.count(false)));
     }
 }
 
@@ -90,17 +90,22 @@
     let front = settings.front_http.ok_or_else(|| missing("listen_addresses.front_http"))?;
     let mut rng = Pcg64Mcg::from_os_rng();
     let life: u64 = rng.random();
-    let sluice = Sluice::new(terms(&settings), &settings.zone, rng.random());
-    let register = Rc::new(RefCell::new(Catchment::follower(SourceId(life), settings.keepalive_ms)));
+    let data_plane = DataPlane::new(terms(&settings), &settings.zone, rng.random());
+    let register = Rc::new(RefCell::new(Registry::follower(SourceId(life), settings.keepalive_ms)));
     let peer = peer(&settings, life, false);
-    let ripple = RippleSettings { fleet: FLEET, ..RippleSettings::default() };
-    let ripple = Ripple::new(peer, settings.internal_seeds(), ripple, Pcg64Mcg::from_rng(&mut rng));
-    let ripple = ripple.map_err(std::io::Error::other)?;
-    let gossip = Gossip::bind(settings.internal(), ripple).await?;
+    let membership = MembershipSettings { fleet: FLEET, ..MembershipSettings::default() };
+    let membership =
+        Membership::new(peer, settings.internal_seeds(), membership, Pcg64Mcg::from_rng(&mut rng));
+    let membership = membership.map_err(std::io::Error::other)?;
+    let gossip = Gossip::bind(settings.internal(), membership).await?;
     tokio::task::spawn_local(gossip.clone().run());
     let (register_of, gossip_of) = (register.clone(), gossip.clone());
-    let takes =
-        Takes { sluice: sluice.clone(), register: register_of, told: Cell::new(1), gossip: gossip_of };
+    let takes = Takes {
+        data_plane: data_plane.clone(),
+        register: register_of,
+        told: Cell::new(1),
+        gossip: gossip_of,
+    };
     let takes = Rc::new(takes);
     let seeds = settings.internal_seeds();
     let puller =
@@ -108,14 +113,15 @@
     for slot in 0..SLOTS {
         tokio::task::spawn_local(puller.clone().run(slot));
     }
-    let door = Door::new(sluice.clone());
+    let door = Frontend::new(data_plane.clone());
     tokio::task::spawn_local(door.clone().serve(listen(front).await?));
     if let Some(address) = settings.readiness {
-        let (ready, told) = (sluice.clone(), (sluice.clone(), puller.clone(), gossip.clone(), door.clone()));
+        let (ready, told) =
+            (data_plane.clone(), (data_plane.clone(), puller.clone(), gossip.clone(), door.clone()));
         let status = move || status(&told.0, &told.1, &told.2, &told.3);
         tokio::task::spawn_local(serve_readiness(listen(address).await?, move || ready.ready(), status));
     }
-    spdlog::info!("sluice: {} listens.", settings.node_name);
+    spdlog::info!("router: {} listens.", settings.node_name);
     let mut hangup = signal(SignalKind::hangup())?;
     let mut term = signal(SignalKind::terminate())?;
     let mut stop = signal(SignalKind::interrupt())?;
@@ -131,7 +137,7 @@
                 register.borrow_mut().tick(millis(Instant::now()));
                 takes.listed();
                 takes.proxies(takes.told.get());
-                let cores: Vec<_> = gossip.ripple.borrow().members()
+                let cores: Vec<_> = gossip.membership.borrow().members()
                     .filter(|(peer, health)| peer.core && health.lives()).map(|(peer, _)| peer.address).collect();
                 puller.learn(&cores);
                 if turns.is_multiple_of(4) {
@@ -140,17 +146,17 @@
             }
         }
     }
-    spdlog::info!("sluice: told to end; {} requests are under way.", sluice.open());
+    spdlog::info!("router: told to end; {} requests are under way.", data_plane.open());
     let told = Instant::now();
-    sluice.stop();
+    data_plane.stop();
     gossip.leave().await;
     let grace = Duration::from_secs_f64(settings.bound("grace_s", 8.0)).saturating_sub(BEFORE_KILL);
     sleep(HANDED_ON.min(grace)).await;
     door.close();
-    while told.elapsed() < grace && (sluice.open() > 0 || door.open() > 0) {
+    while told.elapsed() < grace && (data_plane.open() > 0 || door.open() > 0) {
         sleep(Duration::from_millis(20)).await;
     }
-    spdlog::info!("sluice: ends, {} requests under way.", sluice.open());
+    spdlog::info!("router: ends, {} requests under way.", data_plane.open());
     Ok(())
 }
 
@@ -159,24 +165,24 @@
         Ok(settings) => {
             let seeds = settings.internal_seeds();
             puller.learn(&seeds);
-            gossip.ripple.borrow_mut().set_seeds(seeds);
+            gossip.membership.borrow_mut().set_seeds(seeds);
         }
         Err(fault) => spdlog::warn!("settings: {fault}. Nothing has changed."),
     }
 }
 
 /// What is known here and since when, as JSON.
-fn status(sluice: &Sluice, puller: &Puller<Takes>, gossip: &Gossip, door: &Door) -> String {
-    let config = sluice.config();
+fn status(data_plane: &DataPlane, puller: &Puller<Takes>, gossip: &Gossip, door: &Frontend) -> String {
+    let config = data_plane.config();
     let heard = puller.heard.get().map_or(-1.0, |heard| heard.elapsed().as_secs_f64());
-    let counts = &sluice.counts;
+    let counts = &data_plane.counts;
     format!(
         concat!(
             "{{\"ready\":{},\"revision\":{},\"routes\":{},\"servers\":{},\"core_heard_s\":{:.3},\"cores\":{},",
             "\"proxies\":{},\"connections\":{},\"open\":{},\"requests\":{},\"served\":{},\"refused\":{},",
             "\"failed\":{},\"resumed\":{},\"handed_over\":{},\"freed\":{}}}"
         ),
-        sluice.ready(),
+        data_plane.ready(),
         config.as_ref().map_or(0, |config| config.revision),
         config.as_ref().map_or(0, |config| config.routes.len()),
         puller.register.borrow().len(),
@@ -184,7 +190,7 @@
         puller.cores().len(),
         gossip.count(false),
         door.open(),
-        sluice.open(),
+        data_plane.open(),
         counts.requests.get(),
         counts.served.get(),
         counts.refused.get(),
--- a/crates/works/src/puller.rs
+++ b/crates/programs/src/puller.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use mosshead_catchment::{Catchment, Vector};
+use mosshead_config::Config;
 use mosshead_control_plane::Contact;
 use mosshead_control_plane::subscription::{Assembled, Session, Subscription, assemble};
-use mosshead_culvert::Caller;
-use mosshead_mains::Config;
+use mosshead_registry::{Registry, Vector};
+use mosshead_rpc::Caller;
 use tokio::time::{Duration, Instant, sleep};
 
 use crate::calls::{Fetch, Hand, Pull, Pulled};
@@ -34,7 +34,7 @@
 const FETCH: Duration = Duration::from_millis(1500);
 
 /// Who takes what was pulled.
-pub trait Basin {
+pub trait ConfigSink {
     /// The configuration in force.
     fn config(&self) -> Option<Arc<Config>>;
     /// A newer one.
@@ -52,21 +52,21 @@
     caller: Caller,
     basin: Rc<B>,
     /// The register as far as it is known here.
-    pub register: Rc<RefCell<Catchment>>,
+    pub register: Rc<RefCell<Registry>>,
     subscription: RefCell<Subscription>,
     fetching: Cell<bool>,
     /// When a machine of the core that is in touch last answered.
     pub heard: Cell<Option<Instant>>,
 }
 
-impl<B: Basin + 'static> Puller<B> {
+impl<B: ConfigSink + 'static> Puller<B> {
     /// Knows the seeds only.
     pub fn new(
         name: &str,
         life: u64,
         caller: Caller,
         basin: Rc<B>,
-        register: Rc<RefCell<Catchment>>,
+        register: Rc<RefCell<Registry>>,
         seeds: &[SocketAddrV4],
     ) -> Rc<Self> {
         let subscription = RefCell::new(Subscription::new(seeds));
@@ -197,7 +197,7 @@
         self.fetching.set(false);
     }
 
-    /// Asks for the way from a revision to the newest.
+    /// ClientRequests for the way from a revision to the newest.
     async fn fetch_from(
         self: &Rc<Self>,
         core: SocketAddrV4,
--- a/crates/works/tests/calls.rs
+++ b/crates/programs/tests/calls.rs
@@ -5,10 +5,10 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use minicbor::{Decode, Encode};
-use mosshead_catchment::{Delta, Entry, Model, OperState, Server, SourceId, Stage, Vector};
-use mosshead_headworks::{Ballot, Member, MemberId, Message, Record, State, Version};
-use mosshead_works::calls::{Epoch, Fetch, Fetched, Hand, Handed, Hears, Pull, Pulled};
-use mosshead_works::config_transfer::PieceRequest;
+use mosshead_consensus::{Ballot, Member, MemberId, Message, Record, State, Version};
+use mosshead_programs::calls::{Epoch, Fetch, Fetched, Hand, Handed, Hears, Pull, Pulled};
+use mosshead_programs::config_transfer::PieceRequest;
+use mosshead_registry::{Delta, Entry, Model, OperState, Server, SourceId, Stage, Vector};
 use quickcheck::quickcheck;
 
 /// Encoded, decoded and encoded again it is the same; cut off or followed by garbage it does no harm.
--- a/crates/works/tests/config_transfer.rs
+++ b/crates/programs/tests/config_transfer.rs
@@ -1,8 +1,8 @@
 //! The configuration in packed pieces: whatever the receiver has, it gets the whole answer or none.
 
 use minicbor::to_vec;
-use mosshead_works::calls::Fetched;
-use mosshead_works::config_transfer::{
+use mosshead_programs::calls::Fetched;
+use mosshead_programs::config_transfer::{
     IncomingTransfer, OutgoingTransfers, PIECE_BYTES, Piece, PieceRequest, TransferProgress,
 };
 use quickcheck::quickcheck;
--- a/crates/works/tests/control.rs
+++ b/crates/programs/tests/control.rs
@@ -1,7 +1,7 @@
 //! What servers and the operator send.
 
-use mosshead_catchment::{Model, OperState, Server, Stage};
-use mosshead_works::control::{beat, digest};
+use mosshead_programs::control::{beat, digest};
+use mosshead_registry::{Model, OperState, Server, Stage};
 use quickcheck::{TestResult, quickcheck};
 
 const BEAT: &str = include_str!("samples/beat.json");
@@ -143,7 +143,7 @@
     assert_eq!(format!("{:?}", digest("/Configuration.Replace", 5, b"{}")), wanted);
 }
 
-/// Prints what the digest of a large configuration costs: `cargo test --release -p mosshead-works a_digest_costs -- --nocapture`.
+/// Prints what the digest of a large configuration costs: `cargo test --release -p mosshead-programs a_digest_costs -- --nocapture`.
 #[test]
 fn what_a_digest_costs() {
     let body = vec![b'x'; 3 << 20];
--- a/crates/works/tests/limits.rs
+++ b/crates/programs/tests/limits.rs
@@ -1,11 +1,11 @@
 //! The largest state that may be taken can be sent and written.
 
-use mosshead_culvert::MAX_BODY;
-use mosshead_headworks::{
+use mosshead_consensus::{
     Ballot, Call, CallDigest, MAX_BODY_BYTES, MAX_STATE_BYTES, Member, MemberId, Message, State,
 };
-use mosshead_works::calls::Epoch;
-use mosshead_works::limits::MAX_REQUEST_BYTES;
+use mosshead_programs::calls::Epoch;
+use mosshead_programs::limits::MAX_REQUEST_BYTES;
+use mosshead_rpc::MAX_BODY;
 
 /// A body of that length, and as many calls as are remembered, with the longest numbers.
 fn largest_state() -> State {
@@ -27,6 +27,6 @@
 
 #[test]
 fn a_request_that_is_read_whole_holds_the_largest_configuration() {
-    const { assert!(MAX_REQUEST_BYTES > mosshead_mains::MAX_BYTES) };
+    const { assert!(MAX_REQUEST_BYTES > mosshead_config::MAX_BYTES) };
     const { assert!(MAX_REQUEST_BYTES < MAX_BODY) };
 }
--- a/crates/works/tests/message_lanes.rs
+++ b/crates/programs/tests/message_lanes.rs
@@ -3,8 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 
-use mosshead_headworks::{Ballot, Message, State};
-use mosshead_works::message_lanes::{LARGE_MESSAGE_BYTES, Lane, MessageLanes};
+use mosshead_consensus::{Ballot, Message, State};
+use mosshead_programs::message_lanes::{LARGE_MESSAGE_BYTES, Lane, MessageLanes};
 use quickcheck::quickcheck;
 
 fn machine(last: u8) -> SocketAddrV4 {
--- a/crates/works/tests/orders.rs
+++ b/crates/programs/tests/orders.rs
@@ -7,9 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mosshead_catchment::Stage;
-use mosshead_penstock::{Answer, Order};
-use mosshead_works::duties::{OrderMessage, send_order};
+use mosshead_programs::duties::{OrderMessage, send_order};
+use mosshead_registry::Stage;
+use mosshead_stage_scheduler::{Answer, Order};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
--- a/crates/works/tests/pulled.rs
+++ b/crates/programs/tests/pulled.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
+use mosshead_config::Config;
 use mosshead_control_plane::subscription::{Assembled, assemble};
-use mosshead_mains::Config;
-use mosshead_works::calls::Fetched;
-use mosshead_works::puller::{SLOTS, pause};
+use mosshead_programs::calls::Fetched;
+use mosshead_programs::puller::{SLOTS, pause};
 use tokio::time::Duration;
 
 const WHOLE: &str = include_str!("samples/replace.json");
--- a/crates/works/tests/settings.rs
+++ b/crates/programs/tests/settings.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 
-use mosshead_works::settings::{Fault, Settings};
+use mosshead_programs::settings::{Fault, Settings};
 use quickcheck::quickcheck;
 
 const EDGE: &str = include_str!("samples/edge.properties");
--- a/crates/proxy/src/connection_log.rs
+++ b/crates/proxy/src/connection_log.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use mosshead_conduit::{Reason, Record, Side};
+use mosshead_http_links::{Reason, Record, Side};
 
 use crate::log::say;
 
--- a/crates/proxy/src/execute_node.rs
+++ b/crates/proxy/src/execute_node.rs
@@ -20,8 +20,8 @@
 use crate::flow::{self, Flow, Start};
 use crate::http::{self, Link};
 use crate::messages::{Call, NodeMail, Payload, ProbeTicket, Ticket, Told};
-use mosshead_conduit::{BODY_LIMIT, BodyFault, IDEMPOTENCY_KEY, Reason, Record, Written, whole};
 use mosshead_decide::interface::*;
+use mosshead_http_links::{BODY_LIMIT, BodyFault, IDEMPOTENCY_KEY, Reason, Record, Written, whole};
 
 /// An idle connection is closed after this share of the time that execute nodes keep one: what is
 /// written to one that they have closed is lost.
--- a/crates/proxy/src/flow.rs
+++ b/crates/proxy/src/flow.rs
@@ -18,8 +18,8 @@
 
 use crate::http::Link;
 use crate::messages::Mail;
-use mosshead_conduit::{BODY_LIMIT, BodyFault, Written};
 use mosshead_decide::interface::JobId;
+use mosshead_http_links::{BODY_LIMIT, BodyFault, Written};
 
 /// The most that a body holds that flows.
 pub(crate) const FLOW_LIMIT: u64 = 33 * 1024 * 1024;
--- a/crates/proxy/src/machine_list.rs
+++ b/crates/proxy/src/machine_list.rs
@@ -16,8 +16,8 @@
 use crate::log::{Bounded, say};
 use crate::messages::Mail;
 use mosshead_comeback::Silence;
-use mosshead_conduit::{Reason, whole};
 use mosshead_decide::interface::Seconds;
+use mosshead_http_links::{Reason, whole};
 use mosshead_known::listing::{Listing, read_listing};
 use mosshead_settings::{self as settings, Found};
 
--- a/crates/proxy/src/submitter.rs
+++ b/crates/proxy/src/submitter.rs
@@ -36,8 +36,8 @@
 use crate::messages::{Answer, Call, Job, Payload};
 use crate::module::Module;
 use crate::tuning::{Term, Terms};
-use mosshead_conduit::{BodyFault, IDEMPOTENCY_KEY, Line, Reason, Record};
 use mosshead_decide::interface::{ClassId, Effect, TenantId};
+use mosshead_http_links::{BodyFault, IDEMPOTENCY_KEY, Line, Reason, Record};
 
 /// New connections keep coming for so long after a stop is asked for.
 const STOP_ACCEPTING: Duration = Duration::from_millis(450);
--- a/crates/cistern/src/keeper.rs
+++ b/crates/record-log/src/keeper.rs
@@ -54,19 +54,19 @@
         let (jobs, queue) = sync_channel(room.max(1));
         let theirs = Arc::clone(&shared);
         let thread = thread::Builder::new()
-            .name("cistern".to_owned())
+            .name("record_log".to_owned())
             .spawn(move || run(store, &queue, &theirs, done))
             .map_err(Fault::Thread)?;
         Ok(Keeper { jobs, shared, thread })
     }
 
-    /// Asks for a record to be kept. A fault means that there will be no answer.
+    /// ClientRequests for a record to be kept. A fault means that there will be no answer.
     pub fn append(&self, token: u64, record: Vec<u8>) -> Result<(), Fault> {
         let bytes = record.len() as u64;
         self.send(bytes, Job::Append { token, record })
     }
 
-    /// Asks for these records in place of all before. A fault means that there will be no answer.
+    /// ClientRequests for these records in place of all before. A fault means that there will be no answer.
     pub fn rewrite(&self, token: u64, records: Vec<Vec<u8>>) -> Result<(), Fault> {
         let bytes = size(&records);
         self.send(bytes, Job::Rewrite { token, records })
--- a/crates/cistern/src/store.rs
+++ b/crates/record-log/src/store.rs
@@ -21,7 +21,7 @@
 
 /// The store in a file of a [`Disk`]: `state.N`, the newest complete N wins.
 #[derive(Debug)]
-pub struct Cistern<D: Disk = Folder> {
+pub struct RecordLog<D: Disk = Folder> {
     disk: D,
     file: D::File,
     generation: u64,
@@ -47,16 +47,16 @@
 /// Generations are below it; far above what can be counted to.
 const LAST: u64 = 1 << 63;
 
-impl Cistern<Folder> {
-    /// Opens the store in a folder, and gives the records found; see [`Cistern::is_kept`].
-    pub fn open(folder: &Path) -> Result<(Cistern, Vec<Vec<u8>>), Fault> {
-        Cistern::open_on(Folder::new(folder).map_err(Fault::Name)?)
+impl RecordLog<Folder> {
+    /// Opens the store in a folder, and gives the records found; see [`RecordLog::is_kept`].
+    pub fn open(folder: &Path) -> Result<(RecordLog, Vec<Vec<u8>>), Fault> {
+        RecordLog::open_on(Folder::new(folder).map_err(Fault::Name)?)
     }
 }
 
-impl<D: Disk> Cistern<D> {
-    /// Opens the store on a disk, and gives the records found; see [`Cistern::is_kept`].
-    pub fn open_on(mut disk: D) -> Result<(Cistern<D>, Vec<Vec<u8>>), Fault> {
+impl<D: Disk> RecordLog<D> {
+    /// Opens the store on a disk, and gives the records found; see [`RecordLog::is_kept`].
+    pub fn open_on(mut disk: D) -> Result<(RecordLog<D>, Vec<Vec<u8>>), Fault> {
         let names = disk.names().map_err(Fault::Read)?;
         let mut generations: Vec<u64> = names.iter().filter_map(|name| generation_of(name)).collect();
         generations.sort_unstable();
@@ -66,10 +66,10 @@
         }
         let Some((generation, file, found, length)) = newest(&mut disk, &generations)? else {
             let (file, mark) = publish(&mut disk, next, 1, &[]).map_err(|(fault, _)| fault)?;
-            return Ok((Cistern::with(disk, file, next, mark, 1), Vec::new()));
+            return Ok((RecordLog::with(disk, file, next, mark, 1), Vec::new()));
         };
         let Scan { records, mark, .. } = found;
-        let mut store = Cistern::with(disk, file, generation, mark, mark.life.saturating_add(1));
+        let mut store = RecordLog::with(disk, file, generation, mark, mark.life.saturating_add(1));
         store.next_generation = next;
         store.ignored = length.saturating_sub(mark.offset);
         store.kept = false;
@@ -82,8 +82,8 @@
         Ok((store, records))
     }
 
-    fn with(disk: D, file: D::File, generation: u64, mark: Mark, life: u64) -> Cistern<D> {
-        Cistern {
+    fn with(disk: D, file: D::File, generation: u64, mark: Mark, life: u64) -> RecordLog<D> {
+        RecordLog {
             disk,
             file,
             generation,
@@ -190,7 +190,7 @@
     }
 }
 
-impl<D: Disk> Store for Cistern<D> {
+impl<D: Disk> Store for RecordLog<D> {
     fn append(&mut self, record: &[u8]) -> Result<(), Fault> {
         let length = checked_length(record)?;
         let end = self.good.offset.saturating_add((FRAME + record.len()) as u64);
--- a/crates/cistern/tests/contract.rs
+++ b/crates/record-log/tests/contract.rs
@@ -1,7 +1,7 @@
 //! What every store holds to, over both disks.
 
-use mosshead_cistern::{
-    Cistern, Disk, FRAME, Fault, Folder, HEADER, MAX_FILE, MAX_RECORD, MemoryDisk, Store,
+use mosshead_record_log::{
+    Disk, FRAME, Fault, Folder, HEADER, MAX_FILE, MAX_RECORD, MemoryDisk, RecordLog, Store,
 };
 
 /// A disk that can be opened again and again.
@@ -9,8 +9,8 @@
     type Disk: Disk;
     fn disk(&self) -> Self::Disk;
 
-    fn open(&self) -> (Cistern<Self::Disk>, Vec<Vec<u8>>) {
-        Cistern::open_on(self.disk()).expect("the store opens")
+    fn open(&self) -> (RecordLog<Self::Disk>, Vec<Vec<u8>>) {
+        RecordLog::open_on(self.disk()).expect("the store opens")
     }
 }
 
@@ -150,7 +150,7 @@
 macro_rules! contract {
     ($($name:ident)*) => {
         mod in_memory {
-            $(#[test] fn $name() { super::$name(&mosshead_cistern::MemoryDisk::new()); })*
+            $(#[test] fn $name() { super::$name(&mosshead_record_log::MemoryDisk::new()); })*
         }
         mod in_a_folder {
             $(#[test] fn $name() { super::$name(&tempfile::tempdir().unwrap()); })*
@@ -167,17 +167,17 @@
 fn a_missing_folder_is_made() {
     let place = tempfile::tempdir().unwrap();
     let folder = place.path().join("a/b");
-    let (mut store, found) = Cistern::open(&folder).unwrap();
+    let (mut store, found) = RecordLog::open(&folder).unwrap();
     assert!(found.is_empty());
     store.append(b"x").unwrap();
     store.sync().unwrap();
     drop(store);
-    assert_eq!(Cistern::open(&folder).unwrap().1, records(&["x"]));
+    assert_eq!(RecordLog::open(&folder).unwrap().1, records(&["x"]));
 }
 
 #[test]
 fn a_folder_that_is_a_file_is_a_fault() {
     let place = tempfile::NamedTempFile::new().unwrap();
-    let fault = Cistern::open(place.path()).unwrap_err();
+    let fault = RecordLog::open(place.path()).unwrap_err();
     assert!(fault.code() == 701 || fault.code() == 704, "{fault}");
 }
--- a/crates/cistern/tests/keeper.rs
+++ b/crates/record-log/tests/keeper.rs
@@ -2,11 +2,11 @@
 
 use std::sync::mpsc::{Receiver, channel};
 
-use mosshead_cistern::{Cistern, Done, Fault, Keeper, MAX_GROUP, MAX_QUEUED, MAX_RECORD, MemoryDisk};
+use mosshead_record_log::{Done, Fault, Keeper, MAX_GROUP, MAX_QUEUED, MAX_RECORD, MemoryDisk, RecordLog};
 use rand_pcg::Pcg32;
 
 fn start(disk: &MemoryDisk, room: usize) -> (Keeper, Receiver<Done>) {
-    let (store, _) = Cistern::open_on(disk.clone()).unwrap();
+    let (store, _) = RecordLog::open_on(disk.clone()).unwrap();
     let (answers, answered) = channel();
     let keeper = Keeper::start(store, room, move |done| {
         let _ = answers.send(done);
@@ -15,7 +15,7 @@
 }
 
 fn found(disk: &MemoryDisk) -> Vec<Vec<u8>> {
-    Cistern::open_on(disk.clone()).unwrap().1
+    RecordLog::open_on(disk.clone()).unwrap().1
 }
 
 fn done(tokens: impl IntoIterator<Item = u64>, ok: bool) -> Vec<Done> {
--- a/crates/cistern/tests/model.rs
+++ b/crates/record-log/tests/model.rs
@@ -1,7 +1,7 @@
 //! Any sequence of what a store is asked and of what befalls its disk: what was synced is there, in order, and
 //! nothing is made up.
 
-use mosshead_cistern::{Cistern, MemoryDisk, Store};
+use mosshead_record_log::{MemoryDisk, RecordLog, Store};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rand_pcg::Pcg32;
 
@@ -49,7 +49,7 @@
 
 struct Model {
     disk: MemoryDisk,
-    store: Option<Cistern<MemoryDisk>>,
+    store: Option<RecordLog<MemoryDisk>>,
     now: Line,
     /// What failed steps may have left since the last good sync.
     others: Vec<Line>,
@@ -71,7 +71,7 @@
     }
 
     fn open(&mut self) -> Result<(), String> {
-        let Ok((store, found)) = Cistern::open_on(self.disk.clone()) else {
+        let Ok((store, found)) = RecordLog::open_on(self.disk.clone()) else {
             return Ok(());
         };
         if !self.now.admits(&found) && !self.others.iter().any(|line| line.admits(&found)) {
--- a/crates/cistern/tests/recovery.rs
+++ b/crates/record-log/tests/recovery.rs
@@ -1,6 +1,6 @@
 //! What is found in a file that was damaged.
 
-use mosshead_cistern::{Cistern, FRAME, HEADER, MemoryDisk, Store};
+use mosshead_record_log::{FRAME, HEADER, MemoryDisk, RecordLog, Store};
 use quickcheck::quickcheck;
 
 const SIZES: [usize; 6] = [5, 0, 17, 1, 40, 3];
@@ -12,7 +12,7 @@
 /// The bytes of a file with the sample in it, a part of it from a rewrite.
 fn file() -> Vec<u8> {
     let disk = MemoryDisk::new();
-    let (mut store, _) = Cistern::open_on(disk.clone()).unwrap();
+    let (mut store, _) = RecordLog::open_on(disk.clone()).unwrap();
     let sample = sample();
     store.rewrite(&sample[..2]).unwrap();
     for record in &sample[2..] {
@@ -26,11 +26,11 @@
 fn recovered(bytes: Vec<u8>) -> Vec<Vec<u8>> {
     let disk = MemoryDisk::new();
     disk.put("state.2", bytes);
-    let (mut store, found) = Cistern::open_on(disk.clone()).unwrap();
+    let (mut store, found) = RecordLog::open_on(disk.clone()).unwrap();
     store.append(b"behind").unwrap();
     store.sync().unwrap();
     drop(store);
-    let (store, again) = Cistern::open_on(disk).unwrap();
+    let (store, again) = RecordLog::open_on(disk).unwrap();
     assert_eq!(store.ignored(), 0);
     assert_eq!(again[..found.len()], found);
     assert_eq!(again[found.len()..], [b"behind".to_vec()]);
@@ -116,7 +116,7 @@
     let file = file();
     let disk = MemoryDisk::new();
     disk.put("state.3", file);
-    assert!(Cistern::open_on(disk).unwrap().1.is_empty());
+    assert!(RecordLog::open_on(disk).unwrap().1.is_empty());
 }
 
 #[test]
@@ -124,7 +124,7 @@
     let old = file();
     let disk = MemoryDisk::new();
     disk.put("state.2", old.clone());
-    let (mut store, _) = Cistern::open_on(disk.clone()).unwrap();
+    let (mut store, _) = RecordLog::open_on(disk.clone()).unwrap();
     let newer: Vec<Vec<u8>> = (0..4).map(|number| vec![number; 8]).collect();
     store.rewrite(&newer).unwrap();
     drop(store);
@@ -134,7 +134,7 @@
         let disk = MemoryDisk::new();
         disk.put("state.2", old.clone());
         disk.put("state.4", new[..cut].to_vec());
-        let (mut store, found) = Cistern::open_on(disk.clone()).unwrap();
+        let (mut store, found) = RecordLog::open_on(disk.clone()).unwrap();
         assert_eq!(found, if cut == new.len() { newer.clone() } else { sample() }, "cut at {cut}");
         assert_eq!(disk.list().len(), 1);
         store.rewrite(&[b"next".to_vec()]).unwrap();
@@ -147,19 +147,19 @@
     for number in [u64::MAX, 1 << 63] {
         let disk = MemoryDisk::new();
         disk.put(&format!("state.{number}"), file());
-        assert!(Cistern::open_on(disk.clone()).unwrap().1.is_empty());
+        assert!(RecordLog::open_on(disk.clone()).unwrap().1.is_empty());
         assert_eq!(disk.list(), ["state.1".to_owned(), format!("state.{number}")]);
     }
     let disk = MemoryDisk::new();
     disk.put(&format!("state.{}", (1u64 << 63) - 1), file());
-    assert_eq!(Cistern::open_on(disk).unwrap_err().code(), 704);
+    assert_eq!(RecordLog::open_on(disk).unwrap_err().code(), 704);
 }
 
 quickcheck! {
     fn any_bytes_are_borne(bytes: Vec<u8>, name: u8) -> bool {
         let disk = MemoryDisk::new();
         disk.put(&format!("state.{name}"), bytes);
-        Cistern::open_on(disk).unwrap().1.is_empty()
+        RecordLog::open_on(disk).unwrap().1.is_empty()
     }
 
     fn any_tail_is_borne(tail: Vec<u8>) -> bool {
--- a/crates/cistern/tests/trouble.rs
+++ b/crates/record-log/tests/trouble.rs
@@ -1,6 +1,6 @@
 //! Disks that fail, fill up and lose power.
 
-use mosshead_cistern::{Cistern, Fault, MemoryDisk, Store};
+use mosshead_record_log::{Fault, MemoryDisk, RecordLog, Store};
 use rand_pcg::Pcg32;
 
 const OLD: [&[u8]; 3] = [b"old one", b"old two", b"old three"];
@@ -10,13 +10,13 @@
     records.iter().map(|record| record.to_vec()).collect()
 }
 
-fn open(disk: &MemoryDisk) -> (Cistern<MemoryDisk>, Vec<Vec<u8>>) {
-    let (store, found) = Cistern::open_on(disk.clone()).expect("the store opens");
+fn open(disk: &MemoryDisk) -> (RecordLog<MemoryDisk>, Vec<Vec<u8>>) {
+    let (store, found) = RecordLog::open_on(disk.clone()).expect("the store opens");
     assert!(store.is_kept());
     (store, found)
 }
 
-fn with_old() -> (MemoryDisk, Cistern<MemoryDisk>) {
+fn with_old() -> (MemoryDisk, RecordLog<MemoryDisk>) {
     let disk = MemoryDisk::new();
     let (mut store, _) = open(&disk);
     for record in OLD {
@@ -33,7 +33,7 @@
         for steps in 0.. {
             let disk = MemoryDisk::new();
             disk.fail_after(steps);
-            let done = Cistern::open_on(disk.clone()).is_ok();
+            let done = RecordLog::open_on(disk.clone()).is_ok();
             disk.power_loss(&mut random);
             let (mut store, found) = open(&disk);
             assert!(found.is_empty());
@@ -141,7 +141,7 @@
     store.append(b"no").unwrap_err();
     drop(store);
     disk.set_room(Some(0));
-    let (mut store, found) = Cistern::open_on(disk.clone()).unwrap();
+    let (mut store, found) = RecordLog::open_on(disk.clone()).unwrap();
     assert_eq!(found, owned(&OLD));
     assert!(!store.is_kept());
     assert!(store.append(b"no").unwrap_err().is_full());
@@ -171,7 +171,7 @@
         if seed % 3 > 0 {
             disk.fail_after(seed % 5);
         }
-        let (mut store, found) = Cistern::open_on(disk.clone()).unwrap();
+        let (mut store, found) = RecordLog::open_on(disk.clone()).unwrap();
         assert_eq!(found, owned(&OLD));
         assert!(store.ignored() > 0);
         disk.repair();
@@ -216,7 +216,7 @@
         store.append(b"in the caches").unwrap();
         drop(store);
         disk.fail_sync(&mut random);
-        let (store, found) = Cistern::open_on(disk.clone()).unwrap();
+        let (store, found) = RecordLog::open_on(disk.clone()).unwrap();
         assert!(!store.is_kept());
         drop(store);
         let (_, again) = open(&disk);
--- a/crates/catchment/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -7,16 +7,16 @@
 //!
 //! Nothing here does I/O or reads a clock: `now` is milliseconds of any steady clock, never set back.
 
-mod catchment;
 mod delta;
 mod record;
+mod registry;
 mod server;
 mod silence;
 mod sources;
 mod vector;
 
-pub use catchment::{Catchment, Heard, MOST_SERVERS, MOST_TOMBSTONES, TOMBSTONE_MS};
 pub use delta::{Delta, Entry};
+pub use registry::{Heard, MOST_SERVERS, MOST_TOMBSTONES, Registry, TOMBSTONE_MS};
 pub use server::{Fault, Model, OperState, Server, Stage};
 pub use silence::{GONE_MS, LOST_MS};
 pub use vector::{MOST_IN_VECTOR, SourceId, Vector};
--- a/crates/catchment/src/catchment.rs
+++ b/crates/registry/src/registry.rs
@@ -30,7 +30,7 @@
     /// It made a new version.
     pub changed: bool,
     /// The server is draining or gone, and only this source is known to have it: hand it to another core process
-    /// (see [`Catchment::held`]) before the acknowledgement. Stays so, over repeats, until that is done.
+    /// (see [`Registry::held`]) before the acknowledgement. Stays so, over repeats, until that is done.
     pub urgent: bool,
     /// It was older than what is known, and changed nothing.
     pub stale: bool,
@@ -40,7 +40,7 @@
 
 /// The register of servers of one process.
 #[derive(Clone, Debug)]
-pub struct Catchment {
+pub struct Registry {
     pub(crate) me: SourceId,
     pub(crate) keepalive_ms: u64,
     pub(crate) is_follower: bool,
@@ -59,10 +59,10 @@
     pub(crate) doubts: bool,
 }
 
-impl Catchment {
+impl Registry {
     /// The register of a core process. `me` has to be drawn anew at every start.
-    pub fn new(me: SourceId, keepalive_ms: u64) -> Catchment {
-        Catchment {
+    pub fn new(me: SourceId, keepalive_ms: u64) -> Registry {
+        Registry {
             me,
             keepalive_ms: keepalive_ms.max(1),
             is_follower: false,
@@ -83,8 +83,8 @@
     }
 
     /// The register of a process that hears no servers (a proxy): it marks nobody silent.
-    pub fn follower(me: SourceId, keepalive_ms: u64) -> Catchment {
-        Catchment { is_follower: true, ..Catchment::new(me, keepalive_ms) }
+    pub fn follower(me: SourceId, keepalive_ms: u64) -> Registry {
+        Registry { is_follower: true, ..Registry::new(me, keepalive_ms) }
     }
 
     /// Takes in a beat of a server.
@@ -247,7 +247,7 @@
     }
 
     /// Takes in what another process gave. Returns whether anything changed. Where both have seen the same and
-    /// yet hold different entries, the next [`Catchment::tick`] forgets the vector, so that all is asked for anew.
+    /// yet hold different entries, the next [`Registry::tick`] forgets the vector, so that all is asked for anew.
     pub fn merge(&mut self, now: u64, delta: Delta) -> bool {
         let mut changed = false;
         for entry in delta.entries {
--- a/crates/catchment/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -136,19 +136,19 @@
     pub enum Fault {
         /// The instance has no id.
         NoId {
-            display("catchment 1: instance without an id")
+            display("registry 1: instance without an id")
         }
         /// The id, service, zone or software is too long.
         LongName {
-            display("catchment 2: id, service, zone or revision over {} bytes", MOST_NAME)
+            display("registry 2: id, service, zone or revision over {} bytes", MOST_NAME)
         }
         /// The list of models and adapters is too long.
         ManyModels {
-            display("catchment 3: models and adapters over {} bytes", MOST_TEXT)
+            display("registry 3: models and adapters over {} bytes", MOST_TEXT)
         }
         /// The register holds as many servers as it can.
         Full {
-            display("catchment 4: the register is full")
+            display("registry 4: the register is full")
         }
     }
 }
--- a/crates/catchment/src/silence.rs
+++ b/crates/registry/src/silence.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use crate::{Catchment, OperState, SourceId};
+use crate::{OperState, Registry, SourceId};
 
 /// A server that has been silent for longer is gone.
 pub const GONE_MS: u64 = 20_000;
@@ -15,7 +15,7 @@
 /// When somebody else has to speak, look again after this.
 const AGAIN_MS: u64 = 500;
 
-impl Catchment {
+impl Registry {
     /// Another core process has been in touch.
     pub fn contact(&mut self, now: u64, source: SourceId) {
         if source != self.me {
--- a/crates/catchment/tests/beats.rs
+++ b/crates/registry/tests/beats.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{address, check, core, pull, server, with_state};
-use mosshead_catchment::{Fault, Heard, MOST_SERVERS, OperState, Server};
+use mosshead_registry::{Fault, Heard, MOST_SERVERS, OperState, Server};
 use quickcheck::quickcheck;
 
 #[test]
@@ -35,7 +35,7 @@
         |s| s.software.push('x'),
         |s| s.slots += 1,
         |s| s.state = OperState::Draining,
-        |s| s.stage = Some(mosshead_catchment::Stage::Decode),
+        |s| s.stage = Some(mosshead_registry::Stage::Decode),
         |s| s.models.clear(),
     ];
     for change in changes {
@@ -174,7 +174,7 @@
     {
         assert_eq!(register.beat(0, server).refused, Some(fault));
         assert_eq!(fault.code(), code);
-        assert!(fault.to_string().starts_with(&format!("catchment {code}:")));
+        assert!(fault.to_string().starts_with(&format!("registry {code}:")));
     }
     assert_eq!(register.deregister(0, "").refused, Some(Fault::NoId));
     assert_eq!(register.deregister(0, &"x".repeat(200)).refused, Some(Fault::LongName));
--- a/crates/catchment/tests/common/mod.rs
+++ b/crates/registry/tests/common/mod.rs
@@ -3,17 +3,17 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use mosshead_catchment::{Catchment, Entry, Model, OperState, Server, SourceId, Stage};
+use mosshead_registry::{Entry, Model, OperState, Registry, Server, SourceId, Stage};
 use rand_core::RngCore;
 
 pub const KEEPALIVE: u64 = 1200;
 
-pub fn core(number: u64) -> Catchment {
-    Catchment::new(SourceId(number), KEEPALIVE)
+pub fn core(number: u64) -> Registry {
+    Registry::new(SourceId(number), KEEPALIVE)
 }
 
-pub fn follower(number: u64) -> Catchment {
-    Catchment::follower(SourceId(number), KEEPALIVE)
+pub fn follower(number: u64) -> Registry {
+    Registry::follower(SourceId(number), KEEPALIVE)
 }
 
 pub fn address(number: u8) -> SocketAddrV4 {
@@ -42,7 +42,7 @@
 }
 
 /// Gives `to` all that it lacks, in pieces.
-pub fn pull(now: u64, from: &Catchment, to: &mut Catchment, most: usize) {
+pub fn pull(now: u64, from: &Registry, to: &mut Registry, most: usize) {
     for _ in 0..100_000 {
         let delta = from.lacking(&to.vector(), most);
         let more = delta.more;
@@ -55,7 +55,7 @@
 }
 
 /// The same between two of a group.
-pub fn pull_within(now: u64, all: &mut [Catchment], from: usize, to: usize, most: usize) {
+pub fn pull_within(now: u64, all: &mut [Registry], from: usize, to: usize, most: usize) {
     let (from, to) = match from < to {
         true => {
             let (left, right) = all.split_at_mut(to);
@@ -70,14 +70,14 @@
 }
 
 /// Everything that a register says, tombstones too, in one order.
-pub fn said(register: &Catchment) -> Vec<Entry> {
+pub fn said(register: &Registry) -> Vec<Entry> {
     let mut entries: Vec<Entry> = register.entries().cloned().collect();
     entries.sort_by(|a, b| a.server.id.cmp(&b.server.id));
     entries
 }
 
 /// All give all, until nobody has anything new.
-pub fn settle(now: u64, all: &mut [Catchment]) {
+pub fn settle(now: u64, all: &mut [Registry]) {
     for _ in 0..50 {
         let mut changed = false;
         for from in 0..all.len() {
@@ -97,7 +97,7 @@
 }
 
 /// The indices agree with the entries.
-pub fn check(register: &Catchment) {
+pub fn check(register: &Registry) {
     let entries = said(register);
     let live = entries.iter().filter(|e| e.server.state != OperState::Gone).count();
     assert_eq!(register.len(), live);
--- a/crates/catchment/tests/convergence.rs
+++ b/crates/registry/tests/convergence.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::{below, check, core, follower, pull, said, server, settle};
-use mosshead_catchment::{Catchment, Delta, Entry, OperState, Server, SourceId, Vector};
+use mosshead_registry::{Delta, Entry, OperState, Registry, Server, SourceId, Vector};
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -103,7 +103,7 @@
 fn play(seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let cores = 3 + below(&mut rng, 3) as usize;
-    let mut all: Vec<Catchment> = (0..cores as u64).map(|n| core(10 + n)).collect();
+    let mut all: Vec<Registry> = (0..cores as u64).map(|n| core(10 + n)).collect();
     all.extend((0..4).map(|n| follower(100 + n)));
     let mut truths: Vec<Truth> =
         (0..12).map(|n| Truth { now: server(n, 0), arrived: None, ended: false }).collect();
--- a/crates/catchment/tests/fleet.rs
+++ b/crates/registry/tests/fleet.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::{address, below, check, core, follower, server};
-use mosshead_catchment::{Catchment, Entry, OperState, Server, SourceId};
+use mosshead_registry::{Entry, OperState, Registry, Server, SourceId};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -33,8 +33,8 @@
 struct Fleet {
     seed: u64,
     rng: Pcg64Mcg,
-    cores: Vec<Catchment>,
-    proxies: Vec<Catchment>,
+    cores: Vec<Registry>,
+    proxies: Vec<Registry>,
     /// What each proxy has seen leave in its life.
     leaving: Vec<BTreeSet<String>>,
     servers: Vec<Truth>,
@@ -46,7 +46,7 @@
     next_server: u32,
 }
 
-fn digest(from: &Catchment, now: u64) -> (SourceId, Vec<(String, u64)>) {
+fn digest(from: &Registry, now: u64) -> (SourceId, Vec<(String, u64)>) {
     (from.me(), from.alive(now.saturating_sub(1500)))
 }
 
@@ -75,7 +75,7 @@
         fleet
     }
 
-    fn new_core(&mut self) -> Catchment {
+    fn new_core(&mut self) -> Registry {
         self.next_source += 1;
         core(self.next_source)
     }
@@ -300,7 +300,7 @@
     }
 
     fn judge(&self) {
-        let live = |register: &Catchment| -> BTreeMap<String, Server> {
+        let live = |register: &Registry| -> BTreeMap<String, Server> {
             register.servers().map(|s| (s.id.clone(), s.clone())).collect()
         };
         let first = live(&self.cores[0]);
@@ -373,9 +373,9 @@
         fleet.step(now);
         fleet.servers = lives;
         if now == 2_000 {
-            versions = fleet.cores.iter().map(Catchment::version).sum();
+            versions = fleet.cores.iter().map(Registry::version).sum();
         }
     }
-    assert_eq!(versions, fleet.cores.iter().map(Catchment::version).sum::<u64>());
+    assert_eq!(versions, fleet.cores.iter().map(Registry::version).sum::<u64>());
     assert_eq!(versions, 10);
 }
--- a/crates/catchment/tests/restarts.rs
+++ b/crates/registry/tests/restarts.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{KEEPALIVE, check, core, follower, pull, pull_within, said, server, settle, with_state};
-use mosshead_catchment::{
-    Catchment, Delta, Entry, MOST_TOMBSTONES, OperState, Server, SourceId, TOMBSTONE_MS, Vector,
+use mosshead_registry::{
+    Delta, Entry, MOST_TOMBSTONES, OperState, Registry, Server, SourceId, TOMBSTONE_MS, Vector,
 };
 
 #[test]
@@ -116,7 +116,7 @@
 /// Thousands of lives of three cores, one ending each second, each with a change or two: the vector stays small.
 #[test]
 fn the_vector_stays_small_over_thousands_of_lives() {
-    let mut cores: Vec<Catchment> = (1..=3).map(core).collect();
+    let mut cores: Vec<Registry> = (1..=3).map(core).collect();
     let mut proxy = follower(u64::MAX);
     let mut sequence = 0;
     let mut most = 0;
--- a/crates/catchment/tests/silence.rs
+++ b/crates/registry/tests/silence.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::{KEEPALIVE, check, core, follower, pull, server, settle, with_state};
-use mosshead_catchment::{Catchment, GONE_MS, LOST_MS, OperState, SourceId, TOMBSTONE_MS};
+use mosshead_registry::{GONE_MS, LOST_MS, OperState, Registry, SourceId, TOMBSTONE_MS};
 
 /// Ticks from one time to another; who changed anything is told by the time of the first change.
-fn run(register: &mut Catchment, from: u64, to: u64) -> Option<u64> {
+fn run(register: &mut Registry, from: u64, to: u64) -> Option<u64> {
     let mut first = None;
     for now in (from..=to).step_by(100) {
         if register.tick(now) && first.is_none() {
@@ -16,12 +16,12 @@
     first
 }
 
-fn digest(from: &Catchment, since: u64, now: u64, to: &mut Catchment) {
+fn digest(from: &Registry, since: u64, now: u64, to: &mut Registry) {
     let alive = from.alive(since);
     to.heard_by(now, from.me(), alive.iter().map(|(id, sequence)| (id.as_str(), *sequence)));
 }
 
-fn is_silent(register: &Catchment) -> bool {
+fn is_silent(register: &Registry) -> bool {
     register.get("i-1").unwrap().silent
 }
 
--- a/crates/catchment/tests/wire.rs
+++ b/crates/registry/tests/wire.rs
@@ -7,7 +7,7 @@
 
 use common::{check, core, follower, server};
 use minicbor::{Decode, Encode};
-use mosshead_catchment::{Delta, Entry, MOST_IN_VECTOR, Model, OperState, Server, SourceId, Stage, Vector};
+use mosshead_registry::{Delta, Entry, MOST_IN_VECTOR, Model, OperState, Server, SourceId, Stage, Vector};
 use quickcheck::{Arbitrary, Gen, quickcheck};
 
 #[derive(Clone, Debug)]
--- a/crates/weir/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -3,8 +3,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
-use mosshead_catchment::{OperState, Server, Stage};
-use mosshead_gauge::Entry;
+use mosshead_load_board::Entry;
+use mosshead_registry::{OperState, Server, Stage};
 
 use crate::evidence::Evidence;
 
--- a/crates/weir/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,7 +9,7 @@
 pub use board::{Board, Candidate, Side};
 pub use budget::{Budget, BudgetTerms};
 pub use evidence::{Evidence, Fault};
-pub use plan::{Ask, Pair, Terms, Weir};
+pub use plan::{Ask, Pair, Router, Terms};
 
 /// An instant or a span, in milliseconds.
 pub type Millis = u64;
--- a/crates/weir/src/plan.rs
+++ b/crates/routing/src/plan.rs
@@ -4,8 +4,8 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use mosshead_catchment::{OperState, Server};
-use mosshead_gauge::{below, lower, two};
+use mosshead_load_board::{below, lower, two};
+use mosshead_registry::{OperState, Server};
 use rand_core::RngCore;
 
 use crate::Millis;
@@ -103,7 +103,7 @@
 
 /// All that one proxy decides with.
 #[derive(Debug)]
-pub struct Weir<R> {
+pub struct Router<R> {
     terms: Terms,
     board: Board,
     budgets: HashMap<String, Budget>,
@@ -116,7 +116,7 @@
     rng: R,
 }
 
-impl<R: RngCore> Weir<R> {
+impl<R: RngCore> Router<R> {
     /// A proxy in `zone` that knows nothing yet.
     pub fn new(terms: Terms, zone: &str, rng: R) -> Self {
         let (board, budgets) = (Board::default(), HashMap::new());
@@ -188,7 +188,7 @@
         let ids: Vec<Rc<str>> =
             self.ready(now, service, Side::Runs, avoid).iter().map(|one| one.id.clone()).collect();
         let drawn = self.draw_near(&ids);
-        let id = self.least(&drawn, |weir, id, _| weir.open(id) + weir.away(id))?.0;
+        let id = self.least(&drawn, |router, id, _| router.open(id) + router.away(id))?.0;
         self.chosen(&id);
         Some(id)
     }
@@ -315,10 +315,10 @@
         self.learn(service, Side::Reads);
         self.learn(service, Side::Runs);
         let drawn = self.draw(&readers, key);
-        let reader = self.least(&drawn, |weir, id, first| weir.value(now, id, Side::Reads, ask, first));
+        let reader = self.least(&drawn, |router, id, first| router.value(now, id, Side::Reads, ask, first));
         let drawn = self.draw(&alone, key);
         let (here, here_value) =
-            self.least(&drawn, |weir, id, first| weir.value(now, id, Side::Runs, ask, first))?;
+            self.least(&drawn, |router, id, first| router.value(now, id, Side::Runs, ask, first))?;
         // Read where it is generated: at half the pace and between the tokens of others, but without a hand-over.
         let alone = here_value / (self.terms.pace / 2.0);
         let short = split && ask.own() <= self.terms.beside && ask.answer <= self.terms.brief;
@@ -362,7 +362,7 @@
         let reader = reader.and_then(|id| self.board.get(id));
         let zone = reader.map(|one| one.server.zone.clone()).unwrap_or_default();
         let drawn = self.draw_near(streams);
-        Some(self.least(&drawn, |weir, id, _| weir.open(id) + weir.distance(id, &zone))?.0)
+        Some(self.least(&drawn, |router, id, _| router.open(id) + router.distance(id, &zone))?.0)
     }
 
     fn open(&self, id: &str) -> f64 {
--- a/crates/weir/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -1,6 +1,6 @@
 //! The retry budget never goes past its rule, however the proxies' shares fall.
 
-use mosshead_weir::{Budget, BudgetTerms};
+use mosshead_routing::{Budget, BudgetTerms};
 use quickcheck::quickcheck;
 
 const TERMS: BudgetTerms = BudgetTerms { ratio: 0.2, extra: 52.0, window: 10_000 };
--- a/crates/weir/tests/evidence.rs
+++ b/crates/routing/tests/evidence.rs
@@ -1,6 +1,6 @@
 //! What own sends say of a server: when it is left alone, and how it comes back.
 
-use mosshead_weir::{Evidence, Fault};
+use mosshead_routing::{Evidence, Fault};
 use quickcheck::quickcheck;
 
 #[test]
--- a/crates/culvert/src/call.rs
+++ b/crates/rpc/src/call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use minicbor::{Decode, Decoder, Encode};
-use mosshead_conduit::RetryPolicy;
+use mosshead_http_links::RetryPolicy;
 
 use crate::CallFault;
 
--- a/crates/culvert/src/caller.rs
+++ b/crates/rpc/src/caller.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use mosshead_conduit::{RetryPolicy, SendFault, SendFaultCause, SendProgress};
+use mosshead_http_links::{RetryPolicy, SendFault, SendFaultCause, SendProgress};
 use tokio::time::Instant;
 
 use crate::call::{MAX_BODY, decode, encode};
--- a/crates/culvert/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -19,5 +19,5 @@
 pub use fault::{CALL_ID_HEADER, CODE_HEADER, CallFault, Refusal};
 pub use handlers::{Handlers, Limits};
 pub use loopback::Loopback;
-pub use mosshead_conduit::RetryPolicy;
+pub use mosshead_http_links::RetryPolicy;
 pub use server::serve;
--- a/crates/culvert/src/pool.rs
+++ b/crates/rpc/src/pool.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use mosshead_conduit::{Link, OpenFault, Opening, Side};
+use mosshead_http_links::{Link, OpenFault, Opening, Side};
 use tokio::time::Instant;
 
 use crate::CallFault;
--- a/crates/culvert/tests/common/mod.rs
+++ b/crates/rpc/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use minicbor::{Decode, Encode};
-use mosshead_culvert::{Call, Handlers, Refusal, RetryPolicy, serve};
+use mosshead_rpc::{Call, Handlers, Refusal, RetryPolicy, serve};
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 
--- a/crates/culvert/tests/contract.rs
+++ b/crates/rpc/tests/contract.rs
@@ -8,7 +8,7 @@
 use common::{
     Count, Divide, Fill, LONG, Misread, NOUGHT, NotDivide, Once, Quotient, fill, handlers, host, run,
 };
-use mosshead_culvert::{CallFault, Caller, Handlers, Limits, Loopback, Refusal, Transport};
+use mosshead_rpc::{CallFault, Caller, Handlers, Limits, Loopback, Refusal, Transport};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
--- a/crates/culvert/tests/loopback.rs
+++ b/crates/rpc/tests/loopback.rs
@@ -8,7 +8,7 @@
 use common::{Count, LONG, Once, handlers, run};
 use minicbor::encode::{Error, Write};
 use minicbor::{Decode, Encode, Encoder};
-use mosshead_culvert::{Call, CallFault, Loopback, Refusal, RetryPolicy, Transport};
+use mosshead_rpc::{Call, CallFault, Loopback, Refusal, RetryPolicy, Transport};
 use quickcheck::quickcheck;
 
 const HERE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), 7720);
--- a/crates/culvert/tests/own_answers.rs
+++ b/crates/rpc/tests/own_answers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use common::{Divide, LONG, Once, address_of, run};
-use mosshead_culvert::{Call, CallFault, Caller};
+use mosshead_rpc::{Call, CallFault, Caller};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
--- a/crates/culvert/tests/sockets.rs
+++ b/crates/rpc/tests/sockets.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use common::{Count, Divide, LONG, Once, address_of, fill, handlers, host, host_at, run};
-use mosshead_culvert::{CallFault, Caller, Handlers, Limits};
+use mosshead_rpc::{CallFault, Caller, Handlers, Limits};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
--- a/crates/penstock/src/lib.rs
+++ b/crates/stage-scheduler/src/lib.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use mosshead_catchment::{OperState, Server, Stage};
+use mosshead_registry::{OperState, Server, Stage};
 
 /// An instant or a span, in milliseconds.
 pub type Millis = u64;
@@ -62,7 +62,7 @@
 
 /// What the holder remembers.
 #[derive(Clone, Debug)]
-pub struct Penstock {
+pub struct StageScheduler {
     terms: Terms,
     /// Since when a service's share has been off.
     off: BTreeMap<String, Millis>,
@@ -71,7 +71,7 @@
     fenced: bool,
 }
 
-impl Penstock {
+impl StageScheduler {
     /// A holder that has just taken over: it knows no former orders.
     pub fn new(terms: Terms) -> Self {
         Self { terms, off: BTreeMap::new(), ordered: BTreeMap::new(), fenced: false }
--- a/crates/penstock/tests/stages.rs
+++ b/crates/stage-scheduler/tests/stages.rs
@@ -1,7 +1,7 @@
 //! The duty of stages: how many read, who is ordered, and that it comes to rest.
 
-use mosshead_catchment::{OperState, Server, Stage};
-use mosshead_penstock::{Answer, Penstock, Terms, fence};
+use mosshead_registry::{OperState, Server, Stage};
+use mosshead_stage_scheduler::{Answer, StageScheduler, Terms, fence};
 use quickcheck::quickcheck;
 
 fn server(at: usize, zone: usize, stage: Stage) -> Server {
@@ -37,7 +37,7 @@
 }
 
 /// Lets orders be carried out at once.
-fn play(duty: &mut Penstock, servers: &mut [Server], from: u64, to: u64) -> usize {
+fn play(duty: &mut StageScheduler, servers: &mut [Server], from: u64, to: u64) -> usize {
     let mut count = 0;
     for now in (from..to).step_by(100) {
         for order in duty.due(now, servers.iter()) {
@@ -53,7 +53,7 @@
 
 #[test]
 fn the_share_is_reached_with_the_fewest_orders_and_then_nothing_is_ordered() {
-    let (mut duty, mut servers) = (Penstock::new(two_thirds()), fleet(9, 4));
+    let (mut duty, mut servers) = (StageScheduler::new(two_thirds()), fleet(9, 4));
     assert_eq!(play(&mut duty, &mut servers, 0, 2000), 2);
     assert_eq!(readers(&servers), 6);
     assert_eq!(play(&mut duty, &mut servers, 2000, 60_000), 0);
@@ -61,7 +61,7 @@
 
 #[test]
 fn nothing_is_ordered_before_the_share_has_been_off_for_a_while() {
-    let (mut duty, servers) = (Penstock::new(two_thirds()), fleet(9, 4));
+    let (mut duty, servers) = (StageScheduler::new(two_thirds()), fleet(9, 4));
     assert!(duty.due(0, servers.iter()).is_empty());
     assert!(duty.due(299, servers.iter()).is_empty());
     assert_eq!(duty.due(300, servers.iter()).len(), 2);
@@ -69,20 +69,20 @@
 
 #[test]
 fn one_server_too_few_waits_for_what_comes_and_goes() {
-    let (mut duty, servers) = (Penstock::new(two_thirds()), fleet(9, 5));
+    let (mut duty, servers) = (StageScheduler::new(two_thirds()), fleet(9, 5));
     assert!((0..4000).step_by(100).all(|now| duty.due(now, servers.iter()).is_empty()));
     assert_eq!(duty.due(4000, servers.iter()).len(), 1);
 }
 
 #[test]
 fn three_quarters_read_unless_told_otherwise() {
-    let duty = Penstock::new(Terms::default());
+    let duty = StageScheduler::new(Terms::default());
     assert_eq!([2, 3, 9, 18, 90].map(|count| duty.wanted(count)), [1, 1, 7, 14, 68]);
 }
 
 #[test]
 fn an_order_on_its_way_counts_as_carried_out() {
-    let (mut duty, servers) = (Penstock::new(two_thirds()), fleet(9, 4));
+    let (mut duty, servers) = (StageScheduler::new(two_thirds()), fleet(9, 4));
     duty.due(0, servers.iter());
     assert_eq!(duty.due(400, servers.iter()).len(), 2);
     // The servers still beat with their old part.
@@ -91,7 +91,7 @@
 
 #[test]
 fn who_was_told_of_a_higher_fence_orders_nothing_more() {
-    let (mut duty, servers) = (Penstock::new(two_thirds()), fleet(9, 4));
+    let (mut duty, servers) = (StageScheduler::new(two_thirds()), fleet(9, 4));
     duty.answered("i-1", Answer::Fenced);
     assert!((0..5000).step_by(100).all(|now| duty.due(now, servers.iter()).is_empty()));
 }
@@ -99,7 +99,7 @@
 #[test]
 fn zones_take_turns() {
     let mut servers: Vec<Server> = (0..9).map(|at| server(at, at / 3, Stage::Decode)).collect();
-    let mut duty = Penstock::new(Terms { at_once: 9, ..two_thirds() });
+    let mut duty = StageScheduler::new(Terms { at_once: 9, ..two_thirds() });
     play(&mut duty, &mut servers, 0, 2000);
     for zone in ["z0", "z1", "z2"] {
         let here = servers.iter().filter(|one| one.zone == zone && one.stage == Some(Stage::Prefill)).count();
@@ -118,7 +118,7 @@
     /// Any fleet comes to rest at the share, keeps enough that generate, and no server is ordered to and fro.
     fn any_fleet_comes_to_rest(count: u8, first: u8) -> bool {
         let count = usize::from(count % 40);
-        let (mut duty, mut servers) = (Penstock::new(Terms::default()), fleet(count, usize::from(first) % (count + 1)));
+        let (mut duty, mut servers) = (StageScheduler::new(Terms::default()), fleet(count, usize::from(first) % (count + 1)));
         let before = readers(&servers);
         let orders = play(&mut duty, &mut servers, 0, 30_000);
         let after = readers(&servers);
