Report a sync of the log as failed while dropped records are still in the file

Cause: a sync returned Ok where the truncation of a torn tail had failed, so records that were rolled back could be found again after a restart. Change: the failure of the truncation is returned once the records are synced. Result: record-log's tests pass, with a new one on a disk whose set_length fails (a_sync_does_not_succeed_while_dropped_records_may_be_found_again).

--- a/crates/record-log/src/record_log.rs
+++ b/crates/record-log/src/record_log.rs
@@ -62,15 +62,15 @@
 
     fn sync(&mut self) -> Result<(), LogError> {
         self.ensure_durable()?;
-        // If this fails, the bytes after the last record remain: the records before them are durable all the same, and the
-        // next append truncates first.
-        let _ = self.file.truncate_torn_tail();
+        let truncated = self.file.truncate_torn_tail();
         // While a failed generation may come back after a crash, what is written to this older one may be lost.
         let synced = self.generations.remove_failed().and_then(|()| self.file.sync());
         if synced.is_err() {
             self.file.roll_back_to_synced();
         }
-        synced
+        // Where the truncation has failed, records that were rolled back may be found again after a restart: the log does not
+        // hold exactly what its caller knows, though what it knows is durable.
+        synced.and(truncated)
     }
 
     fn rewrite(&mut self, records: &[Vec<u8>]) -> Result<(), LogError> {
--- a/crates/record-log/tests/disk_failures.rs
+++ b/crates/record-log/tests/disk_failures.rs
@@ -289,3 +289,20 @@
     }
     assert!(lengths[3..].iter().all(|count| *count > 0), "{lengths:?}");
 }
+
+#[test]
+fn a_sync_does_not_succeed_while_dropped_records_may_be_found_again() {
+    for seed in 0..50 {
+        let mut random = Pcg32::new(seed, 8);
+        let (disk, mut log) = log_with_old_records();
+        disk.reject_truncation(true);
+        log.append(b"dropped").unwrap();
+        disk.fail_next_sync(&mut random);
+        assert!(log.sync().is_err());
+        assert!(log.sync().is_err(), "the dropped record is still in the file");
+        disk.reject_truncation(false);
+        log.sync().unwrap();
+        disk.lose_power(&mut random);
+        assert_eq!(open(&disk).records, to_records(&OLD));
+    }
+}
--- a/crates/record-log/tests/memory_disk/mod.rs
+++ b/crates/record-log/tests/memory_disk/mod.rs
@@ -54,6 +54,8 @@
     /// One element for each sync that is to fail: which changes it loses.
     failing_syncs: Vec<u64>,
     is_suspended: bool,
+    /// Changes of a file's length fail.
+    rejects_truncation: bool,
 }
 
 impl MemoryDisk {
@@ -102,6 +104,11 @@
         self.lock().failing_syncs.push(random.next_u64());
     }
 
+    /// Whether changes of a file's length fail from now on.
+    pub(crate) fn reject_truncation(&self, rejects: bool) {
+        self.lock().rejects_truncation = rejects;
+    }
+
     /// Makes the disk hang: operations block until [`MemoryDisk::resume`] or a loss of power.
     pub(crate) fn suspend(&self) {
         self.lock().is_suspended = true;
@@ -289,6 +296,9 @@
 
     fn set_length(&mut self, length: u64) -> io::Result<()> {
         let mut state = self.disk.begin_operation()?;
+        if state.rejects_truncation {
+            return Err(io::Error::other("the file keeps its length"));
+        }
         let length = usize::try_from(length).map_err(io::Error::other)?;
         self.inode(&mut state)?.change(ContentChange::SetLength(length));
         Ok(())
