Serve only the announcement's timer while a member leaves

Cause: a leaving member counted probes and suspicions that it no longer serves as overdue, and postponed its own announcements by that. Change: next_timer knows only the announcement once the member leaves. Result: membership's tests pass; the new one sends all four announcements at 55 of 55 instants of leaving.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -176,9 +176,12 @@
         self.state.table().next_expiry().map_or(next_timer, |expires_at| expires_at.min(next_timer))
     }
 
-    /// The first of the deadlines that [`Membership::postpone_timers`] postpones.
+    /// The first of the deadlines that are served: a leaving member only repeats its announcement.
     fn next_timer(&self) -> Instant {
-        let period = if self.is_leaving() { self.leave.next_at() } else { self.prober.next_period_at() };
+        if self.is_leaving() {
+            return self.leave.next_at();
+        }
+        let period = self.prober.next_period_at();
         let probe = self.prober.next_repeat_at(self.state.settings());
         let suspicion = self.state.next_suspicion_deadline();
         let scheduled = period.min(self.discovery.next_deadline());
