Merge registry entries with the instant at which they have arrived

Cause: the watcher read the time before a pause and a call and merged what came later with that older instant. Change: the time is read at the merge.

--- a/crates/programs/src/update_watcher/watcher.rs
+++ b/crates/programs/src/update_watcher/watcher.rs
@@ -7,7 +7,7 @@
 use mosshead_control_plane::{ControlNodePool, QuorumContact, WatchSession};
 use mosshead_registry::{Delta, Registry, VersionVector};
 use mosshead_rpc::{Caller, Transport};
-use mosshead_time::{Duration, Instant};
+use mosshead_time::Duration;
 use tokio::time::sleep;
 
 use super::config_fetcher::{ConfigFetcher, NO_REVISION};
@@ -137,12 +137,11 @@
     }
 
     async fn apply_updates(&self, control_node: SocketAddrV4, slot: usize, updates: &mut Updates) {
-        let now = self.clock.now();
-        self.merge(now, std::mem::take(&mut updates.delta));
+        self.merge(std::mem::take(&mut updates.delta));
         self.sink.on_proxy_count(updates.proxy_count as usize);
         if updates.has_newer_entries && slot > 0 {
             sleep(entry_pause(slot)).await;
-            self.fetch_entries(control_node, now).await;
+            self.fetch_entries(control_node).await;
         }
         if updates.needs_entries {
             self.replicate_all_entries(control_node).await;
@@ -160,15 +159,16 @@
         }
     }
 
-    async fn fetch_entries(&self, control_node: SocketAddrV4, now: Instant) {
+    async fn fetch_entries(&self, control_node: SocketAddrV4) {
         let call = self.watch_call(WatchUpdates::NO_CONFIG_WANTED, true, Duration::ZERO);
         if let Ok(updates) = self.caller.call(control_node, &call, RESPONSE_MARGIN).await {
-            self.merge(now, updates.delta);
+            self.merge(updates.delta);
         }
     }
 
-    fn merge(&self, now: Instant, delta: Delta) {
-        let changed = self.registry.borrow_mut().merge(now, delta);
+    /// Merges entries that have just arrived.
+    fn merge(&self, delta: Delta) {
+        let changed = self.registry.borrow_mut().merge(self.clock.now(), delta);
         if changed {
             self.sink.on_registry_change();
         }
