Choose where a prompt is prefilled by learned latencies, and bound resumes and prefills

Besides, resumes and further prefills ignored retry_count, and a silent server was given up with nobody to take over. Change: each proxy learns prefill, handover and local prefill without their waits, and prefills locally what starts earlier so and takes at most a quarter of the route's gap; decode pools and five fixed weights are gone. retry_count bounds resumes and further prefills; a silent server is left only if another one can take over.

--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -42,8 +42,7 @@
     pub priority: u8,
     /// The services of the route in the operator's order; the weights add up to more than 0.
     pub backends: Vec<WeightedBackend>,
-    /// The most servers that one request may be delivered to, at least 1; 1 when it is not given. It does not bound
-    /// the resumes of a stream (docs/design/0009-rules-and-tests.md, "Open").
+    /// The most servers that one request may be delivered to, at least 1; 1 when it is not given.
     pub retry_count: u32,
     /// Whether its requests name the parts of their prompt (`X-Prompt-Prefix`).
     pub persistence: bool,
--- a/crates/data-plane/src/client_request.rs
+++ b/crates/data-plane/src/client_request.rs
@@ -118,7 +118,9 @@
 
 /// The request's prompt; an empty one for a stream that names none, since it is forwarded as it arrives all the same.
 fn prompt_of(headers: &HeaderMap, route: &Route, service: &Service) -> Option<Prompt> {
-    let prompt = service.engine.as_ref().and_then(|_| parse_prompt(headers));
+    let wanted_gap = Some(route.event_gap_target).filter(|gap| !gap.is_zero());
+    let max_event_gap = wanted_gap.unwrap_or(route.target_latency);
+    let prompt = service.engine.as_ref().and_then(|_| parse_prompt(headers, max_event_gap));
     prompt.or_else(|| (route.route_type == RouteType::Streaming).then(Prompt::default))
 }
 
--- a/crates/data-plane/src/decode.rs
+++ b/crates/data-plane/src/decode.rs
@@ -7,6 +7,7 @@
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use mosshead_routing::{Prompt, ServerFailure};
+use tokio::time::Instant;
 
 use crate::attempt::{AttemptOutcome, failure_of_rejection};
 use crate::client_request::ClientRequest;
@@ -17,6 +18,7 @@
 use crate::load_report::{LOAD_REPORT_TIMEOUT, SILENT_SERVER_TIMEOUT};
 use crate::prefill::KvHandle;
 use crate::response::{ResponseBody, forwarded_response};
+use crate::retry::TakeOver;
 use crate::server_request::Target;
 use crate::server_response::{ServerResponse, is_sealed, promises_not_executed};
 
@@ -32,6 +34,8 @@
     pub(crate) request_guard: ServerRequestGuard,
     /// Kept until the first event, where the decode server prefills the prompt itself.
     pub(crate) prefill_guard: Option<PrefillGuard>,
+    /// When the request was sent; `None` once its first event has arrived.
+    pub(crate) sent_at: Option<Instant>,
 }
 
 /// The outcome of an attempt at a decode server.
@@ -64,7 +68,7 @@
 
 impl DataPlane {
     /// Sends the request to a decode server: with a handle, or without one for the server to prefill the prompt itself;
-    /// behind `last_event_id`, where a stream is resumed.
+    /// behind `last_event_id`, where a stream is resumed. One that falls silent is given up where `take_over` allows it.
     pub(crate) async fn start_decode(
         self: &Rc<Self>,
         request: &ClientRequest,
@@ -72,21 +76,29 @@
         target: &Target,
         handle: Option<KvHandle>,
         last_event_id: Option<u64>,
+        take_over: &TakeOver,
     ) -> DecodeOutcome {
         let request_guard = ServerRequestGuard::new(self, &target.id);
         let local_prefill_tokens = LOCAL_PREFILL_WEIGHT * prompt.unshared_tokens();
         let prefill_guard =
             handle.is_none().then(|| PrefillGuard::new(self, &target.id, local_prefill_tokens));
+        let sent_at = Instant::now();
         let extra_headers = decode_headers(request, handle.as_ref(), last_event_id);
         let outcome = tokio::select! {
             outcome = self.send_attempt(target, &request.server_request, request.deadline, &extra_headers) => outcome,
-            () = self.wait_until_unresponsive(target, SILENT_SERVER_TIMEOUT, LOAD_REPORT_TIMEOUT),
-                if request.is_repeatable() => AttemptOutcome::TimedOut,
+            () = self.wait_until_replaceable(
+                request, target, take_over, SILENT_SERVER_TIMEOUT, LOAD_REPORT_TIMEOUT,
+            ), if request.is_repeatable() => AttemptOutcome::TimedOut,
         };
         match outcome {
             AttemptOutcome::Responded(response) => {
                 handle.iter().for_each(KvHandle::mark_consumed);
-                self.accept_response(request, target, response, request_guard, prefill_guard).await
+                let accepted = self.accept_response(request, target, response, request_guard, prefill_guard);
+                let mut outcome = accepted.await;
+                if let DecodeOutcome::Streaming(stream) = &mut outcome {
+                    stream.sent_at = last_event_id.is_none().then_some(sent_at);
+                }
+                outcome
             }
             // One status for both: the KV cache can't be fetched, and the server is full.
             AttemptOutcome::Rejected(StatusCode::SERVICE_UNAVAILABLE) if handle.is_some() => {
@@ -141,6 +153,7 @@
             target,
             request_guard,
             prefill_guard,
+            sent_at: None,
         })
     }
 }
--- a/crates/data-plane/src/load_report.rs
+++ b/crates/data-plane/src/load_report.rs
@@ -1,18 +1,17 @@
 //! Load reports of servers, and the detection of servers that are unresponsive: they don't even answer those.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 
 use hyper::{Method, Uri};
 use mosshead_config::Service;
 use mosshead_routing::{Prompt, ServerFailure};
 use mosshead_time::Duration;
-use tinyjson::JsonValue;
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::AttemptOutcome;
 use crate::data_plane::DataPlane;
 use crate::headers::keep_alive_timeout;
+use crate::server_report::ServerReport;
 use crate::server_request::{ServerRequest, Target};
 use crate::server_response::{ServerResponse, read_body};
 
@@ -22,21 +21,6 @@
 pub(crate) const SILENT_SERVER_TIMEOUT: Duration = Duration::from_millis(250);
 /// For how long a client's request waits for load reports: a fresh one is not worth more.
 const LOAD_REPORT_WAIT: Duration = Duration::from_millis(12);
-/// A longer report is not read.
-const MAX_REPORT_BYTES: usize = 64 * 1024;
-
-/// The requests that a server has, queued or active, by its report (PROTOCOL.md, Requests: `GET /report`).
-fn parse_load(body: &[u8]) -> Option<f64> {
-    if body.len() > MAX_REPORT_BYTES {
-        return None;
-    }
-    let value = mosshead_config::parse_json(body)?;
-    let fields: &HashMap<String, JsonValue> = value.get()?;
-    let count = |name: &str| fields.get(name).and_then(|value| value.get::<f64>().copied());
-    let load = count("queued")? + count("active")?;
-    load.is_finite().then_some(load.max(0.0))
-}
-
 impl DataPlane {
     /// Queries the load of the prefill servers that the prompt may be sent to, where no report is fresh.
     pub(crate) async fn refresh_prefill_loads(self: &Rc<Self>, service: &Service, prompt: &Prompt) {
@@ -78,9 +62,9 @@
     async fn record_load_report(&self, target: &Target, response: ServerResponse, until: Instant) {
         let ServerResponse { head, body, connection } = response;
         let body = read_body(&head, body, until).await;
-        let Some(load) = body.and_then(|body| parse_load(&body)) else { return };
+        let Some(report) = body.and_then(|body| ServerReport::parse(&body)) else { return };
         let now = self.now();
-        self.router.borrow_mut().record_load(now, &target.id, load);
+        self.router.borrow_mut().record_load(now, &target.id, report.load());
         self.connections.put(&target.id, connection, keep_alive_timeout(&head.headers), until).await;
     }
 
--- a/crates/data-plane/src/prefill.rs
+++ b/crates/data-plane/src/prefill.rs
@@ -11,6 +11,7 @@
 use mosshead_time::Duration;
 use quick_error::quick_error;
 use tinyjson::JsonValue;
+use tokio::time::Instant;
 
 use crate::attempt::{AttemptOutcome, failure_of_rejection};
 use crate::client_request::ClientRequest;
@@ -115,6 +116,7 @@
         prompt: &Prompt,
     ) -> Result<KvHandle, PrefillError> {
         let _guard = PrefillGuard::new(self, &target.id, prompt.unshared_tokens());
+        let started_at = Instant::now();
         let extra_headers =
             [(SERVING_STAGE, HeaderValue::from_static("prefill")), (PRIORITY, request.priority.clone())];
         let outcome = tokio::select! {
@@ -125,7 +127,10 @@
         };
         let (failure, error) = match outcome {
             AttemptOutcome::Responded(response) if response.head.status.is_success() => {
-                return self.take_handle(target, request, response).await;
+                let handle = self.take_handle(target, request, response).await?;
+                let latency = started_at.elapsed();
+                self.router.borrow_mut().record_prefill_latency(&request.service.name, prompt, latency);
+                return Ok(handle);
             }
             AttemptOutcome::Responded(response) => {
                 self.discard_response(&target.id, response);
--- a/crates/data-plane/src/prompt_headers.rs
+++ b/crates/data-plane/src/prompt_headers.rs
@@ -2,12 +2,14 @@
 
 use hyper::header::HeaderMap;
 use mosshead_routing::{Prompt, PromptPart};
+use mosshead_time::Duration;
 
 /// Further parts of a prompt are ignored.
 const MAX_PROMPT_PARTS: usize = 64;
 
-/// The prompt that the headers describe; `None` where they describe none, or make no sense.
-pub(crate) fn parse_prompt(headers: &HeaderMap) -> Option<Prompt> {
+/// The prompt that the headers describe, for a route that wants no longer gap between events; `None` where they describe
+/// none, or make no sense.
+pub(crate) fn parse_prompt(headers: &HeaderMap, max_event_gap: Duration) -> Option<Prompt> {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     let mut counts = text("x-token-count")?.split(',').map(|count| count.trim().parse::<f64>());
     let tokens = counts.next()?.ok()?;
@@ -20,6 +22,7 @@
         tokens: tokens.max(tokens_in_parts),
         parts,
         max_output_tokens: max_output_tokens.unwrap_or(0.0),
+        max_event_gap,
     })
 }
 
--- a/crates/data-plane/src/retry.rs
+++ b/crates/data-plane/src/retry.rs
@@ -3,10 +3,12 @@
 use std::rc::Rc;
 
 use hyper::{Response, StatusCode};
+use mosshead_time::Duration;
 
 use crate::client_request::ClientRequest;
 use crate::data_plane::DataPlane;
 use crate::response::{ResponseBody, proxy_response};
+use crate::server_request::Target;
 
 /// After more attempts that reached no server a request is given up.
 const MAX_UNDELIVERED_ATTEMPTS: u32 = 4;
@@ -71,13 +73,56 @@
         self.delivered_prefills > 0
     }
 
+    /// Whether no further prefill may be made: as many have reached a server as the route allows.
+    pub(crate) fn has_reached_prefill_limit(&self, request: &ClientRequest) -> bool {
+        self.delivered_prefills >= request.route.retry_count.max(1)
+    }
+
+    /// Who may take the request over once it runs at one more server.
+    pub(crate) fn take_over(&self, request: &ClientRequest) -> TakeOver {
+        let remaining_attempts = request.route.retry_count.saturating_sub(self.delivered + 1);
+        TakeOver { avoid: self.avoid.clone(), remaining_attempts }
+    }
+
     /// Whether the request has been sent to as many servers as its route allows.
     pub(crate) fn has_reached_retry_count(&self, request: &ClientRequest) -> bool {
         self.delivered >= request.route.retry_count
     }
 }
 
+/// Who may take over a request from the server that it is at.
+#[derive(Clone, Debug)]
+pub(crate) struct TakeOver {
+    /// Servers that are not selected again.
+    pub(crate) avoid: Vec<Rc<str>>,
+    /// To how many more servers the request may be sent.
+    pub(crate) remaining_attempts: u32,
+}
+
 impl DataPlane {
+    /// Completes once the server has proven unresponsive while another one can take the request over. Without one the
+    /// response of this server, however late, is the only one that there can be.
+    pub(crate) async fn wait_until_replaceable(
+        self: &Rc<Self>,
+        request: &ClientRequest,
+        target: &Target,
+        take_over: &TakeOver,
+        max_silence: Duration,
+        report_timeout: Duration,
+    ) {
+        let mut avoid = take_over.avoid.clone();
+        avoid.push(target.id.clone());
+        loop {
+            self.wait_until_unresponsive(target, max_silence, report_timeout).await;
+            let (now, service) = (self.now(), &request.service.name);
+            if take_over.remaining_attempts > 0
+                && self.router.borrow_mut().can_take_over(now, service, &avoid)
+            {
+                return;
+            }
+        }
+    }
+
     /// Whether no further attempt may be made.
     pub(crate) fn is_exhausted(&self, request: &ClientRequest, history: &AttemptHistory) -> bool {
         request.is_expired(self.now())
--- a/crates/data-plane/src/stream.rs
+++ b/crates/data-plane/src/stream.rs
@@ -11,7 +11,7 @@
 use mosshead_routing::{Prompt, ServerFailure};
 use mosshead_time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::client_request::ClientRequest;
 use crate::data_plane::DataPlane;
@@ -20,13 +20,12 @@
 use crate::headers::keep_alive_timeout;
 use crate::load_report::{LOAD_REPORT_TIMEOUT, SILENT_SERVER_TIMEOUT};
 use crate::response::{ResponseAborted, ResponseBody, forwarded_response};
+use crate::retry::TakeOver;
 use crate::server_request::Target;
 use crate::server_response::is_framed;
 
 /// How many events wait for a client that does not read.
 const MAX_QUEUED_EVENTS: usize = 16;
-/// How often a stream is resumed.
-const MAX_RESUMES: u32 = 3;
 /// For how long the abort of a response waits for a client that does not read.
 const ABORT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -56,18 +55,20 @@
 }
 
 impl DataPlane {
-    /// The response that carries the stream. A task of its own forwards the events.
+    /// The response that carries the stream. A task of its own forwards the events, and resumes the stream
+    /// where `take_over` allows it.
     pub(crate) fn forward_stream(
         self: Rc<Self>,
         request: ClientRequest,
         prompt: Prompt,
         stream: DecodeStream,
+        take_over: TakeOver,
         in_flight: CountGuard,
     ) -> Response<ResponseBody> {
         let (client, receiver) = mpsc::channel(MAX_QUEUED_EVENTS);
         let response = forwarded_response(&stream.head, ResponseBody::Streaming(receiver));
         tokio::task::spawn_local(async move {
-            self.relay_with_resumes(request, prompt, stream, client).await;
+            self.relay_with_resumes(request, prompt, stream, take_over, client).await;
             drop(in_flight);
         });
         response
@@ -78,22 +79,27 @@
         request: ClientRequest,
         prompt: Prompt,
         stream: DecodeStream,
+        mut take_over: TakeOver,
         client: EventSender,
     ) {
         let mut splitter = EventSplitter::default();
-        let mut avoid = vec![stream.target.id.clone()];
-        let mut end = self.relay(&request, stream, &mut splitter, &client).await;
-        for _ in 0..MAX_RESUMES {
-            if end != RelayEnd::Broken || !request.route.resume || request.is_expired(self.now()) {
+        take_over.avoid = vec![stream.target.id.clone()];
+        let mut end = self.relay(&request, &prompt, stream, &mut splitter, &client, &take_over).await;
+        while end == RelayEnd::Broken && take_over.remaining_attempts > 0 {
+            if !request.route.resume || request.is_expired(self.now()) {
                 break;
             }
             splitter.discard_partial_event();
-            let Some(target) = self.select_resume_target(&request, &prompt, &mut avoid) else { break };
+            take_over.remaining_attempts -= 1;
+            let Some(target) = self.select_resume_target(&request, &prompt, &mut take_over.avoid) else {
+                break;
+            };
             let last_event_id = splitter.last_forwarded_id();
-            let outcome = self.start_decode(&request, &prompt, &target, None, last_event_id).await;
+            let outcome =
+                self.start_decode(&request, &prompt, &target, None, last_event_id, &take_over).await;
             if let DecodeOutcome::Streaming(stream) = outcome {
                 self.counters.resumed.increment();
-                end = self.relay(&request, stream, &mut splitter, &client).await;
+                end = self.relay(&request, &prompt, stream, &mut splitter, &client, &take_over).await;
             }
         }
         match end {
@@ -131,15 +137,28 @@
     async fn relay(
         self: &Rc<Self>,
         request: &ClientRequest,
+        prompt: &Prompt,
         stream: DecodeStream,
         splitter: &mut EventSplitter,
         client: &EventSender,
+        take_over: &TakeOver,
     ) -> RelayEnd {
-        let DecodeStream { head, mut body, connection, target, request_guard, mut prefill_guard } = stream;
+        let DecodeStream {
+            head,
+            mut body,
+            connection,
+            target,
+            request_guard,
+            mut prefill_guard,
+            mut sent_at,
+        } = stream;
         loop {
-            match self.receive(request, &target, &mut body, client).await {
+            match self.receive(request, &target, &mut body, client, take_over).await {
                 Received::Data(data) => {
-                    prefill_guard.take();
+                    let is_local = prefill_guard.take().is_some();
+                    if let Some(sent_at) = sent_at.take() {
+                        self.record_start_latency(request, prompt, is_local, sent_at);
+                    }
                     match forward_events(&data, splitter, client).await {
                         Ok(()) => {}
                         Err(RelayEnd::Broken) => break,
@@ -171,6 +190,23 @@
         RelayEnd::Broken
     }
 
+    /// The first event of a stream has arrived, whose prompt was prefilled at its decode server if `is_local`.
+    fn record_start_latency(
+        &self,
+        request: &ClientRequest,
+        prompt: &Prompt,
+        is_local: bool,
+        sent_at: Instant,
+    ) {
+        let (now, latency, service) = (self.now(), sent_at.elapsed(), &request.service.name);
+        let mut router = self.router.borrow_mut();
+        if is_local {
+            router.record_local_prefill_latency(now, service, prompt, latency);
+        } else {
+            router.record_handover_latency(now, service, prompt, latency);
+        }
+    }
+
     /// Waits for the next frame of a stream.
     async fn receive(
         self: &Rc<Self>,
@@ -178,13 +214,15 @@
         target: &Target,
         body: &mut Incoming,
         client: &EventSender,
+        take_over: &TakeOver,
     ) -> Received {
         let frame = tokio::select! {
             biased;
             () = client.closed() => return Received::ClientGone,
             frame = timeout_at(request.deadline.timer, body.frame()) => frame,
-            () = self.wait_until_unresponsive(target, SILENT_SERVER_TIMEOUT, LOAD_REPORT_TIMEOUT),
-                if request.route.resume => return Received::Unresponsive,
+            () = self.wait_until_replaceable(
+                request, target, take_over, SILENT_SERVER_TIMEOUT, LOAD_REPORT_TIMEOUT,
+            ), if request.route.resume => return Received::Unresponsive,
         };
         self.record_received(&target.id);
         match frame {
--- a/crates/data-plane/tests/prefill_and_decode.rs
+++ b/crates/data-plane/tests/prefill_and_decode.rs
@@ -179,6 +179,25 @@
     });
 }
 
+#[test]
+fn a_prompt_is_sent_to_no_more_prefill_servers_than_its_route_allows() {
+    run(async {
+        let mut prefill = Vec::new();
+        for index in 0..6 {
+            let failure = |_: &ReceivedRequest| Behavior::Respond(500, Vec::new(), "failed");
+            prefill.push(prefill_stub(&format!("r-{index}"), failure).await);
+        }
+        let decode = decode_stub("i-decode", |_| stream(3)).await;
+        let servers: Vec<_> = prefill.iter().chain([&decode]).map(|stub| &stub.server).collect();
+        let proxy = Proxy::with_servers(1, &servers).await;
+        let response = proxy.post_prompt(NOT_RESUMABLE, &[]).await;
+        assert_eq!((response.status, response.body), (200, events(1..=3)));
+        let prefills: usize = prefill.iter().map(|stub| stub.received().len()).sum();
+        assert_eq!(prefills, 3, "`retry_count` of the route");
+        assert_eq!(decode.received().len(), 1);
+    });
+}
+
 #[test]
 fn without_a_retry_budget_a_prompt_whose_kv_cache_cannot_be_fetched_is_rejected() {
     run(async {
--- a/crates/data-plane/tests/streams.rs
+++ b/crates/data-plane/tests/streams.rs
@@ -237,3 +237,33 @@
         assert!(end.is_err() || text.contains("502"), "it looks complete: {text}");
     });
 }
+
+#[test]
+fn a_stream_runs_at_no_more_servers_than_its_route_allows() {
+    run(async {
+        let prefill = prefill_stub().await;
+        let mut decode = Vec::new();
+        for index in 0..6 {
+            decode.push(decode_stub(&format!("i-{index}"), |_| broken_stream(1..=4)).await);
+        }
+        let servers: Vec<_> = [&prefill].into_iter().chain(&decode).map(|stub| &stub.server).collect();
+        let proxy = Proxy::with_servers(1, &servers).await;
+        let response = proxy.post_prompt(RESUMABLE, &[]).await;
+        assert_eq!((response.is_complete, response.body), (false, events(1..=4)));
+        let runs: usize = decode.iter().map(|stub| stub.received().len()).sum();
+        assert_eq!(runs, 3, "`retry_count` of the route");
+    });
+}
+
+#[test]
+fn a_stream_at_an_unresponsive_server_is_waited_for_if_no_other_server_can_take_over() {
+    run(async {
+        let late = |_: &ReceivedRequest| Behavior::OnceAbandoned(2, Box::new(stream(1..=5)));
+        let (prefill, decode) = (prefill_stub().await, decode_stub("i-decode", late).await);
+        decode.is_unresponsive.set(true);
+        let proxy = Proxy::with_servers(1, &[&prefill.server, &decode.server]).await;
+        let response = proxy.post_prompt(RESUMABLE, &[]).await;
+        assert_eq!((response.status, response.body, response.is_complete), (200, events(1..=5), true));
+        assert_eq!(decode.received().len(), 1, "sent once");
+    });
+}
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use mosshead_load_board::ServerLoad;
-use mosshead_registry::Server;
+use mosshead_registry::{OperState, Server};
 use mosshead_time::Instant;
 
 use crate::affinity::hash_id;
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Whether the server is up and neither suspected nor ejected, and no trial request is in flight there.
+    pub(crate) fn is_ready(&self, now: Instant) -> bool {
+        self.server.state == OperState::Up && !self.server.is_suspected && self.outlier.is_selectable(now)
+    }
+
     /// Whether requests of this proxy are still in flight there.
     pub(crate) fn has_own_work(&self) -> bool {
         self.in_flight.estimate() > 0.0 || self.pending_prefill_tokens > 0.0
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod affinity;
 mod endpoint;
 mod endpoint_table;
+mod linear_fit;
 mod load_kind;
 mod outlier;
 mod p2c;
@@ -21,6 +22,7 @@
 mod prompt;
 mod retry_budget;
 mod router;
+mod start_latency;
 mod weights;
 
 pub use endpoint::Endpoint;
--- a/crates/routing/src/p2c.rs
+++ b/crates/routing/src/p2c.rs
@@ -17,12 +17,6 @@
 /// this zone with one request more is not preferred.
 const CROSS_ZONE_REQUEST_COST: f64 = 0.6;
 
-/// A server that was selected, and what it costs to send there.
-pub(crate) struct Selection {
-    pub(crate) id: Rc<str>,
-    pub(crate) cost: f64,
-}
-
 impl<R: RngCore> Router<R> {
     /// Selects a server for a request without a prompt; `None` where all are in `avoid` or none is up.
     pub fn select_server(&mut self, now: Instant, service: &str, avoid: &[Rc<str>]) -> Option<Rc<str>> {
@@ -31,9 +25,9 @@
         let drawn = self.draw_two_near(&ids);
         let cost =
             |router: &Self, id: &Rc<str>, _| router.streams_at(id) + router.cross_zone_request_cost(id);
-        let selection = self.select_cheaper(&drawn, cost)?;
-        self.record_selection(&selection.id);
-        Some(selection.id)
+        let id = self.select_cheaper(&drawn, cost)?;
+        self.record_selection(&id);
+        Some(id)
     }
 
     /// Two servers: with a key the prefix's homes, the likeliest one first; without one any two at random.
@@ -79,7 +73,7 @@
         &mut self,
         drawn: &[Rc<str>],
         cost: impl Fn(&Self, &Rc<str>, bool) -> f64,
-    ) -> Option<Selection> {
+    ) -> Option<Rc<str>> {
         let costs: Vec<f64> =
             drawn.iter().enumerate().map(|(index, id)| cost(self, id, index == 0)).collect();
         let index = match costs.as_slice() {
@@ -89,7 +83,7 @@
                 lower_load(&mut self.rng, Candidate::new(0, *first), Candidate::new(1, *second))
             }
         };
-        Some(Selection { id: drawn.get(index)?.clone(), cost: *costs.get(index)? })
+        drawn.get(index).cloned()
     }
 
     /// This proxy's load at a server, in streams in flight.
--- a/crates/routing/src/pairing.rs
+++ b/crates/routing/src/pairing.rs
@@ -8,27 +8,15 @@
 
 use crate::endpoint::Endpoint;
 use crate::load_kind::LoadKind;
-use crate::p2c::Selection;
 use crate::prompt::{Prompt, ServerPair};
 use crate::router::Router;
 
 /// Prompt tokens that weigh as much as one stream in flight in the price of a prefill in another zone.
 const PREFILL_TOKENS_PER_STREAM: f64 = 400.0;
-/// A decode server prefills at this share of a prefill server's speed (PROTOCOL.md, Prefill and decode).
-const DECODE_SERVER_PREFILL_SPEED: f64 = 0.5;
-
-/// The decode servers of a service, by how their prompts are prefilled.
-///
-/// A prompt that is prefilled between the tokens of others delays all streams there; where both kinds of request met at
-/// one server, streams of long answers would pause for too long.
-struct DecodePools {
-    /// Take streams whose prompt was prefilled elsewhere.
-    handover: Vec<Rc<str>>,
-    /// Prefill the prompts of their streams themselves.
-    local_prefill: Vec<Rc<str>>,
-    /// Whether the two pools are disjoint; if not, each contains all servers.
-    is_split: bool,
-}
+/// The longest prefill of a decode server between the tokens of its streams, as a share of the longest gap between events
+/// that its route wants: each token waits for a part of the prefill, and an event for those of all its tokens.
+const MAX_LOCAL_PREFILL_SHARE: f64 = 0.25;
+const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 impl<R: RngCore> Router<R> {
     /// Selects the servers of a prompt; `None` where no decode server can be sent to.
@@ -40,17 +28,22 @@
         avoid: &[Rc<str>],
     ) -> Option<ServerPair> {
         let prefill_ids = self.trusted_prefill_ids(now, service, avoid);
-        let pools = self.decode_pools(self.decode_ids(now, service, avoid), prefill_ids.len());
+        let decode_ids = self.decode_ids(now, service, avoid);
         self.update_mean_pending(service, LoadKind::Prefill);
         self.update_mean_pending(service, LoadKind::Decode);
-        let remote = self.select_for_prefill(now, &prefill_ids, LoadKind::Prefill, prompt);
-        let local = self.select_for_prefill(now, &pools.local_prefill, LoadKind::Decode, prompt)?;
-        let may_prefill_locally = pools.is_split && self.fits_beside_decode(prompt);
-        let pair = match remote.filter(|remote| !may_prefill_locally || self.is_faster(remote, &local)) {
-            None => ServerPair { prefill: None, decode: local.id },
-            Some(remote) => {
-                let decode = self.select_decode(&pools.handover, Some(&remote.id))?;
-                ServerPair { prefill: Some(remote.id), decode }
+        let remote = if self.prefers_local_prefill(now, service, prompt) {
+            None
+        } else {
+            self.select_for_prefill(now, &prefill_ids, LoadKind::Prefill, prompt)
+        };
+        let pair = match remote {
+            None => {
+                let local = self.select_for_prefill(now, &decode_ids, LoadKind::Decode, prompt)?;
+                ServerPair { prefill: None, decode: local }
+            }
+            Some(prefill) => {
+                let decode = self.select_decode(&decode_ids, Some(&prefill))?;
+                ServerPair { prefill: Some(prefill), decode }
             }
         };
         self.record_pair(prompt, &pair);
@@ -78,17 +71,6 @@
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// Splits the decode servers `all`, in the order of [`Router::decode_ids`], into pools.
-    fn decode_pools(&self, all: Vec<Rc<str>>, prefill_server_count: usize) -> DecodePools {
-        // Where there are enough prefill servers, they prefill every prompt.
-        if all.len() < 2 || prefill_server_count >= all.len() {
-            return DecodePools { handover: all.clone(), local_prefill: all, is_split: false };
-        }
-        let share = (all.len() as f64 * self.weights.handover_decode_share).round() as usize;
-        let (handover, local_prefill) = all.split_at(share.clamp(1, all.len() - 1));
-        DecodePools { handover: handover.to_vec(), local_prefill: local_prefill.to_vec(), is_split: true }
-    }
-
     /// The server of this kind that prefills the prompt at the lowest cost, of its prefix's two homes or of any two.
     fn select_for_prefill(
         &mut self,
@@ -96,7 +78,7 @@
         ids: &[Rc<str>],
         kind: LoadKind,
         prompt: &Prompt,
-    ) -> Option<Selection> {
+    ) -> Option<Rc<str>> {
         let drawn = self.draw_two(ids, prompt.affinity_key());
         self.select_cheaper(&drawn, |router, id, is_first_home| {
             router.prefill_cost(now, id, kind, prompt, is_first_home)
@@ -145,17 +127,13 @@
         self.mean_pending_tokens.get(kind) * (self.proxy_count as f64 - 1.0)
     }
 
-    /// Whether a decode server may prefill the prompt between the tokens of its streams.
-    fn fits_beside_decode(&self, prompt: &Prompt) -> bool {
-        prompt.unshared_tokens() <= self.weights.max_prefill_tokens_beside_decode
-            && prompt.max_output_tokens <= self.weights.max_output_tokens_beside_decode
-    }
-
-    /// Whether a prefill elsewhere and the transfer of its KV cache take less time than a prefill at the decode server.
-    fn is_faster(&self, remote: &Selection, local: &Selection) -> bool {
-        let speed = self.weights.prefill_tokens_per_milli;
-        let remote_millis = remote.cost / speed + self.weights.min_transfer_millis;
-        remote_millis < local.cost / (speed * DECODE_SERVER_PREFILL_SPEED)
+    /// Whether the prompt's decode server is to prefill it: its stream then starts earlier, and the prefill does not delay the
+    /// events of other streams for long.
+    fn prefers_local_prefill(&self, now: Instant, service: &str, prompt: &Prompt) -> bool {
+        let latency = self.start_latency(service);
+        let longest = MAX_LOCAL_PREFILL_SHARE * prompt.max_event_gap.as_secs_f64() * MILLIS_PER_SECOND;
+        latency.local_computation_millis(prompt.tokens) <= longest
+            && latency.is_local_prefill_faster(now, prompt)
     }
 
     /// The decode server out of `ids` for a prompt that was prefilled at `prefill`, by power of two choices. The cost is in
@@ -166,7 +144,7 @@
         let drawn = self.draw_two_near(ids);
         let cost =
             |router: &Self, id: &Rc<str>, _| router.streams_at(id) + router.zone_cost(id, &prefill_zone);
-        Some(self.select_cheaper(&drawn, cost)?.id)
+        self.select_cheaper(&drawn, cost)
     }
 
     /// What it costs that the KV cache and the request are sent between zones, in streams in flight.
@@ -216,6 +194,9 @@
     /// The prefill servers that a prompt may be sent to and whose load report is missing or old.
     pub fn prefill_servers_to_query(&mut self, now: Instant, service: &str, prompt: &Prompt) -> Vec<Rc<str>> {
         let Some(key) = prompt.affinity_key() else { return Vec::new() };
+        if self.prefers_local_prefill(now, service, prompt) {
+            return Vec::new();
+        }
         let selectable = self.selectable(now, service, LoadKind::Prefill, &[]);
         let ids: Vec<Rc<str>> = selectable.into_iter().map(|endpoint| endpoint.id.clone()).collect();
         let mut drawn = self.draw_two(&ids, Some(key));
--- a/crates/routing/src/prompt.rs
+++ b/crates/routing/src/prompt.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use mosshead_time::Duration;
+
 use crate::affinity::mix;
 
 /// The lower bound of [`Prompt::unshared_tokens`]: a prompt that is cached completely has a cost, too.
@@ -25,6 +27,8 @@
     pub parts: Vec<PromptPart>,
     /// The most tokens that are generated.
     pub max_output_tokens: f64,
+    /// The longest gap between events that the route wants (`gap_aim_ms`).
+    pub max_event_gap: Duration,
 }
 
 impl Prompt {
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -68,13 +68,18 @@
         self.requests += 1.0;
     }
 
-    /// Takes one retry out of the budget; false if none is left. `proxy_count` proxies share the extra retries.
-    pub fn try_withdraw(&mut self, now: Instant, proxy_count: usize) -> bool {
+    /// Whether a retry is left. `proxy_count` proxies share the extra retries.
+    pub fn has_retry(&mut self, now: Instant, proxy_count: usize) -> bool {
         self.current_slice(now);
         let share_of_extra = self.limits.extra_retries / proxy_count.max(1) as f64;
         let allowed = self.limits.retry_ratio * self.requests + share_of_extra;
         // Every proxy may spend its share in full at the same time, and their sum must still keep the rule.
-        if self.retries + 1.0 > SPENDABLE_SHARE * allowed {
+        self.retries + 1.0 <= SPENDABLE_SHARE * allowed
+    }
+
+    /// Takes one retry out of the budget; false if none is left. `proxy_count` proxies share the extra retries.
+    pub fn try_withdraw(&mut self, now: Instant, proxy_count: usize) -> bool {
+        if !self.has_retry(now, proxy_count) {
             return false;
         }
         self.current_slice(now).retries += 1.0;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -11,7 +11,9 @@
 use crate::endpoint_table::EndpointTable;
 use crate::load_kind::{LoadKind, PerLoadKind};
 use crate::outlier::ServerFailure;
+use crate::prompt::Prompt;
 use crate::retry_budget::RetryBudget;
+use crate::start_latency::StartLatency;
 use crate::weights::RoutingWeights;
 
 /// The mean tokens of a prefill before the first one.
@@ -31,6 +33,8 @@
     pub(crate) weights: RoutingWeights,
     pub(crate) endpoints: EndpointTable,
     budgets: HashMap<String, RetryBudget>,
+    /// How long it takes until streams start, by service.
+    start_latencies: HashMap<String, StartLatency>,
     pub(crate) zone: String,
     pub(crate) proxy_count: usize,
     /// Prompt tokens that this proxy has pending at one server, on the average: a guess at what each other proxy has.
@@ -47,6 +51,7 @@
             weights,
             endpoints: EndpointTable::default(),
             budgets: HashMap::new(),
+            start_latencies: HashMap::new(),
             zone: zone.to_owned(),
             proxy_count: 1,
             mean_pending_tokens: PerLoadKind::default(),
@@ -86,6 +91,17 @@
         self.retry_budget(service).try_withdraw(now, proxy_count)
     }
 
+    /// Whether another server could take over a request: one that is neither in `avoid` nor ejected nor suspected runs
+    /// requests of the service, and a retry is left.
+    pub fn can_take_over(&mut self, now: Instant, service: &str, avoid: &[Rc<str>]) -> bool {
+        let proxy_count = self.proxy_count;
+        if !self.retry_budget(service).has_retry(now, proxy_count) {
+            return false;
+        }
+        let ids = self.endpoints.ids(service, LoadKind::Decode).iter().filter(|id| !avoid.contains(id));
+        ids.filter_map(|id| self.endpoints.get(id)).any(|endpoint| endpoint.is_ready(now))
+    }
+
     /// A random number from 0 to below 1.
     pub fn random_fraction(&mut self) -> f64 {
         f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
@@ -105,9 +121,7 @@
             ids.filter_map(|id| self.endpoints.get(id))
                 .filter(|endpoint| endpoint.server.state == OperState::Up)
         };
-        let healthy: Vec<_> = up()
-            .filter(|endpoint| !endpoint.server.is_suspected && endpoint.outlier.is_selectable(now))
-            .collect();
+        let healthy: Vec<_> = up().filter(|endpoint| endpoint.is_ready(now)).collect();
         if !healthy.is_empty() {
             return healthy;
         }
@@ -159,6 +173,42 @@
         }
     }
 
+    fn start_latency_mut(&mut self, service: &str) -> &mut StartLatency {
+        self.start_latencies.entry(service.to_owned()).or_default()
+    }
+
+    /// What is known of how long streams of the service take to start.
+    pub(crate) fn start_latency(&self, service: &str) -> StartLatency {
+        self.start_latencies.get(service).cloned().unwrap_or_default()
+    }
+
+    /// A prefill server of the service has returned the handle of the prompt.
+    pub fn record_prefill_latency(&mut self, service: &str, prompt: &Prompt, latency: Duration) {
+        self.start_latency_mut(service).observe_prefill(prompt.unshared_tokens(), latency);
+    }
+
+    /// The first event has arrived of a request with a prompt that was prefilled elsewhere.
+    pub fn record_handover_latency(
+        &mut self,
+        now: Instant,
+        service: &str,
+        prompt: &Prompt,
+        latency: Duration,
+    ) {
+        self.start_latency_mut(service).observe_handover(now, prompt, latency);
+    }
+
+    /// The first event has arrived of a request whose decode server has prefilled the prompt.
+    pub fn record_local_prefill_latency(
+        &mut self,
+        now: Instant,
+        service: &str,
+        prompt: &Prompt,
+        latency: Duration,
+    ) {
+        self.start_latency_mut(service).observe_local_prefill(now, prompt, latency);
+    }
+
     /// A request was sent to this server to run.
     pub fn start_request(&mut self, id: &str) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
