Let the share of prefill servers follow the work that both stages report

Change: the owner of the stage role asks servers for their reports, smooths the servers that each stage keeps busy, and changes the share by steps when the busier stage is over 0.6 and the imbalance lasts; the start follows the slots (16: 0.5, 64: 0.75). A new owner begins with the stages that are. Tests: six new ones with loads that follow the stages.

--- a/crates/programs/src/control_node/registry_host.rs
+++ b/crates/programs/src/control_node/registry_host.rs
@@ -11,7 +11,7 @@
 use mosshead_registry::{
     Delta, HeartbeatOutcome, ReceivedHeartbeat, RegistrationError, Registry, Server, SourceId, VersionVector,
 };
-use mosshead_stage_scheduler::{StageAssignment, StageScheduler};
+use mosshead_stage_scheduler::{ServerLoad, StageAssignment, StageScheduler};
 use mosshead_time::{Duration, Instant};
 
 use super::change_notifier::ChangeNotifier;
@@ -154,6 +154,22 @@
         scheduler.due_assignments(self.now(), self.registry.borrow().servers())
     }
 
+    /// The servers that are to be asked for a report, with their addresses.
+    pub(super) fn servers_to_query(
+        &self,
+        scheduler: &StageScheduler,
+        max_count: usize,
+    ) -> Vec<(String, SocketAddrV4)> {
+        let registry = self.registry.borrow();
+        let queried = scheduler.servers_to_query(registry.servers(), max_count);
+        queried.into_iter().map(|server| (server.id.clone(), server.address)).collect()
+    }
+
+    /// Hands a server's report to the scheduler.
+    pub(super) fn record_report(&self, scheduler: &mut StageScheduler, id: &str, load: ServerLoad) {
+        scheduler.record_report(self.now(), id, load);
+    }
+
     /// The address of a server.
     pub(super) fn address_of(&self, id: &str) -> Option<SocketAddrV4> {
         self.registry.borrow().get(id).map(|server| server.address)
--- a/crates/programs/src/control_node/stage_role.rs
+++ b/crates/programs/src/control_node/stage_role.rs
@@ -5,17 +5,23 @@
 
 use mosshead_consensus::Term;
 use mosshead_stage_scheduler::{
-    AssignmentOutcome, StageAssignment, StagePolicy, StageScheduler, fencing_token,
+    AssignmentOutcome, ServerLoad, StageAssignment, StagePolicy, StageScheduler, fencing_token,
 };
 use mosshead_time::Duration;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 use super::consensus_host::ConsensusHost;
 use super::registry_host::RegistryHost;
+use crate::server_reports::fetch_report;
 use crate::stage_orders::{OrderMessage, send_order};
 
 /// How often the owner of the role looks for assignments that are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// How often servers are asked for their reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(800);
+/// The most servers that are asked at once. Each call is priced as a health check.
+const MAX_REPORTS_AT_ONCE: usize = 24;
 /// How much longer than a lease a new owner waits until it sends orders.
 const TAKEOVER_MARGIN: Duration = Duration::from_millis(500);
 
@@ -24,11 +30,14 @@
     term: Term,
     since: Instant,
     scheduler: StageScheduler,
+    /// When servers were last asked for their reports.
+    reports_collected_at: Option<Instant>,
 }
 
 impl Tenure {
     fn new(term: Term) -> Tenure {
-        Tenure { term, since: Instant::now(), scheduler: StageScheduler::new(StagePolicy::default()) }
+        let scheduler = StageScheduler::new(StagePolicy::default());
+        Tenure { term, since: Instant::now(), scheduler, reports_collected_at: None }
     }
 }
 
@@ -65,6 +74,7 @@
             };
             let former = self.tenure.take().filter(|tenure| tenure.term == term);
             let mut tenure = former.unwrap_or_else(|| Tenure::new(term));
+            self.collect_reports(&mut tenure).await;
             if tenure.since.elapsed() >= self.takeover_delay {
                 self.send_due_orders(&mut tenure).await;
             }
@@ -72,8 +82,32 @@
         }
     }
 
+    /// Asks some servers for their reports, those that were not asked for the longest time first.
+    async fn collect_reports(&self, tenure: &mut Tenure) {
+        if tenure.reports_collected_at.is_some_and(|at| at.elapsed() < REPORT_INTERVAL) {
+            return;
+        }
+        tenure.reports_collected_at = Some(Instant::now());
+        let mut queries = JoinSet::new();
+        for (id, address) in self.registry.servers_to_query(&tenure.scheduler, MAX_REPORTS_AT_ONCE) {
+            queries.spawn_local(async move { (id, fetch_report(address).await) });
+        }
+        while let Some(query) = queries.join_next().await {
+            if let Ok((id, Some(report))) = query {
+                let load = ServerLoad { queued: report.queued, active: report.active };
+                self.registry.record_report(&mut tenure.scheduler, &id, load);
+            }
+        }
+    }
+
     async fn send_due_orders(&self, tenure: &mut Tenure) {
-        for assignment in self.registry.due_assignments(&mut tenure.scheduler) {
+        let due = self.registry.due_assignments(&mut tenure.scheduler);
+        if !due.is_empty() {
+            for (service, share) in tenure.scheduler.target_shares() {
+                spdlog::info!("stages: target service={service} prefill_share={share:.2}");
+            }
+        }
+        for assignment in due {
             // The role may have been lost while the order before was in flight.
             if self.consensus.primary_term() != Some(tenure.term) {
                 return;
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod process;
 pub mod proxy;
 pub mod send_queues;
+mod server_call;
+pub mod server_reports;
 pub mod settings;
 pub mod stage_orders;
 pub mod update_watcher;
--- /dev/null
+++ b/crates/programs/src/server_reports.rs
@@ -0,0 +1,35 @@
+//! Reports of model servers about their work, which the owner of the stage role asks for.
+
+use std::net::SocketAddrV4;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper::header::HOST;
+use mosshead_data_plane::ServerReport;
+use mosshead_time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+use crate::server_call::call_server;
+
+/// The time for a report from the opening of its connection to its last byte.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// A longer report is not read.
+const MAX_REPORT_BYTES: usize = 16 * 1024;
+
+/// Asks the server once for its report; `None` where it sends none in time.
+pub async fn fetch_report(address: SocketAddrV4) -> Option<ServerReport> {
+    let deadline = Instant::now() + REPORT_TIMEOUT;
+    timeout_at(deadline, exchange(address, deadline)).await.ok().flatten()
+}
+
+async fn exchange(address: SocketAddrV4, deadline: Instant) -> Option<ServerReport> {
+    let request =
+        Request::get("/report").header(HOST, address.to_string()).body(Full::new(Bytes::new())).ok()?;
+    let response = call_server(address, request, || true, deadline).await?;
+    if !response.status().is_success() {
+        return None;
+    }
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?;
+    ServerReport::parse(&body.to_bytes())
+}
--- a/crates/programs/src/stage_orders.rs
+++ b/crates/programs/src/stage_orders.rs
@@ -6,23 +6,15 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
-use mosshead_http_links::{ConnectOptions, OutboundConnection, PeerKind};
 use mosshead_registry::Stage;
 use mosshead_stage_scheduler::{AssignmentOutcome, StageAssignment};
 use mosshead_time::Duration;
 use tokio::time::{Instant, timeout_at};
 
+use crate::server_call::call_server;
+
 /// The time for an order from the opening of its connection to the response.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
-/// The longest time until the connection is open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Bytes that are not acknowledged for this time end the connection (`TCP_USER_TIMEOUT`).
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(400);
-const CONNECT_OPTIONS: ConnectOptions =
-    ConnectOptions { timeout: CONNECT_TIMEOUT, user_timeout: Some(TCP_USER_TIMEOUT) };
-/// The peer of these connections, a model server. What happens to them is not logged here.
-const PEER_KIND: PeerKind = PeerKind::unlogged("server");
-
 /// An order to a model server.
 #[derive(Clone, Copy, Debug)]
 pub struct OrderMessage<'a> {
@@ -68,20 +60,13 @@
     }
 }
 
-/// Sends an order and returns the status of the response. `None` if the connection fails, the request can't be built, or
+/// Sends an order and returns the status of the response. `None` if there is no response, the request can't be built, or
 /// the role was lost before the order was sent.
 async fn exchange(
     message: &OrderMessage<'_>,
     may_send: impl Fn() -> bool,
     deadline: Instant,
 ) -> Option<StatusCode> {
-    let mut connection: OutboundConnection<Full<Bytes>> =
-        OutboundConnection::open(PEER_KIND, message.address.into(), CONNECT_OPTIONS, ()).await?;
-    let request = message.request()?;
-    // The role may have been lost while the connection was opened.
-    if !connection.ready().await || !may_send() {
-        return None;
-    }
-    let response = connection.send_with_deadline(request, deadline).await.ok()?;
+    let response = call_server(message.address, message.request()?, may_send, deadline).await?;
     Some(response.status())
 }
--- a/crates/stage-scheduler/src/lib.rs
+++ b/crates/stage-scheduler/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! It is a singleton role, carried out by the primary under a [fencing token](fencing_token) that only rises. When the
 //! number of a service's prefill servers has differed from its target for a while, servers get the other stage; at least
-//! [`StagePolicy::min_decode_servers`] are left to decode.
+//! [`StagePolicy::min_decode_servers`] are left to decode. The target follows the work that both stages get, which the
+//! servers' reports tell.
 
+mod demand;
 mod fencing;
 mod policy;
 mod scheduler;
 
+pub use demand::ServerLoad;
 pub use fencing::fencing_token;
 pub use policy::StagePolicy;
 pub use scheduler::{AssignmentOutcome, StageAssignment, StageScheduler};
--- a/crates/stage-scheduler/src/policy.rs
+++ b/crates/stage-scheduler/src/policy.rs
@@ -5,8 +5,23 @@
 /// Targets and delays of the stage scheduler.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StagePolicy {
-    /// The share of a service's model servers that run prefill, from 0 to 1.
-    pub prefill_share: f64,
+    /// The smallest share of a service's model servers that run prefill, from 0 to 1.
+    pub min_prefill_share: f64,
+    /// The largest share. Decode servers also fetch KV caches, one at a time, which their reports don't show.
+    pub max_prefill_share: f64,
+    /// Until there is work to judge by, one server runs prefill for this many slots of decode servers.
+    pub start_slots_per_prefill_server: f64,
+    /// The share is kept while both stages have a lower utilization: servers that change their stage are missing for a
+    /// while and lose what they have cached, which idle ones don't repay.
+    pub min_utilization_to_rebalance: f64,
+    /// The share is kept while the demand asks for one that differs by no more than this.
+    pub share_hysteresis: f64,
+    /// How long the demand has to ask for another share before the share changes.
+    pub demand_persistence: Duration,
+    /// The share changes by this much at once.
+    pub max_share_step: f64,
+    /// How long the share is then kept: what the changed servers do has to show in the reports first.
+    pub share_settling_time: Duration,
     /// The fewest servers of a service that run decode. A service with no more servers than this still runs one prefill
     /// server, if it has two servers at least.
     pub min_decode_servers: usize,
@@ -24,16 +39,33 @@
 }
 
 impl StagePolicy {
-    /// How many servers of a service with `server_count` servers are to run prefill; none if there is only one.
-    pub fn target_prefill_servers(&self, server_count: usize) -> usize {
+    /// How many servers of a service with `server_count` servers are to run prefill if this share of them is; none if there
+    /// is only one.
+    pub fn target_prefill_servers(&self, server_count: usize, prefill_share: f64) -> usize {
         if server_count < 2 {
             return 0;
         }
         let max_prefill = server_count.saturating_sub(self.min_decode_servers).max(1);
-        let target = (server_count as f64 * self.prefill_share).round() as usize;
+        let target = (server_count as f64 * self.bounded_share(prefill_share)).round() as usize;
         target.clamp(1, max_prefill)
     }
 
+    /// The share of prefill servers at the start, for servers with this many slots.
+    pub fn start_share(&self, slots: u32) -> f64 {
+        let slots = f64::from(slots.max(1));
+        self.bounded_share(slots / (slots + self.start_slots_per_prefill_server))
+    }
+
+    /// The share within its bounds.
+    pub(crate) fn bounded_share(&self, prefill_share: f64) -> f64 {
+        prefill_share.max(self.min_prefill_share).min(self.max_prefill_share)
+    }
+
+    /// Whether servers are to change their stage while the busier stage has this utilization.
+    pub(crate) fn is_worth_rebalancing(&self, max_utilization: f64) -> bool {
+        max_utilization >= self.min_utilization_to_rebalance
+    }
+
     /// How long the number of prefill servers has to differ from its target by `imbalance` before servers are reassigned.
     pub(crate) fn delay_for(&self, imbalance: usize) -> Duration {
         if imbalance > 1 { self.imbalance_delay } else { self.single_server_imbalance_delay }
@@ -43,7 +75,14 @@
 impl Default for StagePolicy {
     fn default() -> Self {
         Self {
-            prefill_share: 0.75,
+            min_prefill_share: 0.2,
+            max_prefill_share: 0.75,
+            start_slots_per_prefill_server: 16.0,
+            min_utilization_to_rebalance: 0.6,
+            share_hysteresis: 0.1,
+            demand_persistence: Duration::from_secs(4),
+            max_share_step: 0.1,
+            share_settling_time: Duration::from_secs(6),
             min_decode_servers: 2,
             imbalance_delay: Duration::from_millis(300),
             single_server_imbalance_delay: Duration::from_millis(4_000),
--- a/crates/stage-scheduler/src/scheduler.rs
+++ b/crates/stage-scheduler/src/scheduler.rs
@@ -5,6 +5,7 @@
 use mosshead_registry::{OperState, Server, Stage};
 use mosshead_time::Instant;
 
+use crate::demand::{DemandEstimator, ServerLoad, StageMember};
 use crate::policy::StagePolicy;
 
 /// A server is to run a stage from now on.
@@ -31,6 +32,10 @@
 #[derive(Clone, Debug)]
 pub struct StageScheduler {
     policy: StagePolicy,
+    demand: DemandEstimator,
+    /// The share of prefill servers that each service is to have. A service for which none was decided yet is not in the
+    /// map.
+    target_shares: BTreeMap<String, TargetShare>,
     /// Since when the number of prefill servers has differed from its target, by service. A service that is on target is
     /// not in the map.
     imbalanced_since: BTreeMap<String, Instant>,
@@ -46,6 +51,32 @@
     stage: Stage,
 }
 
+/// The share of a service's servers that are to run prefill.
+#[derive(Clone, Copy, Debug)]
+struct TargetShare {
+    share: f64,
+    changed_at: Instant,
+    /// Since when the demand has asked for another share.
+    rejected_since: Option<Instant>,
+}
+
+impl TargetShare {
+    /// Changes by a step, once another share has been wanted for long enough and the last change has shown its effect.
+    fn follow(&mut self, now: Instant, wanted: f64, policy: &StagePolicy) {
+        let difference = wanted - self.share;
+        if difference.abs() <= policy.share_hysteresis {
+            self.rejected_since = None;
+            return;
+        }
+        let since = *self.rejected_since.get_or_insert(now);
+        let is_settled = now >= self.changed_at + policy.share_settling_time;
+        if is_settled && now >= since + policy.demand_persistence {
+            self.share += difference.clamp(-policy.max_share_step, policy.max_share_step);
+            self.changed_at = now;
+        }
+    }
+}
+
 /// A server that may be reassigned.
 #[derive(Clone, Copy)]
 struct Candidate<'a> {
@@ -55,6 +86,25 @@
     counted_stage: Stage,
 }
 
+impl<'a> Candidate<'a> {
+    fn member(&self) -> StageMember<'a> {
+        StageMember { id: &self.server.id, stage: self.counted_stage, slots: self.server.slots }
+    }
+}
+
+/// The share of the servers that run prefill.
+fn present_share(members: &[StageMember<'_>]) -> f64 {
+    let prefill = members.iter().filter(|member| member.stage == Stage::Prefill).count();
+    prefill as f64 / members.len().max(1) as f64
+}
+
+/// The median of the servers' slots.
+fn median_slots(members: &[StageMember<'_>]) -> u32 {
+    let mut slots: Vec<u32> = members.iter().map(|member| member.slots).collect();
+    slots.sort_unstable();
+    slots.get(slots.len() / 2).copied().unwrap_or(1)
+}
+
 /// How many servers of a service are to change from one stage to the other.
 #[derive(Clone, Copy)]
 struct StageChange {
@@ -68,12 +118,37 @@
     pub fn new(policy: StagePolicy) -> Self {
         Self {
             policy,
+            demand: DemandEstimator::default(),
+            target_shares: BTreeMap::new(),
             imbalanced_since: BTreeMap::new(),
             last_assignments: BTreeMap::new(),
             is_fenced: false,
         }
     }
 
+    /// Takes the report of a server about its work.
+    pub fn record_report(&mut self, now: Instant, instance_id: &str, load: ServerLoad) {
+        self.demand.record_report(now, instance_id, load);
+    }
+
+    /// Ids of the servers whose report is missing or the oldest, at most `max_count`, to be asked for a new one.
+    pub fn servers_to_query<'a>(
+        &self,
+        servers: impl Iterator<Item = &'a Server>,
+        max_count: usize,
+    ) -> Vec<&'a Server> {
+        let mut queried: Vec<&Server> =
+            servers.filter(|server| server.state == OperState::Up && server.stage.is_some()).collect();
+        queried.sort_by_key(|server| self.demand.reported_at(&server.id));
+        queried.truncate(max_count);
+        queried
+    }
+
+    /// The share of prefill servers that each service is to have.
+    pub fn target_shares(&self) -> impl Iterator<Item = (&str, f64)> {
+        self.target_shares.iter().map(|(service, target)| (service.as_str(), target.share))
+    }
+
     /// The assignments that are due among these servers. Until its cooldown ends, a server counts as running the stage that
     /// it was assigned.
     pub fn due_assignments<'a>(
@@ -87,6 +162,8 @@
         }
         let services = self.candidates_by_service(now, servers);
         self.imbalanced_since.retain(|service, _| services.contains_key(service.as_str()));
+        self.target_shares.retain(|service, _| services.contains_key(service.as_str()));
+        self.demand.expire(now);
         let mut assignments = Vec::new();
         for (service, candidates) in services {
             if let Some(change) = self.due_change(now, service, &candidates) {
@@ -128,6 +205,27 @@
         services
     }
 
+    /// The share of the service's servers that are to run prefill.
+    ///
+    /// It follows the demand, with hysteresis. A scheduler that finds a service at work begins with the stages that are; for
+    /// an idle one there is a start value.
+    fn update_target_share(&mut self, now: Instant, service: &str, candidates: &[Candidate<'_>]) -> f64 {
+        let members: Vec<StageMember<'_>> = candidates.iter().map(Candidate::member).collect();
+        let demand = self.demand.update(now, service, &members);
+        let target = self.target_shares.entry(service.to_owned()).or_insert_with(|| {
+            let share = match demand {
+                Some(_) => self.policy.bounded_share(present_share(&members)),
+                None => self.policy.start_share(median_slots(&members)),
+            };
+            TargetShare { share, changed_at: now, rejected_since: None }
+        });
+        let wanted =
+            demand.filter(|demand| self.policy.is_worth_rebalancing(demand.max_utilization(&members)));
+        let wanted = wanted.map_or(target.share, |demand| self.policy.bounded_share(demand.prefill_share()));
+        target.follow(now, wanted, &self.policy);
+        target.share
+    }
+
     /// The change that a service needs, if it has needed one for long enough.
     fn due_change(
         &mut self,
@@ -135,7 +233,8 @@
         service: &str,
         candidates: &[Candidate<'_>],
     ) -> Option<StageChange> {
-        let target = self.policy.target_prefill_servers(candidates.len());
+        let share = self.update_target_share(now, service, candidates);
+        let target = self.policy.target_prefill_servers(candidates.len(), share);
         let prefill = candidates.iter().filter(|candidate| candidate.counted_stage == Stage::Prefill).count();
         if prefill == target {
             self.imbalanced_since.remove(service);
--- a/crates/stage-scheduler/tests/stages.rs
+++ b/crates/stage-scheduler/tests/stages.rs
@@ -1,7 +1,7 @@
 //! The stage scheduler: how many servers run prefill, which are reassigned, and that it converges.
 
 use mosshead_registry::{OperState, Server, Stage};
-use mosshead_stage_scheduler::{AssignmentOutcome, StagePolicy, StageScheduler, fencing_token};
+use mosshead_stage_scheduler::{AssignmentOutcome, ServerLoad, StagePolicy, StageScheduler, fencing_token};
 use mosshead_time::{Duration, Instant};
 use quickcheck::quickcheck;
 
@@ -32,7 +32,7 @@
 
 /// Six of nine run prefill.
 fn two_thirds_prefill() -> StagePolicy {
-    StagePolicy { prefill_share: 0.67, ..StagePolicy::default() }
+    StagePolicy { max_prefill_share: 0.67, ..StagePolicy::default() }
 }
 
 fn prefill_servers(servers: &[Server]) -> usize {
@@ -92,9 +92,10 @@
 }
 
 #[test]
-fn three_quarters_run_prefill_by_default() {
+fn three_quarters_run_prefill_at_the_start_where_servers_have_64_slots() {
     let policy = StagePolicy::default();
-    assert_eq!([2, 3, 9, 18, 90].map(|count| policy.target_prefill_servers(count)), [1, 1, 7, 14, 68]);
+    let share = policy.start_share(64);
+    assert_eq!([2, 3, 9, 18, 90].map(|count| policy.target_prefill_servers(count, share)), [1, 1, 7, 14, 68]);
 }
 
 #[test]
@@ -135,6 +136,116 @@
     assert!(fencing_token(u64::MAX, u64::MAX) < 1 << 53, "a JSON number holds it exactly");
 }
 
+/// A fleet whose load stays as it is however the stages are shared out, as long as it is watched.
+struct WorkedFleet {
+    scheduler: StageScheduler,
+    servers: Vec<Server>,
+    /// The work of each stage, in servers that it keeps busy.
+    prefill_work: f64,
+    decode_work: f64,
+    now: Instant,
+    assignments: usize,
+}
+
+impl WorkedFleet {
+    fn new(count: usize, prefill_servers: usize, prefill_work: f64, decode_work: f64) -> Self {
+        let scheduler = StageScheduler::new(StagePolicy::default());
+        let servers = fleet(count, prefill_servers);
+        Self { scheduler, servers, prefill_work, decode_work, now: millis(1_000), assignments: 0 }
+    }
+
+    /// What a server reports whose stage has this much work.
+    fn load_of(&self, server: &Server) -> ServerLoad {
+        let prefill_servers = prefill_servers(&self.servers);
+        let decode_servers = self.servers.len() - prefill_servers;
+        if server.stage == Some(Stage::Prefill) {
+            let utilization = self.prefill_work / prefill_servers.max(1) as f64;
+            ServerLoad { queued: (utilization - 1.0).max(0.0) * 10.0, active: utilization.min(1.0) }
+        } else {
+            let utilization = self.decode_work / decode_servers.max(1) as f64;
+            ServerLoad { queued: 0.0, active: utilization * f64::from(server.slots) }
+        }
+    }
+
+    /// All servers report each second, and carry out what is assigned to them at once.
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            for server in &self.servers {
+                self.scheduler.record_report(self.now, &server.id, self.load_of(server));
+            }
+            let next = self.now + Duration::from_millis(1_000);
+            self.assignments += carry_out(&mut self.scheduler, &mut self.servers, self.now, next);
+            self.now = next;
+        }
+    }
+}
+
+#[test]
+fn a_busy_stage_gets_servers_of_the_other_one_and_then_the_stages_rest() {
+    for (prefill_work, decode_work, expected) in
+        [(6.0, 18.0, 12..=17), (20.0, 20.0, 20..=29), (24.0, 8.0, 30..=36)]
+    {
+        let mut fleet = WorkedFleet::new(48, 24, prefill_work, decode_work);
+        fleet.run(Duration::from_secs(60));
+        let prefill = prefill_servers(&fleet.servers);
+        assert!(expected.contains(&prefill), "{prefill_work} {decode_work}: {prefill}");
+        let before = fleet.assignments;
+        fleet.run(Duration::from_secs(300));
+        assert_eq!(fleet.assignments, before, "{prefill_work} {decode_work}: the stages do not swing");
+    }
+}
+
+#[test]
+fn idle_servers_keep_their_stages() {
+    let mut fleet = WorkedFleet::new(48, 24, 10.0, 3.0);
+    fleet.run(Duration::from_secs(60));
+    assert_eq!((prefill_servers(&fleet.servers), fleet.assignments), (24, 0));
+}
+
+#[test]
+fn a_short_burst_changes_no_stage() {
+    let mut fleet = WorkedFleet::new(48, 24, 8.0, 8.0);
+    fleet.run(Duration::from_secs(20));
+    fleet.decode_work = 26.0;
+    fleet.run(Duration::from_secs(4));
+    fleet.decode_work = 8.0;
+    fleet.run(Duration::from_secs(60));
+    assert_eq!(fleet.assignments, 0);
+}
+
+#[test]
+fn a_new_owner_begins_with_the_stages_that_are() {
+    let mut fleet = WorkedFleet::new(48, 15, 5.0, 10.0);
+    fleet.run(Duration::from_secs(30));
+    assert_eq!((prefill_servers(&fleet.servers), fleet.assignments), (15, 0));
+}
+
+#[test]
+fn reports_that_are_no_numbers_move_no_server() {
+    let mut fleet = WorkedFleet::new(48, 24, 8.0, 8.0);
+    fleet.run(Duration::from_secs(20));
+    for lie in [f64::NAN, f64::INFINITY, -1e300] {
+        for _ in 0..60 {
+            let id = fleet.servers[40].id.clone();
+            fleet.scheduler.record_report(fleet.now, &id, ServerLoad { queued: lie, active: lie });
+            fleet.assignments += due_count(&mut fleet.scheduler, fleet.now, &fleet.servers);
+            fleet.now += Duration::from_millis(50);
+        }
+    }
+    fleet.run(Duration::from_secs(20));
+    assert_eq!(fleet.assignments, 0);
+}
+
+#[test]
+fn the_start_share_follows_the_slots_of_the_servers() {
+    let policy = StagePolicy::default();
+    assert_eq!(
+        [4, 16, 64, 128].map(|slots| policy.target_prefill_servers(48, policy.start_share(slots))),
+        [10, 24, 36, 36]
+    );
+}
+
 quickcheck! {
     /// Any service reaches the share, keeps enough servers that decode, and no server is reassigned twice.
     fn any_service_converges(count: u8, initial_prefill: u8) -> bool {
@@ -144,6 +255,6 @@
         let assignments = carry_out(&mut scheduler, &mut servers, millis(0), millis(30_000));
         let after = prefill_servers(&servers);
         let has_min_decode = count < 3 || count - after >= 2;
-        (count < 2 || after == StagePolicy::default().target_prefill_servers(count)) && has_min_decode && assignments == after.abs_diff(before)
+        (count < 2 || after == StagePolicy::default().target_prefill_servers(count, 0.75)) && has_min_decode && assignments == after.abs_diff(before)
     }
 }
