Learn local prefills from themselves, ask for fewer reports, bound further prefills only

Change: the pace of a local prefill is fitted to local prefills once there are some; a bound of an eighth of the gap; two servers a second or an eighth of them report; retry_count further prefills after the first; a silent server is left before its response while the service has another one.

--- a/crates/data-plane/src/buffered_request.rs
+++ b/crates/data-plane/src/buffered_request.rs
@@ -40,7 +40,7 @@
                 return last_error.unwrap_or_else(|| self.give_up(request, &history));
             };
             let guard = ServerRequestGuard::new(self, &target.id);
-            match self.attempt_while_responsive(&target, request, &history).await {
+            match self.attempt_while_responsive(&target, request).await {
                 AttemptOutcome::Responded(response) => {
                     history.record_run(&target.id);
                     match self.buffer_response(&target, request, response, &guard).await {
@@ -91,21 +91,19 @@
         Some(target)
     }
 
-    /// One attempt. If the request may run twice, it is given up once the server has proven unresponsive and another one
-    /// can take over.
+    /// One attempt. If the request may run twice, it is given up once the server has proven unresponsive while the
+    /// service has another one.
     async fn attempt_while_responsive(
         self: &Rc<Self>,
         target: &Target,
         request: &ClientRequest,
-        history: &AttemptHistory,
     ) -> AttemptOutcome {
-        let take_over = history.take_over(request);
         let half_target_millis = request.route.target_latency.as_millis() as u64 / 2;
         let max_silence = Duration::from_millis(half_target_millis).clamp(MIN_SILENCE, SILENT_SERVER_TIMEOUT);
         let extra_headers = [(PRIORITY, request.priority.clone())];
         tokio::select! {
             outcome = self.send_attempt(target, &request.server_request, request.deadline, &extra_headers) => outcome,
-            () = self.wait_until_replaceable(request, target, &take_over, max_silence, max_silence),
+            () = self.wait_until_abandonable(request, target, max_silence, max_silence),
                 if request.is_repeatable() => {
                 AttemptOutcome::TimedOut
             }
--- a/crates/data-plane/src/decode.rs
+++ b/crates/data-plane/src/decode.rs
@@ -18,7 +18,6 @@
 use crate::load_report::{LOAD_REPORT_TIMEOUT, SILENT_SERVER_TIMEOUT};
 use crate::prefill::KvHandle;
 use crate::response::{ResponseBody, forwarded_response};
-use crate::retry::TakeOver;
 use crate::server_request::Target;
 use crate::server_response::{ServerResponse, is_sealed, promises_not_executed};
 
@@ -68,7 +67,7 @@
 
 impl DataPlane {
     /// Sends the request to a decode server: with a handle, or without one for the server to prefill the prompt itself;
-    /// behind `last_event_id`, where a stream is resumed. One that falls silent is given up where `take_over` allows it.
+    /// behind `last_event_id`, where a stream is resumed.
     pub(crate) async fn start_decode(
         self: &Rc<Self>,
         request: &ClientRequest,
@@ -76,7 +75,6 @@
         target: &Target,
         handle: Option<KvHandle>,
         last_event_id: Option<u64>,
-        take_over: &TakeOver,
     ) -> DecodeOutcome {
         let request_guard = ServerRequestGuard::new(self, &target.id);
         let local_prefill_tokens = LOCAL_PREFILL_WEIGHT * prompt.unshared_tokens();
@@ -86,9 +84,7 @@
         let extra_headers = decode_headers(request, handle.as_ref(), last_event_id);
         let outcome = tokio::select! {
             outcome = self.send_attempt(target, &request.server_request, request.deadline, &extra_headers) => outcome,
-            () = self.wait_until_replaceable(
-                request, target, take_over, SILENT_SERVER_TIMEOUT, LOAD_REPORT_TIMEOUT,
-            ), if request.is_repeatable() => AttemptOutcome::TimedOut,
+            () = self.wait_until_abandonable(request, target, SILENT_SERVER_TIMEOUT, LOAD_REPORT_TIMEOUT), if request.is_repeatable() => AttemptOutcome::TimedOut,
         };
         match outcome {
             AttemptOutcome::Responded(response) => {
--- a/crates/data-plane/src/prompt_request.rs
+++ b/crates/data-plane/src/prompt_request.rs
@@ -58,15 +58,14 @@
                 history.record_undelivered(&pair.decode);
                 continue;
             };
-            let failure =
-                match self.decode_or_prefill_locally(&request, &prompt, &target, handle, &history).await {
-                    Ok(DecodeOutcome::Streaming(stream)) => {
-                        let take_over = history.take_over(&request);
-                        return self.clone().forward_stream(request, prompt, stream, take_over, in_flight);
-                    }
-                    Ok(DecodeOutcome::Failed(failure)) => failure,
-                    Err(RetryBudgetExhausted) => return self.reject(&request),
-                };
+            let failure = match self.decode_or_prefill_locally(&request, &prompt, &target, handle).await {
+                Ok(DecodeOutcome::Streaming(stream)) => {
+                    let take_over = history.take_over(&request);
+                    return self.clone().forward_stream(request, prompt, stream, take_over, in_flight);
+                }
+                Ok(DecodeOutcome::Failed(failure)) => failure,
+                Err(RetryBudgetExhausted) => return self.reject(&request),
+            };
             if let Some(response) = self.final_response(&request, &target, failure, &mut history) {
                 return response;
             }
@@ -121,7 +120,7 @@
     }
 
     /// Has the prompt prefilled, if the pair has a prefill server. The first prefill that a server takes up is free;
-    /// further ones, and those that are rejected, take a retry out of the budget (RULES.md, BUDGET). Once as many have
+    /// further ones, and those that are rejected, take a retry out of the budget (RULES.md, BUDGET). Once as many further ones have
     /// reached a server as the route allows, the decode server prefills the prompt itself.
     async fn prefill_for_pair(
         self: &Rc<Self>,
@@ -183,11 +182,9 @@
         prompt: &Prompt,
         target: &Target,
         handle: Option<KvHandle>,
-        history: &AttemptHistory,
     ) -> Result<DecodeOutcome, RetryBudgetExhausted> {
-        let take_over = history.take_over(request);
         let prefill_server = handle.as_ref().map(|handle| handle.prefill_server_id().clone());
-        let outcome = self.start_decode(request, prompt, target, handle, None, &take_over).await;
+        let outcome = self.start_decode(request, prompt, target, handle, None).await;
         let may_send_again = !request.is_expired(self.now()) && self.accepts_requests(&target.id);
         let lacks_handle = matches!(outcome, DecodeOutcome::Failed(DecodeFailure::HandleUnavailable));
         if !lacks_handle || !may_send_again {
@@ -196,7 +193,7 @@
         if !self.try_withdraw_retry(request) {
             return Err(RetryBudgetExhausted);
         }
-        let outcome = self.start_decode(request, prompt, target, None, None, &take_over).await;
+        let outcome = self.start_decode(request, prompt, target, None, None).await;
         if let (DecodeOutcome::Streaming(_), Some(prefill_server)) = (&outcome, &prefill_server) {
             // The server was not full: it was the KV cache that could not be fetched.
             let now = self.now();
--- a/crates/data-plane/src/retry.rs
+++ b/crates/data-plane/src/retry.rs
@@ -7,6 +7,7 @@
 
 use crate::client_request::ClientRequest;
 use crate::data_plane::DataPlane;
+use crate::load_report::{LOAD_REPORT_TIMEOUT, SILENT_SERVER_TIMEOUT};
 use crate::response::{ResponseBody, proxy_response};
 use crate::server_request::Target;
 
@@ -73,9 +74,9 @@
         self.delivered_prefills > 0
     }
 
-    /// Whether no further prefill may be made: as many have reached a server as the route allows.
+    /// Whether no further prefill may be made: after the first one as many have reached a server as the route allows.
     pub(crate) fn has_reached_prefill_limit(&self, request: &ClientRequest) -> bool {
-        self.delivered_prefills >= request.route.retry_count.max(1)
+        self.delivered_prefills > request.route.retry_count
     }
 
     /// Who may take the request over once it runs at one more server.
@@ -90,7 +91,7 @@
     }
 }
 
-/// Who may take over a request from the server that it is at.
+/// Who may take over a stream from the server that it is at.
 #[derive(Clone, Debug)]
 pub(crate) struct TakeOver {
     /// Servers that are not selected again.
@@ -100,23 +101,42 @@
 }
 
 impl DataPlane {
-    /// Completes once the server has proven unresponsive while another one can take the request over. Without one the
-    /// response of this server, however late, is the only one that there can be.
-    pub(crate) async fn wait_until_replaceable(
+    /// Completes once the server has proven unresponsive before its response has begun, while the service has another one.
+    /// That one gets the request next: from this proxy or, if it may make no further attempt, from the client, who learns at
+    /// once that this one has failed. Without another server a late response is the only one that there can be.
+    pub(crate) async fn wait_until_abandonable(
         self: &Rc<Self>,
         request: &ClientRequest,
         target: &Target,
-        take_over: &TakeOver,
         max_silence: Duration,
         report_timeout: Duration,
+    ) {
+        let avoid = [target.id.clone()];
+        loop {
+            self.wait_until_unresponsive(target, max_silence, report_timeout).await;
+            if self.router.borrow().has_ready_server(self.now(), &request.service.name, &avoid) {
+                return;
+            }
+        }
+    }
+
+    /// Completes once the server of a stream that has begun has proven unresponsive while this proxy may resume the stream
+    /// at another one. A client never sees a stream end for a server's silence alone.
+    pub(crate) async fn wait_until_resumable(
+        self: &Rc<Self>,
+        request: &ClientRequest,
+        target: &Target,
+        take_over: &TakeOver,
     ) {
         let mut avoid = take_over.avoid.clone();
         avoid.push(target.id.clone());
         loop {
-            self.wait_until_unresponsive(target, max_silence, report_timeout).await;
+            self.wait_until_unresponsive(target, SILENT_SERVER_TIMEOUT, LOAD_REPORT_TIMEOUT).await;
             let (now, service) = (self.now(), &request.service.name);
+            let mut router = self.router.borrow_mut();
             if take_over.remaining_attempts > 0
-                && self.router.borrow_mut().can_take_over(now, service, &avoid)
+                && router.has_ready_server(now, service, &avoid)
+                && router.has_retry(now, service)
             {
                 return;
             }
--- a/crates/data-plane/src/stream.rs
+++ b/crates/data-plane/src/stream.rs
@@ -18,7 +18,6 @@
 use crate::decode::{DecodeOutcome, DecodeStream};
 use crate::event_splitter::EventSplitter;
 use crate::headers::keep_alive_timeout;
-use crate::load_report::{LOAD_REPORT_TIMEOUT, SILENT_SERVER_TIMEOUT};
 use crate::response::{ResponseAborted, ResponseBody, forwarded_response};
 use crate::retry::TakeOver;
 use crate::server_request::Target;
@@ -95,8 +94,7 @@
                 break;
             };
             let last_event_id = splitter.last_forwarded_id();
-            let outcome =
-                self.start_decode(&request, &prompt, &target, None, last_event_id, &take_over).await;
+            let outcome = self.start_decode(&request, &prompt, &target, None, last_event_id).await;
             if let DecodeOutcome::Streaming(stream) = outcome {
                 self.counters.resumed.increment();
                 end = self.relay(&request, &prompt, stream, &mut splitter, &client, &take_over).await;
@@ -220,9 +218,7 @@
             biased;
             () = client.closed() => return Received::ClientGone,
             frame = timeout_at(request.deadline.timer, body.frame()) => frame,
-            () = self.wait_until_replaceable(
-                request, target, take_over, SILENT_SERVER_TIMEOUT, LOAD_REPORT_TIMEOUT,
-            ), if request.route.resume => return Received::Unresponsive,
+            () = self.wait_until_resumable(request, target, take_over), if request.route.resume => return Received::Unresponsive,
         };
         self.record_received(&target.id);
         match frame {
--- a/crates/programs/src/control_node/registry_host.rs
+++ b/crates/programs/src/control_node/registry_host.rs
@@ -155,13 +155,9 @@
     }
 
     /// The servers that are to be asked for a report, with their addresses.
-    pub(super) fn servers_to_query(
-        &self,
-        scheduler: &StageScheduler,
-        max_count: usize,
-    ) -> Vec<(String, SocketAddrV4)> {
+    pub(super) fn servers_to_query(&self, scheduler: &StageScheduler) -> Vec<(String, SocketAddrV4)> {
         let registry = self.registry.borrow();
-        let queried = scheduler.servers_to_query(registry.servers(), max_count);
+        let queried = scheduler.servers_to_query(registry.servers());
         queried.into_iter().map(|server| (server.id.clone(), server.address)).collect()
     }
 
--- a/crates/programs/src/control_node/stage_role.rs
+++ b/crates/programs/src/control_node/stage_role.rs
@@ -18,10 +18,8 @@
 
 /// How often the owner of the role looks for assignments that are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// How often servers are asked for their reports.
-const REPORT_INTERVAL: Duration = Duration::from_millis(800);
-/// The most servers that are asked at once. Each call is priced as a health check.
-const MAX_REPORTS_AT_ONCE: usize = 24;
+/// How often some servers are asked for their reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How much longer than a lease a new owner waits until it sends orders.
 const TAKEOVER_MARGIN: Duration = Duration::from_millis(500);
 
@@ -89,7 +87,7 @@
         }
         tenure.reports_collected_at = Some(Instant::now());
         let mut queries = JoinSet::new();
-        for (id, address) in self.registry.servers_to_query(&tenure.scheduler, MAX_REPORTS_AT_ONCE) {
+        for (id, address) in self.registry.servers_to_query(&tenure.scheduler) {
             queries.spawn_local(async move { (id, fetch_report(address).await) });
         }
         while let Some(query) = queries.join_next().await {
--- a/crates/routing/src/linear_fit.rs
+++ b/crates/routing/src/linear_fit.rs
@@ -11,7 +11,9 @@
 /// With a lower relative variance of the tokens the slope can't be told from the fixed part, and stays as it is.
 const MIN_RELATIVE_VARIANCE: f64 = 0.05;
 /// The weight of an observation above the estimate. It is low, since most of what takes longer has waited in a queue.
-pub(crate) const ABOVE_WEIGHT: f64 = 0.25;
+const ABOVE_WEIGHT: f64 = 0.15;
+/// With fewer observations an estimate is little more than its start values.
+const ESTABLISHED_OBSERVATIONS: u32 = 12;
 /// The weight of the start values, in observations.
 const START_WEIGHT: f64 = 2.0;
 
@@ -29,6 +31,7 @@
     slope: f64,
     min_slope: f64,
     max_slope: f64,
+    observations: u32,
 }
 
 impl LinearFit {
@@ -46,6 +49,7 @@
             slope,
             min_slope: slope / range,
             max_slope: slope * range,
+            observations: 0,
         }
     }
 
@@ -59,6 +63,7 @@
         let millis = millis - error + error.clamp(-bound, bound);
         self.deviation = (self.deviation + DEVIATION_GAIN * (error.abs().min(2.0 * bound) - self.deviation))
             .max(MIN_DEVIATION);
+        self.observations = self.observations.saturating_add(1);
         let weight = if error > 0.0 { ABOVE_WEIGHT } else { 1.0 };
         self.weight = self.weight * (1.0 - (1.0 - RETENTION) * weight) + weight;
         let gain = weight / self.weight;
@@ -77,6 +82,11 @@
         (self.mean_millis + self.slope * (tokens - self.mean_tokens)).max(0.0)
     }
 
+    /// Whether there are enough observations to tell the slope from the start value.
+    pub(crate) fn is_established(&self) -> bool {
+        self.observations >= ESTABLISHED_OBSERVATIONS
+    }
+
     /// Milliseconds for each token.
     pub(crate) fn slope(&self) -> f64 {
         self.slope
--- a/crates/routing/src/pairing.rs
+++ b/crates/routing/src/pairing.rs
@@ -15,7 +15,7 @@
 const PREFILL_TOKENS_PER_STREAM: f64 = 400.0;
 /// The longest prefill of a decode server between the tokens of its streams, as a share of the longest gap between events
 /// that its route wants: each token waits for a part of the prefill, and an event for those of all its tokens.
-const MAX_LOCAL_PREFILL_SHARE: f64 = 0.25;
+const MAX_LOCAL_PREFILL_SHARE: f64 = 0.125;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 impl<R: RngCore> Router<R> {
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -91,17 +91,18 @@
         self.retry_budget(service).try_withdraw(now, proxy_count)
     }
 
-    /// Whether another server could take over a request: one that is neither in `avoid` nor ejected nor suspected runs
-    /// requests of the service, and a retry is left.
-    pub fn can_take_over(&mut self, now: Instant, service: &str, avoid: &[Rc<str>]) -> bool {
-        let proxy_count = self.proxy_count;
-        if !self.retry_budget(service).has_retry(now, proxy_count) {
-            return false;
-        }
+    /// Whether the service has a server for requests that is neither in `avoid` nor ejected nor suspected.
+    pub fn has_ready_server(&self, now: Instant, service: &str, avoid: &[Rc<str>]) -> bool {
         let ids = self.endpoints.ids(service, LoadKind::Decode).iter().filter(|id| !avoid.contains(id));
         ids.filter_map(|id| self.endpoints.get(id)).any(|endpoint| endpoint.is_ready(now))
     }
 
+    /// Whether a retry is left in the service's budget.
+    pub fn has_retry(&mut self, now: Instant, service: &str) -> bool {
+        let proxy_count = self.proxy_count;
+        self.retry_budget(service).has_retry(now, proxy_count)
+    }
+
     /// A random number from 0 to below 1.
     pub fn random_fraction(&mut self) -> f64 {
         f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
--- a/crates/routing/src/start_latency.rs
+++ b/crates/routing/src/start_latency.rs
@@ -6,7 +6,7 @@
 
 use mosshead_time::{Duration, Instant};
 
-use crate::linear_fit::{ABOVE_WEIGHT, LinearFit};
+use crate::linear_fit::LinearFit;
 use crate::prompt::Prompt;
 
 /// The latency of a prefill before the first one, in milliseconds for each token.
@@ -22,12 +22,7 @@
 /// A transfer may take this many times more or less for each token than at the start.
 const TRANSFER_SPEED_RANGE: f64 = 100.0;
 /// What a local prefill takes beside the computation before the first one, in milliseconds.
-const START_LOCAL_WAIT_MILLIS: f64 = 12.0;
-/// The weight of the newest observation in the wait of local prefills.
-const LOCAL_WAIT_GAIN: f64 = 0.1;
-/// An observed wait counts for at most this many times the mean, and this many milliseconds more.
-const MAX_WAIT_FACTOR: f64 = 3.0;
-const MAX_WAIT_SURPLUS_MILLIS: f64 = 30.0;
+const START_LOCAL_MILLIS: f64 = 12.0;
 /// A decode server prefills at half a prefill server's speed (PROTOCOL.md, Prefill and decode).
 const LOCAL_PREFILL_SLOWDOWN: f64 = 2.0;
 /// What was learned of a way that is not taken any more loses half of its weight in this time.
@@ -41,8 +36,8 @@
     /// A request with a handle until its first event, by all tokens of the prompt.
     handover: LinearFit,
     handover_observed_at: Instant,
-    /// A request that its decode server prefills until the first event, less the computation.
-    local_wait_millis: f64,
+    /// A request that its decode server prefills until the first event, by the tokens that are not cached.
+    local: LinearFit,
     local_observed_at: Instant,
 }
 
@@ -57,7 +52,12 @@
                 TRANSFER_SPEED_RANGE,
             ),
             handover_observed_at: Instant::ORIGIN,
-            local_wait_millis: START_LOCAL_WAIT_MILLIS,
+            local: LinearFit::new(
+                START_LOCAL_MILLIS,
+                LOCAL_PREFILL_SLOWDOWN * START_PREFILL_MILLIS_PER_TOKEN,
+                START_TOKENS,
+                PREFILL_SPEED_RANGE,
+            ),
             local_observed_at: Instant::ORIGIN,
         }
     }
@@ -77,29 +77,33 @@
 
     /// The first event has arrived of a request whose prompt the decode server has prefilled.
     pub(crate) fn observe_local_prefill(&mut self, now: Instant, prompt: &Prompt, latency: Duration) {
-        let wait = (millis(latency) - self.local_computation_millis(prompt.unshared_tokens())).max(0.0);
-        let wait = wait.min(MAX_WAIT_FACTOR * self.local_wait_millis + MAX_WAIT_SURPLUS_MILLIS);
-        let weight = if wait > self.local_wait_millis { ABOVE_WEIGHT } else { 1.0 };
-        self.local_wait_millis += LOCAL_WAIT_GAIN * weight * (wait - self.local_wait_millis);
+        self.local.observe(prompt.unshared_tokens(), millis(latency));
         self.local_observed_at = now;
     }
 
-    /// How long a decode server computes to prefill this many tokens, in milliseconds.
+    /// How long a decode server computes to prefill this many tokens, in milliseconds. Before it has been seen to do so, it is
+    /// told by the prefill servers.
     pub(crate) fn local_computation_millis(&self, tokens: f64) -> f64 {
-        LOCAL_PREFILL_SLOWDOWN * self.prefill.slope() * tokens
+        let slope = if self.local.is_established() {
+            self.local.slope()
+        } else {
+            LOCAL_PREFILL_SLOWDOWN * self.prefill.slope()
+        };
+        slope * tokens
     }
 
     /// Whether the stream is expected to start earlier where its decode server prefills the prompt, none of which that
     /// server may have cached.
     pub(crate) fn is_local_prefill_faster(&self, now: Instant, prompt: &Prompt) -> bool {
-        let local = self.local_wait(now) + self.local_computation_millis(prompt.tokens);
+        let local = self.local_fixed_millis(now) + self.local_computation_millis(prompt.tokens);
         let remote = self.prefill.predict(prompt.unshared_tokens()) + self.handover_millis(now, prompt);
         local < remote
     }
 
-    fn local_wait(&self, now: Instant) -> f64 {
+    /// What a local prefill takes beside the computation.
+    fn local_fixed_millis(&self, now: Instant) -> f64 {
         let trust = remaining_weight(now.duration_since(self.local_observed_at));
-        START_LOCAL_WAIT_MILLIS + trust * (self.local_wait_millis - START_LOCAL_WAIT_MILLIS)
+        START_LOCAL_MILLIS + trust * (self.local.predict(0.0) - START_LOCAL_MILLIS)
     }
 
     fn handover_millis(&self, now: Instant, prompt: &Prompt) -> f64 {
--- a/crates/stage-scheduler/src/demand.rs
+++ b/crates/stage-scheduler/src/demand.rs
@@ -6,9 +6,9 @@
 use mosshead_time::{Duration, Instant};
 
 /// Reports that are older say nothing any more.
-const REPORT_LIFETIME: Duration = Duration::from_secs(4);
+const REPORT_LIFETIME: Duration = Duration::from_secs(12);
 /// The time in which the estimate follows a change by about two thirds.
-const SMOOTHING_TIME: Duration = Duration::from_secs(8);
+const SMOOTHING_TIME: Duration = Duration::from_secs(4);
 /// What a waiting prompt adds to the utilization of a prefill server. It is below 1, since prompts with the same prefix also
 /// wait for one another where other servers are idle.
 const QUEUED_PREFILL_WEIGHT: f64 = 0.1;
--- a/crates/stage-scheduler/src/policy.rs
+++ b/crates/stage-scheduler/src/policy.rs
@@ -80,7 +80,7 @@
             start_slots_per_prefill_server: 16.0,
             min_utilization_to_rebalance: 0.6,
             share_hysteresis: 0.1,
-            demand_persistence: Duration::from_secs(4),
+            demand_persistence: Duration::from_secs(6),
             max_share_step: 0.1,
             share_settling_time: Duration::from_secs(6),
             min_decode_servers: 2,
--- a/crates/stage-scheduler/src/scheduler.rs
+++ b/crates/stage-scheduler/src/scheduler.rs
@@ -28,6 +28,12 @@
     Unknown,
 }
 
+/// All servers are asked for a report in about this many rounds. Each call is priced as a health check.
+const QUERY_ROUNDS: usize = 8;
+/// The fewest and the most servers that are asked in one round.
+const MIN_QUERIES_AT_ONCE: usize = 2;
+const MAX_QUERIES_AT_ONCE: usize = 24;
+
 /// The stage scheduler of one primary.
 #[derive(Clone, Debug)]
 pub struct StageScheduler {
@@ -131,16 +137,13 @@
         self.demand.record_report(now, instance_id, load);
     }
 
-    /// Ids of the servers whose report is missing or the oldest, at most `max_count`, to be asked for a new one.
-    pub fn servers_to_query<'a>(
-        &self,
-        servers: impl Iterator<Item = &'a Server>,
-        max_count: usize,
-    ) -> Vec<&'a Server> {
+    /// The servers that are to be asked for a report now, if this is called once a second: those whose last one is missing or
+    /// the oldest.
+    pub fn servers_to_query<'a>(&self, servers: impl Iterator<Item = &'a Server>) -> Vec<&'a Server> {
         let mut queried: Vec<&Server> =
             servers.filter(|server| server.state == OperState::Up && server.stage.is_some()).collect();
         queried.sort_by_key(|server| self.demand.reported_at(&server.id));
-        queried.truncate(max_count);
+        queried.truncate((queried.len() / QUERY_ROUNDS).clamp(MIN_QUERIES_AT_ONCE, MAX_QUERIES_AT_ONCE));
         queried
     }
 
