--- a/crates/data-plane/src/data_plane.rs
+++ b/crates/data-plane/src/data_plane.rs
@@ -8,7 +8,7 @@
 use mosshead_config::Config;
 use mosshead_http_links::CountGuard;
 use mosshead_registry::Server;
-use mosshead_routing::{Router, RoutingWeights, ServerFailure};
+use mosshead_routing::{LearnedLatencies, Router, RoutingWeights, ServerFailure};
 use mosshead_time::{Duration, Instant};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -139,6 +139,12 @@
         (share as usize).max(MIN_CONNECTIONS)
     }
 
+    /// What was learned of each service with prompts, by its name.
+    pub fn learned_latencies(&self) -> Vec<(String, LearnedLatencies)> {
+        let router = self.router.borrow();
+        router.learned_latencies(self.now()).map(|(service, learned)| (service.to_owned(), learned)).collect()
+    }
+
     /// Whether the proxy may get new clients: it is not draining, a configuration is in force, and at least one of its
     /// services has a server.
     pub fn is_ready(&self) -> bool {
--- a/crates/programs/src/proxy/status.rs
+++ b/crates/programs/src/proxy/status.rs
@@ -2,6 +2,7 @@
 
 use mosshead_data_plane::{DataPlane, Frontend};
 use mosshead_registry::Registry;
+use tinyjson::JsonValue;
 
 use super::sink::DataPlaneSink;
 use crate::gossip::Gossip;
@@ -25,7 +26,7 @@
         concat!(
             "{{\"ready\":{},\"revision\":{},\"routes\":{},\"servers\":{},\"core_heard_s\":{:.3},\"cores\":{},",
             "\"proxies\":{},\"connections\":{},\"open\":{},\"requests\":{},\"served\":{},\"refused\":{},",
-            "\"failed\":{},\"resumed\":{},\"handed_over\":{},\"freed\":{}}}"
+            "\"failed\":{},\"resumed\":{},\"handed_over\":{},\"freed\":{},\"learned\":{}}}"
         ),
         data_plane.is_ready(),
         config.as_ref().map_or(0, |config| config.revision()),
@@ -43,5 +44,30 @@
         counters.resumed.get(),
         counters.handed_over.get(),
         counters.freed_handles.get(),
+        learned(data_plane),
     )
 }
+
+/// What was learned of each service, as a JSON object.
+fn learned(data_plane: &DataPlane) -> String {
+    let services: Vec<String> = data_plane
+        .learned_latencies()
+        .into_iter()
+        .filter_map(|(service, learned)| Some((JsonValue::String(service).stringify().ok()?, learned)))
+        .map(|(service, learned)| {
+            format!(
+                concat!(
+                    "{}:{{\"prefill_ms\":{:.1},\"prefill_ms_per_token\":{:.5},\"handover_ms\":{:.1},",
+                    "\"local_ms\":{:.1},\"local_ms_per_token\":{:.5}}}"
+                ),
+                service,
+                learned.prefill_fixed_millis,
+                learned.prefill_millis_per_token,
+                learned.handover_millis,
+                learned.local_fixed_millis,
+                learned.local_millis_per_token,
+            )
+        })
+        .collect();
+    format!("{{{}}}", services.join(","))
+}
--- a/crates/programs/tests/processes.rs
+++ b/crates/programs/tests/processes.rs
@@ -25,7 +25,7 @@
 /// Operators' tools read these keys, so that they keep their names.
 const CONTROL_KEYS: [&str; 9] =
     ["primary", "primary_at", "round", "members", "in_touch", "revision", "servers", "proxies", "log_bytes"];
-const ROUTER_KEYS: [&str; 16] = [
+const ROUTER_KEYS: [&str; 17] = [
     "ready",
     "revision",
     "routes",
@@ -42,6 +42,7 @@
     "resumed",
     "handed_over",
     "freed",
+    "learned",
 ];
 
 /// Each machine has an address of its own, as in a fleet.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -31,4 +31,5 @@
 pub use prompt::{Prompt, PromptPart, ServerPair};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use router::Router;
+pub use start_latency::LearnedLatencies;
 pub use weights::RoutingWeights;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -13,7 +13,7 @@
 use crate::outlier::ServerFailure;
 use crate::prompt::Prompt;
 use crate::retry_budget::RetryBudget;
-use crate::start_latency::StartLatency;
+use crate::start_latency::{LearnedLatencies, StartLatency};
 use crate::weights::RoutingWeights;
 
 /// The mean tokens of a prefill before the first one.
@@ -183,6 +183,11 @@
         self.start_latencies.get(service).cloned().unwrap_or_default()
     }
 
+    /// What was learned of each service with prompts.
+    pub fn learned_latencies(&self, now: Instant) -> impl Iterator<Item = (&str, LearnedLatencies)> {
+        self.start_latencies.iter().map(move |(service, latency)| (service.as_str(), latency.learned(now)))
+    }
+
     /// A prefill server of the service has returned the handle of the prompt.
     pub fn record_prefill_latency(&mut self, service: &str, prompt: &Prompt, latency: Duration) {
         self.start_latency_mut(service).observe_prefill(prompt.unshared_tokens(), latency);
--- a/crates/routing/src/start_latency.rs
+++ b/crates/routing/src/start_latency.rs
@@ -28,6 +28,21 @@
 /// What was learned of a way that is not taken any more loses half of its weight in this time.
 const HALF_LIFE: Duration = Duration::from_secs(4);
 
+/// What a proxy has learned of one service, as operators see it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LearnedLatencies {
+    /// A prefill beside its tokens, in milliseconds.
+    pub prefill_fixed_millis: f64,
+    /// A prefill's further time for each token.
+    pub prefill_millis_per_token: f64,
+    /// A handover until the first event of a prompt without tokens, in milliseconds.
+    pub handover_millis: f64,
+    /// A local prefill beside its tokens, in milliseconds.
+    pub local_fixed_millis: f64,
+    /// A local prefill's further time for each token.
+    pub local_millis_per_token: f64,
+}
+
 /// The latencies of one service.
 #[derive(Clone, Debug)]
 pub(crate) struct StartLatency {
@@ -81,6 +96,17 @@
         self.local_observed_at = now;
     }
 
+    /// The estimates at this instant.
+    pub(crate) fn learned(&self, now: Instant) -> LearnedLatencies {
+        LearnedLatencies {
+            prefill_fixed_millis: self.prefill.predict(0.0),
+            prefill_millis_per_token: self.prefill.slope(),
+            handover_millis: self.handover_millis(now, &Prompt::default()),
+            local_fixed_millis: self.local_fixed_millis(now),
+            local_millis_per_token: self.local_computation_millis(1.0),
+        }
+    }
+
     /// How long a decode server computes to prefill this many tokens, in milliseconds. Before it has been seen to do so, it is
     /// told by the prefill servers.
     pub(crate) fn local_computation_millis(&self, tokens: f64) -> f64 {
