--- a/crates/proxy/tests/fleet.rs
+++ b/crates/proxy/tests/fleet.rs
@@ -48,6 +48,12 @@
 
 /// Plays a scenario with processes of the program, whose command begins with `launcher`, until the machine was on time.
 fn play(name: &str, text: &str, launcher: &[&str]) -> FleetDay {
+    play_until(name, text, launcher, |_| true)
+}
+
+/// The same, where the test also measures something: a day on which that does not hold (`holds`) tells nothing of the program
+/// either if the machine was later than the slack of the rules. On a machine that is on time the first day decides.
+fn play_until(name: &str, text: &str, launcher: &[&str], holds: impl Fn(&FleetDay) -> bool) -> FleetDay {
     let scenario = Scenario::read(text).expect("the scenario is valid");
     let program = [env!("CARGO_BIN_EXE_mosshead"), "serve"];
     let command = launcher.iter().chain(&program).map(|argument| (*argument).to_owned()).collect();
@@ -60,7 +66,8 @@
         let day = play_fleet_day(&scenario, &options, |_, _| {}).expect("the day is played");
         let lateness = day.emulated.lateness;
         // A violation may be the machine's doing where it was later than the slack of the rules.
-        if !day.emulated.is_void && (day.emulated.day.is_clean || lateness.max_ms <= grace_ms) {
+        let is_good = day.emulated.day.is_clean && holds(&day);
+        if !day.emulated.is_void && (is_good || lateness.max_ms <= grace_ms) {
             return day;
         }
         eprintln!("{name}: void, {lateness:?}");
@@ -73,7 +80,12 @@
 
 /// Plays a scenario on which no rule and no invariant may be violated.
 fn play_clean(name: &str, text: &str) -> FleetDay {
-    let day = play(name, text, &[]);
+    play_clean_until(name, text, |_| true)
+}
+
+/// The same, where the test also measures something ([`play_until`]).
+fn play_clean_until(name: &str, text: &str, holds: impl Fn(&FleetDay) -> bool) -> FleetDay {
+    let day = play_until(name, text, &[], holds);
     assert!(day.emulated.day.is_clean, "{name}: {:?}", day.emulated.day.violations);
     assert_eq!(day.link_violations, [], "{name}");
     day
@@ -143,9 +155,13 @@
 #[test]
 fn proxies_that_restart_amid_a_congestion_start_with_low_concurrency_limits() {
     let (name, text) = scenario!("back-jam");
-    let recovery = play_clean(name, text).recoveries.pop().expect("the proxies recover");
-    // 2.3 in the median of four seeds and 2.5 at most.
-    assert!(recovery.peaks.server_load < 3.0, "{} times what a server can do", recovery.peaks.server_load);
+    // 2.3 in the median of four seeds and 2.5 at most; up to 3.1 beside busy processes, which make servers late.
+    let is_low = |peak: f64| peak < 3.0;
+    let day = play_clean_until(name, text, |day| {
+        day.recoveries.last().is_some_and(|recovery| is_low(recovery.peaks.server_load))
+    });
+    let recovery = day.recoveries.last().expect("the proxies recover");
+    assert!(is_low(recovery.peaks.server_load), "{} times what a server can do", recovery.peaks.server_load);
 }
 
 /// The mutant that the invariant on former drains has to catch: the same program without a folder for stored state, so that
