Acknowledge a server's shutdown once f + 1 disks hold it

Cause: an acknowledged drain or deregistration stood in the memory of f + 1 control nodes. A loss of all power right after it brought the server back as ready, and the server, which ends or serves on unasked, need not say it again. Brought about in virtual time (fleet/scenarios.rs, lost_power: the former behaviour is found as the fault acknowledge_unsynced). With fewer members than replicas the number of copies was lowered down to none.

Change: the registry's log knows which entries are durable (control-plane DurableEntries; failed writes are queued again, which they were not). PersistEntries is answered once the receiver's disk has the entries; the own disk counts like any other member's; a decision after 800 ms at most. With fewer members than f + 1 nothing is acknowledged: the test fewer_replicas_suffice_only_with_fewer_members said the opposite and is replaced by fewer_members_than_replicas_acknowledge_nothing; the other tests of acknowledgements record the own disk as a reply. A model found that a rewrite of the log could drop a durable shutdown that an entry above a gap had superseded in memory: no rewrite happens meanwhile.

--- a/crates/control-plane/src/acknowledgement.rs
+++ b/crates/control-plane/src/acknowledgement.rs
@@ -2,7 +2,8 @@
 //! `draining`, or by its deregistration.
 //!
 //! Invariant *shutdowns survive failures*: a shutdown is acknowledged only by a control node with quorum contact, and
-//! only when so many members have the entry that it outlives as many failures as the deployment tolerates at once.
+//! only when so many members have the entry on their disks that it outlives as many failures as the deployment tolerates
+//! at once, and a loss of power at all others.
 
 use core::net::SocketAddrV4;
 use std::collections::BTreeSet;
@@ -45,14 +46,26 @@
 /// The control nodes that may store an entry, and how many failures it has to survive.
 #[derive(Clone, Debug)]
 pub struct ReplicaSet {
-    /// The control node that received the server's call.
-    pub local_address: SocketAddrV4,
     /// The members by the newest epoch configuration that this node knows.
     pub members: Vec<SocketAddrV4>,
     /// How many members may fail at once.
     pub tolerated_failures: usize,
 }
 
+impl ReplicaSet {
+    /// How many members have to store an entry durably. There are always as many members, or the failures to survive
+    /// have happened already and nothing is acknowledged.
+    ///
+    /// Where no failure has to be survived, a second member stores it if there is one, so that proxies learn of it while
+    /// the first one restarts.
+    fn needed_replicas(&self) -> usize {
+        match self.tolerated_failures {
+            0 => self.members.len().clamp(1, 2),
+            failures => failures + 1,
+        }
+    }
+}
+
 /// Whether a shutdown is acknowledged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AcknowledgementDecision {
@@ -64,38 +77,31 @@
     Reject,
 }
 
-/// The progress of the replication of one entry to the other members.
+/// The progress of the replication of one entry to the disks of the members.
 #[derive(Clone, Debug)]
 pub struct EntryReplication {
     entry: EntryVersion,
-    /// How many other members have to store the entry; at most as many as there are.
+    /// How many members have to store the entry.
     needed: usize,
     /// Members that have not responded yet.
     pending: BTreeSet<SocketAddrV4>,
-    /// Members that store the entry; disjoint from `pending`.
+    /// Members that store the entry durably; disjoint from `pending`.
     replicas: BTreeSet<SocketAddrV4>,
     injected_fault: Option<InjectedFault>,
 }
 
 impl EntryReplication {
-    /// No other member is known to store the entry yet.
+    /// No member is known to store the entry yet.
     pub fn new(
         entry: EntryVersion,
         replica_set: &ReplicaSet,
         injected_fault: Option<InjectedFault>,
     ) -> EntryReplication {
-        let local_address = replica_set.local_address;
-        let mut pending: BTreeSet<SocketAddrV4> = replica_set.members.iter().copied().collect();
-        let is_member = pending.remove(&local_address);
-        // A node that is no member may fail beside the tolerated members, so its own copy does not count.
-        let wanted = if has_fault(injected_fault, InjectedFault::AcknowledgeAfterOneReplica) {
-            1
-        } else if is_member {
-            replica_set.tolerated_failures.max(1)
-        } else {
-            replica_set.tolerated_failures + 1
+        let pending: BTreeSet<SocketAddrV4> = replica_set.members.iter().copied().collect();
+        let needed = match has_fault(injected_fault, InjectedFault::AcknowledgeAfterOneReplica) {
+            true => 2,
+            false => replica_set.needed_replicas(),
         };
-        let needed = wanted.min(pending.len());
         EntryReplication { entry, needed, pending, replicas: BTreeSet::new(), injected_fault }
     }
 
@@ -104,9 +110,9 @@
         self.entry
     }
 
-    /// Records the vector in the response of a control node; `None` if the call to it has failed.
-    pub fn record_reply(&mut self, from: SocketAddrV4, vector: Option<&VersionVector>) {
-        let has_entry = vector.is_some_and(|vector| self.entry.is_covered_by(vector));
+    /// Records up to where a control node, maybe this one, has the registry on its disk; `None` if that is not known.
+    pub fn record_reply(&mut self, from: SocketAddrV4, durable: Option<&VersionVector>) {
+        let has_entry = durable.is_some_and(|durable| self.entry.is_covered_by(durable));
         if self.pending.remove(&from) && has_entry {
             self.replicas.insert(from);
         }
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -2,13 +2,15 @@
 //!
 //! The programs carry these decisions out: [`ChangeAdmission`] decides on the response to an operator's change,
 //! [`ConfigHistory`] which configuration a control node offers, [`ControlNodePool`] which control nodes a proxy watches
-//! and whose configuration it fetches, and [`ShutdownAcknowledgements`] when a server that shuts down is acknowledged.
+//! and whose configuration it fetches, [`ShutdownAcknowledgements`] when a server that shuts down is acknowledged, and
+//! [`DurableEntries`] which registry entries a node has on its disk.
 
 mod acknowledgement;
 mod admission;
 mod config_history;
 mod config_offer;
 mod control_node_pool;
+mod durable_entries;
 mod injected_fault;
 mod quorum_contact;
 mod response;
@@ -23,6 +25,7 @@
 pub use config_history::ConfigHistory;
 pub use config_offer::{AssembledConfig, ConfigOffer, assemble_config};
 pub use control_node_pool::{ControlNodePool, WatchSession};
+pub use durable_entries::{DurableEntries, RegistryRecord};
 #[doc(hidden)]
 pub use injected_fault::InjectedFault;
 pub use quorum_contact::QuorumContact;
--- a/crates/control-plane/tests/fleet/fault_actions.rs
+++ b/crates/control-plane/tests/fleet/fault_actions.rs
@@ -38,6 +38,10 @@
         only: Option<usize>,
         shutdown: Option<AcknowledgedShutdown>,
     },
+    /// All control nodes and proxies lose their power when a server's shutdown is acknowledged, and the server ends.
+    LoseAllPower {
+        shutdown: Option<AcknowledgedShutdown>,
+    },
 }
 
 /// A server's shutdown at the moment of its acknowledgement.
@@ -61,6 +65,9 @@
                 only,
                 shutdown: Some(AcknowledgedShutdown { control_node, server, id: id.to_owned() }),
             },
+            FaultAction::LoseAllPower { .. } => FaultAction::LoseAllPower {
+                shutdown: Some(AcknowledgedShutdown { control_node, server, id: id.to_owned() }),
+            },
             other => other,
         }
     }
@@ -247,6 +254,17 @@
                 self.stop_and_restart(&control_nodes, loss, restart_after);
             }
             FaultAction::LoseReplicas { shutdown, .. } => self.lose_replicas(shutdown),
+            FaultAction::LoseAllPower { shutdown } => self.lose_all_power(shutdown),
+        }
+    }
+
+    fn lose_all_power(&mut self, shutdown: Option<AcknowledgedShutdown>) {
+        let Some(AcknowledgedShutdown { server, id, .. }) = shutdown else { return };
+        self.end_server(server, &id);
+        self.lose_power();
+        let seeds: Vec<_> = (0..3).map(control_node_address).collect();
+        for proxy in 0..self.proxies.len() {
+            self.start_proxy(proxy, &seeds);
         }
     }
 
--- a/crates/control-plane/tests/fleet/server.rs
+++ b/crates/control-plane/tests/fleet/server.rs
@@ -11,6 +11,7 @@
 use crate::checker::{AcknowledgedServer, MAX_ISOLATION};
 use crate::control_node::HEARTBEAT_INTERVAL;
 use crate::messages::{Call, Packet, Party, Purpose, ReplyTo, Response};
+use crate::proxy::Proxy;
 use crate::simulation::{Event, Simulation};
 
 const TICK_INTERVAL: Duration = millis(100);
@@ -250,6 +251,24 @@
         }
     }
 
+    /// Checks that no proxy takes a server for ready whose shutdown was acknowledged a while ago, whatever has failed since.
+    pub(crate) fn check_acknowledged_shutdowns(&self) -> Result<(), String> {
+        let known_since = self.now() - SHUTDOWN_BOUND;
+        let is_due = |shutdown: &&AcknowledgedServer| shutdown.acknowledged_at <= known_since;
+        for AcknowledgedServer { server, acknowledged_at } in self.checker.shutdowns.iter().filter(is_due) {
+            let is_ready = |proxy: &Proxy| {
+                proxy.registry.get(server).is_some_and(|server| server.state < OperState::Draining)
+            };
+            if let Some(index) = self.proxies.iter().position(is_ready) {
+                self.trace(|| self.describe_entries(server));
+                return Err(format!(
+                    "lost shutdown: {server} was acknowledged at {acknowledged_at}, and is ready for proxy {index}"
+                ));
+            }
+        }
+        Ok(())
+    }
+
     /// What each process knows about a server.
     fn describe_entries(&self, id: &str) -> String {
         let entry = |registry: &Registry| {
--- a/crates/control-plane/tests/fleet/simulation.rs
+++ b/crates/control-plane/tests/fleet/simulation.rs
@@ -41,6 +41,10 @@
         control_node: usize,
         incarnation: u64,
     },
+    RegistryWrite {
+        control_node: usize,
+        incarnation: u64,
+    },
     ProxySlot {
         proxy: usize,
         incarnation: u64,
@@ -67,6 +71,8 @@
     pub(crate) consensus: Option<ConsensusFault>,
     /// The primary is taken from the role alone, whatever its lease.
     pub(crate) primary_by_role: bool,
+    /// A control node counts an entry as durable that is in its memory only.
+    pub(crate) acknowledge_unsynced: bool,
     /// Stage assignments bear the same fencing token under each term.
     pub(crate) token_without_term: bool,
 }
@@ -85,6 +91,8 @@
     /// What happens right after the next acknowledgement of a change, or of a shutdown.
     pub(crate) after_change: Option<FaultAction>,
     pub(crate) after_shutdown: Option<FaultAction>,
+    /// How many times longer than usual the writes of the registry's log take.
+    pub(crate) registry_write_factor: u32,
     /// The parties on the smaller side of a partition.
     pub(crate) partitioned: BTreeSet<Party>,
     is_traced: bool,
@@ -108,6 +116,7 @@
             faults,
             after_change: None,
             after_shutdown: None,
+            registry_write_factor: 1,
             partitioned: BTreeSet::new(),
             is_traced: std::env::var("FLEET_TRACE").is_ok(),
         };
@@ -165,6 +174,9 @@
                 self.on_control_node_timer(control_node, incarnation);
             }
             Event::DiskWrite { control_node, incarnation } => self.on_disk_write(control_node, incarnation),
+            Event::RegistryWrite { control_node, incarnation } => {
+                self.on_registry_write(control_node, incarnation);
+            }
             Event::ProxySlot { proxy, incarnation, watch_slot } => {
                 self.on_proxy_timer(proxy, incarnation, watch_slot);
             }
--- a/crates/programs/src/calls.rs
+++ b/crates/programs/src/calls.rs
@@ -92,8 +92,9 @@
     type Response = ConfigChunk;
 }
 
-/// Sends registry entries that the receiver should have: those that must be replicated before a server gets its
-/// acknowledgement, or all of them to a control node that lacks entries after its restart.
+/// Sends registry entries that the receiver should have: all of them to a control node that lacks entries after its
+/// restart. Control nodes of earlier releases also send those that must be replicated before a server gets its
+/// acknowledgement.
 #[derive(Clone, Debug, Encode, Decode)]
 pub struct ReplicateEntries {
     /// Complete above its base vector, so that the receiver can merge it into what it has.
@@ -118,6 +119,34 @@
     type Response = ReplicateAck;
 }
 
+/// Sends registry entries that must be on the receiver's disk before a server gets its acknowledgement.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct PersistEntries {
+    /// As with [`ReplicateEntries`].
+    #[n(0)]
+    pub delta: Delta,
+    /// How long the receiver waits for its disk, in milliseconds on the wire. The receiver may wait less.
+    #[cbor(n(1), with = "mosshead_time::duration_millis")]
+    pub wait: Duration,
+}
+
+/// The receiver of [`PersistEntries`] has merged the entries, and has waited for its disk.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct PersistAck {
+    /// Up to which version of each source the receiver has the entries now.
+    #[n(0)]
+    pub vector: VersionVector,
+    /// Up to which version of each source all entries in force are on its disk.
+    #[n(1)]
+    pub durable: VersionVector,
+}
+
+impl Call for PersistEntries {
+    const NAME: &'static str = "Persist";
+    const RETRY_POLICY: RetryPolicy = RetryPolicy::Always;
+    type Response = PersistAck;
+}
+
 /// Reports which servers still send heartbeats to a control node, so that other control nodes don't time them out.
 #[derive(Clone, Debug, Encode, Decode)]
 pub struct CompareHeartbeats {
--- a/crates/programs/src/control_node/handlers.rs
+++ b/crates/programs/src/control_node/handlers.rs
@@ -5,21 +5,27 @@
 use mosshead_consensus::Input;
 use mosshead_registry::{SourceId, VersionVector};
 use mosshead_rpc::Handlers;
+use mosshead_time::Duration;
+use tokio::time::Instant;
 
 use super::consensus_host::ConsensusHost;
 use super::registry_host::RegistryHost;
 use super::update_service::UpdateService;
 use crate::calls::{
-    CompareHeartbeats, ConsensusMessage, FetchConfig, ReplicateAck, ReplicateEntries, WatchUpdates,
+    CompareHeartbeats, ConsensusMessage, FetchConfig, PersistAck, PersistEntries, ReplicateAck,
+    ReplicateEntries, WatchUpdates,
 };
 
+/// The longest wait for the disk, whatever the caller requests.
+const MAX_PERSIST_WAIT: Duration = Duration::from_millis(1_000);
+
 /// The handlers of a control node, each for the part that it calls.
 pub(super) fn handlers(
     consensus: Rc<ConsensusHost>,
     registry: Rc<RegistryHost>,
     updates: Rc<UpdateService>,
 ) -> Handlers {
-    let (compared, fetched) = (registry.clone(), updates.clone());
+    let (compared, persisted, fetched) = (registry.clone(), registry.clone(), updates.clone());
     Handlers::new()
         .with_handler::<WatchUpdates>(async move |call, _| Ok(updates.clone().watch_updates(call).await))
         .with_handler::<FetchConfig>(async move |call, _| Ok(fetched.fetch_config(call.0)))
@@ -27,6 +33,12 @@
             let changed = registry.merge(call.delta);
             Ok(ReplicateAck { changed, vector: registry.vector() })
         })
+        .with_handler::<PersistEntries>(async move |call, _| {
+            persisted.merge(call.delta);
+            let deadline = Instant::now() + call.wait.min(MAX_PERSIST_WAIT);
+            let durable = persisted.persist_until(deadline).await;
+            Ok(PersistAck { vector: persisted.vector(), durable })
+        })
         .with_handler::<CompareHeartbeats>(async move |call, _| {
             compared.record_remote_heartbeats(SourceId(call.source), &call.heartbeats);
             Ok(ReplicateAck { changed: false, vector: VersionVector::default() })
--- a/crates/programs/src/control_node/node.rs
+++ b/crates/programs/src/control_node/node.rs
@@ -23,7 +23,7 @@
 use super::peer_followers::PeerFollowers;
 use super::registration::Registration;
 use super::registry_host::RegistryHost;
-use super::registry_storage::restore_registry;
+use super::registry_storage::run_registry_log;
 use super::stage_role::StageRole;
 use super::status::status;
 use super::update_service::{UpdateService, UpdateSources};
@@ -95,7 +95,7 @@
         let (consensus, registry) = (&self.consensus, &self.registry);
         tasks.spawn_local(self.peer_exchange.clone().exchange_heartbeats());
         tasks.spawn_local(self.stage_role().run());
-        tasks.spawn_local(restore_registry(registry.clone(), data_directory.clone()));
+        tasks.spawn_local(run_registry_log(registry.clone(), data_directory.clone()));
         let settings = consensus_settings(&self.settings);
         tasks.spawn_local(run_consensus(consensus.clone(), settings, data_directory, seed));
     }
--- a/crates/programs/src/control_node/registration.rs
+++ b/crates/programs/src/control_node/registration.rs
@@ -10,22 +10,25 @@
 use mosshead_rpc::{Caller, Transport};
 use mosshead_time::Duration;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::consensus_host::ConsensusHost;
 use super::directory::ControlNodeDirectory;
 use super::registry_host::RegistryHost;
-use crate::calls::ReplicateEntries;
+use crate::calls::{PersistAck, PersistEntries};
 
-/// The timeout of a call that replicates an entry; a control node that has not responded by then counts as without it.
-const REPLICATION_TIMEOUT: Duration = Duration::from_millis(350);
+/// A shutdown that is not acknowledged within this time is rejected: the server listens for a second.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(800);
+/// A control node that waits for its disk responds this long before the time at which the response is needed.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(50);
 /// Entries that are sent with one call, at most.
 const MAX_ENTRIES_PER_CALL: usize = 400;
 
-/// The outcome of sending an entry to a peer.
+/// What a control node, maybe this one, has on its disk after it got an entry.
 struct ReplicationReply {
-    peer: SocketAddrV4,
-    /// Up to which version of each source the peer then has the entries; `None` if it has not responded.
-    vector: Option<VersionVector>,
+    control_node: SocketAddrV4,
+    /// Up to which version of each source the entries are durable there; `None` if it has not responded.
+    durable: Option<VersionVector>,
 }
 
 /// Registers model servers by their heartbeats, and replicates what has to be on other control nodes first.
@@ -82,14 +85,14 @@
         }
     }
 
-    /// Replicates the entry of a draining server until enough control nodes have it, or can't any more. Whether it may
-    /// be acknowledged.
+    /// Replicates the entry of a draining server until enough control nodes have it on their disks, or can't any more.
+    /// Whether it may be acknowledged.
     ///
-    /// A server ends once it is acknowledged. If all control nodes that have the entry were lost then, proxies would
-    /// continue sending requests to it.
+    /// A server ends once it is acknowledged, and need not say so again. If all control nodes that have the entry were
+    /// lost then, or lost their power before their disks had it, proxies would continue sending requests to the server.
     async fn replicate_until_decided(self: &Rc<Self>, mut replication: EntryReplication) -> bool {
         let entry = replication.entry();
-        let mut replies = self.replicate_to_peers(entry);
+        let mut replies = self.replicate_to_all(entry);
         loop {
             match replication.decision(self.consensus.quorum_contact()) {
                 AcknowledgementDecision::Acknowledge => {
@@ -100,45 +103,56 @@
                 AcknowledgementDecision::Wait => {}
             }
             let Some(reply) = replies.recv().await else { return false };
-            replication.record_reply(reply.peer, reply.vector.as_ref());
+            replication.record_reply(reply.control_node, reply.durable.as_ref());
         }
     }
 
-    /// Sends an entry to all peers. The tasks continue when enough have responded, so that the others get it too.
-    fn replicate_to_peers(self: &Rc<Self>, entry: EntryVersion) -> mpsc::UnboundedReceiver<ReplicationReply> {
+    /// Has an entry written here, and sends it to all peers. The tasks continue when enough have responded, so that the
+    /// others get it too.
+    fn replicate_to_all(self: &Rc<Self>, entry: EntryVersion) -> mpsc::UnboundedReceiver<ReplicationReply> {
+        let deadline = Instant::now() + ACKNOWLEDGEMENT_TIMEOUT;
         let (sender, receiver) = mpsc::unbounded_channel();
         for peer in self.directory.peers() {
             let (registration, sender) = (self.clone(), sender.clone());
             tokio::task::spawn_local(async move {
-                let vector = registration.replicate_entry(peer, entry).await;
-                let _ = sender.send(ReplicationReply { peer, vector });
+                let durable = registration.replicate_entry(peer, entry, deadline).await;
+                let _ = sender.send(ReplicationReply { control_node: peer, durable });
             });
         }
+        let registration = self.clone();
+        tokio::task::spawn_local(async move {
+            let durable = Some(registration.registry.persist_until(deadline).await);
+            let control_node = registration.directory.local_address();
+            let _ = sender.send(ReplicationReply { control_node, durable });
+        });
         receiver
     }
 
-    /// Sends an entry to a peer. The peer's vector after that, if it has responded.
-    async fn replicate_entry(&self, peer: SocketAddrV4, entry: EntryVersion) -> Option<VersionVector> {
-        let vector = self.replicate(peer, self.registry.latest_entries()).await?;
-        if entry.is_covered_by(&vector) {
-            return Some(vector);
+    /// Sends an entry to a peer. Up to where the peer has the registry on its disk after that, if it has responded.
+    async fn replicate_entry(
+        &self,
+        peer: SocketAddrV4,
+        entry: EntryVersion,
+        deadline: Instant,
+    ) -> Option<VersionVector> {
+        let ack = self.replicate(peer, self.registry.latest_entries(), deadline).await?;
+        if entry.is_covered_by(&ack.vector) {
+            return Some(ack.durable);
         }
         // The entry was made by another source, or the peer lacks entries before it.
-        let missing = self.registry.missing_entries(&vector, MAX_ENTRIES_PER_CALL);
-        self.replicate(peer, missing).await
+        let missing = self.registry.missing_entries(&ack.vector, MAX_ENTRIES_PER_CALL);
+        Some(self.replicate(peer, missing, deadline).await?.durable)
     }
 
-    async fn replicate(&self, peer: SocketAddrV4, delta: Delta) -> Option<VersionVector> {
-        let ack = self.caller.call(peer, &ReplicateEntries { delta }, REPLICATION_TIMEOUT).await.ok()?;
+    async fn replicate(&self, peer: SocketAddrV4, delta: Delta, deadline: Instant) -> Option<PersistAck> {
+        let timeout = deadline.saturating_duration_since(Instant::now());
+        let call = PersistEntries { delta, wait: timeout.saturating_sub(RESPONSE_MARGIN) };
+        let ack = self.caller.call(peer, &call, timeout).await.ok()?;
         self.registry.mark_replicated(&ack.vector);
-        Some(ack.vector)
+        Some(ack)
     }
 
     fn replica_set(&self) -> ReplicaSet {
-        ReplicaSet {
-            local_address: self.directory.local_address(),
-            members: self.consensus.members(),
-            tolerated_failures: self.tolerated_failures,
-        }
+        ReplicaSet { members: self.consensus.members(), tolerated_failures: self.tolerated_failures }
     }
 }
--- a/crates/programs/src/control_node/registry_host.rs
+++ b/crates/programs/src/control_node/registry_host.rs
@@ -7,12 +7,13 @@
 use mosshead_control_plane::{
     EntryVersion, QuorumContact, ReplicaSet, ShutdownAcknowledgements, ShutdownStep, latest_local_entries,
 };
-use mosshead_record_log::LogWriter;
+use mosshead_record_log::{LogWriter, WriteCompletion};
 use mosshead_registry::{
     Delta, HeartbeatOutcome, ReceivedHeartbeat, RegistrationError, Registry, Server, SourceId, VersionVector,
 };
 use mosshead_stage_scheduler::{ServerLoad, StageAssignment, StageScheduler};
 use mosshead_time::{Duration, Instant};
+use tokio::time::timeout_at;
 
 use super::change_notifier::ChangeNotifier;
 use super::registry_log::RegistryLog;
@@ -124,6 +125,8 @@
     /// Lets time pass, in which servers may time out.
     pub(super) fn tick(&self) {
         let changed = self.registry.borrow_mut().tick(self.now());
+        // A reset of the vector must not go unnoticed by the log.
+        self.persist();
         self.notify_if(changed);
     }
 
@@ -132,6 +135,32 @@
         self.log.persist(&self.registry.borrow());
     }
 
+    /// Records the completion of a write of the log.
+    pub(super) fn on_write_completed(&self, completion: WriteCompletion) {
+        self.log.complete(completion);
+    }
+
+    /// Queues what is new for the disk, and waits until it is there, at most until the deadline. The wait ends early where a
+    /// write has failed, or entries are missing that would have to be written too. Returns up to where the registry is
+    /// durable then.
+    pub(super) async fn persist_until(&self, deadline: tokio::time::Instant) -> VersionVector {
+        let wanted = self.vector();
+        let mut completions = self.log.completions().subscribe();
+        self.persist();
+        loop {
+            completions.mark_unchanged();
+            let durable = self.log.durable();
+            if wanted.is_covered_by(&durable) || !self.log.is_writing() {
+                return durable;
+            }
+            let is_completed = timeout_at(deadline, completions.changed()).await.is_ok();
+            if !is_completed || self.log.has_failed() {
+                return self.log.durable();
+            }
+            self.persist();
+        }
+    }
+
     /// Whether a server's heartbeat or deregistration may be acknowledged, or must be replicated first.
     pub(super) fn start_acknowledgement(
         &self,
--- a/crates/registry/src/registry/anti_entropy.rs
+++ b/crates/registry/src/registry/anti_entropy.rs
@@ -22,6 +22,11 @@
         theirs.iter().any(|(id, version)| id != self.local_id && version > self.sources.known_version(id))
     }
 
+    /// Whether an entry in force lies above the known version of its source: it is in no delta yet.
+    pub fn has_entries_above_known_versions(&self) -> bool {
+        self.sources.has_entries_above_known_versions()
+    }
+
     /// The entries above a vector, at most `max_entries`, which counts as 1 if it is 0.
     ///
     /// The vector of the delta covers just these: a truncated delta ends within a source and does not name the sources
--- a/crates/registry/src/source_index.rs
+++ b/crates/registry/src/source_index.rs
@@ -139,6 +139,13 @@
             .map(|(&version, server_id)| (version, server_id))
     }
 
+    /// Whether any source has an entry above its known version.
+    pub(crate) fn has_entries_above_known_versions(&self) -> bool {
+        let last_version =
+            |source: &Source| source.entries.last_key_value().map_or(0, |(version, _)| *version);
+        self.sources.values().any(|source| last_version(source) > source.known_version)
+    }
+
     /// All server ids, by source and version.
     pub(crate) fn server_ids(&self) -> impl Iterator<Item = &Arc<str>> + '_ {
         self.sources.values().flat_map(|source| source.entries.values())
--- a/crates/registry/src/version_vector.rs
+++ b/crates/registry/src/version_vector.rs
@@ -30,6 +30,11 @@
         self.versions.insert(source, version);
     }
 
+    /// Whether `other` has at least the version of every source.
+    pub fn is_covered_by(&self, other: &VersionVector) -> bool {
+        self.iter().all(|(source, version)| version <= other.get(source))
+    }
+
     /// The named sources with their versions, by source.
     pub fn iter(&self) -> impl Iterator<Item = (SourceId, u64)> + '_ {
         self.versions.iter().map(|(&source, &version)| (source, version))
