Hold removals, foreign terms and late heartbeat answers by scenarios

Cause: three changed lines of consensus were caught by no test: a grant of removal by an older primary, a write under the term of another disk, and a lease that goes back. Change: a scenario for each.

--- a/crates/consensus/src/primary/heartbeats.rs
+++ b/crates/consensus/src/primary/heartbeats.rs
@@ -35,7 +35,7 @@
         let defaults = DefaultValues { local: Instant::FAR_FUTURE, unknown: Instant::ORIGIN };
         let sent_at = Peer::last_acknowledged_heartbeat_sent_at;
         let reached = core.peers.majority_value(core.local(), &self.config, defaults, sent_at);
-        core.primary_lease.extend(reached.min(core.now()));
+        core.primary_lease.confirm(reached.min(core.now()));
         core.may_send_heartbeats()
     }
 
--- a/crates/consensus/src/primary_lease.rs
+++ b/crates/consensus/src/primary_lease.rs
@@ -18,9 +18,10 @@
         self.confirmed_at = Some(proposed_at);
     }
 
-    /// A majority has answered a heartbeat that was sent at this instant.
-    pub(crate) fn extend(&mut self, sent_at: Instant) {
-        self.confirmed_at = self.confirmed_at.max(Some(sent_at));
+    /// The newest heartbeat that a majority has answered was sent at this instant. It is never before the last one: what
+    /// each peer has acknowledged only rises, and an epoch starts with the proposal that a majority has accepted.
+    pub(crate) fn confirm(&mut self, sent_at: Instant) {
+        self.confirmed_at = Some(sent_at);
     }
 
     /// Whether the lease is valid at `now`, whatever the role of this node is.
--- a/crates/consensus/tests/fleet/membership_scenarios.rs
+++ b/crates/consensus/tests/fleet/membership_scenarios.rs
@@ -1,7 +1,7 @@
 //! Scenarios about members, bootstrap voters and newcomers, each with nodes as they are and with nodes that have the fault
 //! that the scenario is about.
 
-use mosshead_consensus::{InjectedFault, Node, Timings};
+use mosshead_consensus::{ControlState, InjectedFault, Input, Message, Node, Timings};
 use mosshead_time::Instant;
 use mosshead_virtual_fleet::{Noise, control_node_address, millis};
 
@@ -154,3 +154,67 @@
         simulation.check_convergence()
     });
 }
+
+/// A witness shuts down, and the primary that grants its removal is lost. Before the grant arrives, the witness has become
+/// backup of the next primary: were it to end, the next loss would take the last copy of the state.
+#[test]
+fn a_grant_of_an_older_primary_ends_no_member() {
+    for seed in 40..60 {
+        holds(&format!("seed {seed}"), || {
+            let mut simulation = calm(seed, 3, 1, None)?;
+            let Roles { primary: old, backups, witnesses } = roles(&simulation)?;
+            let (next, leaver) = (backups[0], witnesses[0]);
+            let node = simulation.node(old).ok_or("the primary is down")?;
+            let (from, term) = (node.local_member(), node.term());
+            simulation.apply(FaultAction::CutLinks(vec![(old, leaver)]));
+            simulation.step(leaver, Input::ShutDown);
+            simulation.run(millis(10))?;
+            simulation.apply(FaultAction::Kill(vec![old]));
+            simulation.run(millis(1_500))?;
+            ensure(current_primary(&simulation)? == next, "another node is primary")?;
+            let is_backup = |simulation: &Simulation| {
+                let leaver = simulation.node(leaver).map(|node| node.local_member().id);
+                let config = simulation.node(next).and_then(Node::epoch_config);
+                config.is_some_and(|config| config.backups.iter().copied().eq(leaver))
+            };
+            ensure(is_backup(&simulation), "the member that shuts down is no backup")?;
+            let may_shut_down =
+                |simulation: &Simulation| simulation.node(leaver).is_some_and(Node::may_shut_down);
+            simulation.step(leaver, Input::Message { from, message: Message::RemovalGranted { term } });
+            ensure(!may_shut_down(&simulation), "it ends by the grant of an older primary")?;
+            // With another member in its place the new primary grants its removal.
+            simulation.start(old);
+            simulation.run(millis(800))?;
+            ensure(may_shut_down(&simulation), "it is not granted its removal")
+        });
+    }
+}
+
+/// A term belongs to one disk. What another member writes or proposes under it is neither written nor accepted, as of a
+/// machine whose disk was copied from an older one.
+#[test]
+fn a_write_under_the_term_of_another_disk_is_not_accepted() {
+    holds("a write by another member", || {
+        let mut simulation = calm(61, 3, 1, None)?;
+        let Roles { primary, backups, witnesses } = roles(&simulation)?;
+        let (backup, witness) = (backups[0], witnesses[0]);
+        let node = simulation.node(primary).ok_or("the primary is down")?;
+        let config = node.epoch_config().cloned().ok_or("no configuration")?;
+        let state = node.committed_state().cloned().ok_or("no state")?;
+        let newer = ControlState { revision: state.revision + 1_000, ..state };
+        let from = simulation.node(backup).ok_or("the backup is down")?.local_member();
+        let before = simulation.machines[witness].disk.log.records().len();
+        let forged = [
+            Message::ReplicateState { state: newer.clone() },
+            Message::RewriteUnderNewTerm { version: newer.version() },
+            Message::Accept { config },
+        ];
+        for message in forged {
+            simulation.step(witness, Input::Message { from, message });
+            simulation.run(millis(20))?;
+        }
+        let after = simulation.machines[witness].disk.log.records().len();
+        ensure(before == after, "the witness has written something")?;
+        commit_change(&mut simulation, millis(300)).map(|_| ())
+    });
+}
--- a/crates/consensus/tests/fleet/primary_scenarios.rs
+++ b/crates/consensus/tests/fleet/primary_scenarios.rs
@@ -330,3 +330,26 @@
     println!("worst return: {worst:?}");
     assert!(worst <= MAX_OUTAGE, "{worst:?}");
 }
+
+/// Responses to heartbeats overtake each other, and none follows them. The lease counts from the newest heartbeat that was
+/// answered, not from the one whose response arrived last.
+#[test]
+fn a_late_response_does_not_shorten_the_lease() {
+    for seed in 70..90 {
+        holds(&format!("seed {seed}"), || {
+            let mut simulation = calm(seed, 3, 1, None)?;
+            let primary = current_primary(&simulation)?;
+            let others = simulation.remaining().into_iter().filter(|machine| *machine != primary);
+            simulation.buffering_links = others.map(|other| (other, primary)).collect();
+            simulation.run(millis(400))?;
+            simulation.flush_links_in_reverse();
+            simulation.run(millis(1))?;
+            let links = links_of(&simulation, primary);
+            simulation.apply(FaultAction::CutLinks(links));
+            simulation.run(millis(400))?;
+            ensure(simulation.has_quorum_contact(primary), "the lease has ended too early")?;
+            simulation.run(millis(400))?;
+            ensure(!simulation.has_quorum_contact(primary), "the lease lasts too long")
+        });
+    }
+}
--- a/crates/consensus/tests/fleet/simulation/network.rs
+++ b/crates/consensus/tests/fleet/simulation/network.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// As [`Simulation::flush_links`], in the reverse order.
+    pub(crate) fn flush_links_in_reverse(&mut self) {
+        self.buffered_messages.reverse();
+        self.flush_links();
+    }
+
     /// How long a link needs for a message by its size; none if the message is lost for its size.
     fn transmission_time(&mut self, link: Link<usize>, message: &Message) -> Option<Duration> {
         let Some(bandwidth) = self.bandwidth else { return Some(Duration::ZERO) };
