Build injected faults only into tests, and type the revisions of a change

Cause: 50 checks for faults that tests inject stood in the code that ships, switched by a setting. A release program could hold one. ChangeAdmission stood with revisions of 0 that meant "not read yet". Change: the cargo feature fault-injection of consensus and control-plane builds the faults in; their own tests alone turn it on. ChangeAdmission::begin answers at once what depends on no state and else holds both revisions; its tests ask for the same responses. Checks still stand in the functions that they change: left for next time.

--- a/crates/consensus/src/context.rs
+++ b/crates/consensus/src/context.rs
@@ -60,10 +60,18 @@
         &self.settings.timings
     }
 
+    /// Whether a test has built this fault in.
+    #[cfg(feature = "fault-injection")]
     pub(crate) fn has_fault(&self, fault: InjectedFault) -> bool {
         self.settings.injected_fault == Some(fault)
     }
 
+    /// Without the feature of tests there is no fault, and the compiler leaves out what depends on one.
+    #[cfg(not(feature = "fault-injection"))]
+    pub(crate) const fn has_fault(&self, _: InjectedFault) -> bool {
+        false
+    }
+
     /// How long ago an instant was.
     pub(crate) fn elapsed(&self, since: Instant) -> Duration {
         self.now - since
--- a/crates/consensus/src/injected_fault.rs
+++ b/crates/consensus/src/injected_fault.rs
@@ -3,6 +3,7 @@
 /// A fault that a node may have in tests.
 #[doc(hidden)]
 #[allow(missing_docs)]
+#[cfg_attr(not(feature = "fault-injection"), allow(dead_code, unreachable_pub))]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum InjectedFault {
     /// A change is acknowledged when it is on the primary's disk.
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -74,6 +74,7 @@
 pub use epoch_config::EpochConfig;
 pub use event::{ClientReply, Input, Output};
 #[doc(hidden)]
+#[cfg(feature = "fault-injection")]
 pub use injected_fault::InjectedFault;
 pub use lease_stamp::LeaseStamp;
 pub use limits::{MAX_BODY_BYTES, MAX_STATE_BYTES};
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -73,6 +73,7 @@
         // Before requests are served: one that was answered as unavailable is not started afterwards.
         self.core.requests.expire(&mut self.core.context);
         self.serve_requests();
+        #[cfg(feature = "fault-injection")]
         self.complete_unsynced_writes();
         self.core.context.take_outputs()
     }
--- a/crates/consensus/src/node/disk.rs
+++ b/crates/consensus/src/node/disk.rs
@@ -76,6 +76,7 @@
 
     /// With [`crate::InjectedFault::RespondUnsynced`], the response to a write is sent in the step that starts it; without it
     /// there are none here.
+    #[cfg(feature = "fault-injection")]
     pub(super) fn complete_unsynced_writes(&mut self) {
         while let Some(write) = self.core.storage.take_unsynced() {
             self.complete(write);
--- a/crates/consensus/src/node_core.rs
+++ b/crates/consensus/src/node_core.rs
@@ -84,6 +84,7 @@
         core
     }
 
+    /// As [`Context::has_fault`].
     pub(crate) fn has_fault(&self, fault: InjectedFault) -> bool {
         self.context.has_fault(fault)
     }
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -2,6 +2,7 @@
 
 use core::net::SocketAddrV4;
 
+#[cfg(feature = "fault-injection")]
 use crate::injected_fault::InjectedFault;
 use crate::snapshot::ChunkSizes;
 use crate::timings::Timings;
@@ -27,6 +28,7 @@
     /// From which length on states are sent in chunks, and how long those are.
     pub chunk_sizes: ChunkSizes,
     /// A fault built in, to see that the checkers of the tests find it.
+    #[cfg(feature = "fault-injection")]
     #[doc(hidden)]
     pub injected_fault: Option<InjectedFault>,
 }
@@ -47,6 +49,7 @@
             timings: Timings::default(),
             log_rewrite_bytes: DEFAULT_LOG_REWRITE_BYTES,
             chunk_sizes: ChunkSizes::default(),
+            #[cfg(feature = "fault-injection")]
             injected_fault: None,
         }
     }
--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -1,6 +1,7 @@
 //! The disk of a node: what is synced, and what is being written.
 
 use core::time::Duration;
+#[cfg(feature = "fault-injection")]
 use std::collections::VecDeque;
 
 use mosshead_time::Instant;
@@ -25,6 +26,7 @@
     writes: PendingDiskWrites,
     log_size: LogSize,
     /// With [`InjectedFault::RespondUnsynced`]: writes that are answered before they are synced.
+    #[cfg(feature = "fault-injection")]
     unsynced: VecDeque<PendingDiskWrite>,
 }
 
@@ -49,6 +51,7 @@
             durable,
             writes: PendingDiskWrites::default(),
             log_size: LogSize::of_replayed(records, rebuilt_bytes),
+            #[cfg(feature = "fault-injection")]
             unsynced: VecDeque::new(),
         })
     }
@@ -150,18 +153,27 @@
 
     fn enqueue(&mut self, context: &Context, effect: DurabilityEffect, requester: Option<Member>) -> u64 {
         let token = self.writes.take_token();
-        let mut write = PendingDiskWrite { token, started_at: context.now(), effect, requester };
-        let is_identity = matches!(write.effect, DurabilityEffect::Identity(_));
-        if context.has_fault(InjectedFault::RespondUnsynced) && !is_identity {
-            self.unsynced.push_back(write.clone());
-            // What stays in the queue takes the confirmation of the host, and has no effect.
-            (write.effect, write.requester) = (DurabilityEffect::Promise(Term::default()), None);
-        }
+        let write = PendingDiskWrite { token, started_at: context.now(), effect, requester };
+        #[cfg(feature = "fault-injection")]
+        let write = self.respond_unsynced(context, write);
         self.writes.push(write);
         token
     }
 
+    /// With [`InjectedFault::RespondUnsynced`]: what is pushed in place of a write that is answered before it is synced. It
+    /// takes the confirmation of the host, and has no effect.
+    #[cfg(feature = "fault-injection")]
+    fn respond_unsynced(&mut self, context: &Context, write: PendingDiskWrite) -> PendingDiskWrite {
+        let is_identity = matches!(write.effect, DurabilityEffect::Identity(_));
+        if !context.has_fault(InjectedFault::RespondUnsynced) || is_identity {
+            return write;
+        }
+        self.unsynced.push_back(write.clone());
+        PendingDiskWrite { effect: DurabilityEffect::Promise(Term::default()), requester: None, ..write }
+    }
+
     /// With [`InjectedFault::RespondUnsynced`]: the next write that is answered before it is synced; none without the fault.
+    #[cfg(feature = "fault-injection")]
     pub(crate) fn take_unsynced(&mut self) -> Option<PendingDiskWrite> {
         self.unsynced.pop_front()
     }
--- a/crates/control-plane/src/acknowledgement.rs
+++ b/crates/control-plane/src/acknowledgement.rs
@@ -10,7 +10,7 @@
 
 use mosshead_registry::{Delta, Entry, HeartbeatOutcome, OperState, Registry, SourceId, VersionVector};
 
-use crate::injected_fault::InjectedFault;
+use crate::injected_fault::{Faults, InjectedFault};
 use crate::quorum_contact::QuorumContact;
 
 /// How many acknowledged entries are remembered. One that was dropped is replicated again if the server repeats its call.
@@ -87,22 +87,18 @@
     pending: BTreeSet<SocketAddrV4>,
     /// Members that store the entry durably; disjoint from `pending`.
     replicas: BTreeSet<SocketAddrV4>,
-    injected_fault: Option<InjectedFault>,
+    faults: Faults,
 }
 
 impl EntryReplication {
     /// No member is known to store the entry yet.
-    pub fn new(
-        entry: EntryVersion,
-        replica_set: &ReplicaSet,
-        injected_fault: Option<InjectedFault>,
-    ) -> EntryReplication {
+    fn new(entry: EntryVersion, replica_set: &ReplicaSet, faults: Faults) -> EntryReplication {
         let pending: BTreeSet<SocketAddrV4> = replica_set.members.iter().copied().collect();
-        let needed = match has_fault(injected_fault, InjectedFault::AcknowledgeAfterOneReplica) {
+        let needed = match faults.include(InjectedFault::AcknowledgeAfterOneReplica) {
             true => 2,
             false => replica_set.needed_replicas(),
         };
-        EntryReplication { entry, needed, pending, replicas: BTreeSet::new(), injected_fault }
+        EntryReplication { entry, needed, pending, replicas: BTreeSet::new(), faults }
     }
 
     /// The entry that is replicated.
@@ -121,7 +117,7 @@
     /// Whether the shutdown is acknowledged now, by the replicas so far.
     pub fn decision(&self, contact: QuorumContact) -> AcknowledgementDecision {
         let may_acknowledge =
-            contact.is_confirmed() || has_fault(self.injected_fault, InjectedFault::AcknowledgeWithoutQuorum);
+            contact.is_confirmed() || self.faults.include(InjectedFault::AcknowledgeWithoutQuorum);
         if self.replicas.len() + self.pending.len() < self.needed {
             AcknowledgementDecision::Reject
         } else if self.replicas.len() < self.needed {
@@ -149,14 +145,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct ShutdownAcknowledgements {
     entries: BTreeSet<EntryVersion>,
-    injected_fault: Option<InjectedFault>,
+    faults: Faults,
 }
 
 impl ShutdownAcknowledgements {
     /// Nothing is acknowledged yet; with a fault that a test injects.
     #[doc(hidden)]
+    #[cfg(feature = "fault-injection")]
     pub fn with_injected_fault(injected_fault: Option<InjectedFault>) -> ShutdownAcknowledgements {
-        ShutdownAcknowledgements { injected_fault, ..ShutdownAcknowledgements::default() }
+        ShutdownAcknowledgements {
+            faults: Faults::new(injected_fault),
+            ..ShutdownAcknowledgements::default()
+        }
     }
 
     /// Decides on a call of a server that the registry has recorded.
@@ -174,12 +174,12 @@
         let Some(entry) = registry.entry(id).and_then(EntryVersion::of_shutdown) else {
             return ShutdownStep::Acknowledge;
         };
-        let is_unchecked = has_fault(self.injected_fault, InjectedFault::AcknowledgeRepeatsUnchecked);
+        let is_unchecked = self.faults.include(InjectedFault::AcknowledgeRepeatsUnchecked);
         if is_unchecked && !outcome.needs_replication {
             return ShutdownStep::Acknowledge;
         }
         if !self.entries.contains(&entry) {
-            return ShutdownStep::Replicate(EntryReplication::new(entry, replica_set, self.injected_fault));
+            return ShutdownStep::Replicate(EntryReplication::new(entry, replica_set, self.faults));
         }
         if contact.is_confirmed() { ShutdownStep::Acknowledge } else { ShutdownStep::Reject }
     }
@@ -199,7 +199,3 @@
     vector.set(registry.local_id(), registry.version().saturating_sub(FIRST_DELTA_VERSIONS));
     registry.missing_entries(&vector, MAX_FIRST_DELTA_ENTRIES)
 }
-
-fn has_fault(injected: Option<InjectedFault>, fault: InjectedFault) -> bool {
-    injected.is_some_and(|injected| injected.includes(fault))
-}
--- a/crates/control-plane/src/admission.rs
+++ b/crates/control-plane/src/admission.rs
@@ -11,7 +11,7 @@
 use mosshead_consensus::{AppliedRequest, ClientReply, ControlState, RequestDigest, RequestStatus};
 
 use crate::config_offer::parse_config;
-use crate::injected_fault::InjectedFault;
+use crate::injected_fault::{Faults, InjectedFault};
 use crate::response::{ChangeError, ChangeResponse};
 
 /// What the body of a change contains.
@@ -75,13 +75,19 @@
 #[derive(Clone, Debug)]
 pub struct ChangeAdmission<B> {
     request: OperatorChange<B>,
-    /// The revision that the change builds on; 0 until the first step has read it.
-    base_revision: u64,
-    /// The revision that the change makes; 0 until the first step has read it.
-    revision: u64,
+    revisions: Revisions,
     /// The newest configuration that this node knew when the change arrived.
     local_config: Option<Arc<Config>>,
-    injected_fault: Option<InjectedFault>,
+    faults: Faults,
+}
+
+/// What a change says of its place among the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Revisions {
+    /// The revision that it builds on.
+    base: u64,
+    /// The revision that it makes.
+    new: u64,
 }
 
 /// Whether the state that a change is evaluated against may be outdated.
@@ -97,50 +103,65 @@
     /// Starts the admission of a change. Returns it with its first step.
     ///
     /// `state` is the newest committed state that this node knows, `config` the configuration parsed from it.
+    ///
+    /// # Errors
+    ///
+    /// The response to the operator, where it depends on no state: this node is not the primary, or no state could make the
+    /// change valid, so that no quorum needs to confirm the rejection.
     pub fn begin(
         request: OperatorChange<B>,
         primary: PrimaryHint,
         state: Option<&ControlState>,
         config: Option<Arc<Config>>,
+    ) -> Result<(ChangeAdmission<B>, AdmissionStep), ChangeResponse> {
+        Self::begin_with(request, primary, state, config, Faults::default())
+    }
+
+    /// As [`ChangeAdmission::begin`], with a fault that a test injects.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ChangeAdmission::begin`].
+    #[doc(hidden)]
+    #[cfg(feature = "fault-injection")]
+    pub fn begin_with_injected_fault(
+        request: OperatorChange<B>,
+        primary: PrimaryHint,
+        state: Option<&ControlState>,
+        config: Option<Arc<Config>>,
         injected_fault: Option<InjectedFault>,
-    ) -> (ChangeAdmission<B>, AdmissionStep) {
-        let mut admission =
-            ChangeAdmission { request, base_revision: 0, revision: 0, local_config: config, injected_fault };
-        let step = admission.first_step(primary, state);
-        (admission, step)
+    ) -> Result<(ChangeAdmission<B>, AdmissionStep), ChangeResponse> {
+        Self::begin_with(request, primary, state, config, Faults::new(injected_fault))
     }
 
-    fn first_step(&mut self, primary: PrimaryHint, state: Option<&ControlState>) -> AdmissionStep {
+    fn begin_with(
+        request: OperatorChange<B>,
+        primary: PrimaryHint,
+        state: Option<&ControlState>,
+        config: Option<Arc<Config>>,
+        faults: Faults,
+    ) -> Result<(ChangeAdmission<B>, AdmissionStep), ChangeResponse> {
         match primary {
             PrimaryHint::Local => {}
-            PrimaryHint::Remote(primary) => return respond(ChangeResponse::Redirect { primary }),
-            PrimaryHint::Unknown => return respond(ChangeResponse::Unavailable),
-        }
-        // No state could make such a change valid, so no quorum needs to confirm the rejection.
-        if let Err(error) = self.read_revisions() {
-            return respond(ChangeResponse::Invalid(error));
+            PrimaryHint::Remote(primary) => return Err(ChangeResponse::Redirect { primary }),
+            PrimaryHint::Unknown => return Err(ChangeResponse::Unavailable),
         }
-        let status = state.map(|state| state.classify_request(self.base_revision, self.applied_request()));
+        let revisions = read_revisions(&request).map_err(ChangeResponse::Invalid)?;
+        let admission = ChangeAdmission { request, revisions, local_config: config, faults };
+        let step = admission.first_step(state);
+        Ok((admission, step))
+    }
+
+    fn first_step(&self, state: Option<&ControlState>) -> AdmissionStep {
+        let status = state.map(|state| state.classify_request(self.revisions.base, self.applied_request()));
         if status == Some(RequestStatus::AlreadyApplied) {
             return self.submit(Vec::new());
         }
         self.evaluate(self.local_config.clone().as_deref(), StateOrigin::Local)
     }
 
-    /// Reads which revision the change builds on, and which one it makes.
-    fn read_revisions(&mut self) -> Result<(), ChangeError> {
-        let base_revision = self.request.base_revision.ok_or(ChangeError::MissingBaseRevision)?;
-        let body = self.request.body.as_ref();
-        let Some(revision) = mosshead_config::peek_revision(body) else {
-            let error = Config::parse(body).err();
-            return Err(error.map_or(ChangeError::MissingRevision, ChangeError::Config));
-        };
-        (self.base_revision, self.revision) = (base_revision, revision);
-        Ok(())
-    }
-
     /// Takes in the reply to an [`AdmissionStep::ConfirmState`].
-    pub fn on_state_confirmed(&mut self, reply: ClientReply) -> AdmissionStep {
+    pub fn on_state_confirmed(&self, reply: ClientReply) -> AdmissionStep {
         let state = match reply {
             ClientReply::CurrentState { state } => state,
             ClientReply::NotPrimary { primary: Some(primary) } => {
@@ -148,14 +169,14 @@
             }
             _ => return respond(ChangeResponse::Unavailable),
         };
-        match state.classify_request(self.base_revision, self.applied_request()) {
+        match state.classify_request(self.revisions.base, self.applied_request()) {
             RequestStatus::AlreadyApplied => {
-                return respond(ChangeResponse::Accepted { revision: self.revision });
+                return respond(ChangeResponse::Accepted { revision: self.revisions.new });
             }
             RequestStatus::Expired => return respond(ChangeResponse::Expired),
             RequestStatus::Acceptable | RequestStatus::Stale => {}
         }
-        if self.base_revision != state.revision {
+        if self.revisions.base != state.revision {
             return respond(ChangeResponse::Stale { current_revision: state.revision });
         }
         let known = self.local_config.clone().filter(|config| config.revision() == state.revision);
@@ -187,7 +208,7 @@
     /// rejects the change. `origin` says whether a quorum has confirmed `config`.
     fn evaluate(&self, config: Option<&Config>, origin: StateOrigin) -> AdmissionStep {
         let current_revision = config.map_or(0, |config| config.revision());
-        if self.base_revision != current_revision {
+        if self.revisions.base != current_revision {
             return self.reject(ChangeResponse::Stale { current_revision }, origin);
         }
         let body = self.request.body.as_ref();
@@ -206,7 +227,7 @@
 
     /// A rejection by a state that no quorum has confirmed waits for the confirmation.
     fn reject(&self, response: ChangeResponse, origin: StateOrigin) -> AdmissionStep {
-        let is_unchecked = self.injected_fault == Some(InjectedFault::RejectFromLocalState);
+        let is_unchecked = self.faults.include(InjectedFault::RejectFromLocalState);
         if origin == StateOrigin::Confirmed || is_unchecked {
             respond(response)
         } else {
@@ -217,8 +238,8 @@
     /// Proposes the change with the complete new configuration `body`.
     fn submit(&self, body: Vec<u8>) -> AdmissionStep {
         AdmissionStep::Submit(ChangeProposal {
-            base_revision: self.base_revision,
-            revision: self.revision,
+            base_revision: self.revisions.base,
+            revision: self.revisions.new,
             body,
             digest: self.request.digest,
         })
@@ -226,10 +247,21 @@
 
     /// The change as consensus remembers it once it is applied.
     fn applied_request(&self) -> AppliedRequest {
-        AppliedRequest { revision: self.revision, digest: self.request.digest }
+        AppliedRequest { revision: self.revisions.new, digest: self.request.digest }
     }
 }
 
+/// Reads which revision a change builds on, and which one it makes.
+fn read_revisions<B: AsRef<[u8]>>(request: &OperatorChange<B>) -> Result<Revisions, ChangeError> {
+    let base = request.base_revision.ok_or(ChangeError::MissingBaseRevision)?;
+    let body = request.body.as_ref();
+    let Some(new) = mosshead_config::peek_revision(body) else {
+        let error = Config::parse(body).err();
+        return Err(error.map_or(ChangeError::MissingRevision, ChangeError::Config));
+    };
+    Ok(Revisions { base, new })
+}
+
 fn respond(response: ChangeResponse) -> AdmissionStep {
     AdmissionStep::Respond(response)
 }
--- a/crates/control-plane/src/config_history.rs
+++ b/crates/control-plane/src/config_history.rs
@@ -10,7 +10,7 @@
 use mosshead_consensus::ControlState;
 
 use crate::config_offer::{ConfigOffer, parse_config};
-use crate::injected_fault::InjectedFault;
+use crate::injected_fault::{Faults, InjectedFault};
 use crate::quorum_contact::QuorumContact;
 
 /// The most patches that are retained for processes with older revisions.
@@ -32,14 +32,15 @@
     current: Option<Arc<Config>>,
     /// Oldest first; each one starts at the revision that the one before leads to.
     patches: VecDeque<Patch>,
-    injected_fault: Option<InjectedFault>,
+    faults: Faults,
 }
 
 impl ConfigHistory {
     /// Nothing is committed yet; with a fault that a test injects.
     #[doc(hidden)]
+    #[cfg(feature = "fault-injection")]
     pub fn with_injected_fault(injected_fault: Option<InjectedFault>) -> ConfigHistory {
-        ConfigHistory { injected_fault, ..ConfigHistory::default() }
+        ConfigHistory { faults: Faults::new(injected_fault), ..ConfigHistory::default() }
     }
 
     /// Takes in a committed state. Returns its configuration, or `None` if this or a newer revision is known already.
@@ -107,6 +108,6 @@
     }
 
     fn may_serve(&self, contact: QuorumContact) -> bool {
-        contact.is_confirmed() || self.injected_fault == Some(InjectedFault::ServeWithoutQuorum)
+        contact.is_confirmed() || self.faults.include(InjectedFault::ServeWithoutQuorum)
     }
 }
--- a/crates/control-plane/src/control_node_pool.rs
+++ b/crates/control-plane/src/control_node_pool.rs
@@ -7,7 +7,7 @@
 
 use mosshead_time::{Duration, Instant};
 
-use crate::injected_fault::InjectedFault;
+use crate::injected_fault::{Faults, InjectedFault};
 use crate::quorum_contact::QuorumContact;
 
 /// The most control nodes that a proxy knows.
@@ -31,7 +31,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ControlNodePool {
     nodes: Vec<PooledNode>,
-    injected_fault: Option<InjectedFault>,
+    faults: Faults,
 }
 
 impl ControlNodePool {
@@ -44,8 +44,9 @@
 
     /// The same pool with a fault that a test injects.
     #[doc(hidden)]
+    #[cfg(feature = "fault-injection")]
     pub fn with_injected_fault(self, injected_fault: Option<InjectedFault>) -> ControlNodePool {
-        ControlNodePool { injected_fault, ..self }
+        ControlNodePool { faults: Faults::new(injected_fault), ..self }
     }
 
     /// Adds control nodes that are not known yet.
@@ -101,8 +102,7 @@
         advertised_revision: u64,
         contact: QuorumContact,
     ) -> bool {
-        let may_fetch =
-            contact.is_confirmed() || self.injected_fault == Some(InjectedFault::FetchWithoutQuorum);
+        let may_fetch = contact.is_confirmed() || self.faults.include(InjectedFault::FetchWithoutQuorum);
         may_fetch && advertised_revision > revision_in_force
     }
 }
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -27,6 +27,7 @@
 pub use control_node_pool::{ControlNodePool, WatchSession};
 pub use durable_entries::{DurableEntries, RegistryRecord};
 #[doc(hidden)]
+#[cfg(feature = "fault-injection")]
 pub use injected_fault::InjectedFault;
 pub use quorum_contact::QuorumContact;
 pub use response::{ChangeError, ChangeResponse, ReadResponse, read_response};
--- a/crates/control-plane/tests/admission.rs
+++ b/crates/control-plane/tests/admission.rs
@@ -54,7 +54,16 @@
     injected: Option<InjectedFault>,
 ) -> (ChangeAdmission<Vec<u8>>, AdmissionStep) {
     let config = known.map(|state| Arc::new(Config::parse(&state.body).expect("a configuration")));
-    ChangeAdmission::begin(request, PrimaryHint::Local, known, config, injected)
+    let begun =
+        ChangeAdmission::begin_with_injected_fault(request, PrimaryHint::Local, known, config, injected);
+    begun.expect("it depends on a state")
+}
+
+/// The response to a change that depends on no state.
+fn first_response(request: OperatorChange<Vec<u8>>, primary: PrimaryHint) -> Option<ChangeResponse> {
+    let known = state(5, 1);
+    let config = Arc::new(Config::parse(&known.body).expect("a configuration"));
+    ChangeAdmission::begin(request, primary, Some(&known), Some(config)).err()
 }
 
 fn current(state: &ControlState) -> ClientReply {
@@ -91,14 +100,14 @@
 #[test]
 fn a_stale_base_is_rejected_only_by_a_confirmed_state() {
     let known = state(5, 1);
-    let (mut admission, step) = begin(replace(7, 8), Some(&known), None);
+    let (admission, step) = begin(replace(7, 8), Some(&known), None);
     assert_eq!(step, AdmissionStep::ConfirmState);
     assert_eq!(admission.on_state_confirmed(current(&state(9, 2))), stale(9));
 }
 
 #[test]
 fn a_base_newer_than_the_local_state_is_accepted_by_the_confirmed_state() {
-    let (mut admission, step) = begin(replace(7, 8), Some(&state(5, 1)), None);
+    let (admission, step) = begin(replace(7, 8), Some(&state(5, 1)), None);
     assert_eq!(step, AdmissionStep::ConfirmState);
     let step = admission.on_state_confirmed(current(&state(7, 2)));
     let AdmissionStep::Submit(proposal) = step else { panic!("{step:?}") };
@@ -107,7 +116,7 @@
 
 #[test]
 fn a_repeat_of_a_change_applied_elsewhere_is_accepted() {
-    let (mut admission, step) = begin(replace(5, 8), Some(&state(4, 1)), None);
+    let (admission, step) = begin(replace(5, 8), Some(&state(4, 1)), None);
     assert_eq!(step, AdmissionStep::ConfirmState);
     let step = admission.on_state_confirmed(current(&state(8, REQUEST)));
     assert_eq!(step, AdmissionStep::Respond(ChangeResponse::Accepted { revision: 8 }));
@@ -128,10 +137,10 @@
 #[test]
 fn an_invalid_change_is_rejected_only_by_a_confirmed_state() {
     let bad = request(ChangeKind::Replace, Some(5), r#"{"revision":6,"route_entries":4}"#);
-    let (mut admission, step) = begin(bad.clone(), Some(&state(5, 1)), None);
+    let (admission, step) = begin(bad.clone(), Some(&state(5, 1)), None);
     assert_eq!(step, AdmissionStep::ConfirmState);
     assert!(is_invalid(&admission.on_state_confirmed(current(&state(5, 1)))));
-    let (mut admission, _) = begin(bad, Some(&state(5, 1)), None);
+    let (admission, _) = begin(bad, Some(&state(5, 1)), None);
     assert_eq!(admission.on_state_confirmed(current(&state(6, 2))), stale(6));
 }
 
@@ -144,7 +153,7 @@
         (ClientReply::NotPrimary { primary: Some(other) }, ChangeResponse::Redirect { primary: other }),
     ];
     for (reply, response) in responses {
-        let (mut admission, _) = begin(replace(7, 8), Some(&state(5, 1)), None);
+        let (admission, _) = begin(replace(7, 8), Some(&state(5, 1)), None);
         assert_eq!(admission.on_state_confirmed(reply), AdmissionStep::Respond(response));
     }
 }
@@ -156,12 +165,12 @@
     let newest = 99 + DEDUPLICATION_WINDOW as u64;
     let remembered =
         ControlState { applied_requests: calls.collect(), highest_expired_revision: 99, ..state(newest, 1) };
-    let (mut admission, _) = begin(replace(98, 99), Some(&remembered), None);
+    let (admission, _) = begin(replace(98, 99), Some(&remembered), None);
     assert_eq!(
         admission.on_state_confirmed(current(&remembered)),
         AdmissionStep::Respond(ChangeResponse::Expired)
     );
-    let (mut admission, _) = begin(replace(99, 100), Some(&remembered), None);
+    let (admission, _) = begin(replace(99, 100), Some(&remembered), None);
     assert_eq!(admission.on_state_confirmed(current(&remembered)), stale(newest));
 }
 
@@ -173,8 +182,7 @@
         (PrimaryHint::Remote(other), ChangeResponse::Redirect { primary: other }),
     ] {
         let bad = request(ChangeKind::Replace, None, "no JSON");
-        let (_, step) = ChangeAdmission::begin(bad, primary, None, None, None);
-        assert_eq!(step, AdmissionStep::Respond(response));
+        assert_eq!(first_response(bad, primary), Some(response));
     }
 }
 
@@ -185,8 +193,8 @@
         request(ChangeKind::Replace, Some(5), "no JSON"),
         request(ChangeKind::Modify, Some(5), "{}"),
     ] {
-        let (_, step) = begin(request, Some(&state(5, 1)), None);
-        assert!(is_invalid(&step), "{step:?}");
+        let response = first_response(request, PrimaryHint::Local);
+        assert!(matches!(response, Some(ChangeResponse::Invalid { .. })), "{response:?}");
     }
 }
 
@@ -214,7 +222,7 @@
         let confirmed = state(confirmed, if is_applied { REQUEST } else { 1 });
         let request = replace(base, if is_applied { confirmed.revision } else { base + 1 });
         let known = (known > 0).then(|| state(known, 1));
-        let (mut admission, mut step) = begin(request, known.as_ref(), None);
+        let (admission, mut step) = begin(request, known.as_ref(), None);
         if step == AdmissionStep::ConfirmState {
             step = admission.on_state_confirmed(current(&confirmed));
         }
@@ -228,8 +236,9 @@
 
     fn arbitrary_bodies_are_admitted_without_panic(body: Vec<u8>, base: Option<u64>) -> bool {
         let request = OperatorChange { kind: ChangeKind::Modify, base_revision: base, body, digest: DIGEST };
-        let (mut admission, _) = begin(request, Some(&state(5, 1)), None);
-        let _ = admission.on_state_confirmed(current(&state(6, 1)));
+        if let Ok((admission, _)) = ChangeAdmission::begin(request, PrimaryHint::Local, Some(&state(5, 1)), None) {
+            let _ = admission.on_state_confirmed(current(&state(6, 1)));
+        }
         true
     }
 }
--- a/crates/control-plane/tests/fleet/control_node/client_requests.rs
+++ b/crates/control-plane/tests/fleet/control_node/client_requests.rs
@@ -29,14 +29,17 @@
         let injected: Option<InjectedFault> = self.faults.control;
         let Some(process) = &self.control_nodes[control_node].process else { return };
         let (state, config) = (process.node.committed_state().cloned(), process.history.current().cloned());
-        let (admission, step) = ChangeAdmission::begin(
+        let begun = ChangeAdmission::begin_with_injected_fault(
             request,
             process.known_primary(self.now(), self.faults.primary_by_role),
             state.as_ref(),
             config,
             injected,
         );
-        self.next_step(control_node, reply_to, Box::new(admission), step);
+        match begun {
+            Ok((admission, step)) => self.next_step(control_node, reply_to, Box::new(admission), step),
+            Err(response) => self.reply(control_node, reply_to, Response::Change(response)),
+        }
     }
 
     pub(super) fn next_step(
@@ -95,7 +98,7 @@
             Some(ClientRequest::Read(reply_to)) => {
                 self.reply(control_node, reply_to, Response::Read(read_response(reply)));
             }
-            Some(ClientRequest::Confirm(reply_to, mut admission)) => {
+            Some(ClientRequest::Confirm(reply_to, admission)) => {
                 let step = admission.on_state_confirmed(reply);
                 self.next_step(control_node, reply_to, admission, step);
             }
--- a/crates/programs/src/control_node/operator_service.rs
+++ b/crates/programs/src/control_node/operator_service.rs
@@ -24,8 +24,11 @@
     /// Decides on a change, and returns once it is committed, rejected, or its outcome is unknown.
     pub(super) async fn change(&self, request: OperatorChange<Bytes>) -> ChangeResponse {
         let (state, config) = (self.consensus.committed_state(), self.configs.current());
-        let (mut admission, mut step) =
-            ChangeAdmission::begin(request, self.consensus.known_primary(), state.as_ref(), config, None);
+        let primary = self.consensus.known_primary();
+        let (admission, mut step) = match ChangeAdmission::begin(request, primary, state.as_ref(), config) {
+            Ok(begun) => begun,
+            Err(response) => return response,
+        };
         loop {
             step = match step {
                 AdmissionStep::Respond(response) => return response,
