End a tenure with its first 412, and hold the times of acknowledgements and take-overs

Cause: orders of one batch went on after a 412 to the first of them; the refusal was forgotten where the lease was read as lost for a moment. The time in which a shutdown is acknowledged and the wait of a new owner of the stage role were in no test. Change: the batch ends with the 412 and the refusal holds for the term. The deadline of an acknowledgement is part of EntryReplication, and RoleTenure of stage-scheduler is the wait that the program and the fleet in virtual time share; the fleet's checker looks for late acknowledgements and for owners that take turns within the lease.

--- a/crates/consensus/tests/fleet/membership_scenarios.rs
+++ b/crates/consensus/tests/fleet/membership_scenarios.rs
@@ -169,7 +169,7 @@
             simulation.apply(FaultAction::CutLinks(vec![(old, leaver)]));
             simulation.step(leaver, Input::ShutDown);
             simulation.run(millis(10))?;
-            simulation.apply(FaultAction::Kill(vec![old]));
+            simulation.kill(old, Kill::Process);
             simulation.run(millis(1_500))?;
             ensure(current_primary(&simulation)? == next, "another node is primary")?;
             let is_backup = |simulation: &Simulation| {
--- a/crates/consensus/tests/fleet/primary_scenarios.rs
+++ b/crates/consensus/tests/fleet/primary_scenarios.rs
@@ -353,3 +353,37 @@
         });
     }
 }
+
+/// The fleet was started again with a lower tolerance: of five members two hold the state. The other three are a majority,
+/// and know nothing of the last change.
+#[test]
+fn a_majority_without_a_holder_of_the_state_elects_no_primary() {
+    holds("both holders are lost", || {
+        let mut simulation = calm(91, 5, 2, None)?;
+        let all = simulation.remaining();
+        for machine in all {
+            simulation.kill(machine, Kill::Process);
+            simulation.machines[machine].settings.max_failures = 1;
+            simulation.start(machine);
+        }
+        simulation.run(millis(2_000))?;
+        let Roles { primary, backups, .. } = roles(&simulation)?;
+        ensure(backups.len() == 1, "the tolerance is as before")?;
+        // The witnesses do not learn that it is committed.
+        let holders = [primary, backups[0]];
+        let witnesses: Vec<usize> =
+            simulation.remaining().into_iter().filter(|machine| !holders.contains(machine)).collect();
+        let links = witnesses.iter().flat_map(|witness| holders.map(|holder| (holder, *witness))).collect();
+        simulation.apply(FaultAction::CutLinks(links));
+        commit_change_at(&mut simulation, primary, millis(300))?;
+        holders.into_iter().for_each(|holder| simulation.kill(holder, Kill::Process));
+        simulation.links.heal();
+        simulation.run(millis(3_000))?;
+        ensure(simulation.primary().is_none(), "a majority without the state has a primary")?;
+        simulation.start(backups[0]);
+        simulation.run(millis(2_000))?;
+        let next = current_primary(&simulation)?;
+        let reply = reply_at(&mut simulation, next, RequestKind::Read, millis(300))?;
+        ensure(matches!(reply, Some(ClientReply::CurrentState { .. })), "the next primary doesn't reply")
+    });
+}
--- a/crates/control-plane/src/acknowledgement.rs
+++ b/crates/control-plane/src/acknowledgement.rs
@@ -9,10 +9,14 @@
 use std::collections::BTreeSet;
 
 use mosshead_registry::{Delta, Entry, HeartbeatOutcome, OperState, Registry, SourceId, VersionVector};
+use mosshead_time::{Duration, Instant};
 
 use crate::injected_fault::{Faults, InjectedFault};
 use crate::quorum_contact::QuorumContact;
 
+/// A shutdown that is not acknowledged within this time is rejected: the server listens for a second, and the response has
+/// to reach it.
+pub const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(800);
 /// How many acknowledged entries are remembered. One that was dropped is replicated again if the server repeats its call.
 const MAX_REMEMBERED_ENTRIES: usize = 4_096;
 /// The first delta to another control node starts this many versions back, so that it overlaps with what that node
@@ -73,7 +77,7 @@
     Acknowledge,
     /// More replicas are needed, and members have yet to respond.
     Wait,
-    /// Too few members can store the entry, or there is no quorum contact; the server repeats its call.
+    /// Too few members can store the entry in time, or there is no quorum contact; the server repeats its call.
     Reject,
 }
 
@@ -87,18 +91,26 @@
     pending: BTreeSet<SocketAddrV4>,
     /// Members that store the entry durably; disjoint from `pending`.
     replicas: BTreeSet<SocketAddrV4>,
+    /// An acknowledgement after this would not be heard.
+    deadline: Instant,
     faults: Faults,
 }
 
 impl EntryReplication {
-    /// No member is known to store the entry yet.
-    fn new(entry: EntryVersion, replica_set: &ReplicaSet, faults: Faults) -> EntryReplication {
+    /// No member is known to store the entry yet. The server has called at `now`.
+    fn new(now: Instant, entry: EntryVersion, replica_set: &ReplicaSet, faults: Faults) -> EntryReplication {
         let pending: BTreeSet<SocketAddrV4> = replica_set.members.iter().copied().collect();
         let needed = match faults.include(InjectedFault::AcknowledgeAfterOneReplica) {
             true => 2,
             false => replica_set.needed_replicas(),
         };
-        EntryReplication { entry, needed, pending, replicas: BTreeSet::new(), faults }
+        let deadline = now + ACKNOWLEDGEMENT_TIMEOUT;
+        EntryReplication { entry, needed, pending, replicas: BTreeSet::new(), deadline, faults }
+    }
+
+    /// When the shutdown is rejected if it is not acknowledged before.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
     }
 
     /// The entry that is replicated.
@@ -115,7 +127,10 @@
     }
 
     /// Whether the shutdown is acknowledged now, by the replicas so far.
-    pub fn decision(&self, contact: QuorumContact) -> AcknowledgementDecision {
+    pub fn decision(&self, now: Instant, contact: QuorumContact) -> AcknowledgementDecision {
+        if now >= self.deadline {
+            return AcknowledgementDecision::Reject;
+        }
         let may_acknowledge =
             contact.is_confirmed() || self.faults.include(InjectedFault::AcknowledgeWithoutQuorum);
         if self.replicas.len() + self.pending.len() < self.needed {
@@ -165,6 +180,7 @@
     /// another control node is not acknowledged there either before there are enough replicas.
     pub fn begin(
         &self,
+        now: Instant,
         registry: &Registry,
         id: &str,
         outcome: &HeartbeatOutcome,
@@ -179,7 +195,7 @@
             return ShutdownStep::Acknowledge;
         }
         if !self.entries.contains(&entry) {
-            return ShutdownStep::Replicate(EntryReplication::new(entry, replica_set, self.faults));
+            return ShutdownStep::Replicate(EntryReplication::new(now, entry, replica_set, self.faults));
         }
         if contact.is_confirmed() { ShutdownStep::Acknowledge } else { ShutdownStep::Reject }
     }
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -16,8 +16,8 @@
 mod response;
 
 pub use acknowledgement::{
-    AcknowledgementDecision, EntryReplication, EntryVersion, ReplicaSet, ShutdownAcknowledgements,
-    ShutdownStep, latest_local_entries,
+    ACKNOWLEDGEMENT_TIMEOUT, AcknowledgementDecision, EntryReplication, EntryVersion, ReplicaSet,
+    ShutdownAcknowledgements, ShutdownStep, latest_local_entries,
 };
 pub use admission::{
     AdmissionStep, ChangeAdmission, ChangeKind, ChangeProposal, OperatorChange, PrimaryHint,
--- a/crates/control-plane/tests/acknowledgement.rs
+++ b/crates/control-plane/tests/acknowledgement.rs
@@ -3,14 +3,16 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use mosshead_control_plane::{
-    AcknowledgementDecision, EntryReplication, EntryVersion, InjectedFault, QuorumContact, ReplicaSet,
-    ShutdownAcknowledgements, ShutdownStep, latest_local_entries,
+    ACKNOWLEDGEMENT_TIMEOUT, AcknowledgementDecision, EntryReplication, EntryVersion, InjectedFault,
+    QuorumContact, ReplicaSet, ShutdownAcknowledgements, ShutdownStep, latest_local_entries,
 };
 use mosshead_registry::{HeartbeatOutcome, OperState, Registry, Server, SourceId, VersionVector};
 use mosshead_time::{Duration, Instant};
 use quickcheck::quickcheck;
 
 const ID: &str = "i-1";
+/// When the server calls.
+const NOW: Instant = Instant::from_millis(10);
 
 fn address(last: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 7720)
@@ -53,7 +55,7 @@
     contact: QuorumContact,
     replica_set: &ReplicaSet,
 ) -> ShutdownStep {
-    acknowledgements.begin(registry, ID, outcome, contact, replica_set)
+    acknowledgements.begin(NOW, registry, ID, outcome, contact, replica_set)
 }
 
 /// The replication of a server's shutdown that no member has on its disk yet.
@@ -98,26 +100,40 @@
 #[test]
 fn as_many_other_members_as_may_fail_must_have_the_entry() {
     let mut replication = replication_after_local_write(&replica_set(5, 2), None);
-    assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Wait);
+    assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Wait);
     replication.record_reply(address(2), Some(&vector_with_entry()));
-    assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Wait);
+    assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Wait);
     replication.record_reply(address(3), None);
     replication.record_reply(address(4), Some(&VersionVector::default()));
-    assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Wait);
+    assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Wait);
     replication.record_reply(address(5), Some(&vector_with_entry()));
-    assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
-    assert_eq!(replication.decision(QuorumContact::Unconfirmed), AcknowledgementDecision::Reject);
+    assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
+    assert_eq!(replication.decision(NOW, QuorumContact::Unconfirmed), AcknowledgementDecision::Reject);
 }
 
 #[test]
 fn the_entry_must_be_on_the_local_disk_too() {
     let mut replication = start_replication(&replica_set(3, 1), None);
     replication.record_reply(address(2), Some(&vector_with_entry()));
-    assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Wait);
+    assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Wait);
     replication.record_reply(address(1), Some(&VersionVector::default()));
-    assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Wait);
+    assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Wait);
     replication.record_reply(address(3), None);
-    assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Reject);
+    assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Reject);
+}
+
+/// A server listens for a second: after that it has called another control node, or has ended.
+#[test]
+fn a_shutdown_is_acknowledged_in_time_or_not_at_all() {
+    let mut replication = start_replication(&replica_set(3, 1), None);
+    for member in 1..=3 {
+        replication.record_reply(address(member), Some(&vector_with_entry()));
+    }
+    let last = NOW + ACKNOWLEDGEMENT_TIMEOUT - Duration::from_millis(1);
+    assert_eq!(replication.decision(last, QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
+    let decision = replication.decision(replication.deadline(), QuorumContact::Confirmed);
+    assert_eq!(decision, AcknowledgementDecision::Reject);
+    assert!(ACKNOWLEDGEMENT_TIMEOUT < Duration::from_millis(1_000));
 }
 
 /// A node whose own disk fails may acknowledge what enough others have written.
@@ -127,17 +143,17 @@
     replication.record_reply(address(1), Some(&VersionVector::default()));
     replication.record_reply(address(2), Some(&vector_with_entry()));
     replication.record_reply(address(3), Some(&vector_with_entry()));
-    assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
+    assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
 }
 
 #[test]
 fn a_shutdown_with_too_few_replicas_is_rejected() {
     let mut replication = replication_after_local_write(&replica_set(5, 2), None);
     for unresponsive in 2..=4 {
-        assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Wait);
+        assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Wait);
         replication.record_reply(address(unresponsive), None);
     }
-    assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Reject);
+    assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Reject);
 }
 
 #[test]
@@ -146,7 +162,7 @@
     for from in [address(2), address(2), address(77), address(1)] {
         replication.record_reply(from, Some(&vector_with_entry()));
     }
-    assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Wait);
+    assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Wait);
 }
 
 /// With fewer members than replicas the failures to survive have happened already: the next one could lose the entry.
@@ -157,7 +173,7 @@
         for member in 1..=members {
             replication.record_reply(address(member), Some(&vector_with_entry()));
         }
-        let decision = replication.decision(QuorumContact::Confirmed);
+        let decision = replication.decision(NOW, QuorumContact::Confirmed);
         assert_eq!(decision, AcknowledgementDecision::Reject, "{members} members");
     }
 }
@@ -165,11 +181,11 @@
 #[test]
 fn without_tolerated_failures_a_second_member_stores_the_entry_if_there_is_one() {
     let alone = replication_after_local_write(&replica_set(1, 0), None);
-    assert_eq!(alone.decision(QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
+    assert_eq!(alone.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
     let mut two = replication_after_local_write(&replica_set(2, 0), None);
-    assert_eq!(two.decision(QuorumContact::Confirmed), AcknowledgementDecision::Wait);
+    assert_eq!(two.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Wait);
     two.record_reply(address(2), Some(&vector_with_entry()));
-    assert_eq!(two.decision(QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
+    assert_eq!(two.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
 }
 
 /// A node that is no member may fail beside the tolerated members.
@@ -178,9 +194,9 @@
     let mut replication = start_replication(&replica_set(3, 1), None);
     replication.record_reply(address(9), Some(&vector_with_entry()));
     replication.record_reply(address(1), Some(&vector_with_entry()));
-    assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Wait);
+    assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Wait);
     replication.record_reply(address(2), Some(&vector_with_entry()));
-    assert_eq!(replication.decision(QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
+    assert_eq!(replication.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
 }
 
 /// A server that was not acknowledged repeats its call: to the same control node, when one other has the entry, and to
@@ -236,12 +252,15 @@
         replication.record_reply(address(2), Some(&vector_with_entry()));
         replication
     };
-    assert_eq!(minority(None).decision(QuorumContact::Unconfirmed), AcknowledgementDecision::Wait);
+    assert_eq!(minority(None).decision(NOW, QuorumContact::Unconfirmed), AcknowledgementDecision::Wait);
     let one_replica = minority(Some(InjectedFault::AcknowledgeAfterOneReplica));
-    assert_eq!(one_replica.decision(QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
+    assert_eq!(one_replica.decision(NOW, QuorumContact::Confirmed), AcknowledgementDecision::Acknowledge);
     let mut without_quorum = minority(Some(InjectedFault::AcknowledgeWithoutQuorum));
     without_quorum.record_reply(address(3), Some(&vector_with_entry()));
-    assert_eq!(without_quorum.decision(QuorumContact::Unconfirmed), AcknowledgementDecision::Acknowledge);
+    assert_eq!(
+        without_quorum.decision(NOW, QuorumContact::Unconfirmed),
+        AcknowledgementDecision::Acknowledge
+    );
     let (mut registry, _) = draining();
     registry.mark_replicated(&vector_with_entry());
     let again = registry.record_heartbeat(Instant::from_millis(20), server(OperState::Draining, 3)).unwrap();
@@ -269,6 +288,6 @@
             responded.push(from);
         }
         replicas.retain(|replica| replica_set.members.contains(replica));
-        replication.decision(QuorumContact::Confirmed) != AcknowledgementDecision::Acknowledge || replicas.len() > failures
+        replication.decision(NOW, QuorumContact::Confirmed) != AcknowledgementDecision::Acknowledge || replicas.len() > failures
     }
 }
--- a/crates/control-plane/tests/fleet/checker.rs
+++ b/crates/control-plane/tests/fleet/checker.rs
@@ -9,6 +9,8 @@
 use mosshead_time::{Duration, Instant};
 use mosshead_virtual_fleet::{ProcessId, millis};
 
+use crate::stage_role::LEASE;
+
 /// A control node that was isolated from a quorum for longer must serve no configuration and acknowledge no shutdown.
 pub(crate) const MAX_ISOLATION: Duration = millis(2_000);
 
@@ -90,6 +92,8 @@
     acknowledged: BTreeMap<u64, Instant>,
     pub(crate) shutdowns: Vec<AcknowledgedServer>,
     highest_token: Option<HighestToken>,
+    /// Who has assigned a stage last, and when.
+    last_assignment: Option<(ProcessId, Instant)>,
     pub(crate) counts: Counts,
     pub(crate) violation: Option<String>,
 }
@@ -271,8 +275,15 @@
         }
     }
 
-    pub(crate) fn on_assignment(&mut self, holder: ProcessId, token: u64) {
+    pub(crate) fn on_assignment(&mut self, now: Instant, holder: ProcessId, token: u64) {
         self.counts.assignments += 1;
+        if let Some((other, at)) = self.last_assignment.replace((holder, now))
+            && other != holder
+            && now - at < LEASE
+        {
+            let description = format!("{holder:?} assigns {:?} after {other:?}", now - at);
+            self.report_violation("turns of owners", description);
+        }
         let highest = self.highest_token;
         if let Some(HighestToken { token: highest, holder: other }) = highest
             && (token < highest || token == highest && holder != other)
--- a/crates/control-plane/tests/fleet/control_node.rs
+++ b/crates/control-plane/tests/fleet/control_node.rs
@@ -33,8 +33,6 @@
 const RECOVERY_WINDOW: Duration = Duration::from_secs(6);
 /// How long a report of heartbeats may take to another node.
 const HEARTBEAT_REPORT_TIMEOUT: Duration = millis(350);
-/// How long a shutdown may take to be replicated.
-const ACKNOWLEDGEMENT_TIMEOUT: Duration = millis(800);
 const CALL_TIMEOUT: Duration = millis(900);
 
 pub(crate) struct SimulatedControlNode {
--- a/crates/control-plane/tests/fleet/control_node/shutdowns.rs
+++ b/crates/control-plane/tests/fleet/control_node/shutdowns.rs
@@ -6,9 +6,10 @@
     AcknowledgementDecision, EntryReplication, EntryVersion, ShutdownStep, latest_local_entries,
 };
 use mosshead_registry::{HeartbeatOutcome, RegistrationError, VersionVector};
-use mosshead_time::Instant;
+use mosshead_time::{Duration, Instant};
+use mosshead_virtual_fleet::millis;
 
-use super::{ACKNOWLEDGEMENT_TIMEOUT, MAX_ENTRIES};
+use super::MAX_ENTRIES;
 use crate::messages::{Call, Party, Purpose, ReplyTo, Response, ServerResponse};
 use crate::simulation::Simulation;
 
@@ -17,9 +18,12 @@
     replication: EntryReplication,
     reply_to: ReplyTo,
     server: String,
-    deadline: Instant,
+    received_at: Instant,
 }
 
+/// How long a server listens for the response to its call.
+const SERVER_TIMEOUT: Duration = millis(1_000);
+
 impl Simulation {
     pub(super) fn acknowledge_or_replicate(
         &mut self,
@@ -34,17 +38,15 @@
             return self.reply_to_server(control_node, reply_to, false);
         };
         let (contact, replica_set) = (process.contact(now), process.replica_set(tolerated_failures));
-        match process.acknowledgements.begin(&process.registry, id, &outcome, contact, &replica_set) {
+        match process.acknowledgements.begin(now, &process.registry, id, &outcome, contact, &replica_set) {
             ShutdownStep::Acknowledge => self.acknowledge(control_node, reply_to, id),
             ShutdownStep::Reject => self.reply_to_server(control_node, reply_to, false),
             ShutdownStep::Replicate(replication) => {
                 process.next_acknowledgement += 1;
                 let number = process.next_acknowledgement;
                 let server = id.to_owned();
-                let deadline = now + ACKNOWLEDGEMENT_TIMEOUT;
-                process
-                    .pending_acknowledgements
-                    .insert(number, PendingAcknowledgement { replication, reply_to, server, deadline });
+                let pending = PendingAcknowledgement { replication, reply_to, server, received_at: now };
+                process.pending_acknowledgements.insert(number, pending);
                 for other in self.others(control_node) {
                     self.replicate_to(control_node, number, self.control_nodes[other].address, None);
                 }
@@ -69,7 +71,7 @@
             Some(vector) => process.registry.missing_entries(vector, MAX_ENTRIES),
         };
         let Some(pending) = process.pending_acknowledgements.get(&acknowledgement) else { return };
-        let timeout = pending.deadline - self.now();
+        let timeout = pending.replication.deadline() - self.now();
         let purpose = Purpose::Replicate { acknowledgement, other, is_second: vector.is_some() };
         if let Some(to) = self.control_node_at(other) {
             let call = Call::PersistEntries { delta };
@@ -98,11 +100,19 @@
         let contact = process.contact(now);
         let Some(acknowledgement) = process.pending_acknowledgements.get(&number) else { return };
         let (decision, entry) =
-            (acknowledgement.replication.decision(contact), acknowledgement.replication.entry());
+            (acknowledgement.replication.decision(now, contact), acknowledgement.replication.entry());
         if decision == AcknowledgementDecision::Wait {
             return;
         }
         let Some(acknowledgement) = process.pending_acknowledgements.remove(&number) else { return };
+        if decision == AcknowledgementDecision::Acknowledge
+            && now >= acknowledgement.received_at + SERVER_TIMEOUT
+        {
+            let description =
+                format!("{} after {:?}", acknowledgement.server, now - acknowledgement.received_at);
+            self.checker.report_violation("late acknowledgement", description);
+        }
+        let Some(process) = &mut self.control_nodes[control_node].process else { return };
         if decision == AcknowledgementDecision::Acknowledge {
             process.acknowledgements.record_acknowledged(entry);
             self.acknowledge(control_node, acknowledgement.reply_to, &acknowledgement.server);
--- a/crates/control-plane/tests/fleet/stage_role.rs
+++ b/crates/control-plane/tests/fleet/stage_role.rs
@@ -1,16 +1,15 @@
 //! The stage role on a simulated control node, connected as the program does.
 
 use mosshead_consensus::Term;
-use mosshead_stage_scheduler::{AssignmentOutcome, StagePolicy, StageScheduler, fencing_token};
-use mosshead_time::{Duration, Instant};
+use mosshead_stage_scheduler::{AssignmentOutcome, RoleTenure, StagePolicy, StageScheduler, fencing_token};
+use mosshead_time::Duration;
 use mosshead_virtual_fleet::{ProcessId, millis};
 
 use crate::messages::{Call, Party, Purpose, Response};
 use crate::simulation::Simulation;
 
-const LEASE: Duration = millis(3_000);
-/// Added to the lease, for clocks that differ.
-const LEASE_MARGIN: Duration = millis(500);
+/// Orders of two owners must lie further apart than this.
+pub(crate) const LEASE: Duration = millis(3_000);
 const ASSIGNMENT_TIMEOUT: Duration = millis(600);
 
 #[derive(Default)]
@@ -21,7 +20,7 @@
 /// The role under a term.
 struct ActiveRole {
     term: Term,
-    since: Instant,
+    tenure: RoleTenure,
     scheduler: StageScheduler,
 }
 
@@ -40,10 +39,11 @@
         };
         if process.stage_role.current.as_ref().is_none_or(|current| current.term != term) {
             let scheduler = StageScheduler::new(StagePolicy::default());
-            process.stage_role.current = Some(ActiveRole { term, since: now, scheduler });
+            let tenure = RoleTenure::begin(now, LEASE);
+            process.stage_role.current = Some(ActiveRole { term, tenure, scheduler });
         }
-        let Some(ActiveRole { since, scheduler, .. }) = &mut process.stage_role.current else { return };
-        if now < *since + LEASE + LEASE_MARGIN {
+        let Some(ActiveRole { tenure, scheduler, .. }) = &mut process.stage_role.current else { return };
+        if !tenure.may_send_orders(now) {
             return;
         }
         let token = match self.faults.token_without_term {
@@ -52,7 +52,7 @@
         };
         for assignment in scheduler.due_assignments(now, process.registry.servers()) {
             let incarnation = self.control_nodes[control_node].incarnation;
-            self.checker.on_assignment(ProcessId { machine: control_node, incarnation }, token);
+            self.checker.on_assignment(now, ProcessId { machine: control_node, incarnation }, token);
             let server = self.servers.iter().position(|server| server.reported.id == assignment.instance_id);
             let Some(server) = server else { continue };
             let call = Call::AssignStage { id: assignment.instance_id, stage: assignment.stage, token };
--- a/crates/programs/src/control_node/registration.rs
+++ b/crates/programs/src/control_node/registration.rs
@@ -17,8 +17,6 @@
 use super::registry_host::RegistryHost;
 use crate::calls::{PersistAck, PersistEntries};
 
-/// A shutdown that is not acknowledged within this time is rejected: the server listens for a second.
-const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(800);
 /// A control node that waits for its disk responds this long before the time at which the response is needed.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(50);
 /// Entries that are sent with one call, at most.
@@ -92,9 +90,10 @@
     /// lost then, or lost their power before their disks had it, proxies would continue sending requests to the server.
     async fn replicate_until_decided(self: &Rc<Self>, mut replication: EntryReplication) -> bool {
         let entry = replication.entry();
-        let mut replies = self.replicate_to_all(entry);
+        let mut replies = self.replicate_to_all(entry, replication.deadline());
         loop {
-            match replication.decision(self.consensus.quorum_contact()) {
+            let (now, contact) = (self.registry.now(), self.consensus.quorum_contact());
+            match replication.decision(now, contact) {
                 AcknowledgementDecision::Acknowledge => {
                     self.registry.on_acknowledged(entry);
                     return true;
@@ -109,8 +108,12 @@
 
     /// Has an entry written here, and sends it to all peers. The tasks continue when enough have responded, so that the
     /// others get it too.
-    fn replicate_to_all(self: &Rc<Self>, entry: EntryVersion) -> mpsc::UnboundedReceiver<ReplicationReply> {
-        let deadline = Instant::now() + ACKNOWLEDGEMENT_TIMEOUT;
+    fn replicate_to_all(
+        self: &Rc<Self>,
+        entry: EntryVersion,
+        deadline: mosshead_time::Instant,
+    ) -> mpsc::UnboundedReceiver<ReplicationReply> {
+        let deadline = Instant::now() + (deadline - self.registry.now());
         let (sender, receiver) = mpsc::unbounded_channel();
         for peer in self.directory.peers() {
             let (registration, sender) = (self.clone(), sender.clone());
--- a/crates/programs/src/control_node/registry_host.rs
+++ b/crates/programs/src/control_node/registry_host.rs
@@ -170,7 +170,7 @@
         replica_set: &ReplicaSet,
     ) -> ShutdownStep {
         let registry = self.registry.borrow();
-        self.acknowledgements.borrow().begin(&registry, id, outcome, contact, replica_set)
+        self.acknowledgements.borrow().begin(self.now(), &registry, id, outcome, contact, replica_set)
     }
 
     /// Remembers the entry of a shutdown that was acknowledged: it outlives the tolerated failures.
@@ -207,7 +207,8 @@
         changed
     }
 
-    fn now(&self) -> Instant {
+    /// The time of the clock that the registry goes by.
+    pub(super) fn now(&self) -> Instant {
         self.clock.now()
     }
 }
--- a/crates/programs/src/control_node/stage_role.rs
+++ b/crates/programs/src/control_node/stage_role.rs
@@ -5,7 +5,7 @@
 
 use mosshead_consensus::Term;
 use mosshead_stage_scheduler::{
-    AssignmentOutcome, ServerLoad, StageAssignment, StagePolicy, StageScheduler, fencing_token,
+    AssignmentOutcome, RoleTenure, ServerLoad, StageAssignment, StagePolicy, StageScheduler, fencing_token,
 };
 use mosshead_time::Duration;
 use tokio::task::JoinSet;
@@ -20,22 +20,20 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How often some servers are asked for their reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
-/// How much longer than a lease a new owner waits until it sends orders.
-const TAKEOVER_MARGIN: Duration = Duration::from_millis(500);
 
 /// The role under one term, from the moment at which this node became its owner.
 struct Tenure {
     term: Term,
-    since: Instant,
+    role: RoleTenure,
     scheduler: StageScheduler,
     /// When servers were last asked for their reports.
     reports_collected_at: Option<Instant>,
 }
 
 impl Tenure {
-    fn new(term: Term) -> Tenure {
+    fn new(term: Term, role: RoleTenure) -> Tenure {
         let scheduler = StageScheduler::new(StagePolicy::default());
-        Tenure { term, since: Instant::now(), scheduler, reports_collected_at: None }
+        Tenure { term, role, scheduler, reports_collected_at: None }
     }
 }
 
@@ -45,8 +43,8 @@
     registry: Rc<RegistryHost>,
     /// The node name that orders carry.
     node_name: String,
-    /// How long after the start of its tenure an owner sends no orders.
-    takeover_delay: Duration,
+    /// How long the last order of a former owner may be in flight.
+    lease: Duration,
     tenure: Option<Tenure>,
 }
 
@@ -58,8 +56,7 @@
         node_name: &str,
         lease: Duration,
     ) -> StageRole {
-        let takeover_delay = lease + TAKEOVER_MARGIN;
-        StageRole { consensus, registry, node_name: node_name.to_owned(), takeover_delay, tenure: None }
+        StageRole { consensus, registry, node_name: node_name.to_owned(), lease, tenure: None }
     }
 
     /// Assigns stages for as long as the future is polled.
@@ -67,13 +64,15 @@
         loop {
             sleep(CHECK_INTERVAL).await;
             let Some(term) = self.consensus.primary_term() else {
-                self.tenure = None;
+                // A refusal by a server holds for the whole term.
+                self.tenure.take_if(|tenure| !tenure.scheduler.is_fenced());
                 continue;
             };
             let former = self.tenure.take().filter(|tenure| tenure.term == term);
-            let mut tenure = former.unwrap_or_else(|| Tenure::new(term));
+            let begin = || Tenure::new(term, RoleTenure::begin(self.registry.now(), self.lease));
+            let mut tenure = former.unwrap_or_else(begin);
             self.collect_reports(&mut tenure).await;
-            if tenure.since.elapsed() >= self.takeover_delay {
+            if tenure.role.may_send_orders(self.registry.now()) {
                 self.send_due_orders(&mut tenure).await;
             }
             self.tenure = Some(tenure);
@@ -106,8 +105,8 @@
             }
         }
         for assignment in due {
-            // The role may have been lost while the order before was in flight.
-            if self.consensus.primary_term() != Some(tenure.term) {
+            // The role may have been lost, or shown to be lost, while the order before was in flight.
+            if self.consensus.primary_term() != Some(tenure.term) || tenure.scheduler.is_fenced() {
                 return;
             }
             let outcome = self.send(&assignment, tenure.term).await;
--- a/crates/stage-scheduler/src/lib.rs
+++ b/crates/stage-scheduler/src/lib.rs
@@ -9,8 +9,10 @@
 mod fencing;
 mod policy;
 mod scheduler;
+mod tenure;
 
 pub use demand::ServerLoad;
 pub use fencing::fencing_token;
 pub use policy::StagePolicy;
 pub use scheduler::{AssignmentOutcome, StageAssignment, StageScheduler};
+pub use tenure::RoleTenure;
--- a/crates/stage-scheduler/src/scheduler.rs
+++ b/crates/stage-scheduler/src/scheduler.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Whether a server has rejected an assignment as that of a former primary: none is sent any more under this term.
+    pub fn is_fenced(&self) -> bool {
+        self.is_fenced
+    }
+
     /// Takes the report of a server about its work.
     pub fn record_report(&mut self, now: Instant, instance_id: &str, load: ServerLoad) {
         self.demand.record_report(now, instance_id, load);
--- a/crates/stage-scheduler/tests/stages.rs
+++ b/crates/stage-scheduler/tests/stages.rs
@@ -1,7 +1,9 @@
 //! The stage scheduler: how many servers run prefill, which are reassigned, and that it converges.
 
 use mosshead_registry::{OperState, Server, Stage};
-use mosshead_stage_scheduler::{AssignmentOutcome, ServerLoad, StagePolicy, StageScheduler, fencing_token};
+use mosshead_stage_scheduler::{
+    AssignmentOutcome, RoleTenure, ServerLoad, StagePolicy, StageScheduler, fencing_token,
+};
 use mosshead_time::{Duration, Instant};
 use quickcheck::quickcheck;
 
@@ -114,6 +116,32 @@
     assert!((0..5000).step_by(100).all(|now| due_count(&mut scheduler, millis(now), &servers) == 0));
 }
 
+/// A tenure ends with its first 412, whatever the assignments that were due with it; the tenure of a later term begins anew.
+#[test]
+fn a_412_fences_one_tenure_only() {
+    let (mut scheduler, servers) = (StageScheduler::new(two_thirds_prefill()), fleet(9, 4));
+    assert!(!scheduler.is_fenced());
+    scheduler.record_outcome(AssignmentOutcome::Unknown);
+    assert!(!scheduler.is_fenced(), "an order without a response says nothing of the fence");
+    for outcome in [AssignmentOutcome::StaleFence, AssignmentOutcome::Accepted, AssignmentOutcome::StaleFence]
+    {
+        scheduler.record_outcome(outcome);
+        assert!(scheduler.is_fenced());
+    }
+    assert!((0..60_000).step_by(100).all(|now| due_count(&mut scheduler, millis(now), &servers) == 0));
+    let mut elected_again = StageScheduler::new(two_thirds_prefill());
+    assert!((0..60_000).step_by(100).any(|now| due_count(&mut elected_again, millis(now), &servers) > 0));
+}
+
+/// The last order of the owner before may have left just before its lease ended, and clocks differ.
+#[test]
+fn a_new_owner_sends_no_order_until_the_lease_before_has_surely_expired() {
+    let lease = Duration::from_millis(3_000);
+    let tenure = RoleTenure::begin(millis(1_000), lease);
+    assert!((0..1_000 + 3_500).all(|now| !tenure.may_send_orders(millis(now))));
+    assert!(tenure.may_send_orders(millis(1_000 + 3_500)));
+}
+
 #[test]
 fn prefill_servers_are_spread_over_zones() {
     let mut servers: Vec<Server> = (0..9).map(|index| server(index, index / 3, Stage::Decode)).collect();
