Found a fleet anew after a majority is lost, and tell whether one more loss is tolerated

Cause: after a majority of the disks was lost nothing could elect a primary, and nobody could see beforehand whether one more machine may go. Change: Node::founding says what founding anew would do or why it is refused (a primary is alive, a majority with a holder of the state can be reached, too few nodes for f + 1 copies); Input::FoundAnew takes over with the nodes that are left, under a term 65,536 above all that is known, with the newest state that any of them has. Node::group_health names members, holders and their silence, and why no further machine may be lost.

--- a/crates/consensus/src/event.rs
+++ b/crates/consensus/src/event.rs
@@ -48,6 +48,9 @@
     },
     /// The process is to shut down, once [`crate::Node::may_shut_down`].
     ShutDown,
+    /// An operator has decided to found the fleet anew, as [`crate::Node::founding`] says. Without effect where that is an
+    /// error.
+    FoundAnew,
     /// The seeds have changed.
     Seeds(Vec<SocketAddrV4>),
 }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -34,6 +34,8 @@
 mod epoch_view;
 mod event;
 mod failure_detector;
+mod founding;
+mod group_health;
 mod heartbeat_response;
 mod injected_fault;
 mod join_requests;
@@ -73,6 +75,8 @@
 pub use durable_state::StoredStateError;
 pub use epoch_config::EpochConfig;
 pub use event::{ClientReply, Input, Output};
+pub use founding::{FOUNDING_TERM_STEP, Founding, FoundingError};
+pub use group_health::{GroupHealth, LossRisk, MemberHealth, MemberRole};
 #[doc(hidden)]
 #[cfg(feature = "fault-injection")]
 pub use injected_fault::InjectedFault;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -93,6 +93,7 @@
             }
             Input::Read { request_id } => self.on_read(request_id),
             Input::ShutDown => self.core.removal.request_shutdown(self.core.context.now()),
+            Input::FoundAnew => self.found_anew(),
             Input::Seeds(seeds) => {
                 self.core.context.set_seeds(seeds);
                 self.core.reset_addresses();
--- a/crates/consensus/src/node/queries.rs
+++ b/crates/consensus/src/node/queries.rs
@@ -9,6 +9,8 @@
 use super::{Node, Role};
 use crate::control_state::ControlState;
 use crate::epoch_config::EpochConfig;
+use crate::founding::{Founding, FoundingError, plan_founding};
+use crate::group_health::GroupHealth;
 use crate::injected_fault::InjectedFault;
 use crate::member_removal::SHUTDOWN_TIMEOUT;
 use crate::term::{Member, Term};
@@ -82,6 +84,28 @@
         self.core.epoch.config()
     }
 
+    /// What founding the fleet anew by this node would do, if an operator decided so now.
+    ///
+    /// # Errors
+    ///
+    /// It is not possible, or not needed.
+    pub fn founding(&self) -> Result<Founding, FoundingError> {
+        if !self.role.is_follower() {
+            return Err(FoundingError::HasPrimary);
+        }
+        plan_founding(&self.core)
+    }
+
+    /// The health of the group; `None` unless this node is primary and its lease holds at this moment.
+    pub fn group_health(&self, now: Instant) -> Option<GroupHealth> {
+        match &self.role {
+            Role::Primary(primary) if self.holds_primary_lease(now) => {
+                Some(primary.group_health(&self.core, now))
+            }
+            _ => None,
+        }
+    }
+
     /// Whether the disk takes writes and this node does not shut down.
     pub fn is_healthy(&self) -> bool {
         self.core.is_healthy()
--- a/crates/consensus/src/node/role.rs
+++ b/crates/consensus/src/node/role.rs
@@ -6,6 +6,7 @@
 use crate::disk_writes::DurabilityEffect;
 use crate::epoch_config::EpochConfig;
 use crate::event::Output;
+use crate::founding::{FOUNDING_TERM_STEP, plan_founding};
 use crate::injected_fault::InjectedFault;
 use crate::peers::NewEpoch;
 use crate::primary::PrimaryState;
@@ -96,7 +97,9 @@
     pub(super) fn start_take_over(&mut self, plan: TakeOverPlan) {
         let promised = self.core.acceptor.promised();
         let local = self.core.local();
-        let term = Term { number: self.core.epoch.next_term_number(promised), proposer: local.id };
+        let step = if plan.founding_members.is_some() { FOUNDING_TERM_STEP } else { 0 };
+        let number = self.core.epoch.next_term_number(promised).saturating_add(step);
+        let term = Term { number, proposer: local.id };
         if term <= promised || self.core.storage.is_full() {
             if let Role::TakingOver(take_over) = &mut self.role {
                 take_over.set_rejections(plan.rejections);
@@ -114,6 +117,17 @@
         }
     }
 
+    /// Takes over with the members that are left, if they could not by themselves.
+    pub(super) fn found_anew(&mut self) {
+        if !self.role.is_follower() {
+            return;
+        }
+        if let Ok(founding) = plan_founding(&self.core) {
+            let founding_members = Some(founding.members);
+            self.start_take_over(TakeOverPlan { founding_members, ..TakeOverPlan::default() });
+        }
+    }
+
     fn become_primary(&mut self, epoch: DecidedEpoch) {
         let DecidedEpoch { config, state, votes, proposed_at, is_renewal, is_continued } = epoch;
         let now = self.core.now();
--- a/crates/consensus/src/primary.rs
+++ b/crates/consensus/src/primary.rs
@@ -1,6 +1,7 @@
 //! The role of the primary: it sends heartbeats, has changes written by its backups before they are acknowledged, and renews
 //! its epoch when another configuration would be better.
 
+mod health;
 mod heartbeats;
 mod membership_plan;
 mod renewal;
--- a/crates/consensus/src/primary/renewal.rs
+++ b/crates/consensus/src/primary/renewal.rs
@@ -41,7 +41,11 @@
     }
 
     fn renewal(&self, wanted_members: Option<Vec<Member>>) -> Transition {
-        Transition::TakeOver(TakeOverPlan { decided_term: Some(self.term), wanted_members, rejections: 0 })
+        Transition::TakeOver(TakeOverPlan {
+            decided_term: Some(self.term),
+            wanted_members,
+            ..TakeOverPlan::default()
+        })
     }
 
     /// Whether the disk is stalled or full, or the node shuts down.
--- a/crates/consensus/src/take_over/promise_phase.rs
+++ b/crates/consensus/src/take_over/promise_phase.rs
@@ -34,11 +34,7 @@
     }
 
     pub(super) fn request_promises(&self, core: &mut NodeCore) {
-        let mut members = core.electorate();
-        if core.epoch.config().is_none() {
-            let joining = core.joins.recent(core.now()).filter(|join| !join.is_bootstrap_voter);
-            members.extend(joining.map(|join| join.member));
-        }
+        let members = self.plan.founding_members.clone().unwrap_or_else(|| promising_members(core));
         let promised = self.votes();
         for member in members.iter().filter(|member| !promised.includes(member)) {
             core.send(member.address, Message::Prepare { term: self.term });
@@ -67,7 +63,8 @@
         }
         // A configuration that was only seen counts like an accepted one: a node has proposed it, so it may be decided.
         let base = core.epoch.config().filter(|config| config.term < self.term).cloned();
-        if base.as_ref().is_some_and(|config| !config.has_member(core.local().id)) {
+        let is_founding = self.plan.founding_members.is_some();
+        if !is_founding && base.as_ref().is_some_and(|config| !config.has_member(core.local().id)) {
             return Transition::StepDown;
         }
         if !self.has_enough_promises(core, base.as_ref()) {
@@ -79,8 +76,8 @@
         };
         let newest = self.newest_version(core);
         let state = match newest {
-            // Only bootstrap voters start from nothing.
-            None => base.is_none().then(ControlState::default),
+            // Only bootstrap voters start from nothing, and an epoch that is founded anew of nodes that have none.
+            None => (base.is_none() || is_founding).then(ControlState::default),
             Some(newest) => core.find_state(&newest).cloned(),
         };
         self.base_term = base.map(|config| config.term).unwrap_or_default();
@@ -98,6 +95,9 @@
 
     fn has_enough_promises(&self, core: &NodeCore, base: Option<&EpochConfig>) -> bool {
         let votes = self.votes();
+        if let Some(members) = &self.plan.founding_members {
+            return members.iter().all(|member| votes.includes(member));
+        }
         match base {
             Some(base) => votes.decide(base, core.deciders()) && votes.include_state_holder(base),
             None => votes.are_majority_of(&core.electorate()),
@@ -106,7 +106,10 @@
 
     /// The highest of the versions that the promises report.
     fn newest_version(&self, core: &NodeCore) -> Option<StateVersion> {
-        let versions = self.promises.values().filter_map(|promise| promise.version);
+        // What a founder knows to be committed may be on none of the disks that are left.
+        let is_founding = self.plan.founding_members.is_some();
+        let committed = core.learner.committed().filter(|_| is_founding).map(ControlState::version);
+        let versions = self.promises.values().filter_map(|promise| promise.version).chain(committed);
         match core.has_fault(InjectedFault::NewestByRevision) {
             true => versions.max_by_key(|v| (v.revision, v.write_term, v.first_write_term)),
             false => versions.max(),
@@ -115,6 +118,9 @@
 
     /// The members of the new configuration.
     fn choose_members(&self, core: &NodeCore, base: Option<&EpochConfig>) -> NextMembers {
+        if let Some(members) = self.plan.founding_members.clone() {
+            return NextMembers { outgoing: members.clone(), members };
+        }
         let Some(base) = base else { return self.choose_first_members(core) };
         // Members change only from a configuration that is known to be decided; any other one may have to be completed.
         if self.plan.decided_term != Some(base.term) {
@@ -161,3 +167,14 @@
         is_enough.then(|| able.into_iter().map(|(id, _)| *id).collect())
     }
 }
+
+/// Those that promises are requested from: the voters; before there is a configuration, also other nodes that look for the
+/// others.
+fn promising_members(core: &NodeCore) -> Vec<Member> {
+    let mut members = core.electorate();
+    if core.epoch.config().is_none() {
+        let joining = core.joins.recent(core.now()).filter(|join| !join.is_bootstrap_voter);
+        members.extend(joining.map(|join| join.member));
+    }
+    members
+}
--- a/crates/consensus/src/transition.rs
+++ b/crates/consensus/src/transition.rs
@@ -24,6 +24,8 @@
     pub(crate) decided_term: Option<Term>,
     /// The members that the primary wants, if others than before.
     pub(crate) wanted_members: Option<Vec<Member>>,
+    /// The members of an epoch that an operator founds anew; none for any other take-over.
+    pub(crate) founding_members: Option<Vec<Member>>,
     /// How many take-overs in a row were rejected before this one; counted for renewals only.
     pub(crate) rejections: u8,
 }
--- a/crates/consensus/tests/fleet/main.rs
+++ b/crates/consensus/tests/fleet/main.rs
@@ -2,6 +2,8 @@
 
 mod checker;
 mod fault_actions;
+mod founding;
+mod group_health;
 mod injected_faults;
 mod large_states;
 mod large_states_fleet;
--- a/crates/http-links/tests/outbound_connection.rs
+++ b/crates/http-links/tests/outbound_connection.rs
@@ -287,6 +287,31 @@
     });
 }
 
+/// As before, and the connection has read the response before the deadline is noticed.
+#[test]
+fn a_response_that_is_found_with_a_deadline_that_has_passed_is_rejected() {
+    run(async {
+        let (mut connection, mut server) = connected().await;
+        assert!(connection.ready().await);
+        let deadline = tokio::time::Instant::now() + Duration::from_millis(50);
+        let mut sending = pin!(connection.send_with_deadline(get(), deadline));
+        assert!(matches!(sending.as_mut().poll(&mut Context::from_waker(Waker::noop())), Poll::Pending));
+        tokio::task::yield_now().await;
+        assert!(server.read(&mut [0; 64]).expect("the request") > 0);
+        server.write_all(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n").expect("the peer reads");
+        while tokio::time::Instant::now() < deadline {
+            std::thread::yield_now();
+        }
+        // The runtime looks at its sockets once in so many turns.
+        for _ in 0..500 {
+            tokio::task::yield_now().await;
+        }
+        let outcome = sending.as_mut().poll(&mut Context::from_waker(Waker::noop()));
+        let Poll::Ready(Err(error)) = outcome else { panic!("{outcome:?}") };
+        assert_eq!(error.kind, SendErrorKind::DeadlinePassed);
+    });
+}
+
 /// After a response that arrives before its request was written completely, the rest of the request is still to come.
 #[test]
 fn a_connection_is_reusable_only_after_its_request_was_written_completely() {
@@ -302,7 +327,9 @@
         });
         let deadline = tokio::time::Instant::now() + LONG_TIMEOUT;
         assert_eq!(connection.send_with_deadline(request, deadline).await.expect("a response").status(), 503);
+        let asked_at = std::time::Instant::now();
         assert!(!connection.write_progress.is_complete() && !connection.is_reusable(LONG_TIMEOUT).await);
+        assert!(asked_at.elapsed() < LONG_TIMEOUT, "that is known without waiting for the response to end");
         drop(server.join().expect("the thread does not panic"));
     });
 }
