Show the whole fleet in one call, and found it anew by a command

Cause: no call told who holds the control state, which versions are in force or whether one more machine may be lost, and after a majority of the disks was lost nothing but setting everything up again was left, unrehearsed.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -8,7 +8,9 @@
 mod config;
 mod day_tables;
 mod emulate;
+mod fleet;
 mod fleet_day;
+mod json_call;
 mod outcome;
 mod progress;
 mod proxy_command;
@@ -43,6 +45,8 @@
     Emulate(emulate::Emulate),
     /// Plays a scenario against many processes with faults between them, and judges by what crossed the links.
     FleetDay(fleet_day::FleetDayCommand),
+    /// Looks at a router fleet as a whole, and founds one anew.
+    Fleet(fleet::Fleet),
     /// Plays days of a fleet that comes back over seeds and sizes: tables and charts.
     BackStudy(back_study::BackStudy),
     /// Asks proxies how far they have come since their start.
@@ -61,6 +65,7 @@
             Self::Config(command) => command.run(),
             Self::Emulate(command) => command.run(),
             Self::FleetDay(command) => command.run(),
+            Self::Fleet(command) => command.run(),
             Self::BackStudy(command) => command.run(),
             Self::WayBack(command) => command.run(),
             Self::Scenarios(command) => command.run(),
--- a/crates/ctl/src/way_back.rs
+++ b/crates/ctl/src/way_back.rs
@@ -1,21 +1,16 @@
 //! `mossheadctl way-back`: how far proxies have recovered since their start, as their admin endpoints report.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::thread;
-use std::time::Duration;
 
-use anyhow::{Context, anyhow, bail};
+use anyhow::anyhow;
 use clap::Args;
 use serde_json::{Value, json};
 
 use crate::day_tables::render_table;
+use crate::json_call;
 use crate::outcome::Outcome;
 
-/// How long connecting, writing and each read may take.
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
-/// The longest response that is read, in bytes.
-const MAX_RESPONSE_BYTES: u64 = 64 * 1024;
 const COLUMNS: [&str; 8] = ["at", "stage", "waits for", "for", "full after", "up", "life", "draining"];
 /// The column from which on the table has numbers.
 const FIRST_NUMBER_COLUMN: usize = 3;
@@ -118,16 +113,5 @@
 
 /// One call to a proxy's admin endpoint.
 fn request_state(address: SocketAddr) -> anyhow::Result<Value> {
-    let mut stream = TcpStream::connect_timeout(&address, CALL_TIMEOUT).context("no connection")?;
-    stream.set_read_timeout(Some(CALL_TIMEOUT))?;
-    stream.set_write_timeout(Some(CALL_TIMEOUT))?;
-    let request = format!("GET /ops/state HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
-    stream.write_all(request.as_bytes())?;
-    let mut response = String::new();
-    stream.take(MAX_RESPONSE_BYTES).read_to_string(&mut response).context("no answer")?;
-    let Some((head, body)) = response.split_once("\r\n\r\n") else { bail!("no answer") };
-    if !head.starts_with("HTTP/1.1 200") {
-        bail!("it does not know of this call: {}", head.lines().next().unwrap_or_default());
-    }
-    serde_json::from_str(body).context("an answer that cannot be read")
+    json_call::get(address, "/ops/state")
 }
--- a/crates/programs/src/control_api.rs
+++ b/crates/programs/src/control_api.rs
@@ -3,6 +3,7 @@
 //! Codes in the bodies of responses are listed in docs/codes.md.
 
 mod configuration;
+mod fleet;
 mod heartbeat;
 mod instances;
 mod request_digest;
--- a/crates/programs/src/control_api/configuration.rs
+++ b/crates/programs/src/control_api/configuration.rs
@@ -6,10 +6,9 @@
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderValue, LOCATION};
 use mosshead_control_plane::{ChangeKind, ChangeResponse, OperatorChange, ReadResponse};
-use tinyjson::JsonValue;
 
 use super::request_digest::request_digest;
-use super::response::{ApiResponse, ResultCode, code_only, expired, json, unavailable};
+use super::response::{ApiResponse, ResultCode, code_only, expired, json, json_string, unavailable};
 use crate::control_node::ControlNode;
 
 /// The header that names the revision which a change builds on.
@@ -69,8 +68,3 @@
     }
     response
 }
-
-/// The text as a JSON string, with its quotes.
-fn json_string(text: &str) -> String {
-    JsonValue::from(text.to_owned()).stringify().unwrap_or_else(|_| "\"\"".into())
-}
--- a/crates/programs/src/control_api/response.rs
+++ b/crates/programs/src/control_api/response.rs
@@ -4,6 +4,7 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use tinyjson::JsonValue;
 
 /// The response of an endpoint: the body is complete before it is sent.
 pub(super) type ApiResponse = Response<Full<Bytes>>;
@@ -35,6 +36,8 @@
     ConfigurationTooLarge,
     /// Whether the request repeats one that was accepted long ago is unknown.
     Expired,
+    /// The fleet can't be founded anew, or need not be.
+    FoundingRefused,
 }
 
 impl ResultCode {
@@ -50,6 +53,7 @@
             ResultCode::NoConfiguration => "C09",
             ResultCode::ConfigurationTooLarge => "C10",
             ResultCode::Expired => "C11",
+            ResultCode::FoundingRefused => "C12",
         }
     }
 }
@@ -62,6 +66,11 @@
     response
 }
 
+/// The text as a JSON string, with its quotes.
+pub(super) fn json_string(text: &str) -> String {
+    JsonValue::from(text.to_owned()).stringify().unwrap_or_else(|_| "\"\"".into())
+}
+
 /// A response that carries nothing but a code.
 pub(super) fn code_only(status: StatusCode, code: ResultCode) -> ApiResponse {
     json(status, format!("{{\"code\":\"{}\"}}", code.as_str()))
--- a/crates/programs/src/control_api/server.rs
+++ b/crates/programs/src/control_api/server.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Duration, timeout};
 
 use super::response::{ApiResponse, ResultCode, code_only, json};
-use super::{configuration, instances};
+use super::{configuration, fleet, instances};
 use crate::control_node::ControlNode;
 use crate::limits::MAX_REQUEST_BYTES;
 
@@ -33,6 +33,8 @@
 const REPLACE_PATH: &str = "/Configuration.Replace";
 const MODIFY_PATH: &str = "/Configuration.Modify";
 const SHOW_PATH: &str = "/Configuration.Show";
+const FLEET_STATUS_PATH: &str = "/Fleet.Status";
+const FOUND_ANEW_PATH: &str = "/Fleet.FoundAnew";
 
 /// Accepts connections for as long as the future is polled. Connections are served by tasks of their own, which end
 /// with the connection.
@@ -83,6 +85,9 @@
             configuration::change(&control_node, ChangeKind::Modify, &path, &head.headers, body).await
         }
         (&Method::GET, SHOW_PATH) => configuration::show(&control_node, &path).await,
+        (&Method::GET, FLEET_STATUS_PATH) => fleet::status(&control_node),
+        (&Method::GET, FOUND_ANEW_PATH) => fleet::founding(&control_node),
+        (&Method::POST, FOUND_ANEW_PATH) => fleet::found_anew(&control_node),
         (&Method::GET, "/Status" | "/status") => json(StatusCode::OK, control_node.status()),
         _ => code_only(StatusCode::NOT_FOUND, ResultCode::NotFound),
     }
--- a/crates/programs/src/control_node.rs
+++ b/crates/programs/src/control_node.rs
@@ -9,6 +9,7 @@
 mod consensus_sender;
 mod consensus_storage;
 mod directory;
+mod fleet_service;
 mod handlers;
 mod log_directory;
 mod node;
@@ -22,8 +23,10 @@
 mod registry_log;
 mod registry_storage;
 mod stage_role;
+mod stage_targets;
 mod status;
 mod update_service;
 
+pub(crate) use self::fleet_service::founding_json;
 pub(crate) use self::node::ControlNode;
 pub(crate) use self::peer_followers::PeerFollowers;
--- a/crates/programs/src/control_node/consensus_host.rs
+++ b/crates/programs/src/control_node/consensus_host.rs
@@ -1,16 +1,17 @@
 //! The node's member of the consensus group, and what it needs of the host: its clock, its log, its messages to other
 //! members, and the requests that wait for its replies.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use mosshead_consensus::{
-    ClientReply, ControlState, Input, Member, Node, Output, Settings as NodeSettings, StoredStateError, Term,
+    ClientReply, ControlState, Founding, FoundingError, GroupHealth, Input, Member, Node, Output,
+    Settings as NodeSettings, StoredStateError, Term,
 };
 use mosshead_control_plane::{ChangeProposal, PrimaryHint, QuorumContact};
 use mosshead_record_log::LogWriter;
-use mosshead_time::Duration;
+use mosshead_time::{Duration, Instant};
 use rand_pcg::Pcg64Mcg;
 use tokio::time::timeout;
 
@@ -30,6 +31,8 @@
     node: RefCell<Option<Node<Pcg64Mcg>>>,
     log: RefCell<Option<LogWriter>>,
     requests: PendingConsensusRequests,
+    /// Since when this node has had contact with a quorum, as far as its ticks have seen.
+    quorum_contact_since: Cell<Option<Instant>>,
     sender: Rc<ConsensusSender>,
     /// Where committed states go.
     configs: Rc<ConfigStore>,
@@ -51,6 +54,7 @@
             node: RefCell::default(),
             log: RefCell::default(),
             requests: PendingConsensusRequests::default(),
+            quorum_contact_since: Cell::default(),
             sender,
             configs,
             changes,
@@ -214,6 +218,28 @@
         QuorumContact::from_flag(node.as_ref().is_some_and(|node| node.has_quorum_contact(self.clock.now())))
     }
 
+    /// Lets time pass.
+    pub(super) fn tick(self: &Rc<Self>) {
+        self.step(Input::Tick);
+        let since = self.quorum_contact_since.get().unwrap_or(self.clock.now());
+        self.quorum_contact_since.set(self.quorum_contact().is_confirmed().then_some(since));
+    }
+
+    /// For how long this node has had contact with a quorum; `None` without contact.
+    pub(super) fn quorum_contact_age(&self) -> Option<Duration> {
+        self.quorum_contact_since.get().map(|since| self.clock.now() - since)
+    }
+
+    /// The health of the group, if this node is the primary.
+    pub(super) fn group_health(&self) -> Option<GroupHealth> {
+        self.node.borrow().as_ref().and_then(|node| node.group_health(self.clock.now()))
+    }
+
+    /// What founding the fleet anew by this node would do.
+    pub(super) fn founding(&self) -> Result<Founding, FoundingError> {
+        self.node.borrow().as_ref().map_or(Err(FoundingError::Unhealthy), Node::founding)
+    }
+
     /// The newest term that is known here.
     pub(super) fn term(&self) -> Option<Term> {
         self.node.borrow().as_ref().map(Node::term)
--- a/crates/programs/src/control_node/node.rs
+++ b/crates/programs/src/control_node/node.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use mosshead_consensus::{Input, Settings as NodeSettings, Timings};
+use mosshead_consensus::{Founding, FoundingError, Input, Settings as NodeSettings, Timings};
 use mosshead_control_plane::{ChangeResponse, OperatorChange, ReadResponse};
 use mosshead_registry::{Server, SourceId};
 use mosshead_rpc::{Caller, Handlers};
+use tinyjson::JsonValue;
 use tokio::task::JoinSet;
 
 use super::change_notifier::ChangeNotifier;
@@ -17,6 +18,7 @@
 use super::consensus_sender::ConsensusSender;
 use super::consensus_storage::run_consensus;
 use super::directory::ControlNodeDirectory;
+use super::fleet_service::{FleetService, FleetSources};
 use super::handlers::handlers;
 use super::operator_service::OperatorService;
 use super::peer_exchange::PeerExchange;
@@ -25,6 +27,7 @@
 use super::registry_host::RegistryHost;
 use super::registry_storage::run_registry_log;
 use super::stage_role::StageRole;
+use super::stage_targets::StageTargets;
 use super::status::status;
 use super::update_service::{UpdateService, UpdateSources};
 use crate::clock::Clock;
@@ -42,6 +45,8 @@
     registration: Rc<Registration>,
     updates: Rc<UpdateService>,
     peer_exchange: Rc<PeerExchange>,
+    fleet: FleetService,
+    stage_targets: Rc<StageTargets>,
 }
 
 impl ControlNode {
@@ -76,11 +81,23 @@
             gossip: gossip.clone(),
             changes,
         };
+        let updates = UpdateService::new(source, sources);
+        let stage_targets = Rc::<StageTargets>::default();
+        let fleet_sources = FleetSources {
+            consensus: consensus.clone(),
+            registry: registry.clone(),
+            configs: configs.clone(),
+            updates: updates.clone(),
+            stage_targets: stage_targets.clone(),
+        };
+        let fleet = FleetService::new(&settings.node_name, address, fleet_sources);
         Rc::new(ControlNode {
             settings,
             gossip,
             operator: OperatorService::new(consensus.clone(), configs.clone()),
-            updates: UpdateService::new(source, sources),
+            updates,
+            fleet,
+            stage_targets,
             consensus,
             registry,
             configs,
@@ -102,7 +119,9 @@
 
     fn stage_role(&self) -> StageRole {
         let Settings { node_name, .. } = &self.settings;
-        StageRole::new(self.consensus.clone(), self.registry.clone(), node_name, self.settings.lease())
+        let lease = self.settings.lease();
+        let targets = self.stage_targets.clone();
+        StageRole::new(self.consensus.clone(), self.registry.clone(), node_name, lease, targets)
     }
 
     /// The tasks that watch the peers; none runs yet.
@@ -148,9 +167,24 @@
         status(&self.consensus, &self.configs, &self.registry, &self.gossip)
     }
 
+    /// The fleet as this node knows it, as a JSON object.
+    pub(crate) fn fleet_status(&self) -> JsonValue {
+        self.fleet.status()
+    }
+
+    /// What founding the fleet anew by this node would do.
+    pub(crate) fn founding(&self) -> Result<Founding, FoundingError> {
+        self.fleet.founding()
+    }
+
+    /// Founds the fleet anew, after the operator has decided so.
+    pub(crate) fn found_anew(&self) -> Result<Founding, FoundingError> {
+        self.fleet.found_anew()
+    }
+
     /// Lets time pass for the consensus node.
     pub(crate) fn tick(&self) {
-        self.consensus.step(Input::Tick);
+        self.consensus.tick();
     }
 
     /// Queues what is new in the registry for the disk.
--- a/crates/programs/src/control_node/registry_host.rs
+++ b/crates/programs/src/control_node/registry_host.rs
@@ -195,6 +195,11 @@
         scheduler.record_report(self.now(), id, load);
     }
 
+    /// Calls `read` with the servers that have not been removed.
+    pub(super) fn with_servers<T>(&self, read: impl FnOnce(&mut dyn Iterator<Item = &Server>) -> T) -> T {
+        read(&mut self.registry.borrow().servers())
+    }
+
     /// The address of a server.
     pub(super) fn address_of(&self, id: &str) -> Option<SocketAddrV4> {
         self.registry.borrow().get(id).map(|server| server.address)
--- a/crates/programs/src/control_node/stage_role.rs
+++ b/crates/programs/src/control_node/stage_role.rs
@@ -13,6 +13,7 @@
 
 use super::consensus_host::ConsensusHost;
 use super::registry_host::RegistryHost;
+use super::stage_targets::{StageTarget, StageTargets};
 use crate::server_reports::fetch_report;
 use crate::stage_orders::{OrderMessage, send_order};
 
@@ -46,6 +47,8 @@
     /// How long the last order of a former owner may be in flight.
     lease: Duration,
     tenure: Option<Tenure>,
+    /// Where the targets are shown.
+    targets: Rc<StageTargets>,
 }
 
 impl StageRole {
@@ -55,8 +58,9 @@
         registry: Rc<RegistryHost>,
         node_name: &str,
         lease: Duration,
+        targets: Rc<StageTargets>,
     ) -> StageRole {
-        StageRole { consensus, registry, node_name: node_name.to_owned(), lease, tenure: None }
+        StageRole { consensus, registry, node_name: node_name.to_owned(), lease, tenure: None, targets }
     }
 
     /// Assigns stages for as long as the future is polled.
@@ -64,6 +68,7 @@
         loop {
             sleep(CHECK_INTERVAL).await;
             let Some(term) = self.consensus.primary_term() else {
+                self.targets.set(Vec::new());
                 // A refusal by a server holds for the whole term.
                 self.tenure.take_if(|tenure| !tenure.scheduler.is_fenced());
                 continue;
@@ -75,6 +80,7 @@
             if tenure.role.may_send_orders(self.registry.now()) {
                 self.send_due_orders(&mut tenure).await;
             }
+            self.targets.set(stage_targets(&tenure.scheduler));
             self.tenure = Some(tenure);
         }
     }
@@ -132,3 +138,13 @@
         send_order(&message, || self.consensus.primary_term() == Some(term)).await
     }
 }
+
+fn stage_targets(scheduler: &StageScheduler) -> Vec<StageTarget> {
+    let reports = scheduler.report_count();
+    let target = |(service, prefill_share): (&str, f64)| StageTarget {
+        service: service.to_owned(),
+        prefill_share,
+        reports,
+    };
+    scheduler.target_shares().map(target).collect()
+}
--- a/crates/programs/src/control_node/update_service.rs
+++ b/crates/programs/src/control_node/update_service.rs
@@ -10,7 +10,7 @@
 use super::config_store::ConfigStore;
 use super::consensus_host::ConsensusHost;
 use super::directory::ControlNodeDirectory;
-use super::proxy_presence::ProxyPresence;
+use super::proxy_presence::{ProxyCall, ProxyPresence};
 use super::registry_host::RegistryHost;
 use crate::calls::{Updates, WatchUpdates};
 use crate::config_transfer::{ChunkRequest, ConfigChunk};
@@ -52,7 +52,7 @@
     /// Responds with what is new to the caller, as soon as there is something or the wait is over.
     pub(super) async fn watch_updates(self: Rc<Self>, call: WatchUpdates) -> Updates {
         if call.is_proxy {
-            self.proxies.on_call(call.name.clone());
+            self.proxies.on_call(call.name.clone(), call.revision);
         } else {
             self.sources.registry.mark_replicated(&call.vector);
         }
@@ -67,6 +67,11 @@
         }
     }
 
+    /// The proxies that have watched this node recently.
+    pub(super) fn proxy_calls(&self) -> Vec<ProxyCall> {
+        self.proxies.calls()
+    }
+
     /// Responds to a proxy that fetches the configuration.
     pub(super) fn fetch_config(&self, request: ChunkRequest) -> ConfigChunk {
         self.sources.configs.next_chunk(request, self.sources.consensus.quorum_contact())
--- a/crates/programs/tests/processes.rs
+++ b/crates/programs/tests/processes.rs
@@ -1,23 +1,19 @@
 //! The two programs as processes on loopback: what `status` prints, and that a proxy that is terminated finishes the
 //! requests that it has read.
 
-use std::collections::{BTreeSet, HashMap};
+mod common;
+
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
-use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use tempfile::TempDir;
-use tinyjson::JsonValue;
 
-/// A step of the test takes no longer, on a busy machine too.
-const BOUND: Duration = Duration::from_secs(20);
-/// The pause between two attempts.
-const POLL_INTERVAL: Duration = Duration::from_millis(10);
+use self::common::{BOUND, Process, eventually, free_port, get, is_ok, post};
+
 /// The grace of these processes, in seconds.
 const GRACE_S: u64 = 6;
 const SEAL: &str = "3e1b.07.5a2.600.0.c9f2a4d1";
@@ -50,95 +46,6 @@
 const PROXY: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 3);
 const MODEL_SERVER: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 4);
 
-fn free_port(address: Ipv4Addr) -> u16 {
-    TcpListener::bind((address, 0)).unwrap().local_addr().unwrap().port()
-}
-
-/// Repeats an attempt until it succeeds.
-fn eventually<T>(what: &str, mut attempt: impl FnMut() -> Option<T>) -> T {
-    let start = Instant::now();
-    while start.elapsed() < BOUND {
-        if let Some(result) = attempt() {
-            return result;
-        }
-        thread::sleep(POLL_INTERVAL);
-    }
-    panic!("{what}: not within {BOUND:?}");
-}
-
-/// A process of the fleet. It is killed when this is dropped.
-struct Process {
-    child: Child,
-    program: &'static str,
-    settings: PathBuf,
-}
-
-impl Process {
-    fn start(program: &'static str, directory: &Path, settings: &str) -> Process {
-        let path = directory.join("settings");
-        std::fs::write(&path, settings).unwrap();
-        let mut command = Command::new(program);
-        command.args(["serve", "--settings"]).arg(&path).stdout(Stdio::null());
-        Process { child: command.spawn().unwrap(), program, settings: path }
-    }
-
-    /// What `status` prints; `None` as long as the process does not answer.
-    fn status(&self) -> Option<HashMap<String, JsonValue>> {
-        let mut command = Command::new(self.program);
-        let output = command.args(["status", "--settings"]).arg(&self.settings).output().unwrap();
-        let text = String::from_utf8(output.stdout).unwrap();
-        let value: JsonValue = output.status.success().then(|| text.trim().parse().unwrap())?;
-        value.get::<HashMap<String, JsonValue>>().cloned()
-    }
-
-    fn keys_of_status(&self) -> BTreeSet<String> {
-        eventually("status", || self.status()).into_keys().collect()
-    }
-
-    fn terminate(&self) {
-        kill_process(Pid::from_child(&self.child), Signal::TERM).unwrap();
-    }
-
-    fn exit_code(&mut self) -> Option<i32> {
-        eventually("exit", || self.child.try_wait().unwrap()).code()
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// Sends a request on a connection of its own, and reads until its end. Empty: nobody listens.
-fn exchange(address: SocketAddrV4, request: &str) -> String {
-    let Ok(mut stream) = TcpStream::connect(address) else { return String::new() };
-    stream.set_read_timeout(Some(BOUND)).unwrap();
-    let mut response = Vec::new();
-    let sent = stream.write_all(request.as_bytes());
-    let _ = sent.and_then(|()| stream.read_to_end(&mut response));
-    String::from_utf8(response).unwrap()
-}
-
-fn post(address: SocketAddrV4, path: &str, headers: &str, body: &str) -> String {
-    let length = body.len();
-    exchange(
-        address,
-        &format!(
-            "POST {path} HTTP/1.1\r\nHost: fleet.example\r\nConnection: close\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
-        ),
-    )
-}
-
-fn get(address: SocketAddrV4, path: &str) -> String {
-    exchange(address, &format!("GET {path} HTTP/1.1\r\nHost: fleet.example\r\nConnection: close\r\n\r\n"))
-}
-
-fn is_ok(response: &str) -> bool {
-    response.starts_with("HTTP/1.1 200 ")
-}
-
 /// A model server that responds to a request only once the test says so.
 struct ModelServer {
     address: SocketAddrV4,
@@ -265,3 +172,30 @@
     fleet.control_node.terminate();
     assert_eq!(fleet.control_node.exit_code(), Some(0));
 }
+
+/// RULES.md, LOST: a SIGHUP costs no request that was read. Only the seeds are read again; a file that is at fault changes
+/// nothing.
+#[test]
+fn a_hangup_costs_no_request_and_a_settings_file_at_fault_changes_nothing() {
+    let mut fleet = Fleet::start();
+    let front = fleet.front;
+    for (number, appended) in [(1, "seed_nodes=127.0.0.9:1\n"), (2, "this is no setting\nnode_name=\n")] {
+        let settings = std::fs::read_to_string(fleet.proxy.settings()).unwrap();
+        let headers = format!("X-Attempt-Id: 1\r\nX-Deadline-Ms: 15000\r\nX-Number: {number}\r\n");
+        let client = thread::spawn(move || post(front, "/work", &headers, "a body"));
+        fleet.model_server.received.recv_timeout(BOUND).unwrap();
+        std::fs::write(fleet.proxy.settings(), format!("{settings}{appended}")).unwrap();
+        for process in [&fleet.proxy, &fleet.control_node] {
+            process.signal(Signal::HUP);
+        }
+        // The proxy has handled the signal once it answers what was asked after it.
+        eventually("status", || fleet.proxy.status());
+        fleet.model_server.respond.send(()).unwrap();
+        let response = client.join().unwrap();
+        assert!(is_ok(&response) && response.ends_with("\r\n\r\ncomplete"), "{response}");
+        assert!(is_ok(&get(fleet.readiness, "/readiness")));
+        for process in [&mut fleet.proxy, &mut fleet.control_node] {
+            assert!(process.child.try_wait().unwrap().is_none(), "a process has ended");
+        }
+    }
+}
--- a/crates/stage-scheduler/src/demand.rs
+++ b/crates/stage-scheduler/src/demand.rs
@@ -91,6 +91,11 @@
 }
 
 impl DemandEstimator {
+    /// How many reports are known.
+    pub(crate) fn report_count(&self) -> usize {
+        self.reports.len()
+    }
+
     /// Takes the report of a server.
     pub(crate) fn record_report(&mut self, now: Instant, id: &str, load: ServerLoad) {
         self.reports.insert(id.to_owned(), Report { received_at: now, load });
--- a/crates/stage-scheduler/src/scheduler.rs
+++ b/crates/stage-scheduler/src/scheduler.rs
@@ -157,6 +157,11 @@
         self.target_shares.iter().map(|(service, target)| (service.as_str(), target.share))
     }
 
+    /// How many servers' reports are known.
+    pub fn report_count(&self) -> usize {
+        self.demand.report_count()
+    }
+
     /// The assignments that are due among these servers. Until its cooldown ends, a server counts as running the stage that
     /// it was assigned.
     pub fn due_assignments<'a>(
