--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -1,5 +1,7 @@
-//! `mossheadctl fleet`: what an operator asks of a router fleet as a whole.
+//! `mossheadctl fleet`: what an operator asks of a router fleet as a whole, and a fleet on loopback to try it on.
 
+mod chart;
+mod emulate;
 mod found_anew;
 mod status;
 mod view;
@@ -15,7 +17,7 @@
 /// The setting that names control nodes, in the settings file of any process of the fleet.
 const SEED_SETTING: &str = "seed_nodes";
 
-/// Looks at a router fleet as a whole, and founds one anew.
+/// Looks at a router fleet as a whole, founds one anew, and plays one on loopback.
 #[derive(Args)]
 pub(crate) struct Fleet {
     #[command(subcommand)]
@@ -26,6 +28,8 @@
 enum FleetCommand {
     /// Members, holders of the state, versions in force, servers and stages, and whether one more machine may be lost.
     Status(status::Status),
+    /// Plays a fleet of real processes on loopback, amid model servers and clients.
+    Emulate(emulate::Emulate),
     /// Founds the fleet anew after a majority of its control nodes was lost with their disks.
     FoundAnew(found_anew::FoundAnew),
 }
@@ -34,6 +38,7 @@
     pub(crate) fn run(&self) -> anyhow::Result<Outcome> {
         match &self.command {
             FleetCommand::Status(command) => command.run(),
+            FleetCommand::Emulate(command) => command.run(),
             FleetCommand::FoundAnew(command) => command.run(),
         }
     }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -45,7 +45,7 @@
     Emulate(emulate::Emulate),
     /// Plays a scenario against many processes with faults between them, and judges by what crossed the links.
     FleetDay(fleet_day::FleetDayCommand),
-    /// Looks at a router fleet as a whole, and founds one anew.
+    /// Looks at a router fleet as a whole, founds one anew, and plays one on loopback.
     Fleet(fleet::Fleet),
     /// Plays days of a fleet that comes back over seeds and sizes: tables and charts.
     BackStudy(back_study::BackStudy),
--- /dev/null
+++ b/crates/fleet-emulator/src/lib.rs
@@ -0,0 +1,20 @@
+//! A router fleet of real processes on loopback: control nodes and proxies of this project, amid model servers with prefill
+//! and decode, clients and an operator that are played here.
+//!
+//! [`run`] starts everything, plays some seconds with disturbances in between, and judges by what the clients saw: a
+//! stream that ends as complete has each of its events once and in order.
+
+mod client;
+mod error;
+mod http;
+mod machines;
+mod model_server;
+mod operator;
+mod processes;
+mod report;
+mod run;
+mod timeline;
+
+pub use error::FleetEmulatorError;
+pub use report::{FleetReport, SecondReport, Violation};
+pub use run::{EmulationOptions, Progress, run};
