Divide requests by weight evenly, and keep a reserve of retries for the most urgent

Change: EvenDraws, one sequence a route, in place of a random number a request; a quarter of the spendable retries is left to the most urgent priority of the service where less urgent requests arrive beside it, nothing is held back where there is one priority only. A scenario of quotas: all control nodes run 10 ms of every 100, for ten seconds.

--- a/crates/consensus/tests/fleet/primary_scenarios.rs
+++ b/crates/consensus/tests/fleet/primary_scenarios.rs
@@ -387,3 +387,35 @@
         ensure(matches!(reply, Some(ClientReply::CurrentState { .. })), "the next primary doesn't reply")
     });
 }
+
+/// Each machine has a quota of processor time: it runs for the first part of each tenth of a second, and stalls for the rest,
+/// again and again. Leases, timers and heartbeats bear that: the primary stays, and changes are committed.
+#[test]
+fn stalls_of_90_ms_in_every_tenth_of_a_second_cost_no_primary() {
+    for seed in 200..220 {
+        holds(&format!("seed {seed}"), || {
+            let mut simulation = calm(seed, 3, 1, None)?;
+            let old = current_primary(&simulation)?;
+            let machines = simulation.remaining();
+            let offsets: Vec<u64> = machines.iter().map(|_| simulation.random_below(100)).collect();
+            let is_stalled = |millisecond: u64, offset: u64| (millisecond + offset) % 100 >= 10;
+            for millisecond in 0..10_000_u64 {
+                for (machine, offset) in machines.iter().zip(&offsets) {
+                    match is_stalled(millisecond, *offset) {
+                        true => simulation.apply(FaultAction::Pause(vec![*machine])),
+                        false if simulation.machines[*machine].is_paused => {
+                            simulation.resume(*machine);
+                            // A timer that was due meanwhile fires now.
+                            simulation.step(*machine, Input::Tick);
+                        }
+                        false => {}
+                    }
+                }
+                simulation.run(millis(1))?;
+            }
+            machines.iter().for_each(|machine| simulation.resume(*machine));
+            ensure(current_primary(&simulation)? == old, "another node is primary")?;
+            commit_change(&mut simulation, millis(500)).map(|_| ())
+        });
+    }
+}
--- a/crates/data-plane/src/client_request.rs
+++ b/crates/data-plane/src/client_request.rs
@@ -142,7 +142,7 @@
         let prompt = prompt_of(&head.headers, &route, &service);
         let retry_policy =
             if route.is_idempotent() { RetryPolicy::Always } else { RetryPolicy::OnlyIfNeverSent };
-        self.router.borrow_mut().record_request(self.now(), &service.name);
+        self.router.borrow_mut().record_request(self.now(), &service.name, route.priority);
         let request = ClientRequest {
             server_request: ServerRequest::of_client(head.method.clone(), uri, headers, body),
             deadline: self.deadline_at(deadline),
@@ -159,7 +159,10 @@
 
     /// The service of a request: by weight, where the route has several.
     fn choose_service(&self, config: &Config, route: &Route) -> Option<Arc<Service>> {
-        let fraction = self.router.borrow_mut().random_fraction();
+        let fraction = match route.backends.len() {
+            0 | 1 => 0.0,
+            _ => self.router.borrow_mut().even_fraction(&route.name),
+        };
         config.service(route.choose_service(fraction)?).cloned()
     }
 }
--- a/crates/data-plane/src/prompt_request.rs
+++ b/crates/data-plane/src/prompt_request.rs
@@ -112,7 +112,9 @@
         let service = &request.service.name;
         let mut router = self.router.borrow_mut();
         let pair = router.select_pair(now, service, prompt, history.servers_to_avoid())?;
-        if history.is_next_attempt_a_retry() && !router.try_withdraw_retry(now, service) {
+        if history.is_next_attempt_a_retry()
+            && !router.try_withdraw_retry(now, service, request.route.priority)
+        {
             pair.prefill.iter().chain([&pair.decode]).for_each(|id| router.record_inconclusive(id));
             return None;
         }
@@ -134,7 +136,8 @@
         let Some(target) = pair.prefill.as_ref().and_then(|id| self.target(service, id)) else {
             return Ok(PrefillStep::Decode(None));
         };
-        let withdraw = || self.router.borrow_mut().try_withdraw_retry(now, &service.name);
+        let withdraw =
+            || self.router.borrow_mut().try_withdraw_retry(now, &service.name, request.route.priority);
         let _selection = SelectionGuard::new(self, &target.id);
         let may_prefill_again = || !history.has_reached_prefill_limit(request) && withdraw();
         if history.is_next_prefill_a_retry() && !may_prefill_again() {
--- a/crates/data-plane/src/retry.rs
+++ b/crates/data-plane/src/retry.rs
@@ -136,7 +136,7 @@
             let mut router = self.router.borrow_mut();
             if take_over.remaining_attempts > 0
                 && router.has_ready_server(now, service, &avoid)
-                && router.has_retry(now, service)
+                && router.has_retry(now, service, request.route.priority)
             {
                 return;
             }
@@ -153,7 +153,7 @@
     /// Takes a retry out of the budget of the request's service; false if none is left.
     pub(crate) fn try_withdraw_retry(&self, request: &ClientRequest) -> bool {
         let now = self.now();
-        self.router.borrow_mut().try_withdraw_retry(now, &request.service.name)
+        self.router.borrow_mut().try_withdraw_retry(now, &request.service.name, request.route.priority)
     }
 
     /// The response to a request for which no further attempt is made.
--- a/crates/data-plane/src/stream.rs
+++ b/crates/data-plane/src/stream.rs
@@ -120,7 +120,7 @@
     ) -> Option<Target> {
         let (now, service) = (self.now(), &request.service);
         let mut router = self.router.borrow_mut();
-        if !router.try_withdraw_retry(now, &service.name) {
+        if !router.try_withdraw_retry(now, &service.name, request.route.priority) {
             return None;
         }
         let pair = router.select_pair(now, &service.name, prompt, avoid)?;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod affinity;
 mod endpoint;
 mod endpoint_table;
+mod even_draws;
 mod linear_fit;
 mod load_kind;
 mod outlier;
@@ -27,6 +28,7 @@
 
 pub use endpoint::Endpoint;
 pub use endpoint_table::EndpointTable;
+pub use even_draws::EvenDraws;
 pub use outlier::{OutlierRecord, ServerFailure};
 pub use prompt::{Prompt, PromptPart, ServerPair};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -21,12 +21,20 @@
 /// proxies come and go.
 const SPENDABLE_SHARE: f64 = 0.8;
 
+/// The share of the spendable retries that requests may spend beside which more urgent ones arrive. The rest is a reserve
+/// for the most urgent requests of the service.
+const LESS_URGENT_SHARE: f64 = 0.75;
+/// Less urgent than any priority of a route.
+const LEAST_URGENT: u8 = u8::MAX;
+
 /// What was counted in one step of the window.
 #[derive(Debug)]
 struct WindowSlice {
     start: Instant,
     requests: f64,
     retries: f64,
+    /// The lowest number among the priorities of the requests, which is the most urgent one.
+    most_urgent: u8,
 }
 
 /// This proxy's requests and retries of one service in the present window.
@@ -56,30 +64,43 @@
             self.retries -= slice.retries;
         }
         if self.slices.back().is_none_or(|slice| slice.start + self.slice_length <= now) {
-            self.slices.push_back(WindowSlice { start: now, requests: 0.0, retries: 0.0 });
+            self.slices.push_back(WindowSlice {
+                start: now,
+                requests: 0.0,
+                retries: 0.0,
+                most_urgent: LEAST_URGENT,
+            });
         }
         let last = self.slices.len() - 1;
         &mut self.slices[last]
     }
 
-    /// Counts a client's request for the service.
-    pub fn record_request(&mut self, now: Instant) {
-        self.current_slice(now).requests += 1.0;
+    /// Counts a client's request for the service, with the priority of its route; 0 is the most urgent one.
+    pub fn record_request(&mut self, now: Instant, priority: u8) {
+        let slice = self.current_slice(now);
+        slice.requests += 1.0;
+        slice.most_urgent = slice.most_urgent.min(priority);
         self.requests += 1.0;
     }
 
-    /// Whether a retry is left. `proxy_count` proxies share the extra retries.
-    pub fn has_retry(&mut self, now: Instant, proxy_count: usize) -> bool {
+    /// Whether a retry is left for a request of this priority. `proxy_count` proxies share the extra retries.
+    pub fn has_retry(&mut self, now: Instant, proxy_count: usize, priority: u8) -> bool {
         self.current_slice(now);
         let share_of_extra = self.limits.extra_retries / proxy_count.max(1) as f64;
         let allowed = self.limits.retry_ratio * self.requests + share_of_extra;
         // Every proxy may spend its share in full at the same time, and their sum must still keep the rule.
-        self.retries + 1.0 <= SPENDABLE_SHARE * allowed
+        self.retries + 1.0 <= SPENDABLE_SHARE * self.share_of(priority) * allowed
+    }
+
+    /// The share of the spendable retries that requests of this priority may spend.
+    fn share_of(&self, priority: u8) -> f64 {
+        let most_urgent = self.slices.iter().map(|slice| slice.most_urgent).min().unwrap_or(LEAST_URGENT);
+        if priority > most_urgent { LESS_URGENT_SHARE } else { 1.0 }
     }
 
     /// Takes one retry out of the budget; false if none is left. `proxy_count` proxies share the extra retries.
-    pub fn try_withdraw(&mut self, now: Instant, proxy_count: usize) -> bool {
-        if !self.has_retry(now, proxy_count) {
+    pub fn try_withdraw(&mut self, now: Instant, proxy_count: usize, priority: u8) -> bool {
+        if !self.has_retry(now, proxy_count, priority) {
             return false;
         }
         self.current_slice(now).retries += 1.0;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -9,6 +9,7 @@
 
 use crate::endpoint::Endpoint;
 use crate::endpoint_table::EndpointTable;
+use crate::even_draws::EvenDraws;
 use crate::load_kind::{LoadKind, PerLoadKind};
 use crate::outlier::ServerFailure;
 use crate::prompt::Prompt;
@@ -33,6 +34,7 @@
     pub(crate) weights: RoutingWeights,
     pub(crate) endpoints: EndpointTable,
     budgets: HashMap<String, RetryBudget>,
+    even_draws: EvenDraws,
     /// How long it takes until streams start, by service.
     start_latencies: HashMap<String, StartLatency>,
     pub(crate) zone: String,
@@ -51,6 +53,7 @@
             weights,
             endpoints: EndpointTable::default(),
             budgets: HashMap::new(),
+            even_draws: EvenDraws::default(),
             start_latencies: HashMap::new(),
             zone: zone.to_owned(),
             proxy_count: 1,
@@ -75,9 +78,9 @@
         &self.endpoints
     }
 
-    /// Counts a client's request for a service.
-    pub fn record_request(&mut self, now: Instant, service: &str) {
-        self.retry_budget(service).record_request(now);
+    /// Counts a client's request for a service, with the priority of its route.
+    pub fn record_request(&mut self, now: Instant, service: &str, priority: u8) {
+        self.retry_budget(service).record_request(now, priority);
     }
 
     fn retry_budget(&mut self, service: &str) -> &mut RetryBudget {
@@ -85,10 +88,10 @@
         self.budgets.entry(service.to_owned()).or_insert_with(|| RetryBudget::new(limits))
     }
 
-    /// Takes one retry out of the service's budget; false if none is left.
-    pub fn try_withdraw_retry(&mut self, now: Instant, service: &str) -> bool {
+    /// Takes one retry out of the service's budget; false if none is left for a request of this priority.
+    pub fn try_withdraw_retry(&mut self, now: Instant, service: &str, priority: u8) -> bool {
         let proxy_count = self.proxy_count;
-        self.retry_budget(service).try_withdraw(now, proxy_count)
+        self.retry_budget(service).try_withdraw(now, proxy_count, priority)
     }
 
     /// Whether the service has a server for requests that is neither in `avoid` nor ejected nor suspected.
@@ -97,15 +100,22 @@
         ids.filter_map(|id| self.endpoints.get(id)).any(|endpoint| endpoint.is_ready(now))
     }
 
-    /// Whether a retry is left in the service's budget.
-    pub fn has_retry(&mut self, now: Instant, service: &str) -> bool {
+    /// Whether a retry is left in the service's budget for a request of this priority.
+    pub fn has_retry(&mut self, now: Instant, service: &str, priority: u8) -> bool {
         let proxy_count = self.proxy_count;
-        self.retry_budget(service).has_retry(now, proxy_count)
+        self.retry_budget(service).has_retry(now, proxy_count, priority)
+    }
+
+    /// A number from 0 to below 1 to divide the requests of a route by: unlike random ones, the numbers of a route are
+    /// spread evenly.
+    pub fn even_fraction(&mut self, route: &str) -> f64 {
+        let Self { even_draws, rng, .. } = self;
+        even_draws.next(route, || uniform_fraction(rng))
     }
 
     /// A random number from 0 to below 1.
     pub fn random_fraction(&mut self) -> f64 {
-        f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
+        uniform_fraction(&mut self.rng)
     }
 
     /// The service's servers in state `up` that may be selected, except those in `avoid`: those that are neither ejected
@@ -269,3 +279,8 @@
         }
     }
 }
+
+/// A random number from 0 to below 1.
+fn uniform_fraction(rng: &mut impl RngCore) -> f64 {
+    f64::from(rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
+}
--- a/crates/routing/tests/retry_budget.rs
+++ b/crates/routing/tests/retry_budget.rs
@@ -19,17 +19,17 @@
 quickcheck! {
     /// Any proxies, any steps of time: in every window the retries of all proxies stay within the rule, by the requests
     /// of that window, of the one before it or of the one half a window before it.
-    fn all_proxies_together_stay_within_the_rule(steps: Vec<(u16, u8, bool)>) -> bool {
+    fn all_proxies_together_stay_within_the_rule(steps: Vec<(u16, u8, bool, u8)>) -> bool {
         let proxies = 4;
         let mut budgets: Vec<RetryBudget> = (0..proxies).map(|_| RetryBudget::new(LIMITS)).collect();
         let (mut now, mut requests, mut retries) = (at(1_000_000), Vec::new(), Vec::new());
-        for (step, proxy, is_retry) in steps.iter().cycle().take(steps.len() * 20) {
+        for (step, proxy, is_retry, priority) in steps.iter().cycle().take(steps.len() * 20) {
             now += Duration::from_millis(u64::from(step % 300));
             let budget = &mut budgets[usize::from(*proxy) % proxies];
             if !is_retry {
-                budget.record_request(now);
+                budget.record_request(now, priority % 3);
                 requests.push(now);
-            } else if budget.try_withdraw(now, proxies) {
+            } else if budget.try_withdraw(now, proxies, priority % 3) {
                 retries.push(now);
             }
         }
@@ -44,15 +44,45 @@
 #[test]
 fn a_lone_burst_of_failures_spends_the_proxy_s_share_and_no_more() {
     let mut budget = RetryBudget::new(LIMITS);
-    (0..10).for_each(|millis| budget.record_request(at(millis)));
-    let spent = (0..1000).filter(|millis| budget.try_withdraw(at(10 + millis), 6)).count();
+    (0..10).for_each(|millis| budget.record_request(at(millis), 0));
+    let spent = (0..1000).filter(|millis| budget.try_withdraw(at(10 + millis), 6, 0)).count();
     assert_eq!(spent, 8);
 }
 
 #[test]
 fn spent_retries_come_back_with_the_window() {
     let mut budget = RetryBudget::new(LIMITS);
-    while budget.try_withdraw(at(0), 1) {}
-    assert!(!budget.try_withdraw(at(9_000), 1));
-    assert!(budget.try_withdraw(at(10_600), 1));
+    while budget.try_withdraw(at(0), 1, 0) {}
+    assert!(!budget.try_withdraw(at(9_000), 1, 0));
+    assert!(budget.try_withdraw(at(10_600), 1, 0));
+}
+
+/// How many retries are spent one after the other by requests of this priority.
+fn spent_by(budget: &mut RetryBudget, now: Instant, priority: u8) -> usize {
+    (0..1_000).filter(|_| budget.try_withdraw(now, 1, priority)).count()
+}
+
+/// Failures of less urgent requests leave a part of the budget to the most urgent ones, whatever their number.
+#[test]
+fn less_urgent_requests_leave_a_reserve_to_the_most_urgent_ones() {
+    let mut budget = RetryBudget::new(LIMITS);
+    (0..90).for_each(|_| budget.record_request(at(0), 5));
+    (0..10).for_each(|_| budget.record_request(at(0), 1));
+    let less_urgent = spent_by(&mut budget, at(10), 5);
+    let most_urgent = spent_by(&mut budget, at(10), 1);
+    let all = (0.8_f64 * (0.2 * 100.0 + 52.0)) as usize;
+    assert_eq!(less_urgent + most_urgent, all);
+    assert_eq!(less_urgent, (0.75 * 0.8 * (0.2 * 100.0 + 52.0)) as usize);
+}
+
+/// Without more urgent requests beside them nothing is held back: no kind of request starves.
+#[test]
+fn requests_of_one_priority_spend_the_whole_budget() {
+    let mut budget = RetryBudget::new(LIMITS);
+    (0..100).for_each(|_| budget.record_request(at(0), 5));
+    assert_eq!(spent_by(&mut budget, at(10), 5), (0.8_f64 * 72.0) as usize);
+    // The urgent requests have left the window.
+    budget.record_request(at(20), 0);
+    assert!(!budget.try_withdraw(at(30), 1, 5));
+    assert!(budget.try_withdraw(at(11_000), 1, 5));
 }
