Continue an interrupted transfer of the configuration at another control node

Change: a chunk is waited for 0.7 s; what was received is kept, and another control node continues it where its transfer has the same checksum, else begins anew; both sides of an earlier release are served as before (optional fields).

--- a/crates/capacity-bench/src/configuration.rs
+++ b/crates/capacity-bench/src/configuration.rs
@@ -102,7 +102,7 @@
     let apply_micros = mean_micros(repetitions, || old.apply_patch(&patch));
     let find_micros = mean_find_micros(&old, size, repetitions * 1000);
     let update = ConfigOfferMessage { revision: 2, patches: vec![patch], full_text: None };
-    let request = ChunkRequest { base_revision: 1, target_revision: 0, offset: 0 };
+    let request = ChunkRequest::first(1);
     let chunk = OutgoingTransfers::default().next_chunk(request, 2, || update);
     let bytes = encoded(&FetchConfig(request)).len() + encoded(&chunk).len();
     let percent_per_micro = 1e-6 * 100.0 * CHANGES_PER_SECOND;
--- a/crates/capacity-bench/tests/slopes.rs
+++ b/crates/capacity-bench/tests/slopes.rs
@@ -91,7 +91,7 @@
 
 #[test]
 fn messages_are_encoded_as_they_are_sent() {
-    let fetch = FetchConfig(ChunkRequest { base_revision: 1, target_revision: 0, offset: 2 });
+    let fetch = FetchConfig(ChunkRequest { offset: 2, ..ChunkRequest::first(1) });
     assert_eq!(encoded(&fetch), [0x83, 0x01, 0x00, 0x02]);
 }
 
--- a/crates/programs/src/config_transfer/chunk.rs
+++ b/crates/programs/src/config_transfer/chunk.rs
@@ -18,6 +18,16 @@
     /// How many bytes of the transfer the receiver has.
     #[n(2)]
     pub offset: u64,
+    /// The checksum of the transfer that these bytes are of; none at its start, and from a receiver of an earlier release.
+    #[n(3)]
+    pub checksum: Option<u64>,
+}
+
+impl ChunkRequest {
+    /// The request of a receiver that has nothing of the transfer yet. `base_revision` is what it has in force; 0: nothing.
+    pub fn first(base_revision: u64) -> ChunkRequest {
+        ChunkRequest { base_revision, target_revision: 0, offset: 0, checksum: None }
+    }
 }
 
 /// A chunk of a transfer.
@@ -35,11 +45,15 @@
     /// A part of the compressed offer; empty if the sender offers none, or `offset` is the end.
     #[n(3)]
     pub bytes: ByteVec,
+    /// The checksum of the complete transfer: transfers of several senders with the same one continue each other. None from
+    /// a sender of an earlier release.
+    #[n(4)]
+    pub checksum: Option<u64>,
 }
 
 impl ConfigChunk {
     /// The sender has no configuration that it may hand out.
     pub fn withheld() -> ConfigChunk {
-        ConfigChunk { target_revision: 0, length: 0, offset: 0, bytes: Vec::new().into() }
+        ConfigChunk { target_revision: 0, length: 0, offset: 0, bytes: Vec::new().into(), checksum: None }
     }
 }
--- a/crates/programs/src/config_transfer/incoming.rs
+++ b/crates/programs/src/config_transfer/incoming.rs
@@ -1,5 +1,7 @@
 //! The receiver's side of a transfer.
 
+use mosshead_consensus::checksum;
+
 use super::chunk::{ChunkRequest, ConfigChunk};
 use super::offer_message::{ConfigOfferMessage, max_packed_bytes};
 
@@ -22,6 +24,8 @@
     target_revision: u64,
     /// The length of the complete transfer as the sender gave it, in bytes.
     length: usize,
+    /// The checksum of the complete transfer; none before the first chunk, and from a sender of an earlier release.
+    checksum: Option<u64>,
     /// What was received; never longer than `length`.
     bytes: Vec<u8>,
 }
@@ -29,7 +33,17 @@
 impl IncomingTransfer {
     /// Begins a transfer to a receiver that has a revision (0: none).
     pub fn new(base_revision: u64) -> IncomingTransfer {
-        IncomingTransfer { base_revision, target_revision: 0, length: 0, bytes: Vec::new() }
+        IncomingTransfer { base_revision, target_revision: 0, length: 0, checksum: None, bytes: Vec::new() }
+    }
+
+    /// The revision that the receiver has had at its start.
+    pub fn base_revision(&self) -> u64 {
+        self.base_revision
+    }
+
+    /// Whether another sender may continue the transfer: it would notice that it sends another one.
+    pub fn may_continue_elsewhere(&self) -> bool {
+        self.checksum.is_some()
     }
 
     /// The request for the next chunk.
@@ -38,6 +52,7 @@
             base_revision: self.base_revision,
             target_revision: self.target_revision,
             offset: self.bytes.len() as u64,
+            checksum: self.checksum,
         }
     }
 
@@ -46,7 +61,8 @@
         if chunk.target_revision == 0 {
             return TransferProgress::Complete(ConfigOfferMessage::withheld());
         }
-        if chunk.target_revision != self.target_revision && !self.restart(chunk) {
+        let is_other = chunk.target_revision != self.target_revision || chunk.checksum != self.checksum;
+        if is_other && !self.restart(chunk) {
             return TransferProgress::Corrupt;
         }
         if !self.is_next(chunk) {
@@ -56,6 +72,9 @@
         if self.bytes.len() < self.length {
             return TransferProgress::Incomplete;
         }
+        if self.checksum.is_some_and(|expected| expected != checksum(&self.bytes)) {
+            return TransferProgress::Corrupt;
+        }
         let offer =
             ConfigOfferMessage::unpack(&self.bytes).filter(|offer| offer.revision == self.target_revision);
         offer.map_or(TransferProgress::Corrupt, TransferProgress::Complete)
@@ -73,6 +92,7 @@
     fn restart(&mut self, chunk: &ConfigChunk) -> bool {
         self.target_revision = chunk.target_revision;
         self.length = usize::try_from(chunk.length).unwrap_or(usize::MAX);
+        self.checksum = chunk.checksum;
         self.bytes.clear();
         self.length <= max_packed_bytes()
     }
--- a/crates/programs/src/config_transfer/outgoing.rs
+++ b/crates/programs/src/config_transfer/outgoing.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use mosshead_consensus::checksum;
+
 use super::chunk::{CHUNK_BYTES, ChunkRequest, ConfigChunk};
 use super::offer_message::ConfigOfferMessage;
 
@@ -17,8 +19,14 @@
     base_revision: u64,
     /// The revision that the offer leads to, never 0.
     target_revision: u64,
-    /// The compressed offer.
-    packed: Arc<[u8]>,
+    packed: PackedOffer,
+}
+
+/// A compressed offer.
+#[derive(Clone)]
+struct PackedOffer {
+    bytes: Arc<[u8]>,
+    checksum: u64,
 }
 
 /// The transfers in progress. All receivers with the same configuration share one.
@@ -40,26 +48,26 @@
         make_offer: impl FnOnce() -> ConfigOfferMessage,
     ) -> ConfigChunk {
         if let Some(packed) = self.find(request.base_revision, request.target_revision) {
-            return cut_chunk(request.target_revision, &packed, request.offset);
+            return cut_chunk(request.target_revision, &packed, request);
         }
         if let Some(packed) = self.find(request.base_revision, newest_revision) {
-            return cut_chunk(newest_revision, &packed, 0);
+            return cut_chunk(newest_revision, &packed, request);
         }
         let offer = make_offer();
         let target_revision = offer.revision;
         let Some(packed) = offer.pack().filter(|_| target_revision > 0) else {
             return ConfigChunk::withheld();
         };
-        let packed: Arc<[u8]> = packed.into();
+        let packed = PackedOffer { checksum: checksum(&packed), bytes: packed.into() };
         self.keep(OutgoingTransfer {
             base_revision: request.base_revision,
             target_revision,
             packed: packed.clone(),
         });
-        cut_chunk(target_revision, &packed, 0)
+        cut_chunk(target_revision, &packed, request)
     }
 
-    fn find(&self, base_revision: u64, target_revision: u64) -> Option<Arc<[u8]>> {
+    fn find(&self, base_revision: u64, target_revision: u64) -> Option<PackedOffer> {
         let is_wanted = |transfer: &&OutgoingTransfer| {
             transfer.base_revision == base_revision && transfer.target_revision == target_revision
         };
@@ -76,14 +84,23 @@
     }
 
     fn total_bytes(&self) -> usize {
-        self.transfers.iter().map(|transfer| transfer.packed.len()).sum()
+        self.transfers.iter().map(|transfer| transfer.packed.bytes.len()).sum()
     }
 }
 
-/// The chunk at an offset; empty behind the end.
-fn cut_chunk(target_revision: u64, packed: &[u8], offset: u64) -> ConfigChunk {
-    let start = usize::try_from(offset).unwrap_or(usize::MAX).min(packed.len());
-    let end = start.saturating_add(CHUNK_BYTES).min(packed.len());
-    let bytes = packed.get(start..end).unwrap_or_default().to_vec();
-    ConfigChunk { target_revision, length: packed.len() as u64, offset: start as u64, bytes: bytes.into() }
+/// The chunk that a receiver requests, empty behind the end; the first one where it has bytes of another transfer.
+fn cut_chunk(target_revision: u64, packed: &PackedOffer, request: ChunkRequest) -> ConfigChunk {
+    let PackedOffer { bytes, checksum } = packed;
+    let is_continued = request.target_revision == target_revision
+        && request.checksum.is_none_or(|received| received == *checksum);
+    let offset = if is_continued { request.offset } else { 0 };
+    let start = usize::try_from(offset).unwrap_or(usize::MAX).min(bytes.len());
+    let end = start.saturating_add(CHUNK_BYTES).min(bytes.len());
+    ConfigChunk {
+        target_revision,
+        length: bytes.len() as u64,
+        offset: start as u64,
+        bytes: bytes.get(start..end).unwrap_or_default().to_vec().into(),
+        checksum: Some(*checksum),
+    }
 }
--- a/crates/programs/src/update_watcher/config_fetcher.rs
+++ b/crates/programs/src/update_watcher/config_fetcher.rs
@@ -1,6 +1,6 @@
 //! Fetches newer configurations from control nodes, one at a time.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -12,8 +12,9 @@
 use crate::calls::FetchConfig;
 use crate::config_transfer::{IncomingTransfer, TransferProgress};
 
-/// The timeout of the call for one chunk.
-const CHUNK_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The timeout of the call for one chunk. A control node that is lost during a transfer costs this much: what was received
+/// is kept, and another one continues.
+const CHUNK_TIMEOUT: Duration = Duration::from_millis(700);
 /// The revision of a receiver that has no configuration: it is sent the full text.
 pub(super) const NO_REVISION: u64 = 0;
 
@@ -39,11 +40,13 @@
 pub(super) struct ConfigFetcher {
     caller: Caller,
     is_fetching: Cell<bool>,
+    /// A transfer whose control node did not answer.
+    interrupted: RefCell<Option<IncomingTransfer>>,
 }
 
 impl ConfigFetcher {
     pub(super) fn new(caller: Caller) -> ConfigFetcher {
-        ConfigFetcher { caller, is_fetching: Cell::new(false) }
+        ConfigFetcher { caller, is_fetching: Cell::new(false), interrupted: RefCell::default() }
     }
 
     /// Fetches the newest configuration, by patches to the one in force where they lead to it. `None` if another fetch
@@ -74,10 +77,15 @@
         base_revision: u64,
         in_force: Option<&Config>,
     ) -> Option<AssembledConfig> {
-        let mut transfer = IncomingTransfer::new(base_revision);
+        let interrupted =
+            self.interrupted.take().filter(|transfer| transfer.base_revision() == base_revision);
+        let mut transfer = interrupted.unwrap_or_else(|| IncomingTransfer::new(base_revision));
         loop {
             let call = FetchConfig(transfer.next_request());
-            let chunk = self.caller.call(control_node, &call, CHUNK_TIMEOUT).await.ok()?;
+            let Ok(chunk) = self.caller.call(control_node, &call, CHUNK_TIMEOUT).await else {
+                self.interrupted.replace(Some(transfer).filter(IncomingTransfer::may_continue_elsewhere));
+                return None;
+            };
             match transfer.on_chunk(&chunk) {
                 TransferProgress::Incomplete => {}
                 TransferProgress::Complete(offer) => {
--- a/crates/programs/tests/calls.rs
+++ b/crates/programs/tests/calls.rs
@@ -131,7 +131,7 @@
     }
 
     fn fetch_config_and_its_update_survive_encoding(revision: u64, patches: Vec<String>, full_text: Option<String>) -> bool {
-        survives_encoding(&FetchConfig(ChunkRequest { base_revision: revision, target_revision: revision / 2, offset: revision / 3 })) && survives_encoding(&ConfigOfferMessage { revision, patches, full_text })
+        survives_encoding(&FetchConfig(ChunkRequest { base_revision: revision, target_revision: revision / 2, offset: revision / 3, checksum: revision.is_multiple_of(2).then_some(revision) })) && survives_encoding(&ConfigOfferMessage { revision, patches, full_text })
     }
 
     fn replicate_entries_and_its_ack_survive_encoding(text: String, number: u64, versions: Vec<(u64, u64)>, flag: bool) -> bool {
--- a/crates/programs/tests/config_transfer.rs
+++ b/crates/programs/tests/config_transfer.rs
@@ -57,7 +57,7 @@
     };
     let text: String = (0..6_000).map(route).collect();
     let update = ConfigOfferMessage { revision: 6, patches: vec![text.clone()], full_text: None };
-    let request = ChunkRequest { base_revision: 4, target_revision: 0, offset: 0 };
+    let request = ChunkRequest::first(4);
     let chunk = OutgoingTransfers::default().next_chunk(request, 6, || update);
     assert!(chunk.length * 3 < text.len() as u64, "{} of {}", chunk.length, text.len());
 }
@@ -73,10 +73,65 @@
     assert_eq!(incoming.on_chunk(&restart), TransferProgress::Complete(full_text_update(8, 100)));
 }
 
+/// The control node is lost during the transfer; another one with the same history continues it at the last chunk.
+#[test]
+fn another_sender_continues_an_interrupted_transfer() {
+    let update = full_text_update(6, 5 * CHUNK_BYTES);
+    let (mut lost, mut next) = (OutgoingTransfers::default(), OutgoingTransfers::default());
+    let mut incoming = IncomingTransfer::new(4);
+    for _ in 0..2 {
+        let chunk = lost.next_chunk(incoming.next_request(), 6, || update.clone());
+        assert_eq!(incoming.on_chunk(&chunk), TransferProgress::Incomplete);
+    }
+    assert!(incoming.may_continue_elsewhere());
+    let received = incoming.next_request().offset;
+    let chunk = next.next_chunk(incoming.next_request(), 6, || update.clone());
+    assert_eq!(chunk.offset, received);
+    let mut progress = incoming.on_chunk(&chunk);
+    while progress == TransferProgress::Incomplete {
+        let chunk = next.next_chunk(incoming.next_request(), 6, || unreachable!("the transfer is kept"));
+        progress = incoming.on_chunk(&chunk);
+    }
+    assert_eq!(progress, TransferProgress::Complete(update));
+}
+
+/// Another control node may lead to the same revision by other patches: nothing of the two is mixed.
+#[test]
+fn a_sender_with_another_history_starts_the_transfer_anew() {
+    let (one, other) = (full_text_update(6, 3 * CHUNK_BYTES), full_text_update(6, 3 * CHUNK_BYTES + 1));
+    let (mut lost, mut next) = (OutgoingTransfers::default(), OutgoingTransfers::default());
+    let mut incoming = IncomingTransfer::new(4);
+    let chunk = lost.next_chunk(incoming.next_request(), 6, || one);
+    assert_eq!(incoming.on_chunk(&chunk), TransferProgress::Incomplete);
+    let chunk = next.next_chunk(incoming.next_request(), 6, || other.clone());
+    assert_eq!(chunk.offset, 0);
+    let mut progress = incoming.on_chunk(&chunk);
+    while progress == TransferProgress::Incomplete {
+        let chunk = next.next_chunk(incoming.next_request(), 6, || unreachable!("the transfer is kept"));
+        progress = incoming.on_chunk(&chunk);
+    }
+    assert_eq!(progress, TransferProgress::Complete(other));
+}
+
+/// A sender of an earlier release names no checksum: what it has sent is continued by it alone.
+#[test]
+fn chunks_without_a_checksum_are_not_continued_elsewhere() {
+    let mut outgoing = OutgoingTransfers::default();
+    let mut incoming = IncomingTransfer::new(4);
+    let update = full_text_update(6, 3 * CHUNK_BYTES);
+    let mut progress = TransferProgress::Incomplete;
+    while progress == TransferProgress::Incomplete {
+        let chunk = outgoing.next_chunk(incoming.next_request(), 6, || update.clone());
+        progress = incoming.on_chunk(&ConfigChunk { checksum: None, ..chunk });
+        assert!(!incoming.may_continue_elsewhere());
+    }
+    assert_eq!(progress, TransferProgress::Complete(update));
+}
+
 #[test]
 fn receivers_with_the_same_configuration_share_a_transfer() {
     let mut outgoing = OutgoingTransfers::default();
-    let request = ChunkRequest { base_revision: 4, target_revision: 0, offset: 0 };
+    let request = ChunkRequest::first(4);
     let first = outgoing.next_chunk(request, 6, || full_text_update(6, 1_000));
     let second = outgoing.next_chunk(request, 6, || unreachable!("the transfer is kept"));
     assert_eq!(first, second);
@@ -93,10 +148,21 @@
 fn a_false_length_allocates_nothing() {
     let mut incoming = IncomingTransfer::new(4);
     let bytes = [u32::MAX.to_le_bytes().as_slice(), &[0; 8]].concat();
-    let chunk =
-        ConfigChunk { target_revision: 6, length: bytes.len() as u64, offset: 0, bytes: bytes.into() };
+    let chunk = ConfigChunk {
+        target_revision: 6,
+        length: bytes.len() as u64,
+        offset: 0,
+        bytes: bytes.into(),
+        checksum: None,
+    };
     assert_eq!(incoming.on_chunk(&chunk), TransferProgress::Corrupt);
-    let endless = ConfigChunk { target_revision: 7, length: u64::MAX, offset: 0, bytes: vec![1].into() };
+    let endless = ConfigChunk {
+        target_revision: 7,
+        length: u64::MAX,
+        offset: 0,
+        bytes: vec![1].into(),
+        checksum: None,
+    };
     assert_eq!(IncomingTransfer::new(4).on_chunk(&endless), TransferProgress::Corrupt);
 }
 
@@ -104,7 +170,7 @@
     fn arbitrary_chunks_never_panic(chunks: Vec<(u64, u64, u64, Vec<u8>)>) -> bool {
         let mut incoming = IncomingTransfer::new(4);
         for (target, length, offset, bytes) in chunks {
-            let chunk = ConfigChunk { target_revision: target % 3, length: length % 40, offset: offset % 20, bytes: bytes.into() };
+            let chunk = ConfigChunk { target_revision: target % 3, length: length % 40, offset: offset % 20, bytes: bytes.into(), checksum: (length % 3 > 0).then_some(length % 2) };
             let _ = incoming.on_chunk(&chunk);
         }
         to_vec(incoming.next_request()).is_ok()
--- a/crates/programs/tests/former_formats.rs
+++ b/crates/programs/tests/former_formats.rs
@@ -118,13 +118,15 @@
             ..watch_updates()
         },
     );
-    former().assert_same_encoding(
-        "call-fetch",
-        &FetchConfig(ChunkRequest { base_revision: 0, target_revision: 0, offset: 0 }),
-    );
+    former().assert_same_encoding("call-fetch", &FetchConfig(ChunkRequest::first(0)));
     former().assert_same_encoding(
         "call-fetch-next-piece",
-        &FetchConfig(ChunkRequest { base_revision: 999, target_revision: 1_000, offset: 65_536 }),
+        &FetchConfig(ChunkRequest {
+            base_revision: 999,
+            target_revision: 1_000,
+            offset: 65_536,
+            checksum: None,
+        }),
     );
     former().assert_same_encoding("call-hand", &ReplicateEntries { delta: delta() });
     former().assert_same_encoding(
