Drop a copy of the avoided servers and a report field that nobody reads

Need: what the last reading of the data plane left: TakeOver copied a list that its user replaced at once, a second push put the same server in it again, ServerReport read prefill_handles for nobody, and the length of a report was bounded twice. Change: the list begins empty and holds the servers of the stream; one bound, 64 KiB, for both readers of reports.

--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -36,4 +36,4 @@
 pub use event_splitter::{EventSplitter, EventTooLong, StreamEvent};
 pub use frontend::Frontend;
 pub use readiness::serve_readiness;
-pub use server_report::ServerReport;
+pub use server_report::{MAX_REPORT_BYTES, ServerReport};
--- a/crates/data-plane/src/retry.rs
+++ b/crates/data-plane/src/retry.rs
@@ -82,7 +82,7 @@
     /// Who may take the request over once it runs at one more server.
     pub(crate) fn take_over(&self, request: &ClientRequest) -> TakeOver {
         let remaining_attempts = request.route.retry_count.saturating_sub(self.delivered + 1);
-        TakeOver { avoid: self.avoid.clone(), remaining_attempts }
+        TakeOver { avoid: Vec::new(), remaining_attempts }
     }
 
     /// Whether the request has been sent to as many servers as its route allows.
@@ -94,7 +94,7 @@
 /// Who may take over a stream from the server that it is at.
 #[derive(Clone, Debug)]
 pub(crate) struct TakeOver {
-    /// Servers that are not selected again.
+    /// The servers that the stream has been at: they are not selected again.
     pub(crate) avoid: Vec<Rc<str>>,
     /// To how many more servers the request may be sent.
     pub(crate) remaining_attempts: u32,
@@ -128,14 +128,12 @@
         target: &Target,
         take_over: &TakeOver,
     ) {
-        let mut avoid = take_over.avoid.clone();
-        avoid.push(target.id.clone());
         loop {
             self.wait_until_unresponsive(target, SILENT_SERVER_TIMEOUT, LOAD_REPORT_TIMEOUT).await;
             let (now, service) = (self.now(), &request.service.name);
             let mut router = self.router.borrow_mut();
             if take_over.remaining_attempts > 0
-                && router.has_ready_server(now, service, &avoid)
+                && router.has_ready_server(now, service, &take_over.avoid)
                 && router.has_retry(now, service, request.route.priority)
             {
                 return;
--- a/crates/data-plane/src/server_report.rs
+++ b/crates/data-plane/src/server_report.rs
@@ -5,7 +5,7 @@
 use tinyjson::JsonValue;
 
 /// A longer report is not read.
-const MAX_REPORT_BYTES: usize = 64 * 1024;
+pub const MAX_REPORT_BYTES: usize = 64 * 1024;
 
 /// The requests that a model server had when it wrote its report.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -14,13 +14,10 @@
     pub queued: f64,
     /// Requests that it works on.
     pub active: f64,
-    /// KV caches of prompts that it has prefilled and no server has fetched yet.
-    pub prefill_handles: f64,
 }
 
 impl ServerReport {
-    /// Reads the body of a report; `None` where it is none. Counts are finite and not negative; a missing number of
-    /// handles counts as zero.
+    /// Reads the body of a report; `None` where it is none. Counts are finite and not negative.
     pub fn parse(body: &[u8]) -> Option<ServerReport> {
         if body.len() > MAX_REPORT_BYTES {
             return None;
@@ -29,11 +26,7 @@
         let fields: &HashMap<String, JsonValue> = value.get()?;
         let count = |name: &str| fields.get(name).and_then(|value| value.get::<f64>().copied());
         let sound = |count: f64| count.is_finite().then_some(count.max(0.0));
-        Some(ServerReport {
-            queued: sound(count("queued")?)?,
-            active: sound(count("active")?)?,
-            prefill_handles: sound(count("prefill_handles").unwrap_or(0.0))?,
-        })
+        Some(ServerReport { queued: sound(count("queued")?)?, active: sound(count("active")?)? })
     }
 
     /// The requests that it has, waiting or not.
--- a/crates/data-plane/src/stream.rs
+++ b/crates/data-plane/src/stream.rs
@@ -82,7 +82,7 @@
         client: EventSender,
     ) {
         let mut splitter = EventSplitter::default();
-        take_over.avoid = vec![stream.target.id.clone()];
+        take_over.avoid.push(stream.target.id.clone());
         let mut end = self.relay(&request, &prompt, stream, &mut splitter, &client, &take_over).await;
         while end == RelayEnd::Broken && take_over.remaining_attempts > 0 {
             if !request.route.resume || request.is_expired(self.now()) {
--- a/crates/programs/src/server_reports.rs
+++ b/crates/programs/src/server_reports.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use hyper::header::HOST;
-use mosshead_data_plane::ServerReport;
+use mosshead_data_plane::{MAX_REPORT_BYTES, ServerReport};
 use mosshead_time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -14,8 +14,6 @@
 
 /// The time for a report from the opening of its connection to its last byte.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
-/// A longer report is not read.
-const MAX_REPORT_BYTES: usize = 16 * 1024;
 
 /// Asks the server once for its report; `None` where it sends none in time.
 pub async fn fetch_report(address: SocketAddrV4) -> Option<ServerReport> {
