--- a/crates/control-plane/tests/durable_entries.rs
+++ b/crates/control-plane/tests/durable_entries.rs
@@ -137,6 +137,27 @@
     assert!(entries.snapshot_record(&registry).is_some());
 }
 
+/// What is durable in the log may be superseded in memory by an entry above a gap, which a snapshot would not contain.
+#[test]
+fn the_log_is_not_replaced_while_there_is_an_entry_above_a_gap() {
+    let (mut local, mut entries) = (registry(1), DurableEntries::default());
+    drain(&mut local, 1);
+    let record = next_record(&mut entries, &local);
+    entries.complete(record.token, true);
+    let mut other = registry(2);
+    other.record_heartbeat(NOW, server(5, OperState::Up, 1)).unwrap();
+    let first_of_other = other.missing_entries(&VersionVector::default(), 10);
+    other.record_heartbeat(NOW, server(1, OperState::Draining, 3)).unwrap();
+    local.merge(NOW, other.missing_entries(&VersionVector::from_iter([(SourceId(2), 1)]), 10));
+    assert_eq!(entries.snapshot_record(&local), None);
+    local.merge(NOW, first_of_other);
+    local.merge(NOW, other.missing_entries(&local.vector(), 10));
+    let snapshot = entries.snapshot_record(&local).expect("the gap is closed");
+    let mut restarted = registry(3);
+    restarted.merge(NOW, snapshot.delta);
+    assert_eq!(restarted.get("i-1").map(|server| server.state), Some(OperState::Draining));
+}
+
 /// What happens to a registry and its log.
 #[derive(Clone, Debug)]
 enum Step {
