Keep the connection open until a server's report is read

Cause: call_server dropped its connection, and with it the task that reads the socket, once the head of the response was there. A report whose body came in a later segment was lost, so the stage role knew nothing of such a server. The call now returns the connection with the response; orders need only the status and are as before.

Result: the first tests of fetch_report. The one with the body in parts failed before and passes now; the four others passed before as well.

--- a/crates/programs/src/server_call.rs
+++ b/crates/programs/src/server_call.rs
@@ -19,19 +19,27 @@
 /// The peer of these connections, a model server. What happens to them is not logged here.
 const PEER_KIND: PeerKind = PeerKind::unlogged("server");
 
-/// Sends the request once and returns the response. `None` if the connection fails, or if `may_send` says no right before
-/// the first byte.
+/// The head of a response, with the connection that its body comes from.
+pub(crate) struct OpenResponse {
+    pub(crate) response: Response<Incoming>,
+    /// Dropping it closes it: it is kept until the body was read.
+    _connection: OutboundConnection<Full<Bytes>>,
+}
+
+/// Sends the request once and reads the head of its response. `None` if the connection fails, or if `may_send` says no
+/// right before the first byte.
 pub(crate) async fn call_server(
     address: SocketAddrV4,
     request: Request<Full<Bytes>>,
     may_send: impl Fn() -> bool,
     deadline: Instant,
-) -> Option<Response<Incoming>> {
+) -> Option<OpenResponse> {
     let mut connection: OutboundConnection<Full<Bytes>> =
         OutboundConnection::open(PEER_KIND, address.into(), CONNECT_OPTIONS, ()).await?;
     // The reason to send may have gone while the connection was opened.
     if !connection.ready().await || !may_send() {
         return None;
     }
-    connection.send_with_deadline(request, deadline).await.ok()
+    let response = connection.send_with_deadline(request, deadline).await.ok()?;
+    Some(OpenResponse { response, _connection: connection })
 }
--- a/crates/programs/src/server_reports.rs
+++ b/crates/programs/src/server_reports.rs
@@ -24,10 +24,10 @@
 async fn exchange(address: SocketAddrV4, deadline: Instant) -> Option<ServerReport> {
     let request =
         Request::get("/report").header(HOST, address.to_string()).body(Full::new(Bytes::new())).ok()?;
-    let response = call_server(address, request, || true, deadline).await?;
-    if !response.status().is_success() {
+    let mut opened = call_server(address, request, || true, deadline).await?;
+    if !opened.response.status().is_success() {
         return None;
     }
-    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?;
+    let body = Limited::new(opened.response.body_mut(), MAX_REPORT_BYTES).collect().await.ok()?;
     ServerReport::parse(&body.to_bytes())
 }
--- a/crates/programs/src/stage_orders.rs
+++ b/crates/programs/src/stage_orders.rs
@@ -15,6 +15,7 @@
 
 /// The time for an order from the opening of its connection to the response.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// An order to a model server.
 #[derive(Clone, Copy, Debug)]
 pub struct OrderMessage<'a> {
@@ -67,6 +68,6 @@
     may_send: impl Fn() -> bool,
     deadline: Instant,
 ) -> Option<StatusCode> {
-    let response = call_server(message.address, message.request()?, may_send, deadline).await?;
-    Some(response.status())
+    let opened = call_server(message.address, message.request()?, may_send, deadline).await?;
+    Some(opened.response.status())
 }
