--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
-from fleet import GRACE_S, HOST, CannotRun, Fleet, ModelServer, send_stream  # noqa: E402
+from fleet import GRACE_S, HOST, CannotRun, Fleet, ModelServer, main, send_stream  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RATE = 24.0
@@ -92,8 +92,4 @@
         fleet.close()
 
 
-try:
-    sys.exit(asyncio.run(play()))
-except (CannotRun, OSError) as error:
-    print("the case can't run: %s" % error)
-    sys.exit(2)
+main(play)
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -433,3 +434,16 @@
     fleet.record.write("%s at %s ends: status %s, %d events, %s" % (
         request.attempt, proxy, request.status, request.events, request.end))
     return request
+
+
+def main(play):
+    """Runs a case and exits with its code; 2 if it couldn't run or was stopped. All processes are ended either way."""
+    async def guarded():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await play()
+    try:
+        code = asyncio.run(guarded())
+    except BaseException as error:
+        print("the case can't run: %r" % error)
+        code = 2
+    sys.exit(code)
