Serve the first request of a connection that a draining proxy has accepted

The proxies were draining; the platform still gave them new connections because fewer than half of a zone's proxies were in.

Cause: from 2.6 s after SIGTERM on Frontend::serve_connection asked hyper for the graceful shutdown of every connection as soon as it was accepted, and hyper closes a connection at once that has carried no byte yet. Only a client whose request lay in the socket already at the accept was served.

Change: a connection that has carried no request is left open for 500 ms after the shutdown has begun, or after it was accepted if that is later. Its first response asks the client to close the connection, as before.

--- a/crates/data-plane/src/frontend.rs
+++ b/crates/data-plane/src/frontend.rs
@@ -13,6 +13,7 @@
 use mosshead_time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use crate::client_stream::{ClientStream, ResetOnDrop};
 use crate::data_plane::DataPlane;
@@ -23,6 +24,9 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// The idle timeout of connections while no configuration is in force.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// After the shutdown has begun, a connection that has carried no request yet is closed after this time: its first
+/// request may be on its way.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// The lower bound of the configured idle timeout.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -44,7 +48,8 @@
         self.open_connections.get()
     }
 
-    /// Closes idle connections at once, and the others when their response is complete.
+    /// Closes idle connections at once, those without a request so far after [`FIRST_REQUEST_TIMEOUT`], and the others
+    /// when their response is complete.
     pub fn shut_down(&self) {
         self.shutdown.send_replace(true);
     }
@@ -74,9 +79,12 @@
         let _ = stream.set_nodelay(true);
         let data_plane = self.data_plane.clone();
         let lacks_chunked_encoding = Rc::new(Cell::new(false));
+        let has_received_request = Rc::new(Cell::new(false));
         let service = service_fn({
             let lacks_chunked_encoding = lacks_chunked_encoding.clone();
+            let has_received_request = has_received_request.clone();
             move |request: Request<Incoming>| {
+                has_received_request.set(true);
                 lacks_chunked_encoding.set(request.version() < Version::HTTP_11);
                 data_plane.clone().handle_request(request)
             }
@@ -89,10 +97,10 @@
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
-        let mut shutdown = self.shutdown.subscribe();
         let result = tokio::select! {
+            biased;
             result = connection.as_mut() => result,
-            _ = shutdown.wait_for(|is_shut_down| *is_shut_down) => {
+            () = self.wait_until_closable(&has_received_request) => {
                 connection.as_mut().graceful_shutdown();
                 connection.as_mut().await
             }
@@ -102,4 +110,14 @@
         let is_aborted = result.is_err_and(|error| error.is_user());
         reset_on_drop.set(lacks_chunked_encoding.get() && is_aborted);
     }
+
+    /// Completes when a connection may be closed between two requests because of the shutdown.
+    async fn wait_until_closable(&self, has_received_request: &Cell<bool>) {
+        let mut shutdown = self.shutdown.subscribe();
+        // The sender lives as long as the frontend.
+        let _ = shutdown.wait_for(|is_shut_down| *is_shut_down).await;
+        if !has_received_request.get() {
+            sleep(FIRST_REQUEST_TIMEOUT).await;
+        }
+    }
 }
--- a/crates/data-plane/tests/common/mod.rs
+++ b/crates/data-plane/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod proxy;
+mod raw_connection;
 mod raw_server;
 mod stub_server;
 
@@ -12,10 +13,11 @@
 use mosshead_registry::{OperState, Server, Stage};
 use mosshead_time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::timeout;
+use tokio::time::{advance, pause, resume, timeout};
 
 pub(crate) use client::{ATTEMPT_ID, CLIENT_TIMEOUT, ClientResponse, REQUEST_BODY, send_request};
 pub(crate) use proxy::{HOST, IDEMPOTENT, NON_IDEMPOTENT, NOT_RESUMABLE, Proxy, RESUMABLE, config};
+pub(crate) use raw_connection::RawConnection;
 pub(crate) use raw_server::raw_server;
 pub(crate) use stub_server::{
     Behavior, ReceivedRequest, StubServer, event, events, handle_response, not_executed, ok_response,
@@ -36,6 +38,13 @@
     local.block_on(&runtime, async { timeout(TEST_TIMEOUT, test).await.expect("ends in time") });
 }
 
+/// Moves the clock of all timers forward, without waiting.
+pub(crate) async fn advance_clock(by: Duration) {
+    pause();
+    advance(by).await;
+    resume();
+}
+
 /// The registry entry of a server.
 pub(crate) fn server(id: &str, service: &str, stage: Option<Stage>, address: SocketAddrV4) -> Server {
     Server {
