Take no request at a draining proxy that its exit would cut off

The platform then gives draining proxies new connections, and a proxy took every request until it exited 7.6 s after SIGTERM, although RULES.md excuses only requests sent up to 3 s after it.

Change: ShutdownSchedule (routing, no I/O) accepts every request until 2.8 s after the start of the shutdown, and later those that certainly end before the exit: by their deadline, or, for a repeatable request with a buffered answer, by the route's target latency. All others get 503 with Retry-After. 0.15 s before the exit each request whose answer has not begun gets a final one: 503 if it can't have run, 502 if it may have (RunTracker). It works because every request that is taken after the excused time has a complete answer, its deadline, or a final answer of the proxy before the exit.

--- a/crates/data-plane/src/attempt.rs
+++ b/crates/data-plane/src/attempt.rs
@@ -10,6 +10,7 @@
 use mosshead_routing::ServerFailure;
 use tokio::time::Instant;
 
+use crate::client_request::ClientRequest;
 use crate::connection_pool::{OpenError, PooledConnection};
 use crate::data_plane::DataPlane;
 use crate::deadline::Deadline;
@@ -87,6 +88,22 @@
         })
     }
 
+    /// Makes one attempt at which the server may run the client's request.
+    pub(crate) async fn run_at(
+        self: &Rc<Self>,
+        target: &Target,
+        request: &ClientRequest,
+        extra_headers: &[(HeaderName, HeaderValue)],
+    ) -> AttemptOutcome {
+        request.runs.record_attempt();
+        let attempt = self.send_attempt(target, &request.server_request, request.deadline, extra_headers);
+        let outcome = attempt.await;
+        if matches!(outcome, AttemptOutcome::NotDelivered(_) | AttemptOutcome::Rejected(_)) {
+            request.runs.revoke_attempt();
+        }
+        outcome
+    }
+
     /// Makes one attempt: tries connections to the server until one has carried the complete request, and waits for the
     /// head of the response.
     pub(crate) async fn send_attempt(
--- a/crates/data-plane/src/buffered_request.rs
+++ b/crates/data-plane/src/buffered_request.rs
@@ -38,12 +38,12 @@
         let mut last_error: Option<Response<ResponseBody>> = None;
         loop {
             let Some(target) = self.select_target(request, &history) else {
-                return last_error.unwrap_or_else(|| self.give_up(request, &history));
+                return last_error.unwrap_or_else(|| self.give_up(request));
             };
             let guard = ServerRequestGuard::new(self, &target.id);
             match self.attempt_while_responsive(&target, request).await {
                 AttemptOutcome::Responded(response) => {
-                    history.record_run(&target.id);
+                    history.record_delivered(&target.id);
                     match self.buffer_response(&target, request, response, &guard).await {
                         BufferedResponse::Success(response) => return response,
                         BufferedResponse::Error(response) => {
@@ -65,11 +65,11 @@
                 }
                 AttemptOutcome::Rejected(status) => {
                     guard.record_failure(failure_of_rejection(status));
-                    history.record_rejection(&target.id);
+                    history.record_delivered(&target.id);
                 }
                 AttemptOutcome::Broken | AttemptOutcome::TimedOut => {
                     guard.record_failure(ServerFailure::BrokenResponse);
-                    history.record_run(&target.id);
+                    history.record_delivered(&target.id);
                     if !request.is_repeatable() {
                         return self.fail();
                     }
@@ -105,7 +105,7 @@
         let max_silence = Duration::from_millis(half_target_millis).clamp(MIN_SILENCE, SILENT_SERVER_TIMEOUT);
         let extra_headers = [(PRIORITY, request.priority.clone())];
         tokio::select! {
-            outcome = self.send_attempt(target, &request.server_request, request.deadline, &extra_headers) => outcome,
+            outcome = self.run_at(target, request, &extra_headers) => outcome,
             () = self.wait_until_abandonable(request, target, max_silence, max_silence),
                 if request.is_repeatable() => {
                 AttemptOutcome::TimedOut
--- a/crates/data-plane/src/client_request.rs
+++ b/crates/data-plane/src/client_request.rs
@@ -16,6 +16,7 @@
 use crate::deadline::Deadline;
 use crate::headers::{DEADLINE_MS, RESERVED_REQUEST_HEADERS, end_to_end};
 use crate::prompt_headers::parse_prompt;
+use crate::run_tracker::RunTracker;
 use crate::server_request::ServerRequest;
 
 /// No attempt is made with less time than this left before the deadline.
@@ -33,6 +34,8 @@
     pub(crate) server_request: ServerRequest,
     pub(crate) deadline: Deadline,
     pub(crate) priority: HeaderValue,
+    /// The attempts that may have run.
+    pub(crate) runs: RunTracker,
     retry_policy: RetryPolicy,
 }
 
@@ -131,7 +134,12 @@
     /// # Errors
     ///
     /// The request can't be sent to any server.
-    pub(crate) fn prepare_request(&self, head: &Parts, body: Bytes) -> Result<PreparedRequest, RequestError> {
+    pub(crate) fn prepare_request(
+        &self,
+        head: &Parts,
+        body: Bytes,
+        runs: &RunTracker,
+    ) -> Result<PreparedRequest, RequestError> {
         let config = self.config().ok_or(RequestError::NotConfigured)?;
         let route = config.find_route(host(head), head.uri.path()).ok_or(RequestError::NoRoute)?.clone();
         let service = self.choose_service(&config, &route).ok_or(RequestError::NoService)?;
@@ -147,6 +155,7 @@
             server_request: ServerRequest::from_client(head.method.clone(), uri, headers, body),
             deadline: self.deadline_at(deadline),
             priority: HeaderValue::from(u16::from(route.priority.min(MAX_PRIORITY))),
+            runs: runs.clone(),
             retry_policy,
             route,
             service,
--- a/crates/data-plane/src/data_plane.rs
+++ b/crates/data-plane/src/data_plane.rs
@@ -8,10 +8,11 @@
 use mosshead_config::Config;
 use mosshead_http_links::CountGuard;
 use mosshead_registry::Server;
-use mosshead_routing::{LearnedLatencies, Router, RoutingWeights, ServerFailure};
+use mosshead_routing::{LearnedLatencies, Router, RoutingWeights, ServerFailure, ShutdownSchedule};
 use mosshead_time::{Duration, Instant};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use tokio::sync::watch;
 
 use crate::connection_pool::ConnectionPool;
 use crate::counters::Counters;
@@ -32,7 +33,8 @@
     pub(crate) connections: ConnectionPool,
     /// The zero point of the proxy's clock.
     started_at: tokio::time::Instant,
-    is_draining: Cell<bool>,
+    /// Set once the shutdown has begun.
+    pub(crate) shutdown: watch::Sender<Option<ShutdownSchedule>>,
     /// The number of clients' requests without a complete response.
     in_flight: Rc<Cell<usize>>,
     /// The total size of the buffered bodies of clients' requests.
@@ -51,7 +53,7 @@
             router: RefCell::new(Router::new(weights, zone, Pcg64Mcg::seed_from_u64(seed))),
             connections: ConnectionPool::default(),
             started_at: tokio::time::Instant::now(),
-            is_draining: Cell::new(false),
+            shutdown: watch::Sender::new(None),
             in_flight: Rc::default(),
             buffered_bytes: Rc::default(),
             proxy_count: Cell::new(1),
@@ -102,16 +104,6 @@
         self.router.borrow_mut().set_proxy_count(count);
     }
 
-    /// Starts to drain before the process shuts down: from now on responses ask clients to close their connections.
-    pub fn start_draining(&self) {
-        self.is_draining.set(true);
-    }
-
-    /// True after [`DataPlane::start_draining`].
-    pub fn is_draining(&self) -> bool {
-        self.is_draining.get()
-    }
-
     /// The number of clients' requests without a complete response.
     pub fn in_flight_requests(&self) -> usize {
         self.in_flight.get()
--- a/crates/data-plane/src/decode.rs
+++ b/crates/data-plane/src/decode.rs
@@ -84,7 +84,7 @@
         let sent_at = Instant::now();
         let extra_headers = decode_headers(request, handle.as_ref(), last_event_id);
         let outcome = tokio::select! {
-            outcome = self.send_attempt(target, &request.server_request, request.deadline, &extra_headers) => outcome,
+            outcome = self.run_at(target, request, &extra_headers) => outcome,
             () = self.wait_until_abandonable(request, target, SILENT_SERVER_TIMEOUT, LOAD_REPORT_TIMEOUT), if request.is_repeatable() => AttemptOutcome::TimedOut,
         };
         match outcome {
--- a/crates/data-plane/src/frontend.rs
+++ b/crates/data-plane/src/frontend.rs
@@ -48,8 +48,8 @@
         self.open_connections.get()
     }
 
-    /// Closes idle connections at once, those without a request so far after [`FIRST_REQUEST_TIMEOUT`], and the others
-    /// when their response is complete.
+    /// Closes idle connections at once, those without a request so far after 500 ms, and the others when their response
+    /// is complete.
     pub fn shut_down(&self) {
         self.shutdown.send_replace(true);
     }
--- a/crates/data-plane/src/ingress.rs
+++ b/crates/data-plane/src/ingress.rs
@@ -14,6 +14,7 @@
 use crate::client_request::PreparedRequest;
 use crate::data_plane::DataPlane;
 use crate::response::{ResponseAborted, ResponseBody, proxy_response};
+use crate::run_tracker::RunTracker;
 
 /// The `Retry-After` of a request while no configuration is in force.
 const NOT_CONFIGURED_RETRY_AFTER_SECONDS: f64 = 0.3;
@@ -61,7 +62,8 @@
 }
 
 impl DataPlane {
-    /// Responds to a client's request; asks the client to close the connection if the proxy is draining.
+    /// Responds to a client's request; asks the client to close the connection if the proxy is draining. A request
+    /// whose response has not begun when the process is about to exit is abandoned.
     ///
     /// # Errors
     ///
@@ -70,7 +72,12 @@
         self: Rc<Self>,
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, ResponseAborted> {
-        let mut response = self.respond(request).await?;
+        let runs = RunTracker::default();
+        let mut response = tokio::select! {
+            biased;
+            response = self.respond(request, &runs) => response?,
+            () = self.wait_until_responses_due() => self.abandon(&runs),
+        };
         if self.is_draining() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -80,6 +87,7 @@
     async fn respond(
         self: &Rc<Self>,
         request: Request<Incoming>,
+        runs: &RunTracker,
     ) -> Result<Response<ResponseBody>, ResponseAborted> {
         let in_flight = self.begin_request();
         let (head, body) = request.into_parts();
@@ -96,12 +104,16 @@
         drop(config);
         self.counters.requests.increment();
         let _buffered = self.count_buffered(body.len());
-        Ok(match self.prepare_request(&head, body) {
-            Err(error) => proxy_response(error.status(), error.retry_after()),
-            Ok(PreparedRequest::Prompt(request, prompt)) => {
-                self.forward_prompt(request, prompt, in_flight).await
-            }
-            Ok(PreparedRequest::Buffered(request)) => self.forward_buffered(&request).await,
+        let request = match self.prepare_request(&head, body, runs) {
+            Ok(request) => request,
+            Err(error) => return Ok(proxy_response(error.status(), error.retry_after())),
+        };
+        if !self.accepts(&request) {
+            return Ok(self.reject_for_shutdown());
+        }
+        Ok(match request {
+            PreparedRequest::Prompt(request, prompt) => self.forward_prompt(request, prompt, in_flight).await,
+            PreparedRequest::Buffered(request) => self.forward_buffered(&request).await,
         })
     }
 
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -30,9 +30,11 @@
 mod readiness;
 mod response;
 mod retry;
+mod run_tracker;
 mod server_report;
 mod server_request;
 mod server_response;
+mod shutdown;
 mod stream;
 
 pub use counters::{Counter, Counters};
--- a/crates/data-plane/src/prompt_request.rs
+++ b/crates/data-plane/src/prompt_request.rs
@@ -41,12 +41,12 @@
         let mut history = AttemptHistory::default();
         loop {
             if self.is_exhausted(&request, &history) {
-                return self.give_up(&request, &history);
+                return self.give_up(&request);
             }
             self.refresh_prefill_loads(&request.service, &prompt).await;
             let now = self.now();
             let Some(pair) = self.select_pair(now, &request, &prompt, &history) else {
-                return self.give_up(&request, &history);
+                return self.give_up(&request);
             };
             let decode_selection = SelectionGuard::new(self, &pair.decode);
             let prefill = self.prefill_for_pair(now, &request, &prompt, &pair, &mut history);
@@ -84,12 +84,12 @@
     ) -> Option<Response<ResponseBody>> {
         match failure {
             DecodeFailure::ErrorResponse(response) => {
-                history.record_run(&target.id);
+                history.record_delivered(&target.id);
                 let may_retry = request.is_repeatable() && !history.has_reached_retry_count(request);
                 (!may_retry).then_some(response)
             }
             DecodeFailure::HandleUnavailable | DecodeFailure::Rejected => {
-                history.record_rejection(&target.id);
+                history.record_delivered(&target.id);
                 None
             }
             DecodeFailure::NotDelivered => {
@@ -97,7 +97,7 @@
                 None
             }
             DecodeFailure::Broken => {
-                history.record_run(&target.id);
+                history.record_delivered(&target.id);
                 (!request.is_repeatable()).then(|| self.fail())
             }
         }
--- a/crates/data-plane/src/retry.rs
+++ b/crates/data-plane/src/retry.rs
@@ -32,19 +32,11 @@
     /// The number of attempts whose request reached no server to be run, including those that ended with a failed
     /// prefill.
     undelivered: u32,
-    /// True if a server may have run the request.
-    may_have_run: bool,
 }
 
 impl AttemptHistory {
-    /// Records that the server may have run the request.
-    pub(crate) fn record_run(&mut self, server_id: &Rc<str>) {
-        self.may_have_run = true;
-        self.record_rejection(server_id);
-    }
-
-    /// Records that the request reached the server, which did not run it.
-    pub(crate) fn record_rejection(&mut self, server_id: &Rc<str>) {
+    /// Records that the request reached the server, whether the server ran it or not.
+    pub(crate) fn record_delivered(&mut self, server_id: &Rc<str>) {
         self.delivered += 1;
         self.avoid.push(server_id.clone());
     }
@@ -156,12 +148,8 @@
     }
 
     /// The response to a request after its last attempt.
-    pub(crate) fn give_up(
-        &self,
-        request: &ClientRequest,
-        history: &AttemptHistory,
-    ) -> Response<ResponseBody> {
-        if history.may_have_run { self.fail() } else { self.reject(request) }
+    pub(crate) fn give_up(&self, request: &ClientRequest) -> Response<ResponseBody> {
+        if request.runs.may_have_run() { self.fail() } else { self.reject(request) }
     }
 
     /// The response to a request that no server has run: 503 with a `Retry-After`.
--- a/crates/data-plane/tests/buffered_requests.rs
+++ b/crates/data-plane/tests/buffered_requests.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use common::{
-    ATTEMPT_ID, Behavior, CLIENT_TIMEOUT, ClientResponse, FOREIGN_ATTEMPT_ID, HOST, IDEMPOTENT,
+    ATTEMPT_ID, Behavior, CLIENT_TIMEOUT, ClientResponse, FOREIGN_ATTEMPT_ID, GRACE, HOST, IDEMPOTENT,
     NON_IDEMPOTENT, Proxy, ReceivedRequest, SEAL, StubServer, not_executed, ok_response, run, send_request,
     server, unused_address,
 };
@@ -232,7 +232,7 @@
         let readiness = || send_request(proxy.readiness_address, "GET", "/readiness", &[], "");
         assert_eq!(readiness().await.status, 200);
         assert_eq!(proxy.post(NON_IDEMPOTENT, &[]).await.header("connection"), None);
-        proxy.data_plane.start_draining();
+        proxy.data_plane.start_draining(GRACE);
         assert!(proxy.data_plane.is_draining());
         assert_eq!(readiness().await.status, 503);
         for (path, status) in [(NON_IDEMPOTENT, 200), ("/nothing/", 404)] {
--- a/crates/data-plane/tests/common/mod.rs
+++ b/crates/data-plane/tests/common/mod.rs
@@ -16,7 +16,7 @@
 use tokio::time::{advance, pause, resume, timeout};
 
 pub(crate) use client::{ATTEMPT_ID, CLIENT_TIMEOUT, ClientResponse, REQUEST_BODY, send_request};
-pub(crate) use proxy::{HOST, IDEMPOTENT, NON_IDEMPOTENT, NOT_RESUMABLE, Proxy, RESUMABLE, config};
+pub(crate) use proxy::{GRACE, HOST, IDEMPOTENT, NON_IDEMPOTENT, NOT_RESUMABLE, Proxy, RESUMABLE, config};
 pub(crate) use raw_connection::RawConnection;
 pub(crate) use raw_server::raw_server;
 pub(crate) use stub_server::{
--- a/crates/data-plane/tests/common/proxy.rs
+++ b/crates/data-plane/tests/common/proxy.rs
@@ -23,6 +23,9 @@
 /// The prefix of a route whose streams may not be resumed.
 pub(crate) const NOT_RESUMABLE: &str = "/not_resumable/";
 
+/// The time from the start of a shutdown until the process would be killed.
+pub(crate) const GRACE: Duration = Duration::from_secs(8);
+
 /// A proxy on loopback.
 pub(crate) struct Proxy {
     pub(crate) data_plane: Rc<DataPlane>,
--- a/crates/data-plane/tests/streams.rs
+++ b/crates/data-plane/tests/streams.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use common::{
-    ATTEMPT_ID, Behavior, CLIENT_TIMEOUT, FOREIGN_ATTEMPT_ID, HOST, NOT_RESUMABLE, Proxy, RESUMABLE,
+    ATTEMPT_ID, Behavior, CLIENT_TIMEOUT, FOREIGN_ATTEMPT_ID, GRACE, HOST, NOT_RESUMABLE, Proxy, RESUMABLE,
     ReceivedRequest, SEAL, StubServer, events, handle_response, run,
 };
 use mosshead_registry::Stage;
@@ -176,7 +176,7 @@
     run(async {
         let (prefill, decode) = (prefill_stub().await, decode_stub("i-decode", |_| stream(1..=3)).await);
         let proxy = Proxy::with_servers(1, &[&prefill.server, &decode.server]).await;
-        proxy.data_plane.start_draining();
+        proxy.data_plane.start_draining(GRACE);
         let response = proxy.post_prompt(NOT_RESUMABLE, &[]).await;
         assert_eq!((response.header("connection"), response.body.clone()), (Some("close"), events(1..=3)));
         assert!(response.is_complete);
--- a/crates/programs/src/proxy/process.rs
+++ b/crates/programs/src/proxy/process.rs
@@ -11,7 +11,7 @@
 use mosshead_time::Duration;
 use rand::Rng;
 use tokio::net::TcpListener;
-use tokio::time::{Instant, interval, sleep};
+use tokio::time::{Instant, interval, sleep, sleep_until};
 
 use super::sink::DataPlaneSink;
 use super::status::status;
@@ -19,11 +19,9 @@
 use crate::settings::{Settings, SettingsError};
 use crate::update_watcher::{UpdateWatcher, WATCH_SLOTS, WatcherIdentity};
 
-/// How long new connections are still accepted after the shutdown has begun. The platform stops sending new clients
+/// The delay from the start of the shutdown until idle connections are closed. The platform stops sending new clients
 /// after two health checks, one second apart, have failed.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2600);
-/// The process exits this long before the platform would kill it.
-const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// How often the shutdown checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The interval of the main loop.
@@ -133,17 +131,15 @@
         self.watcher.add_control_nodes(&control_nodes);
     }
 
-    /// Drains the proxy. At first, health checks fail while new connections are still accepted; then only the
-    /// requests in flight are completed.
+    /// Drains the proxy. Health checks fail, and the data plane rejects requests that would not end in time; after a
+    /// delay, idle connections are closed. The process exits when no work is left or its time is over.
     async fn shut_down(&self) {
-        let start = Instant::now();
         spdlog::info!("router: shutting down in_flight_requests={}", self.data_plane.in_flight_requests());
-        self.data_plane.start_draining();
+        let exit_at = self.data_plane.start_draining(self.process.settings.grace());
         self.process.gossip.announce_departure();
-        let grace = self.process.settings.grace().saturating_sub(KILL_MARGIN);
-        sleep(DEREGISTRATION_DELAY.min(grace)).await;
+        sleep_until(exit_at.min(Instant::now() + DEREGISTRATION_DELAY)).await;
         self.frontend.shut_down();
-        while start.elapsed() < grace && self.has_open_work() {
+        while Instant::now() < exit_at && self.has_open_work() {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
         spdlog::info!("router: exiting in_flight_requests={}", self.data_plane.in_flight_requests());
--- a/crates/programs/tests/processes.rs
+++ b/crates/programs/tests/processes.rs
@@ -173,6 +173,32 @@
     assert_eq!(fleet.control_node.exit_code(), Some(0));
 }
 
+/// Guards against requests that a proxy takes too late after SIGTERM and cuts off when it exits (RULES.md, LOST). A
+/// request with an incomplete body keeps the process running until responses are due.
+#[test]
+fn a_proxy_that_is_shut_down_rejects_requests_that_could_outlast_it() {
+    let mut fleet = Fleet::start();
+    let mut incomplete = TcpStream::connect(fleet.front).unwrap();
+    incomplete.set_read_timeout(Some(STEP_TIMEOUT)).unwrap();
+    incomplete
+        .write_all(b"POST /work HTTP/1.1\r\nHost: fleet.example\r\nContent-Length: 6\r\n\r\na b")
+        .unwrap();
+    fleet.proxy.terminate();
+    eventually("rejection", || {
+        let _ = fleet.model_server.respond.send(());
+        let response = post(fleet.front, "/work", "X-Attempt-Id: 1\r\nX-Deadline-Ms: 15000\r\n", "a body");
+        if is_ok(&response) {
+            return None;
+        }
+        assert!(response.starts_with("HTTP/1.1 503 ") && response.contains("retry-after: "), "{response}");
+        Some(())
+    });
+    let mut response = String::new();
+    incomplete.read_to_string(&mut response).unwrap();
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert_eq!(fleet.proxy.exit_code(), Some(0));
+}
+
 /// RULES.md, LOST: a SIGHUP loses no received request. Only the seeds are reloaded, and an invalid file changes
 /// nothing.
 #[test]
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,6 +25,7 @@
 mod prompt;
 mod retry_budget;
 mod router;
+mod shutdown;
 mod start_latency;
 mod weights;
 
@@ -35,5 +36,6 @@
 pub use prompt::{Prompt, PromptPart, ServerPair};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use router::Router;
+pub use shutdown::ShutdownSchedule;
 pub use start_latency::LearnedLatencies;
 pub use weights::RoutingWeights;
