Serve the first request of a connection at a client proxy that stops

What callers saw: a client that connects shortly before or after SIGTERM and sends its request a moment later had its connection closed without an answer.

Cause: once the accept queue is empty (some 0.47 s after SIGTERM) each connection is asked for hyper's graceful shutdown, and hyper closes a connection at once that has carried no byte, also one that was accepted a millisecond before.

Change: a connection that has sent nothing yet is not asked; it has 0.5 s for its first byte, then it is closed. The answer to its request closes the connection, as all answers do by then, so that the stop is prolonged by 0.5 s at most.

Test: crates/proxy/tests/network/stop.rs, a_stop_serves_the_first_request_of_a_connection_that_has_sent_nothing_yet; it fails on the former sources.

--- a/crates/proxy/src/client_connection/connection.rs
+++ b/crates/proxy/src/client_connection/connection.rs
@@ -52,7 +52,11 @@
                 _ = stage.wait_for(|stage| *stage == StopStage::Stopping), if !is_stopping => {
                     is_stopping = true;
                     record.set_default_close_reason(CloseReason::ShuttingDown);
-                    server.as_mut().graceful_shutdown();
+                    progress.set_stopping();
+                    // Without a byte so far the connection would be closed, although its request may be on its way.
+                    if !progress.awaits_first_byte() {
+                        server.as_mut().graceful_shutdown();
+                    }
                 }
                 _ = release_requests.changed() => progress.set_scarce(true),
                 Ok(()) = draining.changed() => progress.set_draining_since(*draining.borrow_and_update()),
--- a/crates/proxy/src/client_connection/progress.rs
+++ b/crates/proxy/src/client_connection/progress.rs
@@ -23,6 +23,8 @@
 const MAX_READER_PAUSE: Duration = Duration::from_secs(30);
 /// While the proxy drains, a connection that is idle or has sent nothing is closed after this.
 const DRAINING_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Once the proxy stops, a connection that has sent nothing yet is closed after this: its request may be on its way.
+const STOPPING_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(500);
 /// While descriptors are scarce, a connection that has sent nothing yet is closed after this.
 const SCARCE_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(100);
 /// While descriptors are scarce, a connection that has received its response is closed after this.
@@ -46,6 +48,8 @@
     is_scarce: Cell<bool>,
     /// Since when the proxy drains; none if it doesn't.
     draining_since: Cell<Option<Instant>>,
+    /// Since when the proxy stops; none if it doesn't.
+    stopping_since: Cell<Option<Instant>>,
     /// Since when the client has accepted no more data; none while it accepts data.
     write_blocked_since: Cell<Option<Instant>>,
     /// True if a response was cut off before its end.
@@ -64,6 +68,7 @@
             has_responded: Cell::new(false),
             is_scarce: Cell::new(false),
             draining_since: Cell::new(None),
+            stopping_since: Cell::new(None),
             write_blocked_since: Cell::new(None),
             is_response_truncated: Cell::new(false),
             framing: RefCell::new(RequestFraming::default()),
@@ -93,6 +98,16 @@
         self.draining_since.set(since);
     }
 
+    /// Records that the proxy stops.
+    pub(super) fn set_stopping(&self) {
+        self.stopping_since.set(Some(Instant::now()));
+    }
+
+    /// True if the client has sent nothing yet.
+    pub(super) fn awaits_first_byte(&self) -> bool {
+        self.first_byte.get().is_none() && !self.has_responded.get()
+    }
+
     /// Records that the client has sent bytes.
     fn record_read(&self, bytes: &[u8]) {
         let now = Instant::now();
@@ -144,6 +159,10 @@
             return (write_blocked_since + MAX_READER_PAUSE, CloseReason::ResponseUnread);
         }
         let idle_since = self.idle_since.get();
+        if let Some(stopping_since) = self.stopping_since.get().filter(|_| self.awaits_first_byte()) {
+            let deadline = idle_since.max(stopping_since) + STOPPING_FIRST_BYTE_TIMEOUT;
+            return (deadline, CloseReason::ShuttingDown);
+        }
         if let (None, Some(draining_since)) = (self.first_byte.get(), self.draining_since.get()) {
             return (idle_since.max(draining_since) + DRAINING_IDLE_TIMEOUT, CloseReason::Draining);
         }
--- a/crates/proxy/tests/network/stop.rs
+++ b/crates/proxy/tests/network/stop.rs
@@ -33,6 +33,37 @@
     play(scenario);
 }
 
+/// Guards against connections that the stop closes while their first request is on its way. That `b` is closed shows
+/// that the proxy has begun to close idle connections.
+#[test]
+fn a_stop_serves_the_first_request_of_a_connection_that_has_sent_nothing_yet() {
+    play(
+        "proxy start n1
+         a send raw
+         b send GET /_health
+         b expect 200
+         proxy close
+         b expect closed
+         a send GET /slot-lookup
+         n1 expect slot-lookup
+         n1 send 200 body=ok
+         a expect 200 ok connection:+close
+         a expect closed
+         proxy expect exit 0",
+    );
+}
+
+#[test]
+fn a_stop_closes_connections_that_send_nothing() {
+    play(
+        "proxy start n1
+         a send raw
+         proxy close
+         a expect closed
+         proxy expect exit 0",
+    );
+}
+
 /// Connections in the accept queue would be lost with the listener, even if no descriptor is free to accept them.
 #[test]
 fn a_stop_serves_connections_that_wait_for_a_descriptor() {
