Hold the bodies of requests and answers in one memory budget

Cause: a body counted only once it had been read to its end, so bodies on their way were in no bound; one without a stated length passed as 0 bytes; answers were in no sum at all.

Change: MemoryBudget, three quarters of limits.memory_mb. A stated length is reserved before the first read, a body without one as it grows, an answer as it is read; the reservation hangs on the body's handle and ends with its last clone, however the request ends. What does not fit gets 503 with Retry-After before it has run; the rest of its body is read and dropped, so that the connection stays usable. Large requests leave an eighth of the budget to small ones and answers. A body is no longer copied a second time. Status shows body_bytes and body_bytes_limit.

Tests: data-plane/tests/memory.rs (a property over sequences of reserve, grow, release and cancel; every end of a request).

--- a/crates/data-plane/src/buffered_request.rs
+++ b/crates/data-plane/src/buffered_request.rs
@@ -16,7 +16,7 @@
 use crate::response::{ResponseBody, forwarded_response};
 use crate::retry::AttemptHistory;
 use crate::server_request::Target;
-use crate::server_response::{ServerResponse, is_sealed, promises_not_executed};
+use crate::server_response::{BufferError, ServerResponse, is_sealed, promises_not_executed};
 
 /// A server counts as unresponsive only after at least this time without a byte from it.
 const MIN_SILENCE: Duration = Duration::from_millis(40);
@@ -29,6 +29,8 @@
     Error(Response<ResponseBody>),
     /// An incomplete response, or a successful one without a seal.
     Invalid,
+    /// The proxy has no memory for the response.
+    NoMemory,
 }
 
 impl DataPlane {
@@ -54,6 +56,8 @@
                             last_error = is_forwardable.then_some(response);
                         }
                         BufferedResponse::Invalid => {}
+                        // Another run would not help, and its response would need the same memory.
+                        BufferedResponse::NoMemory => return self.fail(),
                     }
                     if !request.is_repeatable() {
                         return last_error.unwrap_or_else(|| self.fail());
@@ -124,13 +128,17 @@
         let ServerResponse { head, body, connection } = response;
         let is_success = head.status.is_success();
         let body = if is_success && !is_sealed(&head) {
-            None
+            Err(BufferError::Invalid)
         } else {
             self.buffer_body(&target.id, &head, body, connection, request.deadline.timer).await
         };
-        let Some(body) = body else {
-            guard.record_failure(ServerFailure::BrokenResponse);
-            return BufferedResponse::Invalid;
+        let body = match body {
+            Ok(body) => body,
+            Err(BufferError::Invalid) => {
+                guard.record_failure(ServerFailure::BrokenResponse);
+                return BufferedResponse::Invalid;
+            }
+            Err(BufferError::NoMemory) => return BufferedResponse::NoMemory,
         };
         let response = forwarded_response(&head, ResponseBody::Buffered(Some(body)));
         if is_success {
--- a/crates/data-plane/src/data_plane.rs
+++ b/crates/data-plane/src/data_plane.rs
@@ -17,9 +17,8 @@
 use crate::connection_pool::ConnectionPool;
 use crate::counters::Counters;
 use crate::deadline::Deadline;
+use crate::memory::MemoryBudget;
 
-/// The maximum total size of the request bodies that are buffered at any time.
-const MAX_BUFFERED_BYTES: usize = 96 * 1024 * 1024;
 /// Each proxy may open this many times its even share of a server's connections, because clients are distributed
 /// unevenly over the proxies.
 const CONNECTION_SHARE_FACTOR: f64 = 2.0;
@@ -37,8 +36,8 @@
     pub(crate) shutdown: watch::Sender<Option<ShutdownSchedule>>,
     /// The number of clients' requests without a complete response.
     in_flight: Rc<Cell<usize>>,
-    /// The total size of the buffered bodies of clients' requests.
-    buffered_bytes: Rc<Cell<usize>>,
+    /// The memory for bodies of requests and responses.
+    pub(crate) memory: MemoryBudget,
     /// The number of proxies that share the servers' connections; at least one.
     proxy_count: Cell<usize>,
     /// Counts of requests since the start of the process.
@@ -46,8 +45,9 @@
 }
 
 impl DataPlane {
-    /// Creates a proxy in `zone` without a configuration and without servers. `seed` seeds the router's random numbers.
-    pub fn new(weights: RoutingWeights, zone: &str, seed: u64) -> Rc<Self> {
+    /// Creates a proxy in `zone` without a configuration and without servers. `memory` is for the bodies that it
+    /// buffers; `seed` seeds the router's random numbers.
+    pub fn new(weights: RoutingWeights, zone: &str, memory: MemoryBudget, seed: u64) -> Rc<Self> {
         Rc::new(Self {
             config: ArcSwapOption::empty(),
             router: RefCell::new(Router::new(weights, zone, Pcg64Mcg::seed_from_u64(seed))),
@@ -55,7 +55,7 @@
             started_at: tokio::time::Instant::now(),
             shutdown: watch::Sender::new(None),
             in_flight: Rc::default(),
-            buffered_bytes: Rc::default(),
+            memory,
             proxy_count: Cell::new(1),
             counters: Counters::default(),
         })
@@ -114,14 +114,9 @@
         CountGuard::new(&self.in_flight, 1)
     }
 
-    /// True if a request body of this length fits into the buffer limit beside those already buffered.
-    pub(crate) fn has_memory_for(&self, body_bytes: usize) -> bool {
-        self.buffered_bytes.get() + body_bytes <= MAX_BUFFERED_BYTES
-    }
-
-    /// Counts a request body as buffered until the guard is dropped.
-    pub(crate) fn count_buffered(&self, body_bytes: usize) -> CountGuard {
-        CountGuard::new(&self.buffered_bytes, body_bytes)
+    /// The memory budget for bodies of requests and responses.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.memory
     }
 
     /// This proxy's limit of connections to a server that accepts `max_connections` from all proxies together. A single
--- a/crates/data-plane/src/decode.rs
+++ b/crates/data-plane/src/decode.rs
@@ -131,7 +131,7 @@
             let until = request.deadline.timer;
             let body = self.buffer_body(&target.id, &head, body, connection, until).await;
             return match body {
-                Some(body) if !promises_not_executed(head.status) => {
+                Ok(body) if !promises_not_executed(head.status) => {
                     let response = forwarded_response(&head, ResponseBody::Buffered(Some(body)));
                     DecodeFailure::ErrorResponse(response).into()
                 }
--- a/crates/data-plane/src/ingress.rs
+++ b/crates/data-plane/src/ingress.rs
@@ -3,16 +3,19 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use mosshead_config::Limits;
+use mosshead_time::Duration;
 use quick_error::quick_error;
 use tokio::time::timeout;
 
+use crate::body_reader::{ReadBodyError, read_body};
 use crate::client_request::PreparedRequest;
 use crate::data_plane::DataPlane;
+use crate::memory::BodyKind;
 use crate::response::{ResponseAborted, ResponseBody, proxy_response};
 use crate::run_tracker::RunTracker;
 
@@ -103,7 +106,6 @@
         };
         drop(config);
         self.counters.requests.increment();
-        let _buffered = self.count_buffered(body.len());
         let request = match self.prepare_request(&head, body, runs) {
             Ok(request) => request,
             Err(error) => return Ok(proxy_response(error.status(), error.retry_after())),
@@ -117,20 +119,27 @@
         })
     }
 
-    async fn read_request_body(&self, body: Incoming, limits: &Limits) -> Result<Bytes, BodyError> {
-        let min_length = body.size_hint().lower() as usize;
-        if min_length > limits.max_body_bytes {
-            return Err(BodyError::TooLong);
-        }
-        if !self.has_memory_for(min_length) {
-            return Err(BodyError::NoMemory);
-        }
+    async fn read_request_body(&self, mut body: Incoming, limits: &Limits) -> Result<Bytes, BodyError> {
         let time_allowed = limits.idle_timeout.max(limits.header_timeout);
-        match timeout(time_allowed, Limited::new(body, limits.max_body_bytes).collect()).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLong),
-            Ok(Err(_)) => Err(BodyError::ClientGone),
+        let read = read_body(&mut body, limits.max_body_bytes, &self.memory, BodyKind::Request);
+        match timeout(time_allowed, read).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(ReadBodyError::TooLong)) => Err(BodyError::TooLong),
+            Ok(Err(ReadBodyError::NoMemory)) => {
+                discard_body(body, limits.max_body_bytes, time_allowed);
+                Err(BodyError::NoMemory)
+            }
+            Ok(Err(ReadBodyError::Incomplete)) => Err(BodyError::ClientGone),
             Err(_) => Err(BodyError::TimedOut),
         }
     }
 }
+
+/// Reads the rest of a rejected request's body in a separate task and drops it. A close with unread bytes would reset the
+/// connection, and the client would lose the response.
+fn discard_body(body: Incoming, max_bytes: usize, time_allowed: Duration) {
+    tokio::task::spawn_local(timeout(time_allowed, async move {
+        let mut body = Limited::new(body, max_bytes);
+        while let Some(Ok(_)) = body.frame().await {}
+    }));
+}
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -10,6 +10,7 @@
 //! `RULES.md`, which proxies must follow. Neither is part of this repository.
 
 mod attempt;
+mod body_reader;
 mod buffered_request;
 mod client_request;
 mod client_stream;
@@ -24,6 +25,7 @@
 mod ingress;
 mod load_guards;
 mod load_report;
+mod memory;
 mod prefill;
 mod prompt_headers;
 mod prompt_request;
@@ -41,5 +43,6 @@
 pub use data_plane::DataPlane;
 pub use event_splitter::{EventSplitter, EventTooLong, StreamEvent};
 pub use frontend::Frontend;
+pub use memory::{BodyKind, MemoryBudget, MemoryReservation};
 pub use readiness::serve_readiness;
 pub use server_report::{MAX_REPORT_BYTES, ServerReport};
--- a/crates/data-plane/src/load_report.rs
+++ b/crates/data-plane/src/load_report.rs
@@ -13,7 +13,7 @@
 use crate::headers::keep_alive_timeout;
 use crate::server_report::ServerReport;
 use crate::server_request::{ServerRequest, Target};
-use crate::server_response::{ServerResponse, read_body};
+use crate::server_response::ServerResponse;
 
 /// The timeout of a load query. A working server answers within this time even if it is full, since a report takes no
 /// slot.
@@ -63,8 +63,8 @@
     /// closed: the body may belong to another call, and the report may still arrive in place of the next response.
     async fn record_load_report(&self, target: &Target, response: ServerResponse, until: Instant) {
         let ServerResponse { head, body, connection } = response;
-        let body = read_body(&head, body, until).await;
-        let Some(report) = body.and_then(|body| ServerReport::parse(&body)) else { return };
+        let body = self.read_response_body(&head, body, until).await;
+        let Some(report) = body.ok().and_then(|body| ServerReport::parse(&body)) else { return };
         let now = self.now();
         self.router.borrow_mut().record_load(now, &target.id, report.load());
         self.connections.put(&target.id, connection, keep_alive_timeout(&head.headers), until).await;
--- a/crates/data-plane/src/server_response.rs
+++ b/crates/data-plane/src/server_response.rs
@@ -3,17 +3,20 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use mosshead_time::Duration;
+use quick_error::quick_error;
 use tokio::time::{Instant, timeout_at};
 
+use crate::body_reader::{ReadBodyError, read_body};
 use crate::connection_pool::PooledConnection;
 use crate::data_plane::DataPlane;
 use crate::headers::{SERVER_SEAL, keep_alive_timeout};
+use crate::memory::BodyKind;
 
 /// The maximum length of a buffered response body.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
@@ -50,15 +53,28 @@
     )
 }
 
-/// Reads the complete body of a response; `None` if it is incomplete, too late or too long, or has a content encoding,
-/// which no client requests.
-pub(crate) async fn read_body(head: &Parts, body: Incoming, until: Instant) -> Option<Bytes> {
-    let has_end = is_framed(head) || head.status == StatusCode::NO_CONTENT;
-    if !has_end || head.headers.contains_key(CONTENT_ENCODING) {
-        return None;
+quick_error! {
+    /// Why the body of a response was not buffered.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum BufferError {
+        /// It is incomplete, too late or too long, or has a content encoding, which no client requests.
+        Invalid {
+            display("the response is incomplete or invalid")
+        }
+        /// The memory for bodies is used up.
+        NoMemory {
+            display("the bodies of other requests take up the memory")
+        }
+    }
+}
+
+impl From<ReadBodyError> for BufferError {
+    fn from(error: ReadBodyError) -> Self {
+        match error {
+            ReadBodyError::NoMemory => Self::NoMemory,
+            ReadBodyError::TooLong | ReadBodyError::Incomplete => Self::Invalid,
+        }
     }
-    let body = timeout_at(until, Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect()).await;
-    Some(body.ok()?.ok()?.to_bytes())
 }
 
 async fn read_to_end(mut body: Incoming) -> bool {
@@ -71,7 +87,30 @@
 }
 
 impl DataPlane {
-    /// Reads the complete body as [`read_body`] does, and returns the connection to the pool.
+    /// Reads the complete body of a response.
+    ///
+    /// # Errors
+    ///
+    /// The body is not valid or not complete, or there is no memory for it.
+    pub(crate) async fn read_response_body(
+        &self,
+        head: &Parts,
+        mut body: Incoming,
+        until: Instant,
+    ) -> Result<Bytes, BufferError> {
+        let has_end = is_framed(head) || head.status == StatusCode::NO_CONTENT;
+        if !has_end || head.headers.contains_key(CONTENT_ENCODING) {
+            return Err(BufferError::Invalid);
+        }
+        let read = read_body(&mut body, MAX_BUFFERED_RESPONSE_BYTES, &self.memory, BodyKind::Response);
+        Ok(timeout_at(until, read).await.map_err(|_| BufferError::Invalid)??)
+    }
+
+    /// Reads the complete body as [`DataPlane::read_response_body`] does, and returns the connection to the pool.
+    ///
+    /// # Errors
+    ///
+    /// As for [`DataPlane::read_response_body`].
     pub(crate) async fn buffer_body(
         &self,
         server_id: &Rc<str>,
@@ -79,10 +118,10 @@
         body: Incoming,
         connection: PooledConnection,
         until: Instant,
-    ) -> Option<Bytes> {
-        let body = read_body(head, body, until).await?;
+    ) -> Result<Bytes, BufferError> {
+        let body = self.read_response_body(head, body, until).await?;
         self.connections.put(server_id, connection, keep_alive_timeout(&head.headers), until).await;
-        Some(body)
+        Ok(body)
     }
 
     /// Reads the rest of an unwanted response in a separate task, and returns its connection to the pool.
--- a/crates/data-plane/tests/common/proxy.rs
+++ b/crates/data-plane/tests/common/proxy.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use mosshead_config::Config;
-use mosshead_data_plane::{DataPlane, Frontend, serve_readiness};
+use mosshead_data_plane::{DataPlane, Frontend, MemoryBudget, serve_readiness};
 use mosshead_registry::Server;
 use mosshead_routing::{RetryBudgetLimits, RoutingWeights};
 use mosshead_time::Duration;
@@ -26,6 +26,9 @@
 /// The time from the start of a shutdown until the process would be killed.
 pub(crate) const GRACE: Duration = Duration::from_secs(8);
 
+/// The memory for bodies, in bytes.
+const MEMORY_BYTES: usize = 16 * 1024 * 1024;
+
 /// A proxy on loopback.
 pub(crate) struct Proxy {
     pub(crate) data_plane: Rc<DataPlane>,
@@ -76,7 +79,23 @@
     /// Starts a proxy as [`Proxy::unconfigured`] does, with this retry budget.
     pub(crate) async fn with_retry_budget(seed: u64, retry_ratio: f64, extra_retries: f64) -> Self {
         let limits = RetryBudgetLimits { retry_ratio, extra_retries, window: Duration::from_secs(10) };
-        let data_plane = DataPlane::new(RoutingWeights::new(limits), "here", seed);
+        Self::start(DataPlane::new(
+            RoutingWeights::new(limits),
+            "here",
+            MemoryBudget::new(MEMORY_BYTES),
+            seed,
+        ))
+        .await
+    }
+
+    /// Starts a proxy without a configuration and without servers, with this memory for bodies in bytes.
+    pub(crate) async fn with_memory(bytes: usize) -> Self {
+        let limits =
+            RetryBudgetLimits { retry_ratio: 0.2, extra_retries: 52.0, window: Duration::from_secs(10) };
+        Self::start(DataPlane::new(RoutingWeights::new(limits), "here", MemoryBudget::new(bytes), 1)).await
+    }
+
+    async fn start(data_plane: Rc<DataPlane>) -> Self {
         let frontend = Frontend::new(data_plane.clone());
         let (listener, address) = listen().await;
         tokio::task::spawn_local(frontend.clone().serve(listener));
--- a/crates/data-plane/tests/common/raw_connection.rs
+++ b/crates/data-plane/tests/common/raw_connection.rs
@@ -28,6 +28,19 @@
         self.send(&head).await;
     }
 
+    /// Reads a response's head, and its body if that has a length.
+    pub(crate) async fn read_head(&mut self) -> String {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(self.0.read_u8().await.expect("a head"));
+        }
+        let head = String::from_utf8(head).expect("text");
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: ")?.parse().ok());
+        let mut body = vec![0; length.unwrap_or(0)];
+        self.0.read_exact(&mut body).await.expect("a body");
+        head
+    }
+
     /// Reads until the proxy closes the connection.
     pub(crate) async fn read_to_end(mut self) -> String {
         let mut received = String::new();
--- a/crates/programs/src/proxy/process.rs
+++ b/crates/programs/src/proxy/process.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
-use mosshead_data_plane::{DataPlane, Frontend, serve_readiness};
+use mosshead_data_plane::{DataPlane, Frontend, MemoryBudget, serve_readiness};
 use mosshead_registry::{Registry, SourceId};
 use mosshead_routing::{RetryBudgetLimits, RoutingWeights};
 use mosshead_time::Duration;
@@ -58,7 +58,9 @@
             settings.front_http.ok_or(SettingsError::Missing("listen_addresses.front_http"))?;
         let mut process = FleetProcess::start(settings, settings_path, Program::Proxy).await?;
         let settings = &process.settings;
-        let data_plane = DataPlane::new(routing_weights(settings), &settings.zone, process.random.random());
+        let memory = MemoryBudget::new(settings.body_memory());
+        let seed = process.random.random();
+        let data_plane = DataPlane::new(routing_weights(settings), &settings.zone, memory, seed);
         let registry = Rc::new(RefCell::new(Registry::read_replica(
             SourceId(process.incarnation),
             settings.heartbeat_interval,
--- a/crates/programs/src/proxy/status.rs
+++ b/crates/programs/src/proxy/status.rs
@@ -27,7 +27,8 @@
         concat!(
             "{{\"ready\":{},\"revision\":{},\"routes\":{},\"servers\":{},\"core_heard_s\":{:.3},\"cores\":{},",
             "\"proxies\":{},\"connections\":{},\"open\":{},\"requests\":{},\"served\":{},\"refused\":{},",
-            "\"failed\":{},\"resumed\":{},\"handed_over\":{},\"freed\":{},\"learned\":{}}}"
+            "\"failed\":{},\"resumed\":{},\"handed_over\":{},\"freed\":{},\"body_bytes\":{},",
+            "\"body_bytes_limit\":{},\"learned\":{}}}"
         ),
         data_plane.is_ready(),
         config.as_ref().map_or(0, |config| config.revision()),
@@ -45,6 +46,8 @@
         counters.resumed.get(),
         counters.handed_over.get(),
         counters.freed_handles.get(),
+        data_plane.memory().used(),
+        data_plane.memory().limit(),
         learned(data_plane),
     )
 }
--- a/crates/programs/src/settings.rs
+++ b/crates/programs/src/settings.rs
@@ -31,6 +31,13 @@
 /// The default of `bounds.retry_window_s`.
 const DEFAULT_RETRY_WINDOW_SECONDS: f64 = 10.0;
 const MILLIS_PER_SECOND: f64 = 1000.0;
+/// The default of `limits.memory_mb`.
+const DEFAULT_MEMORY_MB: usize = 260;
+const BYTES_PER_MB: usize = 1_000_000;
+/// A proxy uses this share of its memory for bodies: `BODY_MEMORY_PARTS` of `MEMORY_PARTS`. The rest is for
+/// connections, the registry and the configuration.
+const BODY_MEMORY_PARTS: usize = 3;
+const MEMORY_PARTS: usize = 4;
 
 /// An inclusive range of ports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,6 +75,8 @@
     pub heartbeat_interval: Duration,
     /// `fault_tolerance.node_failures`: how many control nodes may lose their disks at the same time.
     pub node_failures: usize,
+    /// `limits.memory_mb`: the memory that the process may use, in millions of bytes.
+    pub memory_mb: usize,
     /// `bounds.*`: the bounds by name without the prefix. They are finite and not negative; `true` is 1 and `false`
     /// is 0.
     pub bounds: BTreeMap<String, f64>,
@@ -111,6 +120,7 @@
             node_failures: properties
                 .parsed("fault_tolerance.node_failures", "a whole number")?
                 .unwrap_or(DEFAULT_NODE_FAILURES),
+            memory_mb: properties.parsed("limits.memory_mb", "a whole number")?.unwrap_or(DEFAULT_MEMORY_MB),
             bounds,
         })
     }
@@ -120,6 +130,11 @@
         self.bounds.get(name).copied().unwrap_or(default)
     }
 
+    /// The memory that a proxy may use for the bodies of requests and responses, in bytes.
+    pub fn body_memory(&self) -> usize {
+        (self.memory_mb / MEMORY_PARTS * BODY_MEMORY_PARTS).saturating_mul(BYTES_PER_MB)
+    }
+
     /// `bounds.grace_s`: the time from SIGTERM to SIGKILL. A value too large for `Duration` becomes `Duration::MAX`.
     pub fn grace(&self) -> Duration {
         let seconds = self.bound("grace_s", DEFAULT_GRACE_SECONDS);
