Keep restarts in turn within the retry budget

Causes: a restarted proxy began with a whole share of the extra retries while those of its former process still counted, and the others divided the share of a proxy that left at once while it still spent it.

Change: RetryShare divides the extra retries by the largest number of proxies of the last window, and a process that did not start with the fleet (bootstrap=false) has no share of them during its first window. Retries by the ratio of requests stay.

--- a/crates/data-plane/src/data_plane.rs
+++ b/crates/data-plane/src/data_plane.rs
@@ -101,7 +101,15 @@
     /// Sets the number of proxies that share the retry budget and the servers' connections; 0 counts as 1.
     pub fn set_proxy_count(&self, count: usize) {
         self.proxy_count.set(count.max(1));
-        self.router.borrow_mut().set_proxy_count(count);
+        let now = self.now();
+        self.router.borrow_mut().set_proxy_count(now, count);
+    }
+
+    /// Leaves this proxy without extra retries for one window of the retry budget: the process is a restarted one, and
+    /// the retries of its predecessor still count.
+    pub fn withhold_extra_retries(&self) {
+        let now = self.now();
+        self.router.borrow_mut().withhold_extra_retries(now);
     }
 
     /// The number of clients' requests without a complete response.
--- a/crates/engine-model/src/simulation.rs
+++ b/crates/engine-model/src/simulation.rs
@@ -124,7 +124,7 @@
     let limits = RetryBudgetLimits { retry_ratio: 0.2, extra_retries: 50.0, window };
     let mut router =
         Router::new(RoutingWeights::new(limits), "zone", Pcg64Mcg::new(u128::from(seed) * 2 + 1));
-    router.set_proxy_count(proxies);
+    router.set_proxy_count(Instant::ORIGIN, proxies);
     router.update_servers(registry_entries.iter());
     router
 }
--- a/crates/programs/src/proxy/process.rs
+++ b/crates/programs/src/proxy/process.rs
@@ -61,6 +61,9 @@
         let memory = MemoryBudget::new(settings.body_memory());
         let seed = process.random.random();
         let data_plane = DataPlane::new(routing_weights(settings), &settings.zone, memory, seed);
+        if !settings.bootstrap {
+            data_plane.withhold_extra_retries();
+        }
         let registry = Rc::new(RefCell::new(Registry::read_replica(
             SourceId(process.incarnation),
             settings.heartbeat_interval,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -24,6 +24,7 @@
 mod pairing;
 mod prompt;
 mod retry_budget;
+mod retry_share;
 mod router;
 mod shutdown;
 mod start_latency;
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -84,12 +84,11 @@
         self.requests += 1.0;
     }
 
-    /// True if the budget has a retry left for a request of this priority. `proxy_count` proxies share the extra
-    /// retries.
-    pub fn has_retry(&mut self, now: Instant, proxy_count: usize, priority: u8) -> bool {
+    /// True if the budget has a retry left for a request of this priority. `extra_share` is this proxy's share of the
+    /// extra retries, from 0 to 1.
+    pub fn has_retry(&mut self, now: Instant, extra_share: f64, priority: u8) -> bool {
         self.current_slice(now);
-        let share_of_extra = self.limits.extra_retries / proxy_count.max(1) as f64;
-        let allowed = self.limits.retry_ratio * self.requests + share_of_extra;
+        let allowed = self.limits.retry_ratio * self.requests + self.limits.extra_retries * extra_share;
         // All proxies may spend their full shares at the same time, and the sum must still obey the rule.
         self.retries + 1.0 <= SPENDABLE_SHARE * self.share_for_priority(priority) * allowed
     }
@@ -100,10 +99,10 @@
         if priority > most_urgent { LESS_URGENT_SHARE } else { 1.0 }
     }
 
-    /// Takes one retry out of the budget. Returns false if none is left for a request of this priority. `proxy_count`
-    /// proxies share the extra retries.
-    pub fn try_withdraw(&mut self, now: Instant, proxy_count: usize, priority: u8) -> bool {
-        if !self.has_retry(now, proxy_count, priority) {
+    /// Takes one retry out of the budget. Returns false if none is left for a request of this priority. `extra_share` is
+    /// as for [`RetryBudget::has_retry`].
+    pub fn try_withdraw(&mut self, now: Instant, extra_share: f64, priority: u8) -> bool {
+        if !self.has_retry(now, extra_share, priority) {
             return false;
         }
         self.current_slice(now).retries += 1.0;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -15,6 +15,7 @@
 use crate::outlier::ServerFailure;
 use crate::prompt::Prompt;
 use crate::retry_budget::RetryBudget;
+use crate::retry_share::RetryShare;
 use crate::start_latency::{LearnedLatencies, StartLatency};
 use crate::weights::RoutingWeights;
 
@@ -35,6 +36,7 @@
     pub(crate) weights: RoutingWeights,
     pub(crate) endpoints: EndpointTable,
     budgets: HashMap<String, RetryBudget>,
+    retry_share: RetryShare,
     low_discrepancy_sequences: LowDiscrepancySequences,
     /// Latency estimates until the start of a stream, by service.
     start_latencies: HashMap<String, StartLatency>,
@@ -55,6 +57,7 @@
             weights,
             endpoints: EndpointTable::default(),
             budgets: HashMap::new(),
+            retry_share: RetryShare::new(weights.retry_budget.window),
             low_discrepancy_sequences: LowDiscrepancySequences::default(),
             start_latencies: HashMap::new(),
             zone: zone.to_owned(),
@@ -72,8 +75,15 @@
 
     /// Sets the number of proxies; at least one. They share the retry budgets, and the load of the other proxies is
     /// estimated by their number.
-    pub fn set_proxy_count(&mut self, count: usize) {
+    pub fn set_proxy_count(&mut self, now: Instant, count: usize) {
         self.proxy_count = count.max(1);
+        self.retry_share.set_proxy_count(now, self.proxy_count);
+    }
+
+    /// Leaves this proxy without extra retries for one window of the retry budget, in which those that its former
+    /// process has spent still count.
+    pub fn withhold_extra_retries(&mut self, now: Instant) {
+        self.retry_share.withhold(now);
     }
 
     /// The servers known to this proxy.
@@ -93,8 +103,8 @@
 
     /// Takes one retry out of the service's budget. Returns false if none is left for a request of this priority.
     pub fn try_withdraw_retry(&mut self, now: Instant, service: &str, priority: u8) -> bool {
-        let proxy_count = self.proxy_count;
-        self.retry_budget(service).try_withdraw(now, proxy_count, priority)
+        let extra_share = self.retry_share.fraction(now);
+        self.retry_budget(service).try_withdraw(now, extra_share, priority)
     }
 
     /// True if the service has a server outside `avoid`, other than a prefill server, that is up, is neither suspected
@@ -106,8 +116,8 @@
 
     /// True if the service's budget has a retry left for a request of this priority.
     pub fn has_retry(&mut self, now: Instant, service: &str, priority: u8) -> bool {
-        let proxy_count = self.proxy_count;
-        self.retry_budget(service).has_retry(now, proxy_count, priority)
+        let extra_share = self.retry_share.fraction(now);
+        self.retry_budget(service).has_retry(now, extra_share, priority)
     }
 
     /// The next number from 0 to below 1 for splitting the requests of a route by weight. Unlike random numbers, those
