Take a body that arrives in one piece without a copy, and discard bodies in one place

Since the memory budget each body was copied into a buffer of its own, also the short ones that arrive in one frame and were handed on as they were before; and the loop that reads an unwanted body to its end stood in ingress and in server_response.

Change: a first frame that is the whole body keeps its reservation and is not copied; a buffer is allocated only for a second frame. discard_to_end serves both places. Bounds, reservations and answers are as they were.

--- a/crates/data-plane/src/body_reader.rs
+++ b/crates/data-plane/src/body_reader.rs
@@ -43,16 +43,20 @@
         return Err(ReadBodyError::TooLong);
     }
     let mut reservation = budget.try_reserve(kind, stated_bytes).ok_or(ReadBodyError::NoMemory)?;
-    let mut buffer = BytesMut::with_capacity(stated_bytes);
+    let mut buffer = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ReadBodyError::Incomplete)?;
         let Ok(data) = frame.into_data() else { continue };
+        // Most bodies are short and arrive at once: they are not copied.
+        if buffer.is_empty() && body.is_end_stream() {
+            return Ok(reservation.attach(data));
+        }
         let length = buffer.len() + data.len();
         if length > max_bytes {
             return Err(ReadBodyError::TooLong);
         }
         if length > buffer.capacity() {
-            let capacity = length.max(2 * buffer.capacity()).min(max_bytes);
+            let capacity = length.max(stated_bytes).max(2 * buffer.capacity()).min(max_bytes);
             if !reservation.try_grow_to(capacity) {
                 return Err(ReadBodyError::NoMemory);
             }
@@ -63,3 +67,13 @@
     reservation.shrink_to(buffer.capacity());
     Ok(reservation.attach(buffer.freeze()))
 }
+
+/// Reads a body to its end and drops it; returns false if it is incomplete.
+pub(crate) async fn discard_to_end(mut body: impl Body + Unpin) -> bool {
+    while let Some(frame) = body.frame().await {
+        if frame.is_err() {
+            return false;
+        }
+    }
+    true
+}
--- a/crates/data-plane/src/ingress.rs
+++ b/crates/data-plane/src/ingress.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -12,7 +12,7 @@
 use quick_error::quick_error;
 use tokio::time::timeout;
 
-use crate::body_reader::{ReadBodyError, read_body};
+use crate::body_reader::{ReadBodyError, discard_to_end, read_body};
 use crate::client_request::PreparedRequest;
 use crate::data_plane::DataPlane;
 use crate::memory::BodyKind;
@@ -138,8 +138,5 @@
 /// Reads the rest of a rejected request's body in a separate task and drops it. A close with unread bytes would reset the
 /// connection, and the client would lose the response.
 fn discard_body(body: Incoming, max_bytes: usize, time_allowed: Duration) {
-    tokio::task::spawn_local(timeout(time_allowed, async move {
-        let mut body = Limited::new(body, max_bytes);
-        while let Some(Ok(_)) = body.frame().await {}
-    }));
+    tokio::task::spawn_local(timeout(time_allowed, discard_to_end(Limited::new(body, max_bytes))));
 }
--- a/crates/data-plane/src/server_response.rs
+++ b/crates/data-plane/src/server_response.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -12,7 +11,7 @@
 use quick_error::quick_error;
 use tokio::time::{Instant, timeout_at};
 
-use crate::body_reader::{ReadBodyError, read_body};
+use crate::body_reader::{ReadBodyError, discard_to_end, read_body};
 use crate::connection_pool::PooledConnection;
 use crate::data_plane::DataPlane;
 use crate::headers::{SERVER_SEAL, keep_alive_timeout};
@@ -77,15 +76,6 @@
     }
 }
 
-async fn read_to_end(mut body: Incoming) -> bool {
-    while let Some(frame) = body.frame().await {
-        if frame.is_err() {
-            return false;
-        }
-    }
-    true
-}
-
 impl DataPlane {
     /// Reads the complete body of a response.
     ///
@@ -130,7 +120,7 @@
         let ServerResponse { head, body, connection } = response;
         let until = Instant::now() + DISCARD_TIMEOUT;
         tokio::task::spawn_local(async move {
-            if timeout_at(until, read_to_end(body)).await == Ok(true) {
+            if timeout_at(until, discard_to_end(body)).await == Ok(true) {
                 let keep_alive = keep_alive_timeout(&head.headers);
                 data_plane.connections.put(&server_id, connection, keep_alive, until).await;
             }
