Look at a setting only when it is asked for, so that an unknown one can't fail

Cause: every value under `bounds.` was parsed as a number before anyone asked for it. Values were judged by where they stand, not by who needs them. The same on related paths, each seen with check-settings: a word, a list or a negative number there; an empty value of a key whose absence is accepted (keepalive_ms, limits.memory_mb, listen_addresses.*, bootstrap, bounds.*); bytes that are not UTF-8 anywhere; and the syntax of Java properties, where `\`, `:`, `!`, `#` and a `\` at a line's end have meanings that "each line has the form a.b=value" (DEPLOY.md) doesn't give them.

Change: lines are split at the first `=`; values stay bytes until the program asks for them. Of the bounds only the six in use have to be numbers. An empty value is an absent one; what a program needs is an error with line and key when it is empty (data_directory= was the working directory before). java-properties goes: none of the libraries for such files reads just a.b=value. Why it works: an error can now only come from a key that the program asks for.

--- a/crates/programs/src/command.rs
+++ b/crates/programs/src/command.rs
@@ -173,7 +173,7 @@
 
 fn check_settings(settings_path: Option<PathBuf>) -> Result<(), CommandError> {
     let settings = Settings::load(&find_settings(settings_path)?)?;
-    println!("{}: sound.", settings.node_name);
+    println!("{}: sound.", settings.required_node_name()?);
     Ok(())
 }
 
--- a/crates/programs/src/control_process.rs
+++ b/crates/programs/src/control_process.rs
@@ -13,7 +13,7 @@
 use crate::control_api;
 use crate::control_node::{ControlNode, PeerFollowers};
 use crate::process::{FleetProcess, ProcessError, ProcessEvent, ProcessEvents, Program};
-use crate::settings::{Settings, SettingsError};
+use crate::settings::Settings;
 
 /// The interval of the main loop and of the consensus node's ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -48,8 +48,7 @@
 
 impl ControlProcess {
     async fn start(settings: Settings, settings_path: PathBuf) -> Result<ControlProcess, ProcessError> {
-        let data_directory =
-            settings.data_directory.clone().ok_or(SettingsError::Missing("data_directory"))?;
+        let data_directory = settings.required_data_directory()?.to_owned();
         let process = FleetProcess::start(settings, settings_path, Program::ControlNode).await?;
         let control_node = ControlNode::new(
             process.settings.clone(),
--- a/crates/programs/src/process.rs
+++ b/crates/programs/src/process.rs
@@ -87,7 +87,7 @@
         let mut random = Pcg64Mcg::from_os_rng();
         let incarnation: u64 = random.random();
         let local_peer = Peer {
-            name: settings.node_name.clone(),
+            name: settings.required_node_name()?.to_owned(),
             instance_id: incarnation,
             address: settings.internal_address(),
             is_control_node: program == Program::ControlNode,
--- a/crates/programs/src/proxy/process.rs
+++ b/crates/programs/src/proxy/process.rs
@@ -16,7 +16,7 @@
 use super::sink::DataPlaneSink;
 use super::status::status;
 use crate::process::{FleetProcess, ProcessError, ProcessEvent, ProcessEvents, Program};
-use crate::settings::{Settings, SettingsError};
+use crate::settings::Settings;
 use crate::update_watcher::{UpdateWatcher, WATCH_SLOTS, WatcherIdentity};
 
 /// The delay from the start of the shutdown until idle connections are closed. The platform stops sending new clients
@@ -54,8 +54,7 @@
 
 impl ProxyProcess {
     async fn start(settings: Settings, settings_path: PathBuf) -> Result<ProxyProcess, ProcessError> {
-        let front_address =
-            settings.front_http.ok_or(SettingsError::Missing("listen_addresses.front_http"))?;
+        let front_address = settings.required_front_http()?;
         let mut process = FleetProcess::start(settings, settings_path, Program::Proxy).await?;
         let settings = &process.settings;
         let memory = MemoryBudget::new(settings.body_memory());
--- a/crates/programs/src/settings.rs
+++ b/crates/programs/src/settings.rs
@@ -1,7 +1,8 @@
-//! The settings file of a process, in Java properties format. Unknown fields are ignored.
+//! The settings file of a process: `key=value` lines. Unknown fields are ignored, whatever their value is. A known field
+//! that is empty counts as absent.
 
 mod error;
-mod properties;
+mod settings_file;
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -10,12 +11,32 @@
 use mosshead_time::Duration;
 
 pub use self::error::SettingsError;
-use self::properties::Properties;
+use self::settings_file::{EXPECTED_ADDRESS, SettingsFile};
 
 /// The default of `keepalive_ms`.
 const DEFAULT_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
 /// The default of `fault_tolerance.node_failures`.
 const DEFAULT_NODE_FAILURES: usize = 1;
+const NODE_NAME: &str = "node_name";
+/// The key of the address where a proxy serves clients.
+const FRONT_HTTP: &str = "listen_addresses.front_http";
+/// The key of the directory of a control node.
+const DATA_DIRECTORY: &str = "data_directory";
+/// The expected value of `node_name`, for error messages.
+const EXPECTED_NAME: &str = "the name of the machine";
+/// The expected value of `data_directory`, for error messages.
+const EXPECTED_DIRECTORY: &str = "a directory";
+
+const GRACE_BOUND: &str = "grace_s";
+const SYNC_BOUND: &str = "sync_s";
+const LEASE_BOUND: &str = "lease_ms";
+const RETRY_RATIO_BOUND: &str = "retry_budget_ratio";
+const EXTRA_RETRIES_BOUND: &str = "retry_extra";
+const RETRY_WINDOW_BOUND: &str = "retry_window_s";
+/// The bounds that the programs use. Only these have to be valid.
+const KNOWN_BOUNDS: [&str; 6] =
+    [GRACE_BOUND, SYNC_BOUND, LEASE_BOUND, RETRY_RATIO_BOUND, EXTRA_RETRIES_BOUND, RETRY_WINDOW_BOUND];
+
 /// The default of `bounds.grace_s`.
 const DEFAULT_GRACE_SECONDS: f64 = 8.0;
 /// The default of `bounds.sync_s`.
@@ -78,8 +99,10 @@
     /// `limits.memory_mb`: the memory that the process may use, in millions of bytes.
     pub memory_mb: usize,
     /// `bounds.*`: the bounds by name without the prefix. They are finite and not negative; `true` is 1 and `false`
-    /// is 0.
+    /// is 0. A bound that no program uses is left out if it is anything else.
     pub bounds: BTreeMap<String, f64>,
+    /// The lines of the fields that are in the file and empty, for error messages.
+    empty_fields: BTreeMap<String, usize>,
 }
 
 impl Settings {
@@ -97,34 +120,65 @@
     ///
     /// # Errors
     ///
-    /// A line is malformed, a field that every process needs is missing, or a value is invalid.
+    /// A field that every process needs is missing, a value that a program uses is invalid, or a line is no field at
+    /// all.
     pub fn parse(text: &[u8]) -> Result<Settings, SettingsError> {
-        let properties = Properties::parse(text)?;
-        let internal_ports = properties.required_port_range("internal_port_range")?;
-        let seed_nodes = properties.addresses("seed_nodes")?;
-        let bounds = properties.bounds()?;
+        let file = SettingsFile::split(text)?;
         Ok(Settings {
-            node_name: properties.required_text("node_name")?.to_owned(),
-            zone: properties.required_text("zone")?.to_owned(),
-            ip_address: properties.required("ip_address", "an IPv4 address")?,
-            front_http: properties.address("listen_addresses.front_http")?,
-            readiness: properties.address("listen_addresses.readiness")?,
-            control_plane: properties.address("listen_addresses.control_plane")?,
-            internal_ports,
-            seed_nodes,
-            bootstrap: properties.parsed("bootstrap", "true or false")?.unwrap_or(false),
-            data_directory: properties.text("data_directory").map(|path| PathBuf::from(path.trim())),
-            heartbeat_interval: properties
+            node_name: file.required_text(NODE_NAME)?.to_owned(),
+            zone: file.required_text("zone")?.to_owned(),
+            ip_address: file.required("ip_address", "an IPv4 address")?,
+            front_http: file.address(FRONT_HTTP)?,
+            readiness: file.address("listen_addresses.readiness")?,
+            control_plane: file.address("listen_addresses.control_plane")?,
+            internal_ports: file.required_port_range("internal_port_range")?,
+            seed_nodes: file.addresses("seed_nodes")?,
+            bootstrap: file.parsed("bootstrap", "true or false")?.unwrap_or(false),
+            data_directory: file.text(DATA_DIRECTORY)?.map(PathBuf::from),
+            heartbeat_interval: file
                 .parsed("keepalive_ms", "whole milliseconds")?
                 .map_or(DEFAULT_HEARTBEAT_INTERVAL, Duration::from_millis),
-            node_failures: properties
+            node_failures: file
                 .parsed("fault_tolerance.node_failures", "a whole number")?
                 .unwrap_or(DEFAULT_NODE_FAILURES),
-            memory_mb: properties.parsed("limits.memory_mb", "a whole number")?.unwrap_or(DEFAULT_MEMORY_MB),
-            bounds,
+            memory_mb: file.parsed("limits.memory_mb", "a whole number")?.unwrap_or(DEFAULT_MEMORY_MB),
+            bounds: file.bounds(&KNOWN_BOUNDS)?,
+            empty_fields: file.empty_fields(),
         })
     }
 
+    /// `node_name`, which a process of the fleet needs.
+    ///
+    /// # Errors
+    ///
+    /// The field is empty.
+    pub fn required_node_name(&self) -> Result<&str, SettingsError> {
+        let name = Some(self.node_name.as_str()).filter(|name| !name.is_empty());
+        name.ok_or_else(|| self.without_value(NODE_NAME, EXPECTED_NAME))
+    }
+
+    /// `listen_addresses.front_http`, which a proxy needs.
+    ///
+    /// # Errors
+    ///
+    /// The field is missing or empty.
+    pub fn required_front_http(&self) -> Result<SocketAddrV4, SettingsError> {
+        self.front_http.ok_or_else(|| self.without_value(FRONT_HTTP, EXPECTED_ADDRESS))
+    }
+
+    /// `data_directory`, which a control node needs.
+    ///
+    /// # Errors
+    ///
+    /// The field is missing or empty.
+    pub fn required_data_directory(&self) -> Result<&Path, SettingsError> {
+        self.data_directory.as_deref().ok_or_else(|| self.without_value(DATA_DIRECTORY, EXPECTED_DIRECTORY))
+    }
+
+    fn without_value(&self, key: &'static str, expected: &'static str) -> SettingsError {
+        SettingsError::without_value(key, self.empty_fields.get(key).copied(), expected)
+    }
+
     /// A bound by name, or `default` if the file has none.
     pub fn bound(&self, name: &str, default: f64) -> f64 {
         self.bounds.get(name).copied().unwrap_or(default)
@@ -137,34 +191,34 @@
 
     /// `bounds.grace_s`: the time from SIGTERM to SIGKILL. A value too large for `Duration` becomes `Duration::MAX`.
     pub fn grace(&self) -> Duration {
-        let seconds = self.bound("grace_s", DEFAULT_GRACE_SECONDS);
+        let seconds = self.bound(GRACE_BOUND, DEFAULT_GRACE_SECONDS);
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 
     /// `bounds.sync_s`: how long after its start a control node must be synchronised. The maximum is one hour.
     pub fn sync_time(&self) -> Duration {
-        let seconds = self.bound("sync_s", DEFAULT_SYNC_SECONDS).min(MAX_SYNC_SECONDS);
+        let seconds = self.bound(SYNC_BOUND, DEFAULT_SYNC_SECONDS).min(MAX_SYNC_SECONDS);
         Duration::from_millis((seconds * MILLIS_PER_SECOND) as u64)
     }
 
     /// `bounds.lease_ms`: the duration of the lease of a singleton role.
     pub fn lease(&self) -> Duration {
-        Duration::from_millis(self.bound("lease_ms", DEFAULT_LEASE_MILLIS) as u64)
+        Duration::from_millis(self.bound(LEASE_BOUND, DEFAULT_LEASE_MILLIS) as u64)
     }
 
     /// `bounds.retry_budget_ratio`: the allowed ratio of retries to requests, over all proxies.
     pub fn retry_budget_ratio(&self) -> f64 {
-        self.bound("retry_budget_ratio", DEFAULT_RETRY_BUDGET_RATIO)
+        self.bound(RETRY_RATIO_BOUND, DEFAULT_RETRY_BUDGET_RATIO)
     }
 
     /// `bounds.retry_extra`: the number of retries allowed in each window in addition to that ratio.
     pub fn extra_retries(&self) -> f64 {
-        self.bound("retry_extra", DEFAULT_EXTRA_RETRIES)
+        self.bound(EXTRA_RETRIES_BOUND, DEFAULT_EXTRA_RETRIES)
     }
 
     /// `bounds.retry_window_s`: the time window over which retries are counted.
     pub fn retry_window(&self) -> Duration {
-        let seconds = self.bound("retry_window_s", DEFAULT_RETRY_WINDOW_SECONDS);
+        let seconds = self.bound(RETRY_WINDOW_BOUND, DEFAULT_RETRY_WINDOW_SECONDS);
         Duration::from_millis((seconds * MILLIS_PER_SECOND) as u64)
     }
 
--- a/crates/programs/src/settings/error.rs
+++ b/crates/programs/src/settings/error.rs
@@ -15,7 +15,7 @@
             display("S01 {}: can't be read: {}", path.display(), error)
             source(error)
         }
-        /// A line is not `key=value`, or not UTF-8.
+        /// A line is no field, or the value of a known field is not UTF-8.
         InvalidLine(line: usize, reason: String) {
             display("S02 line {line}: {reason}")
         }
@@ -29,3 +29,17 @@
         }
     }
 }
+
+impl SettingsError {
+    /// The error for a field that has no value: it is not in the file (`line` is `None`), or empty there.
+    pub(super) fn without_value(
+        key: &'static str,
+        line: Option<usize>,
+        expected: &'static str,
+    ) -> SettingsError {
+        match line {
+            None => SettingsError::Missing(key),
+            Some(line) => SettingsError::InvalidValue(line, key.to_owned(), String::new(), expected),
+        }
+    }
+}
