Return the complete events before one that is too long

What callers saw: a stream whose server sends an event of over 256 KiB right behind complete ones ended without those, although they had arrived whole. Cause: EventSplitter::push returned the error in place of the events of the same chunk. Change: the error comes once a chunk completes no event. Evidence: events_before_one_that_is_too_long_are_returned fails on the former code.

--- a/crates/data-plane/src/event_splitter.rs
+++ b/crates/data-plane/src/event_splitter.rs
@@ -42,7 +42,7 @@
     ///
     /// # Errors
     ///
-    /// The incomplete event is already longer than 256 KiB.
+    /// The chunk completes no event, and the incomplete one is longer than 256 KiB.
     pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<StreamEvent>, EventTooLong> {
         self.partial.extend_from_slice(chunk);
         let mut events = Vec::new();
@@ -50,7 +50,8 @@
             let bytes = self.partial.split_to(end).freeze();
             events.push(StreamEvent { id: id_of_event(&bytes), bytes });
         }
-        if self.partial.len() > MAX_EVENT_BYTES { Err(EventTooLong) } else { Ok(events) }
+        let is_too_long = events.is_empty() && self.partial.len() > MAX_EVENT_BYTES;
+        if is_too_long { Err(EventTooLong) } else { Ok(events) }
     }
 
     /// Records that an event with this id was forwarded.
--- a/crates/data-plane/tests/event_splitter.rs
+++ b/crates/data-plane/tests/event_splitter.rs
@@ -50,3 +50,13 @@
     let mut splitter = EventSplitter::default();
     assert!((0..100).any(|_| splitter.push(&[b'x'; 8192]).is_err()));
 }
+
+/// Guards against complete events that are lost because one that is too long follows in the same chunk.
+#[test]
+fn events_before_one_that_is_too_long_are_returned() {
+    let mut splitter = EventSplitter::default();
+    let chunk = [b"id: 1\ndata: a\n\nid: 2\ndata: ".as_slice(), &vec![b'x'; 300 * 1024]].concat();
+    let events = splitter.push(&chunk).expect("a complete event");
+    assert_eq!(events.iter().map(|event| event.id).collect::<Vec<_>>(), [Some(1)]);
+    assert!(splitter.push(b"x").is_err());
+}
