Count a body as framed only if its length or chunks say where it ends

Cause: is_framed took any Transfer-Encoding for framing, but hyper reads such a body until the connection ends. Change: the last encoding has to be `chunked`. Evidence: an_incomplete_response_never_reaches_a_client with such an answer fails on the former code (200 with "1234") and gets 502 now.

--- a/crates/data-plane/src/server_response.rs
+++ b/crates/data-plane/src/server_response.rs
@@ -37,7 +37,14 @@
 
 /// True if the end of the body can be told from a broken connection.
 pub(crate) fn is_framed(head: &Parts) -> bool {
-    head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
+    head.headers.contains_key(CONTENT_LENGTH) || is_chunked(head)
+}
+
+/// True if the last transfer encoding is `chunked`. With any other one, the body ends with the connection.
+fn is_chunked(head: &Parts) -> bool {
+    let encodings = head.headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last = encodings.and_then(|encodings| encodings.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
 }
 
 /// True if this status tells the client that the request has not run (PROTOCOL.md, Answers). If the response has
--- a/crates/data-plane/tests/limits.rs
+++ b/crates/data-plane/tests/limits.rs
@@ -128,6 +128,7 @@
             format!("{}1234", head("Content-Length: 9\r\n")),
             format!("{}4\r\n1234\r\n", head("Transfer-Encoding: chunked\r\n")),
             format!("{}1234", head("")),
+            format!("{}1234", head("Transfer-Encoding: gzip\r\n")),
             format!("{}1234", head("Content-Length: 4\r\nContent-Encoding: gzip\r\n")),
         ];
         for response in responses {
