State how a stream ends in place of inferring it from the end of its queue

Streams to clients that read slowly also went on for up to 30 s past their deadline.

Cause: the end of the queue of events was taken for the end of a complete body, and an abort had to get through that queue. Where it stayed full for a second the abort was dropped with the sender. Waiting for room looked at no deadline.

Change: event_queue. Only EventSender::complete makes a response complete; a sender that goes away without it aborts the response, by type and without a timer. A stream is aborted at its deadline whatever its queue holds, and the connection of an aborted stream is closed after 250 ms. A stream to an HTTP/1.0 client is reset however its connection ends, an exit included. Why it works: no path is left on which a missing statement reads as complete.

--- a/crates/data-plane/src/frontend.rs
+++ b/crates/data-plane/src/frontend.rs
@@ -7,16 +7,17 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper::{Request, Version};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mosshead_http_links::{CountGuard, accept};
 use mosshead_time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 
 use crate::client_stream::{ClientStream, ResetOnDrop};
 use crate::data_plane::DataPlane;
+use crate::response::{ResponseAborted, ResponseBody};
 
 /// The maximum number of open client connections; further ones are closed at once.
 const MAX_CONNECTIONS: usize = 2600;
@@ -30,6 +31,10 @@
 /// The lower bound of the configured idle timeout.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// After its stream was aborted, a connection is closed after this time. Until then the client may read the events that
+/// were queued for it.
+const ABORT_LINGER: Duration = Duration::from_millis(250);
+
 /// Serves the connections of clients.
 pub struct Frontend {
     data_plane: Rc<DataPlane>,
@@ -78,37 +83,45 @@
     async fn serve_connection(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let data_plane = self.data_plane.clone();
-        let lacks_chunked_encoding = Rc::new(Cell::new(false));
-        let has_received_request = Rc::new(Cell::new(false));
+        let state = Rc::new(ConnectionState::default());
         let service = service_fn({
-            let lacks_chunked_encoding = lacks_chunked_encoding.clone();
-            let has_received_request = has_received_request.clone();
+            let state = state.clone();
             move |request: Request<Incoming>| {
-                has_received_request.set(true);
-                lacks_chunked_encoding.set(request.version() < Version::HTTP_11);
-                data_plane.clone().handle_request(request)
+                let (data_plane, state) = (data_plane.clone(), state.clone());
+                async move {
+                    state.has_received_request.set(true);
+                    let has_chunked_encoding = request.version() >= Version::HTTP_11;
+                    let response = data_plane.handle_request(request).await?;
+                    state.watch_response(&response, has_chunked_encoding);
+                    Ok::<_, ResponseAborted>(response)
+                }
             }
         });
-        let reset_on_drop = Rc::new(Cell::new(false));
-        let stream = ClientStream::new(stream, ResetOnDrop(reset_on_drop.clone()));
+        let stream = ClientStream::new(stream, ResetOnDrop(state.reset_on_drop.clone()));
         let connection = Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.idle_timeout())
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
+        let served = async {
+            tokio::select! {
+                biased;
+                result = connection.as_mut() => result,
+                () = self.wait_until_closable(&state.has_received_request) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.as_mut().await
+                }
+            }
+        };
         let result = tokio::select! {
             biased;
-            result = connection.as_mut() => result,
-            () = self.wait_until_closable(&has_received_request) => {
-                connection.as_mut().graceful_shutdown();
-                connection.as_mut().await
-            }
+            result = served => Some(result),
+            () = state.wait_until_cut_off() => None,
         };
-        // A client without chunked encoding takes the end of the connection for the end of the body, so an aborted
-        // response would look complete to it (RULES.md, MIXED). The connection is reset instead.
-        let is_aborted = result.is_err_and(|error| error.is_user());
-        reset_on_drop.set(lacks_chunked_encoding.get() && is_aborted);
+        if matches!(result, Some(Ok(()))) {
+            state.reset_on_drop.set(false);
+        }
     }
 
     /// Completes when a connection may be closed between two requests because of the shutdown.
@@ -121,3 +134,33 @@
         }
     }
 }
+
+/// What is known about a client's connection and its current response.
+#[derive(Default)]
+struct ConnectionState {
+    has_received_request: Cell<bool>,
+    /// True while a stream is under way to a client without chunked encoding. It takes the end of the connection for the
+    /// end of the body, so an incomplete response would look complete (RULES.md, MIXED), however the connection ends.
+    reset_on_drop: Rc<Cell<bool>>,
+    /// Notified when the stream of the current response is aborted.
+    aborted: Rc<Notify>,
+}
+
+impl ConnectionState {
+    fn watch_response(&self, response: &Response<ResponseBody>, has_chunked_encoding: bool) {
+        let stream = match response.body() {
+            ResponseBody::Streaming(stream) => Some(stream),
+            ResponseBody::Buffered(_) => None,
+        };
+        self.reset_on_drop.set(stream.is_some() && !has_chunked_encoding);
+        if let Some(stream) = stream {
+            stream.notify_on_abort(&self.aborted);
+        }
+    }
+
+    /// Completes when the current response was aborted and its client has not read what was queued for it in time.
+    async fn wait_until_cut_off(&self) {
+        self.aborted.notified().await;
+        sleep(ABORT_LINGER).await;
+    }
+}
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -19,6 +19,7 @@
 mod data_plane;
 mod deadline;
 mod decode;
+mod event_queue;
 mod event_splitter;
 mod frontend;
 mod headers;
@@ -41,8 +42,9 @@
 
 pub use counters::{Counter, Counters};
 pub use data_plane::DataPlane;
+pub use event_queue::{EventReceiver, EventSender, MAX_STREAM_BYTES, Received, ReceiverGone, event_queue};
 pub use event_splitter::{EventSplitter, EventTooLong, StreamEvent};
 pub use frontend::Frontend;
-pub use memory::{BodyKind, MemoryBudget, MemoryReservation};
+pub use memory::{BodyKind, MemoryBudget, MemoryReservation, MemoryUse};
 pub use readiness::serve_readiness;
 pub use server_report::{MAX_REPORT_BYTES, ServerReport};
--- a/crates/data-plane/src/memory.rs
+++ b/crates/data-plane/src/memory.rs
@@ -1,16 +1,18 @@
-//! The memory budget of a proxy: the bodies of requests and responses that it buffers.
+//! The memory budget of a proxy: the bodies of requests and responses that it buffers, and the events that wait for
+//! clients.
 //!
-//! A body is reserved before it is read, and the reservation lasts as long as any copy of the body's handle, wherever it
+//! Memory is reserved before it is used, and the reservation lasts as long as any copy of the handle to it, wherever it
 //! is: in a request that is under way to a server, or in a response that a slow client has not read yet.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
+use tokio::sync::Notify;
 
 /// Bodies up to this length count as small.
 const MAX_SMALL_BODY_BYTES: usize = 64 * 1024;
-/// The limit is divided into this many parts; each kind of body may use some of them.
+/// The limit is divided into this many parts; each kind may use some of them.
 const BUDGET_PARTS: usize = 16;
 
 /// What a reservation is for. A kind that matters more may use a part of the budget that others leave free.
@@ -20,15 +22,59 @@
     Request,
     /// The body of a response. The request has run, so it is the last to be given up.
     Response,
+    /// The only event that a stream holds for its client. Without it the stream stands still.
+    NextEvent,
+    /// A further event of a stream. It can wait at its server.
+    QueuedEvent,
 }
 
 impl BodyKind {
     /// The parts of the budget that may be in use once a reservation has this size.
     fn usable_parts(self, bytes: usize) -> usize {
         match self {
+            Self::QueuedEvent => BUDGET_PARTS - 4,
             Self::Request if bytes > MAX_SMALL_BODY_BYTES => BUDGET_PARTS - 2,
             Self::Request => BUDGET_PARTS - 1,
-            Self::Response => BUDGET_PARTS,
+            Self::Response | Self::NextEvent => BUDGET_PARTS,
+        }
+    }
+}
+
+/// The reserved bytes by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemoryUse {
+    /// Bodies of requests.
+    pub requests: usize,
+    /// Bodies of responses.
+    pub responses: usize,
+    /// Events of streams.
+    pub events: usize,
+}
+
+impl MemoryUse {
+    /// The reserved bytes of all kinds.
+    pub fn total(&self) -> usize {
+        self.requests + self.responses + self.events
+    }
+}
+
+#[derive(Debug)]
+struct Account {
+    /// In bytes.
+    limit: usize,
+    requests: AtomicUsize,
+    responses: AtomicUsize,
+    events: AtomicUsize,
+    /// Notified when bytes are released.
+    released: Notify,
+}
+
+impl Account {
+    fn bytes_of(&self, kind: BodyKind) -> &AtomicUsize {
+        match kind {
+            BodyKind::Request => &self.requests,
+            BodyKind::Response => &self.responses,
+            BodyKind::NextEvent | BodyKind::QueuedEvent => &self.events,
         }
     }
 }
@@ -36,33 +82,51 @@
 /// The memory budget of a proxy. Clones share it.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
-    /// In bytes.
-    used: Arc<AtomicUsize>,
-    /// In bytes.
-    limit: usize,
+    account: Arc<Account>,
 }
 
 impl MemoryBudget {
     /// A budget of `limit` bytes.
     pub fn new(limit: usize) -> Self {
-        Self { used: Arc::default(), limit }
+        let account = Account {
+            limit,
+            requests: AtomicUsize::new(0),
+            responses: AtomicUsize::new(0),
+            events: AtomicUsize::new(0),
+            released: Notify::new(),
+        };
+        Self { account: Arc::new(account) }
     }
 
     /// The reserved bytes.
     pub fn used(&self) -> usize {
-        self.used.load(Ordering::Relaxed)
+        self.used_by_kind().total()
+    }
+
+    /// The reserved bytes by kind.
+    pub fn used_by_kind(&self) -> MemoryUse {
+        MemoryUse {
+            requests: self.account.requests.load(Ordering::Relaxed),
+            responses: self.account.responses.load(Ordering::Relaxed),
+            events: self.account.events.load(Ordering::Relaxed),
+        }
     }
 
     /// The limit in bytes.
     pub fn limit(&self) -> usize {
-        self.limit
+        self.account.limit
     }
 
-    /// Reserves memory for a body; `None` if it doesn't fit.
+    /// Reserves memory; `None` if it doesn't fit.
     pub fn try_reserve(&self, kind: BodyKind, bytes: usize) -> Option<MemoryReservation> {
         let mut reservation = MemoryReservation { budget: self.clone(), kind, bytes: 0 };
         reservation.try_grow_to(bytes).then_some(reservation)
     }
+
+    /// Completes when memory is released after this call.
+    pub fn released(&self) -> impl Future<Output = ()> + '_ {
+        self.account.released.notified()
+    }
 }
 
 /// Memory that is reserved until this is dropped.
@@ -82,10 +146,10 @@
     /// Enlarges the reservation to this size if it is smaller; returns false, and changes nothing, if that doesn't fit.
     pub fn try_grow_to(&mut self, bytes: usize) -> bool {
         let additional = bytes.saturating_sub(self.bytes);
-        let usable = self.budget.limit / BUDGET_PARTS * self.kind.usable_parts(bytes);
+        let usable = self.budget.limit() / BUDGET_PARTS * self.kind.usable_parts(bytes);
         let fits = self.budget.used().checked_add(additional).is_some_and(|used| used <= usable);
         if fits {
-            self.budget.used.fetch_add(additional, Ordering::Relaxed);
+            self.budget.account.bytes_of(self.kind).fetch_add(additional, Ordering::Relaxed);
             self.bytes += additional;
         }
         fits
@@ -94,8 +158,12 @@
     /// Reduces the reservation to this size if it is larger.
     pub fn shrink_to(&mut self, bytes: usize) {
         let surplus = self.bytes.saturating_sub(bytes);
-        self.budget.used.fetch_sub(surplus, Ordering::Relaxed);
+        if surplus == 0 {
+            return;
+        }
+        self.budget.account.bytes_of(self.kind).fetch_sub(surplus, Ordering::Relaxed);
         self.bytes -= surplus;
+        self.budget.account.released.notify_waiters();
     }
 
     /// Attaches the reservation to the body: it ends when the last clone of the returned handle is dropped.
--- a/crates/data-plane/src/response.rs
+++ b/crates/data-plane/src/response.rs
@@ -9,8 +9,8 @@
 use hyper::header::{CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use tokio::sync::mpsc;
 
+use crate::event_queue::{EventReceiver, Received};
 use crate::headers::end_to_end;
 
 /// The error that aborts an incomplete response, so that the connection to the client is closed.
@@ -30,8 +30,8 @@
 pub(crate) enum ResponseBody {
     /// The complete body; `None` after it has been taken.
     Buffered(Option<Bytes>),
-    /// Bytes in the order in which the server sends them; the body is complete when the sender is dropped.
-    Streaming(mpsc::Receiver<Result<Bytes, ResponseAborted>>),
+    /// The events of a stream. The sender states whether the body is complete.
+    Streaming(EventReceiver),
 }
 
 impl Body for ResponseBody {
@@ -47,9 +47,11 @@
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
-            Self::Streaming(receiver) => {
-                receiver.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            Self::Streaming(receiver) => receiver.poll_receive(cx).map(|received| match received {
+                Received::Event(event) => Some(Ok(Frame::data(event))),
+                Received::Complete => None,
+                Received::Aborted => Some(Err(ResponseAborted)),
+            }),
         }
     }
 
--- a/crates/data-plane/src/stream.rs
+++ b/crates/data-plane/src/stream.rs
@@ -9,28 +9,19 @@
 use hyper::body::Incoming;
 use mosshead_http_links::CountGuard;
 use mosshead_routing::{Prompt, ServerFailure};
-use mosshead_time::Duration;
-use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::client_request::ClientRequest;
 use crate::data_plane::DataPlane;
 use crate::decode::{DecodeOutcome, DecodeStream};
+use crate::event_queue::{EventSender, ReceiverGone, event_queue};
 use crate::event_splitter::EventSplitter;
 use crate::headers::keep_alive_timeout;
-use crate::response::{ResponseAborted, ResponseBody, forwarded_response};
+use crate::response::{ResponseBody, forwarded_response};
 use crate::retry::FailoverState;
 use crate::server_request::Target;
 use crate::server_response::is_framed;
 
-/// The maximum number of events that are queued for a slow client.
-const MAX_QUEUED_EVENTS: usize = 16;
-/// The maximum time for which the abort of a response waits for room in a slow client's queue.
-const ABORT_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// The sending end of a client's response body.
-type EventSender = mpsc::Sender<Result<Bytes, ResponseAborted>>;
-
 /// How the relay of one server's stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RelayEnd {
@@ -64,7 +55,7 @@
         failover: FailoverState,
         in_flight: CountGuard,
     ) -> Response<ResponseBody> {
-        let (client, receiver) = mpsc::channel(MAX_QUEUED_EVENTS);
+        let (client, receiver) = event_queue(&self.memory);
         let response = forwarded_response(&stream.head, ResponseBody::Streaming(receiver));
         tokio::task::spawn_local(async move {
             self.relay_with_resumes(request, prompt, stream, failover, client).await;
@@ -100,13 +91,22 @@
                 end = self.relay(&request, &prompt, stream, &mut splitter, &client, &failover).await;
             }
         }
+        self.end_response(client, end);
+    }
+
+    /// Ends the client's response. It is complete only if a server has sent a complete stream; otherwise it is aborted,
+    /// since it would look complete without that (RULES.md, MIXED).
+    fn end_response(&self, client: EventSender, end: RelayEnd) {
         match end {
-            RelayEnd::Complete => self.counters.completed.increment(),
+            RelayEnd::Complete => {
+                self.counters.completed.increment();
+                client.complete();
+            }
             RelayEnd::ClientGone => {}
-            RelayEnd::Broken | RelayEnd::DeadlinePassed => {
+            RelayEnd::Broken => self.counters.failed.increment(),
+            RelayEnd::DeadlinePassed => {
                 self.counters.failed.increment();
-                // Without the abort the response would look complete (RULES.md, MIXED).
-                let _ = timeout(ABORT_TIMEOUT, client.send(Err(ResponseAborted))).await;
+                client.abort();
             }
         }
     }
@@ -158,7 +158,7 @@
                     if let Some(sent_at) = sent_at.take() {
                         self.record_start_latency(request, prompt, is_local, sent_at);
                     }
-                    match forward_events(&data, splitter, client).await {
+                    match forward_events(&data, splitter, client, request.deadline.timer).await {
                         Ok(()) => {}
                         Err(RelayEnd::Broken) => break,
                         Err(end) => return end,
@@ -167,8 +167,8 @@
                 Received::Trailers => {}
                 Received::End if is_framed(&head) => {
                     let remainder = splitter.take_remainder();
-                    if !remainder.is_empty() && client.send(Ok(remainder)).await.is_err() {
-                        return RelayEnd::ClientGone;
+                    if let Err(end) = send_before(client, remainder, request.deadline.timer).await {
+                        return end;
                     }
                     request_guard.record_success();
                     let keep_alive = keep_alive_timeout(&head.headers);
@@ -233,10 +233,15 @@
 }
 
 /// Forwards the events that these bytes complete, except those that the client has already received.
+///
+/// # Errors
+///
+/// How the relay ends: the client is gone, the deadline has passed, or an event is too long.
 async fn forward_events(
     data: &[u8],
     splitter: &mut EventSplitter,
     client: &EventSender,
+    deadline: Instant,
 ) -> Result<(), RelayEnd> {
     let events = splitter.push(data).map_err(|_| RelayEnd::Broken)?;
     for event in events {
@@ -244,8 +249,22 @@
         if event.id.is_some() && last_forwarded_id.is_some() && event.id <= last_forwarded_id {
             continue;
         }
-        client.send(Ok(event.bytes)).await.map_err(|_| RelayEnd::ClientGone)?;
+        send_before(client, event.bytes, deadline).await?;
         splitter.mark_forwarded(event.id);
     }
     Ok(())
 }
+
+/// Sends an event to the client. A slow client makes this wait, and so the server, until the deadline.
+///
+/// # Errors
+///
+/// How the relay ends: the client is gone, or the deadline has passed.
+async fn send_before(client: &EventSender, event: Bytes, deadline: Instant) -> Result<(), RelayEnd> {
+    let Err(event) = client.try_send(event) else { return Ok(()) };
+    match timeout_at(deadline, client.send(event)).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(ReceiverGone)) => Err(RelayEnd::ClientGone),
+        Err(_) => Err(RelayEnd::DeadlinePassed),
+    }
+}
