Hold bodies in segments, count events by bytes, and take memory from stalled senders

Events for slow readers were in no budget, and a sender that stalled held its memory for 15 s while others got 503.

Cause: a buffer that grows by doubling leaves its former buffers with the allocator, about as much as the body again, and nothing counted them. The queue of a stream was bounded by events, not bytes.

Change: SegmentedBody: segments of up to 64 KiB, each with its part of the reservation until it is written. A body has to bring 4 KiB a second; those that don't may hold a quarter of the budget once memory was refused to somebody. Why it works: what is held is what is counted, and segments of one size are used again by the allocator as it is.

--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -3,6 +3,7 @@
 mod chart;
 mod emulate;
 mod found_anew;
+mod memory;
 mod status;
 mod view;
 
@@ -30,6 +31,8 @@
     Status(status::Status),
     /// Plays a fleet of real processes on loopback, amid model servers and clients.
     Emulate(emulate::Emulate),
+    /// Measures the memory of a proxy on loopback under mixes of long bodies, slow readers and stalled senders.
+    Memory(memory::Memory),
     /// Founds the fleet anew after a majority of its control nodes was lost with their disks.
     FoundAnew(found_anew::FoundAnew),
 }
@@ -39,6 +42,7 @@
         match &self.command {
             FleetCommand::Status(command) => command.run(),
             FleetCommand::Emulate(command) => command.run(),
+            FleetCommand::Memory(command) => command.run(),
             FleetCommand::FoundAnew(command) => command.run(),
         }
     }
--- a/crates/data-plane/src/body_reader.rs
+++ b/crates/data-plane/src/body_reader.rs
@@ -1,11 +1,20 @@
 //! Reads complete bodies into memory that is reserved in the proxy's budget.
 
-use bytes::{Bytes, BytesMut};
+use std::pin::pin;
+
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use mosshead_time::Duration;
 use quick_error::quick_error;
+use tokio::time::{Instant, sleep};
 
 use crate::memory::{BodyKind, MemoryBudget};
+use crate::segmented_body::{BodyCollector, OutOfMemory, SegmentedBody};
+
+/// How often the progress of a body's sender is checked.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+/// A sender makes progress if so many bytes have arrived since the last check.
+const MIN_PROGRESS_BYTES: usize = 4 * 1024;
 
 quick_error! {
     /// Why a body was not read.
@@ -15,7 +24,7 @@
         TooLong {
             display("the body is too long")
         }
-        /// It doesn't fit into the memory budget beside the other bodies.
+        /// It doesn't fit into the memory budget beside the other bodies, or held memory without progress.
         NoMemory {
             display("the memory for bodies is used up")
         }
@@ -31,41 +40,68 @@
 ///
 /// # Errors
 ///
-/// The body is longer than `max_bytes`, does not fit into the budget, or is incomplete.
+/// The body is longer than `max_bytes`, does not fit into the budget, or is incomplete; or its sender makes no progress
+/// and holds memory that is refused to others.
 pub(crate) async fn read_body(
     body: &mut Incoming,
     max_bytes: usize,
     budget: &MemoryBudget,
     kind: BodyKind,
-) -> Result<Bytes, ReadBodyError> {
+) -> Result<SegmentedBody, ReadBodyError> {
     let stated_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if stated_bytes > max_bytes {
         return Err(ReadBodyError::TooLong);
     }
-    let mut reservation = budget.try_reserve(kind, stated_bytes).ok_or(ReadBodyError::NoMemory)?;
-    let mut buffer = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| ReadBodyError::Incomplete)?;
-        let Ok(data) = frame.into_data() else { continue };
+    let reservation = budget.try_reserve(kind, stated_bytes).ok_or(ReadBodyError::NoMemory)?;
+    let mut collector = BodyCollector::new(stated_bytes, reservation);
+    let mut progress = ProgressCheck::new(budget);
+    let mut next_check = pin!(sleep(PROGRESS_INTERVAL));
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = next_check.as_mut() => {
+                next_check.as_mut().reset(Instant::now() + PROGRESS_INTERVAL);
+                if !progress.check(&mut collector, budget) {
+                    return Err(ReadBodyError::NoMemory);
+                }
+                continue;
+            }
+        };
+        let Some(frame) = frame else { return Ok(collector.finish()) };
+        let Ok(data) = frame.map_err(|_| ReadBodyError::Incomplete)?.into_data() else { continue };
         // Most bodies are short and arrive at once: they are not copied.
-        if buffer.is_empty() && body.is_end_stream() {
-            return Ok(reservation.attach(data));
+        if collector.is_empty() && body.is_end_stream() {
+            return collector.finish_with(data).map_err(|OutOfMemory| ReadBodyError::NoMemory);
         }
-        let length = buffer.len() + data.len();
-        if length > max_bytes {
+        if collector.len() + data.len() > max_bytes {
             return Err(ReadBodyError::TooLong);
         }
-        if length > buffer.capacity() {
-            let capacity = length.max(stated_bytes).max(2 * buffer.capacity()).min(max_bytes);
-            if !reservation.try_grow_to(capacity) {
-                return Err(ReadBodyError::NoMemory);
-            }
-            buffer.reserve(capacity - buffer.len());
-        }
-        buffer.extend_from_slice(&data);
+        collector.append(&data).map_err(|OutOfMemory| ReadBodyError::NoMemory)?;
+    }
+}
+
+/// Tells whether the sender of a body makes progress.
+struct ProgressCheck {
+    /// The bytes that had arrived at the last check.
+    length: usize,
+    /// The count of refusals at the last check.
+    refusals: usize,
+}
+
+impl ProgressCheck {
+    fn new(budget: &MemoryBudget) -> Self {
+        Self { length: 0, refusals: budget.refusals() }
+    }
+
+    /// Returns false if the body has to be given up.
+    fn check(&mut self, collector: &mut BodyCollector, budget: &MemoryBudget) -> bool {
+        let makes_progress = collector.len() - self.length >= MIN_PROGRESS_BYTES;
+        let is_kept = collector.reservation().keep(makes_progress, self.refusals);
+        self.length = collector.len();
+        self.refusals = budget.refusals();
+        is_kept
     }
-    reservation.shrink_to(buffer.capacity());
-    Ok(reservation.attach(buffer.freeze()))
 }
 
 /// Reads a body to its end and drops it; returns false if it is incomplete.
--- a/crates/data-plane/src/buffered_request.rs
+++ b/crates/data-plane/src/buffered_request.rs
@@ -140,7 +140,7 @@
             }
             Err(BufferError::NoMemory) => return BufferedResponse::NoMemory,
         };
-        let response = forwarded_response(&head, ResponseBody::Buffered(Some(body)));
+        let response = forwarded_response(&head, ResponseBody::Buffered(body));
         if is_success {
             guard.record_success();
             self.counters.completed.increment();
--- a/crates/data-plane/src/client_request.rs
+++ b/crates/data-plane/src/client_request.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{StatusCode, Uri};
@@ -17,6 +16,7 @@
 use crate::headers::{DEADLINE_MS, RESERVED_REQUEST_HEADERS, end_to_end};
 use crate::prompt_headers::parse_prompt;
 use crate::run_tracker::RunTracker;
+use crate::segmented_body::SegmentedBody;
 use crate::server_request::ServerRequest;
 
 /// No attempt is made with less time than this left before the deadline.
@@ -137,7 +137,7 @@
     pub(crate) fn prepare_request(
         &self,
         head: &Parts,
-        body: Bytes,
+        body: SegmentedBody,
         runs: &RunTracker,
     ) -> Result<PreparedRequest, RequestError> {
         let config = self.config().ok_or(RequestError::NotConfigured)?;
--- a/crates/data-plane/src/connection_pool.rs
+++ b/crates/data-plane/src/connection_pool.rs
@@ -4,20 +4,19 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use mosshead_http_links::{ConnectOptions, CountGuard, OutboundConnection, PeerKind};
 use mosshead_time::Duration;
 use quick_error::quick_error;
 use tokio::time::Instant;
 
+use crate::segmented_body::SegmentedBody;
 use crate::server_request::{RequestOrigin, Target};
 
 /// A connection to a server. It carries requests of one origin only, so that a late response to a proxy call can't be
 /// taken for the response to a client's request, or the other way round.
 #[derive(Debug)]
 pub(crate) struct PooledConnection {
-    pub(crate) outbound: OutboundConnection<Full<Bytes>>,
+    pub(crate) outbound: OutboundConnection<SegmentedBody>,
     origin: RequestOrigin,
 }
 
--- a/crates/data-plane/src/decode.rs
+++ b/crates/data-plane/src/decode.rs
@@ -132,7 +132,7 @@
             let body = self.buffer_body(&target.id, &head, body, connection, until).await;
             return match body {
                 Ok(body) if !promises_not_executed(head.status) => {
-                    let response = forwarded_response(&head, ResponseBody::Buffered(Some(body)));
+                    let response = forwarded_response(&head, ResponseBody::Buffered(body));
                     DecodeFailure::ErrorResponse(response).into()
                 }
                 _ => DecodeFailure::Broken.into(),
--- a/crates/data-plane/src/ingress.rs
+++ b/crates/data-plane/src/ingress.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -18,6 +17,7 @@
 use crate::memory::BodyKind;
 use crate::response::{ResponseAborted, ResponseBody, proxy_response};
 use crate::run_tracker::RunTracker;
+use crate::segmented_body::SegmentedBody;
 
 /// The `Retry-After` of a request while no configuration is in force.
 const NOT_CONFIGURED_RETRY_AFTER_SECONDS: f64 = 0.3;
@@ -119,7 +119,11 @@
         })
     }
 
-    async fn read_request_body(&self, mut body: Incoming, limits: &Limits) -> Result<Bytes, BodyError> {
+    async fn read_request_body(
+        &self,
+        mut body: Incoming,
+        limits: &Limits,
+    ) -> Result<SegmentedBody, BodyError> {
         let time_allowed = limits.idle_timeout.max(limits.header_timeout);
         let read = read_body(&mut body, limits.max_body_bytes, &self.memory, BodyKind::Request);
         match timeout(time_allowed, read).await {
--- a/crates/data-plane/src/load_report.rs
+++ b/crates/data-plane/src/load_report.rs
@@ -64,7 +64,7 @@
     async fn record_load_report(&self, target: &Target, response: ServerResponse, until: Instant) {
         let ServerResponse { head, body, connection } = response;
         let body = self.read_response_body(&head, body, until).await;
-        let Some(report) = body.ok().and_then(|body| ServerReport::parse(&body)) else { return };
+        let Some(report) = body.ok().and_then(|body| ServerReport::parse(&body.into_bytes())) else { return };
         let now = self.now();
         self.router.borrow_mut().record_load(now, &target.id, report.load());
         self.connections.put(&target.id, connection, keep_alive_timeout(&head.headers), until).await;
--- a/crates/data-plane/src/memory.rs
+++ b/crates/data-plane/src/memory.rs
@@ -14,6 +14,8 @@
 const MAX_SMALL_BODY_BYTES: usize = 64 * 1024;
 /// The limit is divided into this many parts; each kind may use some of them.
 const BUDGET_PARTS: usize = 16;
+/// Senders that make no progress may hold the limit divided by this together, once others are refused for it.
+const STALLED_DIVISOR: usize = 4;
 
 /// What a reservation is for. A kind that matters more may use a part of the budget that others leave free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,6 +67,10 @@
     requests: AtomicUsize,
     responses: AtomicUsize,
     events: AtomicUsize,
+    /// Bytes that senders without progress hold.
+    stalled: AtomicUsize,
+    /// How often memory was refused.
+    refusals: AtomicUsize,
     /// Notified when bytes are released.
     released: Notify,
 }
@@ -93,6 +99,8 @@
             requests: AtomicUsize::new(0),
             responses: AtomicUsize::new(0),
             events: AtomicUsize::new(0),
+            stalled: AtomicUsize::new(0),
+            refusals: AtomicUsize::new(0),
             released: Notify::new(),
         };
         Self { account: Arc::new(account) }
@@ -119,10 +127,15 @@
 
     /// Reserves memory; `None` if it doesn't fit.
     pub fn try_reserve(&self, kind: BodyKind, bytes: usize) -> Option<MemoryReservation> {
-        let mut reservation = MemoryReservation { budget: self.clone(), kind, bytes: 0 };
+        let mut reservation = MemoryReservation { budget: self.clone(), kind, bytes: 0, is_stalled: false };
         reservation.try_grow_to(bytes).then_some(reservation)
     }
 
+    /// How often memory was refused since the start of the process.
+    pub fn refusals(&self) -> usize {
+        self.account.refusals.load(Ordering::Relaxed)
+    }
+
     /// Completes when memory is released after this call.
     pub fn released(&self) -> impl Future<Output = ()> + '_ {
         self.account.released.notified()
@@ -135,6 +148,8 @@
     budget: MemoryBudget,
     kind: BodyKind,
     bytes: usize,
+    /// True if the bytes count as held by a sender without progress.
+    is_stalled: bool,
 }
 
 impl MemoryReservation {
@@ -148,7 +163,10 @@
         let additional = bytes.saturating_sub(self.bytes);
         let usable = self.budget.limit() / BUDGET_PARTS * self.kind.usable_parts(bytes);
         let fits = self.budget.used().checked_add(additional).is_some_and(|used| used <= usable);
-        if fits {
+        if !fits {
+            self.budget.account.refusals.fetch_add(1, Ordering::Relaxed);
+        } else if additional > 0 {
+            self.unmark_stalled();
             self.budget.account.bytes_of(self.kind).fetch_add(additional, Ordering::Relaxed);
             self.bytes += additional;
         }
@@ -161,11 +179,40 @@
         if surplus == 0 {
             return;
         }
+        self.unmark_stalled();
         self.budget.account.bytes_of(self.kind).fetch_sub(surplus, Ordering::Relaxed);
         self.bytes -= surplus;
         self.budget.account.released.notify_waiters();
     }
 
+    /// Moves so many of the reserved bytes, or all if there are fewer, to a reservation of their own.
+    pub fn split_off(&mut self, bytes: usize) -> MemoryReservation {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        MemoryReservation { budget: self.budget.clone(), kind: self.kind, bytes, is_stalled: false }
+    }
+
+    /// Records whether the sender of the body makes progress. Returns false if it has to be given up: it does not,
+    /// senders without progress hold more than their share together, and memory was refused to somebody since
+    /// `refusals` was the count of refusals.
+    pub fn keep(&mut self, makes_progress: bool, refusals: usize) -> bool {
+        self.unmark_stalled();
+        if makes_progress {
+            return true;
+        }
+        let account = &self.budget.account;
+        let stalled = account.stalled.fetch_add(self.bytes, Ordering::Relaxed) + self.bytes;
+        self.is_stalled = true;
+        stalled <= self.budget.limit() / STALLED_DIVISOR || self.budget.refusals() == refusals
+    }
+
+    fn unmark_stalled(&mut self) {
+        if self.is_stalled {
+            self.budget.account.stalled.fetch_sub(self.bytes, Ordering::Relaxed);
+            self.is_stalled = false;
+        }
+    }
+
     /// Attaches the reservation to the body: it ends when the last clone of the returned handle is dropped.
     pub fn attach(self, body: Bytes) -> Bytes {
         if body.is_empty() { body } else { Bytes::from_owner(ReservedBody { body, _reservation: self }) }
--- a/crates/data-plane/src/prefill.rs
+++ b/crates/data-plane/src/prefill.rs
@@ -155,7 +155,7 @@
     ) -> Result<KvHandle, PrefillError> {
         let ServerResponse { head, body, connection } = response;
         let body = self.buffer_body(&target.id, &head, body, connection, request.deadline.timer).await;
-        let Some(handle) = body.ok().and_then(|body| parse_handle(&body)) else {
+        let Some(handle) = body.ok().and_then(|body| parse_handle(&body.into_bytes())) else {
             self.record_failure(&target.id, ServerFailure::BrokenResponse);
             return Err(PrefillError::NoHandle);
         };
--- a/crates/data-plane/src/response.rs
+++ b/crates/data-plane/src/response.rs
@@ -12,6 +12,7 @@
 
 use crate::event_queue::{EventReceiver, Received};
 use crate::headers::end_to_end;
+use crate::segmented_body::SegmentedBody;
 
 /// The error that aborts an incomplete response, so that the connection to the client is closed.
 #[derive(Debug)]
@@ -28,8 +29,8 @@
 /// The body of a response to a client.
 #[derive(Debug)]
 pub(crate) enum ResponseBody {
-    /// The complete body; `None` after it has been taken.
-    Buffered(Option<Bytes>),
+    /// The complete body.
+    Buffered(SegmentedBody),
     /// The events of a stream. The sender states whether the body is complete.
     Streaming(EventReceiver),
 }
@@ -43,10 +44,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
         match self.get_mut() {
-            Self::Buffered(bytes) => {
-                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
-                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
-            }
+            Self::Buffered(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
             Self::Streaming(receiver) => receiver.poll_receive(cx).map(|received| match received {
                 Received::Event(event) => Some(Ok(Frame::data(event))),
                 Received::Complete => None,
@@ -56,12 +54,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Buffered(bytes) if bytes.as_ref().is_none_or(Bytes::is_empty))
+        matches!(self, Self::Buffered(body) if body.is_end_stream())
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Buffered(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Buffered(body) => body.size_hint(),
             Self::Streaming(_) => SizeHint::default(),
         }
     }
@@ -70,7 +68,7 @@
 /// Creates a response of the proxy itself, without a body. `retry_after`, in seconds, may be given only if no server
 /// has run the request or will: clients rely on that and retry.
 pub(crate) fn proxy_response(status: StatusCode, retry_after: Option<f64>) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::Buffered(None));
+    let mut response = Response::new(ResponseBody::Buffered(SegmentedBody::default()));
     *response.status_mut() = status;
     let retry_after = retry_after.and_then(|seconds| HeaderValue::from_str(&format!("{seconds:.3}")).ok());
     if let Some(retry_after) = retry_after {
--- a/crates/data-plane/src/server_request.rs
+++ b/crates/data-plane/src/server_request.rs
@@ -4,14 +4,13 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Uri};
 use mosshead_time::{Duration, whole_millis};
 
 use crate::headers::{ATTEMPT_ID, DEADLINE_MS, TARGET_INSTANCE};
+use crate::segmented_body::SegmentedBody;
 
 /// Who originated a request to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,7 +37,7 @@
     method: Method,
     uri: Uri,
     headers: HeaderMap,
-    body: Bytes,
+    body: SegmentedBody,
     pub(crate) origin: RequestOrigin,
     /// The client's id of its attempt.
     attempt_id: Option<HeaderValue>,
@@ -48,7 +47,7 @@
 
 impl ServerRequest {
     /// Creates a client's request from its method, URI and body and the headers to forward.
-    pub(crate) fn from_client(method: Method, uri: Uri, headers: HeaderMap, body: Bytes) -> Self {
+    pub(crate) fn from_client(method: Method, uri: Uri, headers: HeaderMap, body: SegmentedBody) -> Self {
         let attempt_id = headers.get(ATTEMPT_ID).filter(|id| !id.is_empty()).cloned();
         let may_have_reached = RefCell::default();
         Self { method, uri, headers, body, origin: RequestOrigin::Client, attempt_id, may_have_reached }
@@ -60,7 +59,7 @@
             method,
             uri,
             headers: HeaderMap::new(),
-            body: Bytes::new(),
+            body: SegmentedBody::default(),
             origin: RequestOrigin::Proxy,
             attempt_id: None,
             may_have_reached: RefCell::default(),
@@ -99,8 +98,8 @@
         target: &Target,
         time_left: Duration,
         extra_headers: &[(HeaderName, HeaderValue)],
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    ) -> Request<SegmentedBody> {
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         let headers = request.headers_mut();
--- a/crates/data-plane/src/server_response.rs
+++ b/crates/data-plane/src/server_response.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -16,6 +15,7 @@
 use crate::data_plane::DataPlane;
 use crate::headers::{SERVER_SEAL, keep_alive_timeout};
 use crate::memory::BodyKind;
+use crate::segmented_body::SegmentedBody;
 
 /// The maximum length of a buffered response body.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
@@ -94,7 +94,7 @@
         head: &Parts,
         mut body: Incoming,
         until: Instant,
-    ) -> Result<Bytes, BufferError> {
+    ) -> Result<SegmentedBody, BufferError> {
         let has_end = is_framed(head) || head.status == StatusCode::NO_CONTENT;
         if !has_end || head.headers.contains_key(CONTENT_ENCODING) {
             return Err(BufferError::Invalid);
@@ -115,7 +115,7 @@
         body: Incoming,
         connection: PooledConnection,
         until: Instant,
-    ) -> Result<Bytes, BufferError> {
+    ) -> Result<SegmentedBody, BufferError> {
         let body = self.read_response_body(head, body, until).await?;
         self.connections.put(server_id, connection, keep_alive_timeout(&head.headers), until).await;
         Ok(body)
--- a/crates/data-plane/tests/memory.rs
+++ b/crates/data-plane/tests/memory.rs
@@ -23,6 +23,11 @@
 /// Longer than the body of a request may take.
 const BODY_TIMEOUT: Duration = Duration::from_secs(16);
 
+/// How often the proxy checks that a body's sender makes progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+/// Enough bytes for a sender that makes progress.
+const PROGRESS_BYTES: usize = 4096;
+
 /// Plays one step on the open reservations.
 fn play_step(
     open: &mut Vec<bytes::Bytes>,
@@ -187,3 +192,43 @@
         assert_eq!(proxy.data_plane.memory().used(), 0);
     });
 }
+
+/// Guards against senders that declare or begin bodies and stall, and for whom others are refused until the timeout.
+#[test]
+fn a_sender_that_stalls_is_given_up_once_others_are_refused_for_its_memory() {
+    run(async {
+        let (proxy, stub) = small_proxy(ok_response("served")).await;
+        let mut stalled = reserve_and_stall(&proxy).await;
+        // Nobody else needs the memory: it may go on stalling.
+        advance_clock(2 * PROGRESS_INTERVAL).await;
+        assert!(proxy.data_plane.memory().used() >= MAX_BODY);
+        let body: &'static str = Box::leak("x".repeat(MAX_BODY).into_boxed_str());
+        let refused = send_request(proxy.address, "POST", NON_IDEMPOTENT, &[], body).await;
+        assert_eq!(refused.status, 503);
+        advance_clock(PROGRESS_INTERVAL).await;
+        let rejection = stalled.read_head().await;
+        assert!(rejection.starts_with("HTTP/1.1 503 ") && rejection.contains("retry-after: "), "{rejection}");
+        let served = send_request(proxy.address, "POST", NON_IDEMPOTENT, &[], body).await;
+        assert_eq!((served.status, stub.received().len()), (200, 1));
+        wait_until_released(&proxy).await;
+    });
+}
+
+/// A slow sender is not a stalled one.
+#[test]
+fn a_sender_that_makes_progress_keeps_its_memory_though_others_are_refused() {
+    run(async {
+        let (proxy, _stub) = small_proxy(ok_response("served")).await;
+        let mut slow = reserve_and_stall(&proxy).await;
+        let body: &'static str = Box::leak("x".repeat(MAX_BODY).into_boxed_str());
+        for _ in 0..3 {
+            slow.send(&"y".repeat(PROGRESS_BYTES)).await;
+            let refused = send_request(proxy.address, "POST", NON_IDEMPOTENT, &[], body).await;
+            assert_eq!(refused.status, 503);
+            advance_clock(PROGRESS_INTERVAL).await;
+        }
+        assert!(proxy.data_plane.memory().used() >= MAX_BODY);
+        slow.send(&"z".repeat(MAX_BODY - "a part".len() - 3 * PROGRESS_BYTES)).await;
+        assert!(slow.read_head().await.starts_with("HTTP/1.1 200 "));
+    });
+}
--- a/crates/fleet-emulator/src/lib.rs
+++ b/crates/fleet-emulator/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod http;
 mod machines;
+mod memory_trial;
 mod model_server;
 mod operator;
 mod processes;
@@ -16,5 +17,6 @@
 mod timeline;
 
 pub use error::FleetEmulatorError;
+pub use memory_trial::{MemoryTrialOptions, MemoryTrialReport, run_memory_trial};
 pub use report::{FleetReport, SecondReport, Violation};
 pub use run::{EmulationOptions, Progress, run};
--- a/crates/fleet-emulator/src/operator.rs
+++ b/crates/fleet-emulator/src/operator.rs
@@ -32,14 +32,23 @@
     base_revision: u64,
     revision: u64,
 ) -> Result<(), FleetEmulatorError> {
-    let body = configuration(revision);
+    replace_configuration(ports, control_nodes, base_revision, &configuration(revision)).await
+}
+
+/// Sends a configuration until it is acknowledged.
+pub(crate) async fn replace_configuration(
+    ports: &Ports,
+    control_nodes: usize,
+    base_revision: u64,
+    body: &str,
+) -> Result<(), FleetEmulatorError> {
     let base = base_revision.to_string();
     let deadline = Instant::now() + ACKNOWLEDGEMENT_TIMEOUT;
     let mut node = 0;
     while Instant::now() < deadline {
         let to = ports.control_api_of(node % control_nodes.max(1));
         let headers = [("x-base-revision", base.as_str())];
-        let response = exchange(to, "POST", "/Configuration.Replace", &headers, &body, CALL_TIMEOUT).await;
+        let response = exchange(to, "POST", "/Configuration.Replace", &headers, body, CALL_TIMEOUT).await;
         if response.is_some_and(|(status, _)| status == StatusCode::OK) {
             return Ok(());
         }
--- a/crates/fleet-emulator/src/processes.rs
+++ b/crates/fleet-emulator/src/processes.rs
@@ -1,6 +1,7 @@
 //! The processes of the fleet: their settings, starts and ends.
 
 use std::fs::File;
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -39,6 +40,17 @@
         Ok(())
     }
 
+    /// Adds a line to the settings, which counts from the next start.
+    pub(crate) fn add_setting(&self, line: &str) -> Result<(), FleetEmulatorError> {
+        let mut settings = File::options().append(true).open(&self.settings)?;
+        Ok(writeln!(settings, "{line}")?)
+    }
+
+    /// The id of the process, or 0 if it does not run.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// Ends the process at once.
     pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/programs/src/proxy/status.rs
+++ b/crates/programs/src/proxy/status.rs
@@ -23,12 +23,13 @@
     let since_contact =
         watcher.last_contact().map_or(NO_CONTACT_SECONDS, |contact| contact.elapsed().as_secs_f64());
     let counters = &data_plane.counters;
+    let memory = data_plane.memory().used_by_kind();
     format!(
         concat!(
             "{{\"ready\":{},\"revision\":{},\"routes\":{},\"servers\":{},\"core_heard_s\":{:.3},\"cores\":{},",
             "\"proxies\":{},\"connections\":{},\"open\":{},\"requests\":{},\"served\":{},\"refused\":{},",
             "\"failed\":{},\"resumed\":{},\"handed_over\":{},\"freed\":{},\"body_bytes\":{},",
-            "\"body_bytes_limit\":{},\"learned\":{}}}"
+            "\"request_bytes\":{},\"response_bytes\":{},\"event_bytes\":{},\"body_bytes_limit\":{},\"learned\":{}}}"
         ),
         data_plane.is_ready(),
         config.as_ref().map_or(0, |config| config.revision()),
@@ -46,7 +47,10 @@
         counters.resumed.get(),
         counters.handed_over.get(),
         counters.freed_handles.get(),
-        data_plane.memory().used(),
+        memory.total(),
+        memory.requests,
+        memory.responses,
+        memory.events,
         data_plane.memory().limit(),
         learned(data_plane),
     )
--- a/crates/programs/src/settings.rs
+++ b/crates/programs/src/settings.rs
@@ -54,11 +54,15 @@
 const MILLIS_PER_SECOND: f64 = 1000.0;
 /// The default of `limits.memory_mb`.
 const DEFAULT_MEMORY_MB: usize = 260;
-const BYTES_PER_MB: usize = 1_000_000;
-/// A proxy uses this share of its memory for bodies: `BODY_MEMORY_PARTS` of `MEMORY_PARTS`. The rest is for
-/// connections, the registry and the configuration.
-const BODY_MEMORY_PARTS: usize = 3;
-const MEMORY_PARTS: usize = 4;
+const BYTES_PER_MB: f64 = 1e6;
+/// The share of its memory that a proxy uses for bodies and events at most.
+const MAX_BODY_MEMORY: f64 = 0.75;
+/// The share that it uses for them at least.
+const MIN_BODY_MEMORY: f64 = 0.25;
+/// The share of its memory that a proxy should stay below, whatever it is used for.
+const USABLE_MEMORY: f64 = 0.9;
+/// What a proxy needs for itself, its connections, the registry and the configuration, in millions of bytes.
+const OTHER_MEMORY_MB: f64 = 32.0;
 
 /// An inclusive range of ports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -184,9 +188,12 @@
         self.bounds.get(name).copied().unwrap_or(default)
     }
 
-    /// The memory that a proxy may use for the bodies of requests and responses, in bytes.
+    /// The memory that a proxy may use for the bodies of requests and responses and for events, in bytes.
     pub fn body_memory(&self) -> usize {
-        (self.memory_mb / MEMORY_PARTS * BODY_MEMORY_PARTS).saturating_mul(BYTES_PER_MB)
+        let memory_mb = self.memory_mb as f64;
+        let usable = memory_mb * USABLE_MEMORY - OTHER_MEMORY_MB;
+        let body_memory_mb = usable.clamp(memory_mb * MIN_BODY_MEMORY, memory_mb * MAX_BODY_MEMORY);
+        (body_memory_mb * BYTES_PER_MB) as usize
     }
 
     /// `bounds.grace_s`: the time from SIGTERM to SIGKILL. A value too large for `Duration` becomes `Duration::MAX`.
--- a/crates/programs/tests/processes.rs
+++ b/crates/programs/tests/processes.rs
@@ -21,7 +21,7 @@
 /// Operators' tools read these keys, so they must not be renamed.
 const CONTROL_KEYS: [&str; 9] =
     ["primary", "primary_at", "round", "members", "in_touch", "revision", "servers", "proxies", "log_bytes"];
-const ROUTER_KEYS: [&str; 19] = [
+const ROUTER_KEYS: [&str; 22] = [
     "ready",
     "revision",
     "routes",
@@ -39,6 +39,9 @@
     "handed_over",
     "freed",
     "body_bytes",
+    "request_bytes",
+    "response_bytes",
+    "event_bytes",
     "body_bytes_limit",
     "learned",
 ];
--- a/crates/programs/tests/settings.rs
+++ b/crates/programs/tests/settings.rs
@@ -95,6 +95,21 @@
     assert_eq!(budget(more), (0.1, 5.0, Duration::from_millis(2500)));
 }
 
+/// At most three quarters are for bodies, and a proxy with little memory keeps enough for all else.
+#[test]
+fn the_memory_for_bodies_leaves_room_for_all_else() {
+    let body_memory = |memory_mb: &str| {
+        let text = format!("{MINIMAL}limits.memory_mb={memory_mb}\n");
+        Settings::parse(text.as_bytes()).expect("valid").body_memory()
+    };
+    assert_eq!(body_memory("260"), 195_000_000);
+    assert_eq!(body_memory("128"), 83_200_000);
+    assert_eq!(body_memory("64"), 25_600_000);
+    assert_eq!(body_memory("20"), 5_000_000);
+    assert_eq!(body_memory("0"), 0);
+    assert!(body_memory("18446744073709551615") > 1 << 60);
+}
+
 #[test]
 fn a_missing_field_is_named() {
     for key in ["node_name", "zone", "ip_address", "internal_port_range"] {
