Apply max_header_bytes, and forward up to 1,024 headers

Cause: the HTTP library's default of 100 headers, and a fixed buffer of 64 KiB. Change: 1,024 headers each way; a new connection's buffer has room for the longest head of the configuration; a longer head gets 431 by the program. Not done: heads of more than 1,024 short headers, header_timeout_ms for heads, a log line for a refusal.

--- a/crates/data-plane/src/frontend.rs
+++ b/crates/data-plane/src/frontend.rs
@@ -9,7 +9,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use mosshead_http_links::{CountGuard, accept};
+use mosshead_http_links::{CountGuard, MAX_HEADERS, accept};
 use mosshead_time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -21,8 +21,11 @@
 
 /// The maximum number of open client connections; further ones are closed at once.
 const MAX_CONNECTIONS: usize = 2600;
-/// The maximum size of a request's head.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// The minimum size of a connection's buffer. A head has to fit into the buffer, which keeps its size when the
+/// configuration changes.
+const MIN_BUFFER_BYTES: usize = 64 * 1024;
+/// What a buffer has room for beside the longest head.
+const BUFFER_MARGIN_BYTES: usize = 8 * 1024;
 /// The idle timeout of connections while no configuration is in force.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// After the shutdown has begun, a connection that has carried no request yet is closed after this time: its first
@@ -80,6 +83,12 @@
         config.map_or(DEFAULT_IDLE_TIMEOUT, |config| config.limits().idle_timeout.max(MIN_IDLE_TIMEOUT))
     }
 
+    /// The size of a new connection's buffer.
+    fn buffer_bytes(&self) -> usize {
+        let max_header_bytes = self.data_plane.config().map_or(0, |config| config.limits().max_header_bytes);
+        max_header_bytes.saturating_add(BUFFER_MARGIN_BYTES).max(MIN_BUFFER_BYTES)
+    }
+
     async fn serve_connection(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let data_plane = self.data_plane.clone();
@@ -101,7 +110,8 @@
         let connection = Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.idle_timeout())
-            .max_buf_size(MAX_HEAD_BYTES)
+            .max_buf_size(self.buffer_bytes())
+            .max_headers(MAX_HEADERS)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
         let served = async {
--- a/crates/data-plane/src/headers.rs
+++ b/crates/data-plane/src/headers.rs
@@ -1,9 +1,10 @@
 //! Header names (PROTOCOL.md, Requests and Answers), and the selection of headers that are forwarded.
 
 use hyper::header::{
-    CONNECTION, HeaderMap, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    CONNECTION, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
+use hyper::http::request::Parts;
 use mosshead_time::Duration;
 
 /// The client's id of its attempt; servers echo it.
@@ -56,6 +57,15 @@
     forwarded
 }
 
+/// The length of a request's head on the wire, in bytes.
+pub(crate) fn head_bytes(head: &Parts) -> usize {
+    let target = head.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let request_line = head.method.as_str().len() + target + "  HTTP/1.1\r\n".len();
+    let header =
+        |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len() + ": \r\n".len();
+    request_line + head.headers.iter().map(header).sum::<usize>() + "\r\n".len()
+}
+
 /// The time for which a server keeps an idle connection, if its `Keep-Alive` header has a `timeout`.
 pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/data-plane/src/ingress.rs
+++ b/crates/data-plane/src/ingress.rs
@@ -14,6 +14,7 @@
 use crate::body_reader::{ReadBodyError, discard_to_end, read_body};
 use crate::client_request::PreparedRequest;
 use crate::data_plane::DataPlane;
+use crate::headers::head_bytes;
 use crate::memory::BodyKind;
 use crate::response::{ResponseAborted, ResponseBody, proxy_response};
 use crate::run_tracker::RunTracker;
@@ -100,6 +101,11 @@
                 Some(NOT_CONFIGURED_RETRY_AFTER_SECONDS),
             ));
         };
+        if head_bytes(&head) > config.limits().max_header_bytes {
+            let limits = config.limits();
+            discard_body(body, limits.max_body_bytes, limits.idle_timeout.max(limits.header_timeout));
+            return Ok(proxy_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, None));
+        }
         let body = match self.read_request_body(body, config.limits()).await {
             Ok(body) => body,
             Err(error) => return error.into_response(),
--- a/crates/data-plane/tests/common/stub_server.rs
+++ b/crates/data-plane/tests/common/stub_server.rs
@@ -22,6 +22,8 @@
 
 use super::{SEAL, listen, server};
 
+/// More headers than any test sends.
+const MAX_HEADERS: usize = 2000;
 const IDLE_LOAD_REPORT: &str = "{\"queued\":0,\"active\":0}";
 
 /// A request as a server received it.
@@ -218,7 +220,10 @@
             let stub = self.clone();
             tokio::task::spawn_local(async move {
                 let service = service_fn(move |request| stub.clone().respond(request));
-                let _ = Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                let mut builder = Builder::new();
+                let connection =
+                    builder.max_headers(MAX_HEADERS).serve_connection(TokioIo::new(stream), service);
+                let _ = connection.await;
             });
         }
     }
--- a/crates/data-plane/tests/limits.rs
+++ b/crates/data-plane/tests/limits.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 
 use common::{
-    ATTEMPT_ID, Behavior, IDEMPOTENT, NON_IDEMPOTENT, Proxy, ReceivedRequest, SEAL, StubServer, not_executed,
-    ok_response, raw_server, run, send_request,
+    ATTEMPT_ID, Behavior, IDEMPOTENT, NON_IDEMPOTENT, Proxy, REQUEST_BODY, RawConnection, ReceivedRequest,
+    SEAL, StubServer, not_executed, ok_response, raw_server, run, send_request,
 };
 
 async fn stubs(count: usize, behavior: &Behavior) -> Vec<Rc<StubServer>> {
@@ -172,3 +172,48 @@
         assert_eq!(count_received(&stubs), 1);
     });
 }
+
+/// Headers that take `bytes` together, each of `length` bytes.
+fn many_headers(bytes: usize, length: usize) -> Vec<(String, String)> {
+    let name = |number| format!("x-more-{number}");
+    let value = |name: &String| "v".repeat(length - name.len() - ": \r\n".len());
+    (0..bytes / length).map(name).map(|name| (name.clone(), value(&name))).collect()
+}
+
+/// Guards against requests that are turned away for the number of their headers, though they keep to
+/// `max_header_bytes`; a longer head gets 431 (PROTOCOL.md, Answers).
+#[test]
+fn a_head_within_the_configured_limit_is_forwarded_and_a_longer_one_gets_431() {
+    run(async {
+        let stubs = stubs(1, &ok_response("served")).await;
+        let proxy = Proxy::with_servers(1, &[&stubs[0].server]).await;
+        for (bytes, length, status) in
+            [(15_900, 20, 200), (15_900, 1000, 200), (17_000, 1000, 431), (60_000, 100, 431)]
+        {
+            let headers = many_headers(bytes, length);
+            let headers: Vec<_> =
+                headers.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
+            let got = proxy.post(NON_IDEMPOTENT, &headers).await;
+            assert_eq!(got.status, status, "{} headers of {length} bytes", headers.len());
+        }
+        assert_eq!(count_received(&stubs), 2);
+        let received = stubs[0].received();
+        assert!(received[0].headers.len() > 700, "all headers are forwarded");
+    });
+}
+
+/// Guards against answers that end as 502 because of the number of their headers.
+#[test]
+fn an_answer_with_many_headers_is_forwarded() {
+    run(async {
+        let more: String = (0..500).map(|number| format!("x-more-{number}: v\r\n")).collect();
+        let response = format!("{}1234", head(&format!("{more}Content-Length: 4\r\n")));
+        let (server, _) = raw_server("s-1", "plain", vec![response], false).await;
+        let proxy = Proxy::with_servers(1, &[&server]).await;
+        let mut client = RawConnection::open(proxy.address).await;
+        client.send_head(NON_IDEMPOTENT).await;
+        client.send(REQUEST_BODY).await;
+        let head = client.read_head().await;
+        assert!(head.starts_with("HTTP/1.1 200 ") && head.contains("x-more-499: v\r\n"), "{head}");
+    });
+}
--- a/crates/http-links/src/body.rs
+++ b/crates/http-links/src/body.rs
@@ -8,6 +8,9 @@
 /// The default limit of a buffered body, and the limit of an outbound connection's buffer, in bytes.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
 
+/// The maximum number of headers of a message, inbound or outbound.
+pub const MAX_HEADERS: usize = 1024;
+
 quick_error! {
     /// Why a body could not be read. [`read_body`] returns the first two; the others are for callers that limit the
     /// time or check the headers.
--- a/crates/http-links/src/lib.rs
+++ b/crates/http-links/src/lib.rs
@@ -14,7 +14,7 @@
 mod write_progress;
 
 pub use accept::accept;
-pub use body::{BodyError, MAX_BUFFERED_BODY_BYTES, read_body};
+pub use body::{BodyError, MAX_BUFFERED_BODY_BYTES, MAX_HEADERS, read_body};
 pub use close_reason::CloseReason;
 pub use connection_log::{ConnectionLogGuard, ConnectionRecord, PeerKind};
 pub use count_guard::CountGuard;
--- a/crates/http-links/src/outbound_connection.rs
+++ b/crates/http-links/src/outbound_connection.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::body::MAX_BUFFERED_BODY_BYTES;
+use crate::body::{MAX_BUFFERED_BODY_BYTES, MAX_HEADERS};
 use crate::close_reason::CloseReason;
 use crate::connection_log::{ConnectionLogGuard, ConnectionRecord, PeerKind};
 use crate::hooked_stream::{HookedStream, StreamHook};
@@ -124,7 +124,8 @@
         options.apply_to(&stream);
         let write_progress = Rc::new(WriteProgress::default());
         let io = TokioIo::new(HookedStream::new(stream, WriteCounter(write_progress.clone())));
-        let handshake = Builder::new().max_buf_size(MAX_BUFFERED_BODY_BYTES).handshake(io).await;
+        let handshake =
+            Builder::new().max_buf_size(MAX_BUFFERED_BODY_BYTES).max_headers(MAX_HEADERS).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| ConnectError::Unreachable)?;
         let driver = tokio::task::spawn_local(async move {
             if connection.await.is_err() {
