Apply header_timeout_ms to heads, and log what a proxy refuses because of a limit

What callers saw: header_timeout_ms bounded bodies only; a head that trickled in held its connection for idle_timeout_ms (15 s in place of 3 s), and was closed without an answer. Nothing in the log said that a proxy had refused requests because of a limit.

Cause: hyper's header_read_timeout runs from the end of the last request, so it has to be the idle timeout. Change: HeadTimer runs from the first byte that arrives while no request is under way (neither its body nor its response); a late head gets 408, which promises that it has not run. A timer is set only for a head that does not come in one read.

Evidence: a_head_that_is_not_complete_in_time_gets_408_however_its_bytes_trickle fails with the timer taken out (no 408 within the test's time), the_time_for_heads_does_not_bound_bodies_and_responses holds on both; all tests of data-plane and programs pass.

--- a/crates/data-plane/src/client_stream.rs
+++ b/crates/data-plane/src/client_stream.rs
@@ -1,4 +1,4 @@
-//! The TCP stream of a client's connection, which can be closed with a reset.
+//! The TCP stream of a client's connection, which times the heads of requests and can be closed with a reset.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -8,15 +8,24 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
-/// A stream that is closed with a TCP reset if the flag of its [`ResetOnDrop`] is set when it is dropped.
-pub(crate) type ClientStream = HookedStream<ResetOnDrop>;
+use crate::head_timer::HeadTimer;
 
-/// Resets the connection if the flag is set when the stream is dropped.
-pub(crate) struct ResetOnDrop(pub(crate) Rc<Cell<bool>>);
+/// The stream of a client's connection.
+pub(crate) type ClientStream = HookedStream<ClientStreamHook>;
+
+/// Records bytes that arrive, and resets the connection if the flag is set when the stream is dropped.
+pub(crate) struct ClientStreamHook {
+    pub(crate) head_timer: Rc<HeadTimer>,
+    pub(crate) reset_on_drop: Rc<Cell<bool>>,
+}
+
+impl StreamHook for ClientStreamHook {
+    fn after_read(&self) {
+        self.head_timer.record_bytes();
+    }
 
-impl StreamHook for ResetOnDrop {
     fn on_drop(&self, stream: &TcpStream) {
-        if self.0.get() {
+        if self.reset_on_drop.get() {
             let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
         }
     }
--- a/crates/data-plane/src/counters.rs
+++ b/crates/data-plane/src/counters.rs
@@ -2,6 +2,8 @@
 
 use std::cell::Cell;
 
+use crate::ingress::BodyError;
+
 /// A monotonic counter.
 #[derive(Debug, Default)]
 pub struct Counter(Cell<u64>);
@@ -34,4 +36,26 @@
     pub handed_over: Counter,
     /// KV cache handles that were freed because no server fetched them.
     pub freed_handles: Counter,
+    /// Heads that were longer than the configuration allows, and got 431.
+    pub oversized_heads: Counter,
+    /// Heads that took longer than the configuration allows, and got 408.
+    pub late_heads: Counter,
+    /// Bodies that were longer than the configuration allows, and got 413.
+    pub oversized_bodies: Counter,
+    /// Bodies that took longer than the configuration allows, and got 408.
+    pub late_bodies: Counter,
+    /// Bodies for which there was no memory, and that got 503.
+    pub bodies_without_memory: Counter,
+}
+
+impl Counters {
+    /// Counts a request whose body could not be read.
+    pub(crate) fn count_rejected_body(&self, error: BodyError) {
+        match error {
+            BodyError::TooLong => self.oversized_bodies.increment(),
+            BodyError::TimedOut => self.late_bodies.increment(),
+            BodyError::NoMemory => self.bodies_without_memory.increment(),
+            BodyError::ClientGone => {}
+        }
+    }
 }
--- a/crates/data-plane/src/frontend.rs
+++ b/crates/data-plane/src/frontend.rs
@@ -1,22 +1,26 @@
 //! Accepts and serves clients' connections.
 
 use std::cell::Cell;
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 
-use hyper::body::Incoming;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mosshead_http_links::{CountGuard, MAX_HEADERS, accept};
 use mosshead_time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-use crate::client_stream::{ClientStream, ResetOnDrop};
+use crate::client_stream::{ClientStream, ClientStreamHook};
 use crate::data_plane::DataPlane;
+use crate::head_timer::HeadTimer;
 use crate::response::{ResponseAborted, ResponseBody};
 
 /// The maximum number of open client connections; further ones are closed at once.
@@ -37,6 +41,13 @@
 /// After its stream was aborted, a connection is closed after this time. Until then the client may read the events that
 /// were queued for it.
 const ABORT_LINGER: Duration = Duration::from_millis(250);
+/// The response to a head that is not complete in time. No server has run the request.
+const LATE_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// How long a connection is kept open after that response, so that unread bytes don't reset it at once.
+const LATE_HEAD_LINGER: Duration = Duration::from_millis(250);
+/// The bytes that are read and dropped at once meanwhile.
+const DISCARD_BUFFER_BYTES: usize = 1024;
 
 /// Serves the connections of clients.
 pub struct Frontend {
@@ -89,6 +100,11 @@
         max_header_bytes.saturating_add(BUFFER_MARGIN_BYTES).max(MIN_BUFFER_BYTES)
     }
 
+    fn header_timeout(&self) -> Duration {
+        let config = self.data_plane.config();
+        config.map_or(DEFAULT_IDLE_TIMEOUT, |config| config.limits().header_timeout)
+    }
+
     async fn serve_connection(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let data_plane = self.data_plane.clone();
@@ -98,39 +114,50 @@
             move |request: Request<Incoming>| {
                 let (data_plane, state) = (data_plane.clone(), state.clone());
                 async move {
-                    state.has_received_request.set(true);
+                    let under_way = Rc::new(state.begin_request());
                     let has_chunked_encoding = request.version() >= Version::HTTP_11;
-                    let response = data_plane.handle_request(request).await?;
+                    let response = data_plane.handle_request(request, under_way.clone()).await?;
                     state.watch_response(&response, has_chunked_encoding);
-                    Ok::<_, ResponseAborted>(response)
+                    Ok::<_, ResponseAborted>(response.map(|body| GuardedBody { body, _under_way: under_way }))
                 }
             }
         });
-        let stream = ClientStream::new(stream, ResetOnDrop(state.reset_on_drop.clone()));
-        let connection = Builder::new()
+        let hook = ClientStreamHook {
+            head_timer: state.head_timer.clone(),
+            reset_on_drop: state.reset_on_drop.clone(),
+        };
+        let mut connection = Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.idle_timeout())
             .max_buf_size(self.buffer_bytes())
             .max_headers(MAX_HEADERS)
-            .serve_connection(TokioIo::new(stream), service);
-        let mut connection = pin!(connection);
+            .serve_connection(TokioIo::new(ClientStream::new(stream, hook)), service);
         let served = async {
             tokio::select! {
                 biased;
-                result = connection.as_mut() => result,
+                result = &mut connection => result,
                 () = self.wait_until_closable(&state.has_received_request) => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.as_mut().await
+                    Pin::new(&mut connection).graceful_shutdown();
+                    (&mut connection).await
                 }
             }
         };
-        let result = tokio::select! {
+        let end = tokio::select! {
             biased;
-            result = served => Some(result),
-            () = state.wait_until_cut_off() => None,
+            result = served => ConnectionEnd::Closed(result),
+            () = state.wait_until_cut_off() => ConnectionEnd::CutOff,
+            () = state.head_timer.wait_until_late(|| self.header_timeout()) => ConnectionEnd::HeadTimedOut,
         };
-        if matches!(result, Some(Ok(()))) {
-            state.reset_on_drop.set(false);
+        match end {
+            ConnectionEnd::Closed(Ok(())) => state.reset_on_drop.set(false),
+            ConnectionEnd::Closed(Err(error)) if error.is_parse_too_large() => {
+                self.data_plane.counters.oversized_heads.increment();
+            }
+            ConnectionEnd::Closed(Err(_)) | ConnectionEnd::CutOff => {}
+            ConnectionEnd::HeadTimedOut => {
+                self.data_plane.counters.late_heads.increment();
+                reject_late_head(connection.into_parts().io.into_inner()).await;
+            }
         }
     }
 
@@ -145,10 +172,59 @@
     }
 }
 
+/// How the service of a connection ended.
+enum ConnectionEnd {
+    /// It was closed regularly, or by an error.
+    Closed(Result<(), hyper::Error>),
+    /// The current response was aborted.
+    CutOff,
+    /// The head of a request did not arrive in time.
+    HeadTimedOut,
+}
+
+/// Tells the client that its head came too late, and closes the connection.
+async fn reject_late_head(mut stream: ClientStream) {
+    let rejected = async {
+        stream.write_all(LATE_HEAD_RESPONSE).await?;
+        stream.shutdown().await?;
+        let mut unread = [0; DISCARD_BUFFER_BYTES];
+        while stream.read(&mut unread).await? > 0 {}
+        Ok::<_, std::io::Error>(())
+    };
+    let _ = timeout(LATE_HEAD_LINGER, rejected).await;
+}
+
+/// A response body during which its request counts as under way.
+struct GuardedBody {
+    body: ResponseBody,
+    _under_way: Rc<CountGuard>,
+}
+
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = ResponseAborted;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// What is known about a client's connection and its current response.
 #[derive(Default)]
 struct ConnectionState {
     has_received_request: Cell<bool>,
+    head_timer: Rc<HeadTimer>,
     /// True while a stream is under way to a client without chunked encoding. It takes the end of the connection for the
     /// end of the body, so an incomplete response would look complete (RULES.md, MIXED), however the connection ends.
     reset_on_drop: Rc<Cell<bool>>,
@@ -157,6 +233,12 @@
 }
 
 impl ConnectionState {
+    /// Records that the head of a request is complete. The request is under way until the guard is dropped.
+    fn begin_request(&self) -> CountGuard {
+        self.has_received_request.set(true);
+        self.head_timer.begin_request()
+    }
+
     fn watch_response(&self, response: &Response<ResponseBody>, has_chunked_encoding: bool) {
         let stream = match response.body() {
             ResponseBody::Streaming(stream) => Some(stream),
--- a/crates/data-plane/src/ingress.rs
+++ b/crates/data-plane/src/ingress.rs
@@ -7,6 +7,7 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use mosshead_config::Limits;
+use mosshead_http_links::CountGuard;
 use mosshead_time::Duration;
 use quick_error::quick_error;
 use tokio::time::timeout;
@@ -28,7 +29,7 @@
 quick_error! {
     /// Why a request's body could not be read.
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-    enum BodyError {
+    pub enum BodyError {
         /// It is longer than the configuration allows.
         TooLong {
             display("the body is longer than the configuration allows")
@@ -67,7 +68,8 @@
 
 impl DataPlane {
     /// Responds to a client's request; asks the client to close the connection if the proxy is draining. A request
-    /// whose response has not begun when the process is about to exit is abandoned.
+    /// whose response has not begun when the process is about to exit is abandoned. `under_way` is held for as long as
+    /// the body is read.
     ///
     /// # Errors
     ///
@@ -75,11 +77,12 @@
     pub(crate) async fn handle_request(
         self: Rc<Self>,
         request: Request<Incoming>,
+        under_way: Rc<CountGuard>,
     ) -> Result<Response<ResponseBody>, ResponseAborted> {
         let runs = RunTracker::default();
         let mut response = tokio::select! {
             biased;
-            response = self.respond(request, &runs) => response?,
+            response = self.respond(request, under_way, &runs) => response?,
             () = self.wait_until_responses_due() => self.abandon(&runs),
         };
         if self.is_draining() {
@@ -91,6 +94,7 @@
     async fn respond(
         self: &Rc<Self>,
         request: Request<Incoming>,
+        under_way: Rc<CountGuard>,
         runs: &RunTracker,
     ) -> Result<Response<ResponseBody>, ResponseAborted> {
         let in_flight = self.begin_request();
@@ -103,12 +107,17 @@
         };
         if head_bytes(&head) > config.limits().max_header_bytes {
             let limits = config.limits();
-            discard_body(body, limits.max_body_bytes, limits.idle_timeout.max(limits.header_timeout));
+            let time_allowed = limits.idle_timeout.max(limits.header_timeout);
+            discard_body(body, limits.max_body_bytes, time_allowed, under_way);
+            self.counters.oversized_heads.increment();
             return Ok(proxy_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, None));
         }
-        let body = match self.read_request_body(body, config.limits()).await {
+        let body = match self.read_request_body(body, config.limits(), under_way).await {
             Ok(body) => body,
-            Err(error) => return error.into_response(),
+            Err(error) => {
+                self.counters.count_rejected_body(error);
+                return error.into_response();
+            }
         };
         drop(config);
         self.counters.requests.increment();
@@ -129,6 +138,7 @@
         &self,
         mut body: Incoming,
         limits: &Limits,
+        under_way: Rc<CountGuard>,
     ) -> Result<SegmentedBody, BodyError> {
         let time_allowed = limits.idle_timeout.max(limits.header_timeout);
         let read = read_body(&mut body, limits.max_body_bytes, &self.memory, BodyKind::Request);
@@ -136,7 +146,7 @@
             Ok(Ok(body)) => Ok(body),
             Ok(Err(ReadBodyError::TooLong)) => Err(BodyError::TooLong),
             Ok(Err(ReadBodyError::NoMemory)) => {
-                discard_body(body, limits.max_body_bytes, time_allowed);
+                discard_body(body, limits.max_body_bytes, time_allowed, under_way);
                 Err(BodyError::NoMemory)
             }
             Ok(Err(ReadBodyError::Incomplete)) => Err(BodyError::ClientGone),
@@ -147,6 +157,9 @@
 
 /// Reads the rest of a rejected request's body in a separate task and drops it. A close with unread bytes would reset the
 /// connection, and the client would lose the response.
-fn discard_body(body: Incoming, max_bytes: usize, time_allowed: Duration) {
-    tokio::task::spawn_local(timeout(time_allowed, discard_to_end(Limited::new(body, max_bytes))));
+fn discard_body(body: Incoming, max_bytes: usize, time_allowed: Duration, under_way: Rc<CountGuard>) {
+    tokio::task::spawn_local(async move {
+        let _ = timeout(time_allowed, discard_to_end(Limited::new(body, max_bytes))).await;
+        drop(under_way);
+    });
 }
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -22,6 +22,7 @@
 mod event_queue;
 mod event_splitter;
 mod frontend;
+mod head_timer;
 mod headers;
 mod ingress;
 mod load_guards;
--- a/crates/http-links/src/hooked_stream.rs
+++ b/crates/http-links/src/hooked_stream.rs
@@ -1,4 +1,4 @@
-//! TCP streams with hooks that run at each write and on drop.
+//! TCP streams with hooks that run at each read and write, and on drop.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -19,6 +19,9 @@
         Ok(())
     }
 
+    /// Called after a read of at least one byte.
+    fn after_read(&self) {}
+
     /// Called after a write of which the kernel has accepted the first `count` bytes of these buffers.
     fn after_write(&self, buffers: &[IoSlice<'_>], count: usize) {
         let _ = (buffers, count);
@@ -30,7 +33,7 @@
     }
 }
 
-/// A TCP stream with a hook that runs at each write and when the stream is dropped.
+/// A TCP stream with a hook that runs at each read and write, and when the stream is dropped.
 #[derive(Debug)]
 pub struct HookedStream<H: StreamHook> {
     stream: TcpStream,
@@ -56,7 +59,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > filled {
+            self.hook.after_read();
+        }
+        read
     }
 }
 
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control_process;
 mod gossip;
 pub mod limits;
+pub mod log_limit;
 mod logging;
 pub mod process;
 pub mod proxy;
--- a/crates/programs/src/proxy/process.rs
+++ b/crates/programs/src/proxy/process.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, interval, sleep, sleep_until};
 
+use super::refusal_log::{RefusalLog, refusal_counts};
 use super::sink::DataPlaneSink;
 use super::status::status;
 use crate::process::{FleetProcess, ProcessError, ProcessEvent, ProcessEvents, Program};
@@ -50,6 +51,7 @@
     sink: Rc<DataPlaneSink>,
     watcher: Rc<UpdateWatcher<DataPlaneSink>>,
     frontend: Rc<Frontend>,
+    refusal_log: RefusalLog,
 }
 
 impl ProxyProcess {
@@ -76,7 +78,8 @@
             &settings.internal_seed_addresses(),
         );
         let frontend = Frontend::new(data_plane.clone());
-        let mut proxy = ProxyProcess { process, data_plane, registry, sink, watcher, frontend };
+        let refusal_log = RefusalLog::default();
+        let mut proxy = ProxyProcess { process, data_plane, registry, sink, watcher, frontend, refusal_log };
         proxy.spawn_watchers();
         proxy.serve_clients(front_address).await?;
         proxy.serve_health_checks().await?;
@@ -133,6 +136,10 @@
         let mut control_nodes = Vec::new();
         self.process.gossip.append_control_nodes(&mut control_nodes);
         self.watcher.add_control_nodes(&control_nodes);
+        let refusals = refusal_counts(&self.data_plane.counters);
+        if let Some(counts) = self.refusal_log.line(self.process.clock.now(), refusals) {
+            spdlog::warn!("router: requests refused counts={counts}");
+        }
     }
 
     /// Drains the proxy. Health checks fail, and the data plane rejects requests that would not end in time; after a
