Register a server with as many of its models and adapters as the registry keeps

Cause: the registry's bound on memory was applied to the server in place of to the list.

Evidence: a_server_with_too_many_models_is_registered_with_those_that_fit; errors_have_stable_codes shows that the registry itself still refuses what was not limited (that was the answer to the server before).

--- a/crates/programs/src/control_node/registration.rs
+++ b/crates/programs/src/control_node/registration.rs
@@ -16,6 +16,7 @@
 use super::directory::ControlNodeDirectory;
 use super::registry_host::RegistryHost;
 use crate::calls::{PersistAck, PersistEntries};
+use crate::log_limit::LogLimit;
 
 /// A peer that waits for its disk must respond this long before the caller's deadline.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(50);
@@ -38,6 +39,8 @@
     caller: Caller,
     /// The number of control nodes that may fail at the same time.
     tolerated_failures: usize,
+    rejection_log: LogLimit,
+    model_log: LogLimit,
 }
 
 impl Registration {
@@ -48,12 +51,30 @@
         caller: Caller,
         tolerated_failures: usize,
     ) -> Rc<Registration> {
-        Rc::new(Registration { registry, consensus, directory, caller, tolerated_failures })
+        Rc::new(Registration {
+            registry,
+            consensus,
+            directory,
+            caller,
+            tolerated_failures,
+            rejection_log: LogLimit::default(),
+            model_log: LogLimit::default(),
+        })
     }
 
-    /// Records a server's heartbeat. Returns true if it may be acknowledged.
-    pub(super) async fn record_heartbeat(self: &Rc<Self>, server: Server) -> bool {
+    /// Records a server's heartbeat. Returns true if it may be acknowledged. Models and adapters beyond the registry's
+    /// limit are left out.
+    pub(super) async fn record_heartbeat(self: &Rc<Self>, mut server: Server) -> bool {
         let id = server.id.clone();
+        let left_out = server.limit_models();
+        if left_out > 0
+            && let Some(suppressed) = self.model_log.admit(self.registry.now())
+        {
+            let limit = RegistrationError::ModelsTooLong;
+            spdlog::warn!(
+                "registry: models left out instance={id} left_out={left_out} suppressed={suppressed} error={limit}"
+            );
+        }
         let outcome = self.registry.record_heartbeat(server);
         self.acknowledge(&id, outcome).await
     }
@@ -72,7 +93,11 @@
         let outcome = match outcome {
             Ok(outcome) => outcome,
             Err(error) => {
-                spdlog::warn!("registry: heartbeat rejected instance={id} error={error}");
+                if let Some(suppressed) = self.rejection_log.admit(self.registry.now()) {
+                    spdlog::warn!(
+                        "registry: heartbeat rejected instance={id} suppressed={suppressed} error={error}"
+                    );
+                }
                 return false;
             }
         };
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -140,17 +140,34 @@
         Ok(())
     }
 
+    /// Keeps the first models and adapters that are within the limit of
+    /// [`validate`](Server::validate), and returns how many were left out. A server is registered with them, since a
+    /// server that is not registered gets no requests.
+    pub fn limit_models(&mut self) -> usize {
+        let count = |models: &[Model]| models.iter().map(|model| 1 + model.adapters.len()).sum::<usize>();
+        let reported = count(&self.models);
+        let mut remaining_bytes = MAX_MODEL_BYTES;
+        let mut fits = |bytes: usize| {
+            let left = remaining_bytes.checked_sub(bytes);
+            remaining_bytes = left.unwrap_or(0);
+            left.is_some()
+        };
+        self.models.retain_mut(|model| {
+            let is_kept = fits(model_bytes(model));
+            model.adapters.retain(|adapter| is_kept && fits(adapter_bytes(adapter)));
+            is_kept
+        });
+        reported - count(&self.models)
+    }
+
     /// Returns the counted size of the models with their adapters, in bytes: the names, plus a constant for
     /// each model and each adapter.
     fn model_bytes(&self) -> usize {
-        let mut bytes = 0_usize;
-        for model in &self.models {
-            bytes = bytes.saturating_add(MODEL_OVERHEAD_BYTES).saturating_add(model.name.len());
-            for adapter in &model.adapters {
-                bytes = bytes.saturating_add(ADAPTER_OVERHEAD_BYTES).saturating_add(adapter.len());
-            }
-        }
-        bytes
+        let sizes = self.models.iter().map(|model| {
+            let adapters = model.adapters.iter().map(|adapter| adapter_bytes(adapter));
+            adapters.fold(model_bytes(model), usize::saturating_add)
+        });
+        sizes.fold(0, usize::saturating_add)
     }
 
     /// Returns true if two reports of one instance differ in nothing but the sequence number and the warm-up
@@ -171,3 +188,13 @@
         self.state == OperState::Removed
     }
 }
+
+/// The counted size of a model without its adapters.
+fn model_bytes(model: &Model) -> usize {
+    MODEL_OVERHEAD_BYTES.saturating_add(model.name.len())
+}
+
+/// The counted size of an adapter with this name.
+fn adapter_bytes(name: &str) -> usize {
+    ADAPTER_OVERHEAD_BYTES.saturating_add(name.len())
+}
--- a/crates/registry/tests/heartbeats.rs
+++ b/crates/registry/tests/heartbeats.rs
@@ -5,7 +5,7 @@
 use common::{
     address, assert_consistent, control_node, heartbeat_outcome, millis, server, synchronize, with_state,
 };
-use mosshead_registry::{HeartbeatOutcome, MAX_SERVERS, OperState, RegistrationError, Server};
+use mosshead_registry::{HeartbeatOutcome, MAX_SERVERS, Model, OperState, RegistrationError, Server};
 use mosshead_time::Duration;
 use quickcheck::quickcheck;
 
@@ -223,6 +223,26 @@
     assert_eq!(registry.version(), 0);
 }
 
+/// Guards against servers that get no requests because of the number of their models and adapters.
+#[test]
+fn a_server_with_too_many_models_is_registered_with_those_that_fit() {
+    let mut registry = control_node(1);
+    let mut many = server(1, 1);
+    let adapters: Vec<String> = (0..600).map(|number| format!("adapter-{number}")).collect();
+    let model = |name: &str| Model { name: name.into(), revision: 1, adapters: adapters.clone() };
+    many.models = vec![model("m"), model("n")];
+    let left_out = many.limit_models();
+    assert_eq!(left_out, 1202 - many.models.iter().map(|model| 1 + model.adapters.len()).sum::<usize>());
+    assert!(
+        many.models[0].adapters.len() > 400
+            && many.models[0].adapters[..] == adapters[..many.models[0].adapters.len()]
+    );
+    assert_eq!(registry.record_heartbeat(millis(0), many.clone()).map(|outcome| outcome.changed), Ok(true));
+    // What is within the limit stays as it is.
+    let kept = many.clone();
+    assert_eq!((many.limit_models(), many), (0, kept));
+}
+
 #[test]
 fn a_full_registry_rejects_new_servers_only() {
     let mut registry = control_node(1);
