Play a soak of real processes under overlapping troubles: mossheadctl fleet soak

Change: fleet-emulator plays phases that are drawn from a seed: series of SIGTERM, SIGHUP, SIGKILL, SIGSTOP and SIGCONT, SIGHUP right after a start, changes of the configuration (two rivals at once too), servers that leave, crash and come back at the other stage. Servers reject, fail and break off some requests. Clients send requests that may and may not repeat, streams that may and may not be resumed, and probes of routes that one revision has. fleet-rules judges all that was seen. Model servers record their runs, and a crash breaks off what they work on (the emulation's servers went on serving open connections).

--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -4,6 +4,7 @@
 mod emulate;
 mod found_anew;
 mod memory;
+mod soak;
 mod status;
 mod view;
 
@@ -33,6 +34,8 @@
     Emulate(emulate::Emulate),
     /// Measures the memory of a proxy on loopback under mixes of long bodies, slow readers and stalled senders.
     Memory(memory::Memory),
+    /// Plays a fleet of real processes on loopback under overlapping signals, restarts and changes, and checks the rules.
+    Soak(soak::Soak),
     /// Founds the fleet anew after a majority of its control nodes was lost with their disks.
     FoundAnew(found_anew::FoundAnew),
 }
@@ -43,6 +46,7 @@
             FleetCommand::Status(command) => command.run(),
             FleetCommand::Emulate(command) => command.run(),
             FleetCommand::Memory(command) => command.run(),
+            FleetCommand::Soak(command) => command.run(),
             FleetCommand::FoundAnew(command) => command.run(),
         }
     }
--- a/crates/fleet-emulator/src/lib.rs
+++ b/crates/fleet-emulator/src/lib.rs
@@ -12,11 +12,14 @@
 mod model_server;
 mod operator;
 mod processes;
+mod recorder;
 mod report;
 mod run;
+mod soak;
 mod timeline;
 
 pub use error::FleetEmulatorError;
 pub use memory_trial::{MemoryTrialOptions, MemoryTrialReport, run_memory_trial};
 pub use report::{FleetReport, SecondReport, Violation};
 pub use run::{EmulationOptions, Progress, run};
+pub use soak::{Action, PlannedAction, SoakOptions, SoakReport, draw_plan, run_soak};
--- a/crates/fleet-emulator/src/model_server.rs
+++ b/crates/fleet-emulator/src/model_server.rs
@@ -3,6 +3,8 @@
 mod engine;
 mod event_body;
 mod heartbeats;
+mod plain_service;
+mod run_record;
 mod service;
 
 use std::cell::{Cell, RefCell};
@@ -14,8 +16,10 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use mosshead_fleet_rules::InstanceId;
 use mosshead_http_links::accept;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
 use self::engine::Engine;
@@ -23,7 +27,9 @@
 use self::heartbeats::send_heartbeats;
 use crate::error::FleetEmulatorError;
 use crate::machines::{MachineKind, Ports, address};
+use crate::operator::SERVICE;
 use crate::processes::zone_of;
+use crate::recorder::Recorder;
 
 /// How long a server serves on after its draining was acknowledged.
 const DRAINING_TIME: Duration = Duration::from_millis(2_500);
@@ -44,6 +50,24 @@
     }
 }
 
+/// What a server is started for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ServerRole {
+    /// Prompts, at this stage first.
+    Prompts(ServerStage),
+    /// Requests without a prompt, of this service.
+    Plain(&'static str),
+}
+
+impl ServerRole {
+    fn service(self) -> &'static str {
+        match self {
+            ServerRole::Prompts(_) => SERVICE,
+            ServerRole::Plain(service) => service,
+        }
+    }
+}
+
 /// The handles of prefills that no server has fetched yet, by address and id, of all servers.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Handles {
@@ -61,18 +85,36 @@
     }
 }
 
+/// What all servers of an emulation share.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerEnvironment {
+    pub(crate) ports: Ports,
+    pub(crate) control_nodes: usize,
+    pub(crate) handles: Handles,
+    pub(crate) recorder: Recorder,
+    /// Whether servers answer some requests with failures, or break off.
+    pub(crate) has_failures: bool,
+}
+
 /// One incarnation of a model server.
 pub(crate) struct ModelServer {
-    instance_id: String,
+    number: usize,
+    instance_id: InstanceId,
     address: SocketAddrV4,
     zone: &'static str,
-    stage: Cell<ServerStage>,
+    role: ServerRole,
+    /// The present stage, if the server has one.
+    stage: Cell<Option<ServerStage>>,
     /// The highest fencing token that an order has borne.
     fence: Cell<u64>,
     orders: Cell<u64>,
     is_draining: Cell<bool>,
     engine: Engine,
-    handles: Handles,
+    environment: ServerEnvironment,
+    recorder: Recorder,
+    /// Set when the server ends; its connections end with it.
+    ended: watch::Sender<bool>,
+    has_crashed: Rc<Cell<bool>>,
     tasks: RefCell<Vec<AbortHandle>>,
 }
 
@@ -81,42 +123,52 @@
     pub(crate) async fn start(
         number: usize,
         incarnation: u64,
-        stage: ServerStage,
-        ports: Ports,
-        control_nodes: usize,
-        handles: Handles,
+        role: ServerRole,
+        environment: ServerEnvironment,
     ) -> Result<Rc<ModelServer>, FleetEmulatorError> {
         let ip = address(MachineKind::ModelServer, number);
         let listener = TcpListener::bind((ip, 0)).await?;
+        let stage = match role {
+            ServerRole::Prompts(stage) => Some(stage),
+            ServerRole::Plain(_) => None,
+        };
         let server = Rc::new(ModelServer {
-            instance_id: format!("i-{number}-{incarnation}"),
+            number,
+            instance_id: InstanceId(format!("i-{number}-{incarnation}").into()),
             address: SocketAddrV4::new(ip, listener.local_addr()?.port()),
             zone: zone_of(number),
+            role,
             stage: Cell::new(stage),
             fence: Cell::new(0),
             orders: Cell::new(0),
             is_draining: Cell::new(false),
             engine: Engine::default(),
-            handles,
+            recorder: environment.recorder.clone(),
+            environment,
+            ended: watch::Sender::new(false),
+            has_crashed: Rc::default(),
             tasks: RefCell::default(),
         });
         let listening = tokio::task::spawn_local(serve(server.clone(), listener)).abort_handle();
+        let ServerEnvironment { ports, control_nodes, .. } = server.environment;
         let heartbeats = tokio::task::spawn_local(send_heartbeats(server.clone(), ports, control_nodes));
         server.tasks.borrow_mut().extend([listening, heartbeats.abort_handle()]);
         Ok(server)
     }
 
-    pub(crate) fn instance_id(&self) -> &str {
+    pub(crate) fn instance_id(&self) -> &InstanceId {
         &self.instance_id
     }
 
-    pub(crate) fn stage(&self) -> ServerStage {
-        self.stage.get()
+    /// What the server was started for, at its present stage.
+    pub(crate) fn role(&self) -> ServerRole {
+        self.stage.get().map_or(self.role, ServerRole::Prompts)
     }
 
     /// Announces the shutdown by the next heartbeat, serves on until it has been acknowledged for a while, deregisters and
     /// ends.
-    pub(crate) async fn shut_down(self: Rc<Self>, ports: Ports, control_nodes: usize) {
+    pub(crate) async fn shut_down(self: Rc<Self>) {
+        let ServerEnvironment { ports, control_nodes, .. } = self.environment;
         self.is_draining.set(true);
         heartbeats::announce_draining(&self, &ports, control_nodes).await;
         tokio::time::sleep(DRAINING_TIME).await;
@@ -124,9 +176,15 @@
         self.end();
     }
 
-    /// Ends without a word.
-    pub(crate) fn end(&self) {
+    /// Ends without a word, and breaks off what it works on.
+    pub(crate) fn crash(&self) {
+        self.has_crashed.set(true);
+        self.end();
+    }
+
+    fn end(&self) {
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+        self.ended.send_replace(true);
     }
 }
 
@@ -135,8 +193,14 @@
         let stream = accept(&listener).await;
         let server = server.clone();
         tokio::task::spawn_local(async move {
+            let mut ended = server.ended.subscribe();
             let service = service_fn(move |request| service::respond(server.clone(), request));
-            let _ = Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                biased;
+                _ = ended.wait_for(|has_ended| *has_ended) => {}
+                _ = connection => {}
+            }
         });
     }
 }
--- /dev/null
+++ b/crates/fleet-emulator/src/model_server/run_record.rs
@@ -0,0 +1,79 @@
+//! The record of one run of a request at a server.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use mosshead_fleet_rules::{AttemptId, BodyDigest, InstanceId, Run, RunEnd, RunOutcome};
+use mosshead_time::Instant;
+
+use crate::recorder::Recorder;
+
+/// Records a run when it is dropped. Unless the run was completed or broken off before, its server has crashed or its
+/// caller has closed the connection.
+pub(super) struct RunRecord {
+    recorder: Recorder,
+    attempt: AttemptId,
+    instance: InstanceId,
+    arrived_at: Instant,
+    status: u16,
+    body: BodyDigest,
+    end: Option<RunEnd>,
+    has_crashed: Rc<Cell<bool>>,
+}
+
+impl RunRecord {
+    /// Begins a run, which ends with status 200 unless it is changed.
+    pub(super) fn begin(
+        recorder: &Recorder,
+        attempt: AttemptId,
+        instance: InstanceId,
+        arrived_at: Instant,
+        has_crashed: &Rc<Cell<bool>>,
+    ) -> RunRecord {
+        RunRecord {
+            recorder: recorder.clone(),
+            attempt,
+            instance,
+            arrived_at,
+            status: 200,
+            body: BodyDigest::default(),
+            end: None,
+            has_crashed: has_crashed.clone(),
+        }
+    }
+
+    /// Sets the response.
+    pub(super) fn set_response(&mut self, status: u16, body: &[u8]) {
+        self.status = status;
+        self.body = BodyDigest::of(body);
+    }
+
+    /// The server has sent the whole response.
+    pub(super) fn complete(&mut self) {
+        self.end.get_or_insert(RunEnd::Complete);
+    }
+
+    /// The server breaks off.
+    pub(super) fn break_off(&mut self) {
+        self.end.get_or_insert(RunEnd::BrokenOff);
+    }
+}
+
+impl Drop for RunRecord {
+    fn drop(&mut self) {
+        let unstated = if self.has_crashed.get() { RunEnd::BrokenOff } else { RunEnd::Abandoned };
+        let outcome = RunOutcome::Executed {
+            status: self.status,
+            body: self.body,
+            end: self.end.unwrap_or(unstated),
+            ended_at: self.recorder.now(),
+        };
+        let run = Run {
+            attempt: self.attempt.clone(),
+            instance: self.instance.clone(),
+            arrived_at: self.arrived_at,
+            outcome,
+        };
+        self.recorder.record(|history| history.runs.push(run));
+    }
+}
--- a/crates/fleet-emulator/src/processes.rs
+++ b/crates/fleet-emulator/src/processes.rs
@@ -3,7 +3,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 
 use rustix::process::{Pid, Signal, kill_process};
 use tempfile::TempDir;
@@ -61,18 +61,31 @@
 
     /// Asks the process to shut down.
     pub(crate) fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Sends a signal, if the process runs.
+    pub(crate) fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
-            let _ = kill_process(Pid::from_child(child), Signal::TERM);
+            let _ = kill_process(Pid::from_child(child), signal);
         }
     }
 
-    /// Whether the process has ended; it counts as not started from then on.
+    /// Whether the process was started and has not been seen to end.
+    pub(crate) fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// The exit status, once after the end of the process; it counts as not started from then on.
+    pub(crate) fn take_exit(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        Some(status)
+    }
+
+    /// Whether the process does not run.
     pub(crate) fn has_ended(&mut self) -> bool {
-        let has_ended = self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
-        if has_ended {
-            self.child = None;
-        }
-        has_ended
+        self.take_exit().is_some() || !self.is_running()
     }
 }
 
--- a/crates/fleet-emulator/src/run.rs
+++ b/crates/fleet-emulator/src/run.rs
@@ -17,9 +17,10 @@
 use crate::error::FleetEmulatorError;
 use crate::http::exchange;
 use crate::machines::Ports;
-use crate::model_server::{Handles, ModelServer, ServerStage};
+use crate::model_server::{Handles, ModelServer, ServerEnvironment, ServerRole, ServerStage};
 use crate::operator::{TARGET_LATENCY, configure};
 use crate::processes::FleetProcesses;
+use crate::recorder::Recorder;
 use crate::report::FleetReport;
 use crate::timeline::{Disturbance, timeline};
 
@@ -90,7 +91,7 @@
     ports: Ports,
     processes: FleetProcesses,
     servers: Vec<Rc<ModelServer>>,
-    handles: Handles,
+    environment: ServerEnvironment,
     incarnations: u64,
     revision: u64,
     killed: Option<usize>,
@@ -109,7 +110,13 @@
             ports,
             processes,
             servers: Vec::new(),
-            handles: Handles::default(),
+            environment: ServerEnvironment {
+                ports,
+                control_nodes,
+                handles: Handles::default(),
+                recorder: Recorder::new(),
+                has_failures: false,
+            },
             incarnations: 0,
             revision: FIRST_REVISION,
             killed: None,
@@ -131,8 +138,8 @@
         stage: ServerStage,
     ) -> Result<Rc<ModelServer>, FleetEmulatorError> {
         self.incarnations += 1;
-        let (ports, handles) = (self.ports, self.handles.clone());
-        ModelServer::start(number, self.incarnations, stage, ports, self.options.control_nodes, handles).await
+        let role = ServerRole::Prompts(stage);
+        ModelServer::start(number, self.incarnations, role, self.environment.clone()).await
     }
 
     async fn wait_until_ready(&self) -> Result<(), FleetEmulatorError> {
@@ -213,11 +220,12 @@
             Disturbance::ReplaceServer => self.replace_server().await?,
             Disturbance::CrashServer => {
                 // Never the last one of its stage.
-                let decodes = |server: &Rc<ModelServer>| server.stage() == ServerStage::Decode;
+                let decodes =
+                    |server: &Rc<ModelServer>| server.role() == ServerRole::Prompts(ServerStage::Decode);
                 if self.servers.iter().filter(|server| decodes(server)).count() > 1
                     && let Some(position) = self.servers.iter().position(decodes)
                 {
-                    self.servers.remove(position).end();
+                    self.servers.remove(position).crash();
                 }
             }
             Disturbance::ShutDownProxy => {
@@ -253,10 +261,11 @@
     async fn replace_server(&mut self) -> Result<(), FleetEmulatorError> {
         let Some(leaving) = self.servers.pop() else { return Ok(()) };
         let number = self.options.model_servers + self.incarnations as usize;
-        let server = self.new_server(number, leaving.stage()).await?;
+        let ServerRole::Prompts(stage) = leaving.role() else { return Ok(()) };
+        let server = self.new_server(number, stage).await?;
         debug_assert_ne!(server.instance_id(), leaving.instance_id());
         self.servers.push(server);
-        tokio::task::spawn_local(leaving.shut_down(self.ports, self.options.control_nodes));
+        tokio::task::spawn_local(leaving.shut_down());
         Ok(())
     }
 }
