Install the signal handlers first, so that no signal during the start ends a process

Cause: the handlers were installed by the main loop, after the settings, the sockets and the stored state. Change: Signals::install comes first in all three programs, before the configuration is looked for; SIGTERM and SIGINT interrupt the start of the fleet's programs. Why it works: what arrives later than that is kept until the main loop asks.

The soak sends SIGHUP to restarted proxies as soon as they catch it.

--- a/crates/fleet-emulator/src/processes.rs
+++ b/crates/fleet-emulator/src/processes.rs
@@ -16,6 +16,9 @@
 /// From SIGTERM to the end of a process, in seconds.
 const GRACE_S: u32 = 4;
 
+/// The bit of SIGHUP, signal 1, in the masks of `/proc/PID/status`.
+const HANGUP_BIT: u64 = 1;
+
 /// A program of the fleet on one machine.
 #[derive(Debug)]
 pub(crate) struct FleetProcess {
@@ -71,6 +74,14 @@
         }
     }
 
+    /// Whether the process catches SIGHUP by now.
+    pub(crate) fn catches_hangup(&self) -> bool {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap_or_default();
+        let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let mask = mask.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        mask.is_some_and(|mask| mask & HANGUP_BIT != 0)
+    }
+
     /// Whether the process was started and has not been seen to end.
     pub(crate) fn is_running(&self) -> bool {
         self.child.is_some()
--- a/crates/fleet-emulator/src/soak.rs
+++ b/crates/fleet-emulator/src/soak.rs
@@ -206,7 +206,7 @@
             Action::Terminate(machine) => machines.terminate(machine),
             Action::HangUp(machine) => machines.hang_up(machine)?,
             Action::Kill(machine, restart_after) => machines.kill(machine, restart_after),
-            Action::KillAndHangUp(machine, after) => machines.kill_and_hang_up(machine, after),
+            Action::KillAndHangUp(machine) => machines.kill_and_hang_up(machine),
             Action::Freeze(machine, time) => machines.freeze(machine, time),
             Action::KillCore(restart_after) => {
                 machines.kill_core(restart_after);
--- a/crates/fleet-emulator/src/soak/machines.rs
+++ b/crates/fleet-emulator/src/soak/machines.rs
@@ -21,9 +21,8 @@
     terminated_at: Option<Instant>,
     restart_at: Option<Instant>,
     continue_at: Option<Instant>,
-    /// After its next start the process gets SIGHUP this much later.
-    early_hang_up: Option<Duration>,
-    hang_up_at: Option<Instant>,
+    /// After its next start the process gets SIGHUP as soon as it catches it.
+    early_hang_up: bool,
 }
 
 /// All machines.
@@ -89,12 +88,10 @@
         true
     }
 
-    /// SIGKILL, and SIGHUP this long after the next start. False if it does not apply now.
-    pub(super) fn kill_and_hang_up(&mut self, machine: MachineId, after: Duration) -> bool {
+    /// SIGKILL, and SIGHUP as soon as the next process catches it. False if it does not apply now.
+    pub(super) fn kill_and_hang_up(&mut self, machine: MachineId) -> bool {
         let is_killed = self.kill(machine, Duration::ZERO);
-        if is_killed {
-            self.schedule(machine).early_hang_up = Some(after);
-        }
+        self.schedule(machine).early_hang_up |= is_killed;
         is_killed
     }
 
@@ -128,11 +125,6 @@
         Ok(())
     }
 
-    /// The number of processes.
-    pub(super) fn len(&self) -> usize {
-        self.control_nodes.len() + self.proxies.len()
-    }
-
     fn notice_end(&mut self, machine: MachineId) {
         let Some(status) = self.process(machine).take_exit() else { return };
         let is_planned = status.success() && self.schedule(machine).terminated_at.is_some();
@@ -145,7 +137,7 @@
     fn do_what_is_due(&mut self, machine: MachineId) -> Result<(), FleetEmulatorError> {
         let now = Instant::now();
         let is_due = |at: Option<Instant>| at.is_some_and(|at| at <= now);
-        let Schedule { terminated_at, restart_at, continue_at, hang_up_at, .. } = *self.schedule(machine);
+        let Schedule { terminated_at, restart_at, continue_at, early_hang_up } = *self.schedule(machine);
         if is_due(restart_at) {
             self.start(machine)?;
         }
@@ -154,8 +146,8 @@
             self.record(machine, ProcessEventKind::Continued);
             self.process(machine).signal(Signal::CONT);
         }
-        if is_due(hang_up_at) {
-            self.schedule(machine).hang_up_at = None;
+        if early_hang_up && self.process(machine).catches_hangup() {
+            self.schedule(machine).early_hang_up = false;
             self.hang_up(machine)?;
         }
         if is_due(terminated_at.map(|at| at + self.grace)) {
@@ -167,8 +159,8 @@
     fn start(&mut self, machine: MachineId) -> Result<(), FleetEmulatorError> {
         self.process(machine).start()?;
         self.record(machine, ProcessEventKind::Started);
-        let hang_up_at = self.schedule(machine).early_hang_up.map(|after| Instant::now() + after);
-        *self.schedule(machine) = Schedule { hang_up_at, ..Schedule::default() };
+        let early_hang_up = self.schedule(machine).early_hang_up;
+        *self.schedule(machine) = Schedule { early_hang_up, ..Schedule::default() };
         Ok(())
     }
 
--- a/crates/fleet-emulator/src/soak/plan.rs
+++ b/crates/fleet-emulator/src/soak/plan.rs
@@ -26,8 +26,6 @@
 /// All processes of the core come back within a second.
 const CORE_RESTART_MILLIS: Range<u64> = 0..900;
 const FREEZE_MILLIS: Range<u64> = 50..4_000;
-/// The handlers of signals are installed within the first milliseconds of a process.
-const EARLY_SIGNAL_MILLIS: Range<u64> = 0..12;
 /// The greatest number of actions in a series, unless the fleet is large.
 const MAX_SERIES_LENGTH: usize = 5;
 /// In a large fleet a series strikes at most one proxy of so many.
@@ -42,8 +40,8 @@
     HangUp(MachineId),
     /// SIGKILL, and a start after this time.
     Kill(MachineId, Duration),
-    /// SIGKILL, a start, and SIGHUP this long after the start.
-    KillAndHangUp(MachineId, Duration),
+    /// SIGKILL, a start, and SIGHUP as soon as the process catches it.
+    KillAndHangUp(MachineId),
     /// SIGSTOP, and SIGCONT after this time.
     Freeze(MachineId, Duration),
     /// SIGKILL to all control nodes at once, and a start after this time.
@@ -64,9 +62,7 @@
             Action::Terminate(machine) => write!(f, "SIGTERM {machine}"),
             Action::HangUp(machine) => write!(f, "SIGHUP {machine}"),
             Action::Kill(machine, restart) => write!(f, "SIGKILL {machine}, start after {restart:?}"),
-            Action::KillAndHangUp(machine, after) => {
-                write!(f, "SIGKILL {machine}, start, SIGHUP {after:?} later")
-            }
+            Action::KillAndHangUp(machine) => write!(f, "SIGKILL {machine}, start, SIGHUP at once"),
             Action::Freeze(machine, time) => write!(f, "SIGSTOP {machine}, SIGCONT after {time:?}"),
             Action::KillCore(restart) => write!(f, "SIGKILL all control nodes, start after {restart:?}"),
             Action::Configure => f.write_str("change the configuration"),
@@ -207,9 +203,7 @@
                 Action::HangUp(self.machine(kind))
             }
             Series::Kills(kind) => Action::Kill(self.machine(kind), self.millis(RESTART_MILLIS)),
-            Series::EarlyHangUps => {
-                Action::KillAndHangUp(self.machine(MachineKind::Proxy), self.millis(EARLY_SIGNAL_MILLIS))
-            }
+            Series::EarlyHangUps => Action::KillAndHangUp(self.machine(MachineKind::Proxy)),
             Series::Freezes(kind) => Action::Freeze(self.machine(kind), self.millis(FREEZE_MILLIS)),
             Series::CoreKill => Action::KillCore(self.millis(CORE_RESTART_MILLIS)),
             Series::Configurations => Action::Configure,
--- a/crates/programs/src/command.rs
+++ b/crates/programs/src/command.rs
@@ -9,7 +9,7 @@
 use mosshead_time::Duration;
 use quick_error::quick_error;
 
-use crate::process::ProcessError;
+use crate::process::{ProcessError, Signals};
 use crate::settings::{Settings, SettingsError};
 
 /// The environment variable that names the settings file.
@@ -133,7 +133,7 @@
 }
 
 /// Runs a command and returns the exit code. Errors are printed to standard error. `serve` runs the process.
-pub fn run<F>(command: Command, serve: impl FnOnce(Settings, PathBuf) -> F) -> i32
+pub fn run<F>(command: Command, serve: impl FnOnce(Settings, PathBuf, Signals) -> F) -> i32
 where
     F: Future<Output = Result<(), ProcessError>>,
 {
@@ -155,20 +155,23 @@
 fn run_process<F>(
     settings_path: Option<PathBuf>,
     detailed: bool,
-    serve: impl FnOnce(Settings, PathBuf) -> F,
+    serve: impl FnOnce(Settings, PathBuf, Signals) -> F,
 ) -> Result<(), CommandError>
 where
     F: Future<Output = Result<(), ProcessError>>,
 {
-    let path = find_settings(settings_path)?;
-    crate::logging::start(detailed);
-    let settings = Settings::load(&path)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let tasks = tokio::task::LocalSet::new();
-    let result = tasks.block_on(&runtime, serve(settings, path));
+    let result = tasks.block_on(&runtime, async {
+        let signals = Signals::install()?;
+        let path = find_settings(settings_path)?;
+        crate::logging::start(detailed);
+        let settings = Settings::load(&path)?;
+        Ok(serve(settings, path, signals).await?)
+    });
     // A blocking task that never ends must not keep the process alive.
     runtime.shutdown_timeout(RUNTIME_SHUTDOWN_TIMEOUT);
-    Ok(result?)
+    result
 }
 
 fn check_settings(settings_path: Option<PathBuf>) -> Result<(), CommandError> {
--- a/crates/programs/src/control_process.rs
+++ b/crates/programs/src/control_process.rs
@@ -12,7 +12,7 @@
 
 use crate::control_api;
 use crate::control_node::{ControlNode, PeerFollowers};
-use crate::process::{FleetProcess, ProcessError, ProcessEvent, ProcessEvents, Program};
+use crate::process::{FleetProcess, ProcessError, ProcessEvent, ProcessEvents, Program, Signals};
 use crate::settings::Settings;
 
 /// The interval of the main loop and of the consensus node's ticks.
@@ -32,10 +32,15 @@
 ///
 /// # Errors
 ///
-/// The settings lack what a control node needs, an address can't be listened on, or signals can't be handled.
-pub async fn serve(settings: Settings, settings_path: PathBuf) -> Result<(), ProcessError> {
-    let mut process = ControlProcess::start(settings, settings_path).await?;
-    process.run().await?;
+/// The settings lack what a control node needs, or an address can't be listened on.
+pub async fn serve(
+    settings: Settings,
+    settings_path: PathBuf,
+    mut signals: Signals,
+) -> Result<(), ProcessError> {
+    let started = signals.interruptible(ControlProcess::start(settings, settings_path)).await?;
+    let Some(mut process) = started else { return Ok(()) };
+    process.run(signals).await;
     process.shut_down().await;
     Ok(())
 }
@@ -85,14 +90,14 @@
     }
 
     /// The main loop, until a signal requests the shutdown.
-    async fn run(&mut self) -> Result<(), ProcessError> {
+    async fn run(&mut self, signals: Signals) {
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut events = ProcessEvents::new(ticks)?;
+        let mut events = ProcessEvents::new(signals, ticks);
         let mut tick_count = 0_u64;
         loop {
             match events.next().await {
-                ProcessEvent::Shutdown => return Ok(()),
+                ProcessEvent::Shutdown => return,
                 ProcessEvent::ReloadSettings => self.reload_settings(),
                 ProcessEvent::Tick => {
                     self.control_node.tick();
--- a/crates/programs/src/process.rs
+++ b/crates/programs/src/process.rs
@@ -137,27 +137,68 @@
     Tick,
 }
 
-/// The source of [`ProcessEvent`]s: signals, and the ticks of the main loop, which also time the reload of settings.
-pub(crate) struct ProcessEvents {
+/// The signals that a process handles. Those that arrive before anyone waits for them are kept.
+#[derive(Debug)]
+pub struct Signals {
     hangup: Signal,
     terminate: Signal,
     interrupt: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers. This comes first in a process: before it, each of these signals ends the process.
+    ///
+    /// # Errors
+    ///
+    /// A handler can't be installed.
+    pub(crate) fn install() -> io::Result<Signals> {
+        Ok(Signals {
+            hangup: signal(SignalKind::hangup())?,
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT.
+    async fn shutdown(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+
+    /// Starts a process. `None` if a signal requests the shutdown meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Those of the start.
+    pub(crate) async fn interruptible<T, E>(
+        &mut self,
+        start: impl Future<Output = Result<T, E>>,
+    ) -> Result<Option<T>, E> {
+        tokio::select! {
+            started = start => started.map(Some),
+            () = self.shutdown() => Ok(None),
+        }
+    }
+}
+
+/// The source of [`ProcessEvent`]s: signals, and the ticks of the main loop, which also time the reload of settings.
+pub(crate) struct ProcessEvents {
+    signals: Signals,
     ticks: Interval,
     ticks_per_reload: u128,
     ticks_since_reload: u128,
 }
 
 impl ProcessEvents {
-    /// Installs the signal handlers.
-    pub(crate) fn new(ticks: Interval) -> io::Result<ProcessEvents> {
-        Ok(ProcessEvents {
-            hangup: signal(SignalKind::hangup())?,
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
+    pub(crate) fn new(signals: Signals, ticks: Interval) -> ProcessEvents {
+        ProcessEvents {
+            signals,
             ticks_per_reload: RELOAD_INTERVAL.as_millis() / ticks.period().as_millis(),
             ticks_since_reload: 0,
             ticks,
-        })
+        }
     }
 
     /// Waits for the next event.
@@ -167,9 +208,9 @@
             return ProcessEvent::ReloadSettings;
         }
         tokio::select! {
-            _ = self.terminate.recv() => ProcessEvent::Shutdown,
-            _ = self.interrupt.recv() => ProcessEvent::Shutdown,
-            _ = self.hangup.recv() => ProcessEvent::ReloadSettings,
+            _ = self.signals.terminate.recv() => ProcessEvent::Shutdown,
+            _ = self.signals.interrupt.recv() => ProcessEvent::Shutdown,
+            _ = self.signals.hangup.recv() => ProcessEvent::ReloadSettings,
             _ = self.ticks.tick() => {
                 self.ticks_since_reload += 1;
                 ProcessEvent::Tick
--- a/crates/programs/src/proxy/process.rs
+++ b/crates/programs/src/proxy/process.rs
@@ -16,7 +16,7 @@
 use super::refusal_log::{RefusalLog, refusal_counts};
 use super::sink::DataPlaneSink;
 use super::status::status;
-use crate::process::{FleetProcess, ProcessError, ProcessEvent, ProcessEvents, Program};
+use crate::process::{FleetProcess, ProcessError, ProcessEvent, ProcessEvents, Program, Signals};
 use crate::settings::Settings;
 use crate::update_watcher::{UpdateWatcher, WATCH_SLOTS, WatcherIdentity};
 
@@ -36,10 +36,15 @@
 ///
 /// # Errors
 ///
-/// The settings lack what a proxy needs, an address can't be listened on, or signals can't be handled.
-pub async fn serve(settings: Settings, settings_path: PathBuf) -> Result<(), ProcessError> {
-    let proxy = ProxyProcess::start(settings, settings_path).await?;
-    proxy.run().await?;
+/// The settings lack what a proxy needs, or an address can't be listened on.
+pub async fn serve(
+    settings: Settings,
+    settings_path: PathBuf,
+    mut signals: Signals,
+) -> Result<(), ProcessError> {
+    let started = signals.interruptible(ProxyProcess::start(settings, settings_path)).await?;
+    let Some(proxy) = started else { return Ok(()) };
+    proxy.run(signals).await;
     proxy.shut_down().await;
     Ok(())
 }
@@ -113,11 +118,11 @@
     }
 
     /// The main loop, until a signal requests the shutdown.
-    async fn run(&self) -> Result<(), ProcessError> {
-        let mut events = ProcessEvents::new(interval(TICK_INTERVAL))?;
+    async fn run(&self, signals: Signals) {
+        let mut events = ProcessEvents::new(signals, interval(TICK_INTERVAL));
         loop {
             match events.next().await {
-                ProcessEvent::Shutdown => return Ok(()),
+                ProcessEvent::Shutdown => return,
                 ProcessEvent::ReloadSettings => self.reload_settings(),
                 ProcessEvent::Tick => self.tick(),
             }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -49,8 +49,11 @@
 use std::time::Duration;
 
 use mosshead_decide::interface::Seconds;
+use thiserror::Error;
 use tokio::task::LocalSet;
 
+use crate::process::Signals;
+
 /// The maximum wait, in seconds: an [`std::time::Instant`] further away may not be representable.
 const MAX_WAIT: Seconds = 86_400.0;
 
@@ -60,20 +63,39 @@
     Duration::try_from_secs_f64(seconds.clamp(0.0, MAX_WAIT)).unwrap_or_default()
 }
 
-/// Serves until SIGTERM or SIGINT. When this returns, each accepted request has had its response. On SIGHUP
-/// `read_config` is called for the current configuration.
+/// Why the proxy did not start, or ended.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// The configuration can't be read, or is not valid.
+    #[error(transparent)]
+    Load(#[from] LoadConfigError),
+    /// An address can't be bound, the process can't start its runtime or handle signals, the settings are not valid, or
+    /// the balancer's actor has ended.
+    #[error(transparent)]
+    Serve(#[from] io::Error),
+}
+
+/// Serves until SIGTERM or SIGINT. When this returns, each accepted request has had its response. `read_config` is
+/// called at the start, and on SIGHUP for the current configuration. `on_start` is called once the configuration is
+/// read, and what it returns is dropped last.
 ///
 /// # Errors
-/// An address can't be bound, the process can't start its runtime or handle signals, the settings are not valid, or the
-/// balancer's actor has ended.
-pub fn run(
-    config: Config,
+/// See [`RunError`].
+pub fn run<G>(
     read_config: impl Fn() -> Result<Config, LoadConfigError> + Clone + Send + 'static,
-) -> io::Result<()> {
+    on_start: impl FnOnce() -> G,
+) -> Result<(), RunError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let actors = LocalSet::new();
-    let result = actors.block_on(&runtime, process::serve(config, read_config));
+    let mut start_guard = None;
+    let result = actors.block_on(&runtime, async {
+        let signals = Signals::install()?;
+        let config = read_config()?;
+        start_guard = Some(on_start());
+        Ok(process::serve(signals, config, read_config).await?)
+    });
     connection_log::set_stopping();
     drop(actors);
+    drop(start_guard);
     result
 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,13 +1,11 @@
 //! The client proxy's command line.
 
-use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use lexopt::prelude::*;
 use mosshead::log::{self, Format};
-use mosshead::{self as proxy, Config, LoadConfigError, OperatorConfig};
-use thiserror::Error;
+use mosshead::{self as proxy, Config, LoadConfigError, OperatorConfig, RunError};
 
 const USAGE: &str = "usage: mosshead serve [--config FILE] [--operators FILE] [--log text|json]
        mosshead check-config [--config FILE] [--operators FILE]
@@ -91,16 +89,7 @@
     }
 }
 
-/// Why a subcommand failed.
-#[derive(Debug, Error)]
-enum CommandError {
-    #[error(transparent)]
-    Load(#[from] LoadConfigError),
-    #[error(transparent)]
-    Serve(#[from] io::Error),
-}
-
-fn run(command: Command) -> Result<(), CommandError> {
+fn run(command: Command) -> Result<(), RunError> {
     match command {
         Command::Help => println!("{USAGE}"),
         Command::Version => println!("mosshead {}", env!("CARGO_PKG_VERSION")),
@@ -112,10 +101,8 @@
             }
         }
         Command::Serve(files, format) => {
-            let config = files.read()?;
-            // Dropped last, so that it waits until the log is written.
-            let _log_guard = log::start(format);
-            proxy::run(config, move || files.read())?;
+            // The guard of the log waits until it is written.
+            proxy::run(move || files.read(), || log::start(format))?;
         }
     }
     Ok(())
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -35,11 +35,11 @@
 /// # Errors
 /// See [`crate::run`].
 pub(crate) async fn serve(
+    signals: Signals,
     mut config: Config,
     read_config: impl Fn() -> Result<Config, LoadConfigError> + Clone + Send + 'static,
 ) -> io::Result<()> {
-    let hangup = signal(SignalKind::hangup())?;
-    let mut stop_signals = StopSignals::register()?;
+    let Signals { hangup, stop: mut stop_signals } = signals;
     let lifecycle = Lifecycle::new();
     let ClientListener { listener, budgets, replacement } = ClientListener::open(&mut config).await?;
     let has_predecessor = replacement.as_ref().is_some_and(|replacement| replacement.predecessor.is_some());
@@ -87,6 +87,22 @@
     }
 }
 
+/// The signals that the process handles. Those that arrive before anyone waits for them are kept.
+pub(crate) struct Signals {
+    hangup: Signal,
+    stop: StopSignals,
+}
+
+impl Signals {
+    /// Installs the handlers. This comes first in a process: before it, each of these signals ends the process.
+    ///
+    /// # Errors
+    /// A handler can't be installed.
+    pub(crate) fn install() -> io::Result<Self> {
+        Ok(Self { hangup: signal(SignalKind::hangup())?, stop: StopSignals::register()? })
+    }
+}
+
 /// The signals that stop the process.
 struct StopSignals {
     terminate: Signal,
