--- a/crates/fleet-emulator/src/model_server/event_body.rs
+++ b/crates/fleet-emulator/src/model_server/event_body.rs
@@ -49,6 +49,15 @@
         body
     }
 
+    /// The first half of a body, after which the server breaks off.
+    pub(super) fn part_of(text: String) -> EventBody {
+        let (sender, body) = EventBody::channel();
+        let mut text = Bytes::from(text);
+        let _ = sender.try_send(Ok(text.split_to(text.len() / 2)));
+        let _ = sender.try_send(Err(BrokenOff));
+        body
+    }
+
     /// The response of this run.
     pub(super) fn of_run(self, run: RunRecord) -> EventBody {
         EventBody { run: Some(run), ..self }
--- a/crates/fleet-emulator/src/model_server/plain_service.rs
+++ b/crates/fleet-emulator/src/model_server/plain_service.rs
@@ -16,10 +16,11 @@
 use super::event_body::{BrokenOff, EventBody};
 use super::service::sealed;
 
-/// Of 100 requests, so many are rejected, answered with 500, or broken off.
+/// Of 100 requests, so many are rejected, answered with 500, or broken off before the response or within its body.
 const REJECTED_PERCENT: u32 = 2;
 const FAILED_PERCENT: u32 = 2;
 const BROKEN_OFF_PERCENT: u32 = 2;
+const BROKEN_BODY_PERCENT: u32 = 2;
 /// Of 100 streams, so many are broken off.
 const BROKEN_STREAM_PERCENT: u32 = 4;
 /// Of 100 requests, so many take long.
@@ -36,16 +37,19 @@
     Reject,
     Fail,
     BreakOff,
+    BreakOffInBody,
 }
 
 impl Treatment {
     fn draw(random: &mut impl Rng) -> Treatment {
         let drawn = random.random_range(0..100);
-        let (rejected, failed) = (REJECTED_PERCENT, REJECTED_PERCENT + FAILED_PERCENT);
+        let failed = REJECTED_PERCENT + FAILED_PERCENT;
+        let broken_off = failed + BROKEN_OFF_PERCENT;
         match drawn {
-            _ if drawn < rejected => Treatment::Reject,
+            _ if drawn < REJECTED_PERCENT => Treatment::Reject,
             _ if drawn < failed => Treatment::Fail,
-            _ if drawn < failed + BROKEN_OFF_PERCENT => Treatment::BreakOff,
+            _ if drawn < broken_off => Treatment::BreakOff,
+            _ if drawn < broken_off + BROKEN_BODY_PERCENT => Treatment::BreakOffInBody,
             _ => Treatment::Serve,
         }
     }
@@ -87,13 +91,17 @@
             return Err(BrokenOff);
         }
         Treatment::Fail => (StatusCode::INTERNAL_SERVER_ERROR, "failed".to_owned()),
-        Treatment::Serve | Treatment::Reject => {
+        Treatment::Serve | Treatment::Reject | Treatment::BreakOffInBody => {
             let filler = "x".repeat(random.random_range(BODY_BYTES));
             (StatusCode::OK, format!("{attempt} at {}: {filler}", server.instance_id()))
         }
     };
     run.set_response(status.as_u16(), text.as_bytes());
-    let mut response = sealed(Response::new(EventBody::of(text).of_run(run)), server, attempt);
+    let body = match treatment {
+        Treatment::BreakOffInBody => EventBody::part_of(text),
+        _ => EventBody::of(text),
+    };
+    let mut response = sealed(Response::new(body.of_run(run)), server, attempt);
     *response.status_mut() = status;
     Ok(Ok(response))
 }
