Count a repeated pre-vote anew, however many others have granted theirs

What could have been seen: with 64 pre-votes at hand, the repeated one of a member was ignored, and a take-over waited for a round more. Cause: the bound on the number of pre-votes (and of votes) was applied to members that are in the map already. Change: it is applied to new ones only. Evidence: a_repeated_pre_vote_counts_from_its_repetition_on fails on the former code (no take-over), passes now.

--- a/crates/consensus/src/pre_votes.rs
+++ b/crates/consensus/src/pre_votes.rs
@@ -34,7 +34,7 @@
     /// Records a granted pre-vote; returns all that are valid now.
     pub(crate) fn add(&mut self, now: Instant, member: Member, is_bootstrap_voter: bool) -> Votes {
         self.by_member.retain(|_, vote| now - vote.received_at <= PRE_VOTE_LIFETIME);
-        if self.by_member.len() < MAX_PRE_VOTES {
+        if self.by_member.len() < MAX_PRE_VOTES || self.by_member.contains_key(&member.id) {
             let vote = GrantedPreVote { member, is_bootstrap_voter, received_at: now };
             self.by_member.insert(member.id, vote);
         }
--- a/crates/consensus/src/votes.rs
+++ b/crates/consensus/src/votes.rs
@@ -34,7 +34,7 @@
 
 impl Votes {
     pub(crate) fn add(&mut self, member: Member, is_bootstrap_voter: bool) {
-        if self.by_member.len() < MAX_VOTES {
+        if self.by_member.len() < MAX_VOTES || self.by_member.contains_key(&member.id) {
             self.by_member.insert(member.id, Vote { address: member.address, is_bootstrap_voter });
         }
     }
