Count a request with a body of unknown length as sent once it may have run

What could have been seen: a request whose body has no length counted as partly sent for good, so that a failed exchange allowed to send it again although its server may have run it (TWICE). Found by reading.

Cause: write progress of unknown length waits for a mark that send_with_deadline never sets. Change: without a length the message counts as complete with its head, which errs on the safe side. Evidence: a_request_with_a_body_of_unknown_length_counts_as_sent_once_it_may_have_run fails on the former code (Partial).

--- a/crates/http-links/src/outbound_connection.rs
+++ b/crates/http-links/src/outbound_connection.rs
@@ -167,7 +167,8 @@
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendError> {
         let body_length = request.body().size_hint().exact();
-        let body_length = body_length.and_then(|length| usize::try_from(length).ok()).unwrap_or(usize::MAX);
+        // Nobody marks the end of a body of unknown length here, so that its message counts as complete with its head.
+        let body_length = body_length.and_then(|length| usize::try_from(length).ok()).unwrap_or(0);
         self.write_progress.start_message(body_length);
         self.write_progress.set_start_deadline(deadline);
         self.record.count_message();
--- a/crates/http-links/tests/outbound_connection.rs
+++ b/crates/http-links/tests/outbound_connection.rs
@@ -1,23 +1,26 @@
 //! Outbound connections, against servers on loopback.
 
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::future::Future;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{Empty, Full};
+use hyper::body::{Body, Frame};
 use mosshead_http_links::{
     BodyError, CloseReason, ConnectError, ConnectOptions, ConnectionRecord, OutboundConnection, PeerKind,
-    SendError, SendErrorKind, SendProgress, read_body,
+    RetryPolicy, SendError, SendErrorKind, SendProgress, read_body,
 };
 use rstest::rstest;
 use socket2::{Domain, SockRef, Socket, Type};
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 
 const SERVER: PeerKind = PeerKind { name: "server", on_close: |_| {} };
 const LONG_TIMEOUT: Duration = Duration::from_secs(5);
@@ -105,6 +108,47 @@
     });
 }
 
+/// A body in one frame whose length is not known before.
+struct UnknownLength(Option<Bytes>);
+
+impl Body for UnknownLength {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Poll::Ready(self.0.take().map(|data| Ok(Frame::data(data))))
+    }
+}
+
+/// Guards against a request whose body has no length and that counts as unsent although its server may have run it.
+#[test]
+fn a_request_with_a_body_of_unknown_length_counts_as_sent_once_it_may_have_run() {
+    run(async {
+        let (listener, to) = listen();
+        let mut connection =
+            OutboundConnection::open(SERVER, to, LONG_TIMEOUT, ()).await.expect("a connection");
+        let mut server = listener.accept().expect("a pending connection").0;
+        let server = std::thread::spawn(move || {
+            let mut request = Vec::new();
+            while !request.ends_with(b"0\r\n\r\n") {
+                let mut byte = [0];
+                server.read_exact(&mut byte).expect("a chunked body");
+                request.extend(byte);
+            }
+        });
+        let body = UnknownLength(Some(Bytes::from_static(b"body")));
+        let request = hyper::Request::post("/").body(body).expect("a request");
+        let sent = connection.send_with_deadline(request, Instant::now() + LONG_TIMEOUT).await;
+        let error = sent.expect_err("the server closes the connection without a response");
+        assert_eq!(error.progress, SendProgress::Complete);
+        assert!(!RetryPolicy::OnlyIfNeverSent.allows(error.progress));
+        server.join().expect("the thread does not panic");
+    });
+}
+
 thread_local! {
     static REASON: Cell<Option<CloseReason>> = const { Cell::new(None) };
 }
