Let the first prefill that is taken up after a rejected one be free

What callers saw: after a rejected first prefill the next one took a second retry out of the budget, so that with little budget left prompts were prefilled by their decode server, or the request was rejected.

Cause: the budget counted prefills that reached a server; PROTOCOL.md counts rejected ones, and those after the first that a server takes up. Change: the history knows whether one has been taken up. The limit by retry_count counts all as before. Evidence: with a budget for one retry the_first_prefill_that_is_taken_up_after_a_rejected_one_is_free fails on the former code (one prefill in place of two) and passes now; a_rejected_prefill_takes_a_retry_out_of_the_budget holds on both.

--- a/crates/data-plane/src/prompt_request.rs
+++ b/crates/data-plane/src/prompt_request.rs
@@ -123,8 +123,8 @@
         Some(pair)
     }
 
-    /// Has the prompt prefilled if the pair has a prefill server. A prefill takes a retry out of the budget if an
-    /// earlier one has reached a server, and one more if it is rejected (RULES.md, BUDGET). If no retry is left
+    /// Has the prompt prefilled if the pair has a prefill server. A prefill takes a retry out of the budget if it is
+    /// rejected, or if a server has taken up an earlier one (RULES.md, BUDGET). If no retry is left
     /// for a further prefill, or `retry_count` prefills after the first one have reached a server, the decode server
     /// prefills the prompt itself.
     ///
@@ -152,13 +152,13 @@
         }
         let error = match self.prefill_prompt(&target, request, prompt).await {
             Ok(handle) => {
-                history.record_delivered_prefill();
+                history.record_delivered_prefill(true);
                 return Ok(PrefillStep::Decode(Some(handle)));
             }
             Err(error) => error,
         };
         if error != PrefillError::NotDelivered {
-            history.record_delivered_prefill();
+            history.record_delivered_prefill(error != PrefillError::Rejected);
         }
         if error == PrefillError::Rejected && !withdraw() {
             return Err(RetryBudgetExhausted);
--- a/crates/data-plane/src/retry.rs
+++ b/crates/data-plane/src/retry.rs
@@ -27,8 +27,11 @@
     /// The number of attempts that reached a server, at most the route's `retry_count`. Each one after the first takes
     /// a retry out of the budget.
     delivered: u32,
-    /// The number of prefills that reached a server. Each one after the first takes a retry out of the budget.
+    /// The number of prefills that reached a server.
     delivered_prefills: u32,
+    /// True if a server has taken up a prefill. Each further one takes a retry out of the budget (PROTOCOL.md, Prefill
+    /// and decode).
+    has_prefill_been_taken_up: bool,
     /// The number of attempts whose request reached no server to be run, including those that ended with a failed
     /// prefill.
     undelivered: u32,
@@ -47,9 +50,10 @@
         self.avoid.push(server_id.clone());
     }
 
-    /// Records that a prefill reached a server.
-    pub(crate) fn record_delivered_prefill(&mut self) {
+    /// Records that a prefill reached a server, which took it up or rejected it.
+    pub(crate) fn record_delivered_prefill(&mut self, is_taken_up: bool) {
         self.delivered_prefills += 1;
+        self.has_prefill_been_taken_up |= is_taken_up;
     }
 
     /// The servers that are not selected again.
@@ -64,7 +68,7 @@
 
     /// True if the next prefill takes a retry out of the budget.
     pub(crate) fn is_next_prefill_a_retry(&self) -> bool {
-        self.delivered_prefills > 0
+        self.has_prefill_been_taken_up
     }
 
     /// True if no further prefill is allowed: `retry_count` prefills after the first one have reached a server.
--- a/crates/data-plane/tests/prefill_and_decode.rs
+++ b/crates/data-plane/tests/prefill_and_decode.rs
@@ -13,6 +13,8 @@
 use mosshead_registry::Stage;
 use mosshead_time::Duration;
 
+/// The extra retries of a budget that allows one: a part of them may not be spent.
+const ONE_RETRY: f64 = 2.0;
 const HANDLE_PATH: &str = "/kv-handle/3fa09c41b7d5";
 
 fn stream(last_id: u64) -> Behavior {
@@ -236,3 +238,31 @@
         assert_eq!((response.status, sent.0, sent.1), (503, 1, 0));
     });
 }
+
+/// Guards against a rejected first prefill that costs two retries: only the rejected one counts, since the next one is the
+/// first that a server takes up (PROTOCOL.md, Prefill and decode).
+#[test]
+fn the_first_prefill_that_is_taken_up_after_a_rejected_one_is_free() {
+    run(async {
+        let is_first = Rc::new(Cell::new(true));
+        let mut prefill = Vec::new();
+        for id in ["r-1", "r-2"] {
+            let is_first = is_first.clone();
+            let script = move |_: &ReceivedRequest| {
+                if is_first.replace(false) { not_executed(503) } else { handle_response() }
+            };
+            prefill.push(prefill_stub(id, script).await);
+        }
+        let decode = decode_stub("i-decode", |_| stream(3)).await;
+        let proxy = Proxy::with_retry_budget(1, 0.0, ONE_RETRY).await;
+        let proxy = proxy.configured(&[&prefill[0].server, &prefill[1].server, &decode.server]);
+        let response = proxy.post_prompt(NOT_RESUMABLE, &[]).await;
+        assert_eq!((response.status, response.body), (200, events(1..=3)));
+        let prefills: usize = prefill.iter().map(|stub| stub.received().len()).sum();
+        assert_eq!(prefills, 2);
+        assert!(decode.received()[0].header("kv-from").is_some(), "the KV cache is handed over");
+        // The budget allows one retry: the rejected prefill of a further request is not followed by another one.
+        is_first.set(true);
+        assert_eq!(proxy.post_prompt(NOT_RESUMABLE, &[]).await.status, 503);
+    });
+}
