Permit nothing by a lease whose clock may drift by a million parts and more

What could have been seen: a panic (no program uses the package yet). Cause: an unchecked subtraction. Change: it saturates, and so do the sums beside it.

--- a/crates/lease/src/timing.rs
+++ b/crates/lease/src/timing.rs
@@ -11,8 +11,8 @@
 pub struct LeaseTiming {
     /// How long the store keeps a lease that is not renewed.
     pub lease_duration: Duration,
-    /// The maximum difference in speed between this machine's clock and the store's, in parts per million;
-    /// not above 1,000,000.
+    /// The maximum difference in speed between this machine's clock and the store's, in parts per million. With
+    /// 1,000,000 or more a lease permits nothing.
     pub clock_drift_ppm: u64,
     /// The time from sending a successful call that acquires or renews the lease to sending the next renewal.
     pub renewal_interval: Duration,
@@ -24,13 +24,13 @@
     /// Returns how long a holder may act, by its own clock, counted from when it sent the call that acquired
     /// or renewed the lease.
     pub fn permit_duration(&self) -> Duration {
-        self.lease_duration - self.drift_over(self.lease_duration)
+        self.lease_duration.saturating_sub(self.drift_over(self.lease_duration))
     }
 
     /// Returns how long to wait, by this clock, until a lease about which nothing more is known has certainly
     /// expired.
     pub fn expiry_wait(&self) -> Duration {
-        self.lease_duration + self.drift_over(self.lease_duration)
+        self.lease_duration.saturating_add(self.drift_over(self.lease_duration))
     }
 
     /// Returns the delay after a failed call. `jitter_millionths`, a random number from 0 to 999,999, spreads
@@ -48,6 +48,6 @@
         let of_whole_seconds = (micros / PARTS_PER_MILLION).saturating_mul(self.clock_drift_ppm);
         let of_the_rest =
             (micros % PARTS_PER_MILLION) * self.clock_drift_ppm.min(PARTS_PER_MILLION) / PARTS_PER_MILLION;
-        Duration::from_micros(of_whole_seconds + of_the_rest)
+        Duration::from_micros(of_whole_seconds.saturating_add(of_the_rest))
     }
 }
