Give late heads and guarded bodies modules of their own, and share what stood twice

Need: frontend.rs had grown by two concerns; the list of rules and the wait for readiness stood twice. Change: guarded_body.rs, reject_late_head beside the timer, Rule::ALL, fleet-emulator's readiness.rs.

--- a/crates/ctl/src/fleet/soak.rs
+++ b/crates/ctl/src/fleet/soak.rs
@@ -9,18 +9,6 @@
 
 use crate::outcome::Outcome;
 
-const RULES: [Rule; 9] = [
-    Rule::Lost,
-    Rule::Twice,
-    Rule::Refused,
-    Rule::Mixed,
-    Rule::Order,
-    Rule::Drain,
-    Rule::Config,
-    Rule::One,
-    Rule::Fault,
-];
-
 /// Starts control nodes and proxies on loopback, amid model servers, clients and operators of the project's own. Clients keep
 /// using their connections until these end, while SIGTERM, SIGHUP, SIGKILL, SIGSTOP and SIGCONT, changes of the configuration
 /// and servers that leave or crash come in series and overlap. All of it is drawn from the seed. Exit code 1 if a rule was
@@ -76,7 +64,7 @@
             report.requests.iter().map(|(end, count)| format!("{end}: {count}")).collect();
         println!("requests: {}", requests.join(", "));
         let judged: Vec<String> =
-            RULES.iter().map(|rule| format!("{rule} {}", report.findings.judged.count(*rule))).collect();
+            Rule::ALL.map(|rule| format!("{rule} {}", report.findings.judged.count(rule))).to_vec();
         println!("judged: {}", judged.join(", "));
         if !report.slow.is_zero() {
             println!("too busy to judge: {:?}", report.slow);
--- a/crates/data-plane/src/frontend.rs
+++ b/crates/data-plane/src/frontend.rs
@@ -1,26 +1,23 @@
 //! Accepts and serves clients' connections.
 
 use std::cell::Cell;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 
-use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mosshead_http_links::{CountGuard, MAX_HEADERS, accept};
 use mosshead_time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::client_stream::{ClientStream, ClientStreamHook};
 use crate::data_plane::DataPlane;
-use crate::head_timer::HeadTimer;
+use crate::guarded_body::GuardedBody;
+use crate::head_timer::{HeadTimer, reject_late_head};
 use crate::response::{ResponseAborted, ResponseBody};
 
 /// The maximum number of open client connections; further ones are closed at once.
@@ -41,13 +38,6 @@
 /// After its stream was aborted, a connection is closed after this time. Until then the client may read the events that
 /// were queued for it.
 const ABORT_LINGER: Duration = Duration::from_millis(250);
-/// The response to a head that is not complete in time. No server has run the request.
-const LATE_HEAD_RESPONSE: &[u8] =
-    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-/// How long a connection is kept open after that response, so that unread bytes don't reset it at once.
-const LATE_HEAD_LINGER: Duration = Duration::from_millis(250);
-/// The bytes that are read and dropped at once meanwhile.
-const DISCARD_BUFFER_BYTES: usize = 1024;
 
 /// Serves the connections of clients.
 pub struct Frontend {
@@ -118,7 +108,7 @@
                     let has_chunked_encoding = request.version() >= Version::HTTP_11;
                     let response = data_plane.handle_request(request, under_way.clone()).await?;
                     state.watch_response(&response, has_chunked_encoding);
-                    Ok::<_, ResponseAborted>(response.map(|body| GuardedBody { body, _under_way: under_way }))
+                    Ok::<_, ResponseAborted>(response.map(|body| GuardedBody::new(body, under_way)))
                 }
             }
         });
@@ -182,44 +172,6 @@
     HeadTimedOut,
 }
 
-/// Tells the client that its head came too late, and closes the connection.
-async fn reject_late_head(mut stream: ClientStream) {
-    let rejected = async {
-        stream.write_all(LATE_HEAD_RESPONSE).await?;
-        stream.shutdown().await?;
-        let mut unread = [0; DISCARD_BUFFER_BYTES];
-        while stream.read(&mut unread).await? > 0 {}
-        Ok::<_, std::io::Error>(())
-    };
-    let _ = timeout(LATE_HEAD_LINGER, rejected).await;
-}
-
-/// A response body during which its request counts as under way.
-struct GuardedBody {
-    body: ResponseBody,
-    _under_way: Rc<CountGuard>,
-}
-
-impl Body for GuardedBody {
-    type Data = Bytes;
-    type Error = ResponseAborted;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// What is known about a client's connection and its current response.
 #[derive(Default)]
 struct ConnectionState {
--- a/crates/data-plane/src/head_timer.rs
+++ b/crates/data-plane/src/head_timer.rs
@@ -5,8 +5,19 @@
 
 use mosshead_http_links::CountGuard;
 use mosshead_time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::client_stream::ClientStream;
+
+/// The response to a head that is not complete in time. No server has run the request.
+const LATE_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// How long a connection is kept open after that response, so that unread bytes don't reset it at once.
+const LATE_HEAD_LINGER: Duration = Duration::from_millis(250);
+/// The bytes that are read and dropped at once meanwhile.
+const DISCARD_BUFFER_BYTES: usize = 1024;
 
 /// Follows the heads of the requests on one connection. Bytes that arrive while no request is under way belong to the
 /// head of the next one.
@@ -48,3 +59,15 @@
         }
     }
 }
+
+/// Tells the client that its head came too late, and closes the connection.
+pub(crate) async fn reject_late_head(mut stream: ClientStream) {
+    let rejected = async {
+        stream.write_all(LATE_HEAD_RESPONSE).await?;
+        stream.shutdown().await?;
+        let mut unread = [0; DISCARD_BUFFER_BYTES];
+        while stream.read(&mut unread).await? > 0 {}
+        Ok::<_, std::io::Error>(())
+    };
+    let _ = timeout(LATE_HEAD_LINGER, rejected).await;
+}
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -22,6 +22,7 @@
 mod event_queue;
 mod event_splitter;
 mod frontend;
+mod guarded_body;
 mod head_timer;
 mod headers;
 mod ingress;
--- a/crates/fleet-emulator/src/lib.rs
+++ b/crates/fleet-emulator/src/lib.rs
@@ -12,6 +12,7 @@
 mod model_server;
 mod operator;
 mod processes;
+mod readiness;
 mod recorder;
 mod report;
 mod run;
--- a/crates/fleet-emulator/src/run.rs
+++ b/crates/fleet-emulator/src/run.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::StatusCode;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::Value;
@@ -20,13 +19,11 @@
 use crate::model_server::{Handles, ModelServer, ServerEnvironment, ServerRole, ServerStage};
 use crate::operator::{TARGET_LATENCY, configure};
 use crate::processes::FleetProcesses;
+use crate::readiness::wait_until_ready;
 use crate::recorder::Recorder;
 use crate::report::FleetReport;
 use crate::timeline::{Disturbance, timeline};
 
-/// Within this the fleet serves after its start.
-const START_TIMEOUT: Duration = Duration::from_secs(20);
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
 /// Parts that prompts share.
@@ -128,7 +125,7 @@
             emulation.servers.push(server);
         }
         configure(&ports, control_nodes, 0, FIRST_REVISION).await?;
-        emulation.wait_until_ready().await?;
+        wait_until_ready(&ports, proxies).await?;
         Ok(emulation)
     }
 
@@ -142,24 +139,6 @@
         ModelServer::start(number, self.incarnations, role, self.environment.clone()).await
     }
 
-    async fn wait_until_ready(&self) -> Result<(), FleetEmulatorError> {
-        let deadline = Instant::now() + START_TIMEOUT;
-        for proxy in 0..self.options.proxies {
-            let to = self.ports.readiness_of(proxy);
-            loop {
-                let response = exchange(to, "GET", "/readiness", &[], "", STATUS_TIMEOUT).await;
-                if response.is_some_and(|(status, _)| status == StatusCode::OK) {
-                    break;
-                }
-                if Instant::now() > deadline {
-                    return Err(FleetEmulatorError::NotReady("a proxy is not ready"));
-                }
-                sleep(POLL_INTERVAL).await;
-            }
-        }
-        Ok(())
-    }
-
     /// Clients send prompts, and the fleet is disturbed, until the time is over or somebody interrupts it.
     async fn play(&mut self, on_progress: &impl Fn(Progress)) -> Result<FleetReport, FleetEmulatorError> {
         let start = Instant::now();
--- a/crates/fleet-emulator/src/soak.rs
+++ b/crates/fleet-emulator/src/soak.rs
@@ -15,7 +15,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::StatusCode;
 use mosshead_fleet_rules::{Bounds, Findings, History, SlowSpan, check};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -28,19 +27,16 @@
 use self::servers::Servers;
 use self::traffic::Client;
 use crate::error::FleetEmulatorError;
-use crate::http::exchange;
 use crate::machines::Ports;
 use crate::model_server::{Handles, ServerEnvironment};
 use crate::processes::FleetProcesses;
+use crate::readiness::wait_until_ready;
 use crate::recorder::Recorder;
 
 /// How often processes are looked at.
 const SUPERVISION_INTERVAL: Duration = Duration::from_millis(5);
 /// If this much of time is lost in addition, the machine counts as too busy.
 const MAX_LAG: Duration = Duration::from_millis(100);
-const START_TIMEOUT: Duration = Duration::from_secs(30);
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// The last part of the calm, in which the fleet has to serve.
 const FINAL_CALM: Duration = Duration::from_secs(6);
 /// The clients of a small fleet's proxy, and all clients of a large fleet at most (one for each proxy at least).
@@ -258,24 +254,6 @@
     }
 }
 
-async fn wait_until_ready(ports: &Ports, proxies: usize) -> Result<(), FleetEmulatorError> {
-    let deadline = Instant::now() + START_TIMEOUT;
-    for proxy in 0..proxies {
-        loop {
-            let answer =
-                exchange(ports.readiness_of(proxy), "GET", "/readiness", &[], "", CALL_TIMEOUT).await;
-            if answer.is_some_and(|(status, _)| status == StatusCode::OK) {
-                break;
-            }
-            if Instant::now() > deadline {
-                return Err(FleetEmulatorError::NotReady("a proxy is not ready"));
-            }
-            sleep(POLL_INTERVAL).await;
-        }
-    }
-    Ok(())
-}
-
 fn report(history: &History, actions: Vec<(PlannedAction, bool)>) -> SoakReport {
     let mut requests = BTreeMap::new();
     for request in &history.requests {
--- a/crates/fleet-rules/src/violation.rs
+++ b/crates/fleet-rules/src/violation.rs
@@ -30,6 +30,21 @@
     Fault,
 }
 
+impl Rule {
+    /// All rules.
+    pub const ALL: [Rule; 9] = [
+        Rule::Lost,
+        Rule::Twice,
+        Rule::Refused,
+        Rule::Mixed,
+        Rule::Order,
+        Rule::Drain,
+        Rule::Config,
+        Rule::One,
+        Rule::Fault,
+    ];
+}
+
 impl fmt::Display for Rule {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
