--- a/crates/fleet-emulator/src/model_server/event_body.rs
+++ b/crates/fleet-emulator/src/model_server/event_body.rs
@@ -3,13 +3,17 @@
 use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame};
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 
 use super::run_record::RunRecord;
 
+/// From the first half of a body to the point where it is broken off.
+const BREAK_OFF_PAUSE: Duration = Duration::from_millis(10);
 /// Chunks that wait for their connection.
 const CAPACITY: usize = 64;
 
@@ -49,12 +53,15 @@
         body
     }
 
-    /// The first half of a body, after which the server breaks off.
+    /// The first half of a body, after which the server breaks off. Without the pause nothing of it would be sent.
     pub(super) fn part_of(text: String) -> EventBody {
         let (sender, body) = EventBody::channel();
         let mut text = Bytes::from(text);
         let _ = sender.try_send(Ok(text.split_to(text.len() / 2)));
-        let _ = sender.try_send(Err(BrokenOff));
+        tokio::task::spawn_local(async move {
+            sleep(BREAK_OFF_PAUSE).await;
+            let _ = sender.send(Err(BrokenOff)).await;
+        });
         body
     }
 
