End the processes of a soak with it when it is interrupted

Cause: SIGTERM to mossheadctl left its control nodes and proxies behind, frozen ones for good. Change: SIGINT and SIGTERM end the soak as an error, and dropping it kills its processes.

--- a/crates/fleet-emulator/src/error.rs
+++ b/crates/fleet-emulator/src/error.rs
@@ -25,6 +25,10 @@
             source(error)
             from()
         }
+        /// A signal ended it before its time.
+        Interrupted {
+            display("ended before its time")
+        }
         /// The fleet did not get ready.
         NotReady(what: &'static str) {
             display("the fleet did not get ready: {what}")
--- a/crates/fleet-emulator/src/soak.rs
+++ b/crates/fleet-emulator/src/soak.rs
@@ -18,6 +18,7 @@
 use mosshead_fleet_rules::{Bounds, Findings, History, SlowSpan, check};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -90,14 +91,21 @@
     pub findings: Findings,
 }
 
-/// Plays a soak to its end.
+/// Plays a soak to its end. SIGINT and SIGTERM end it, and all processes of the fleet with it.
 ///
 /// # Errors
 ///
-/// The fleet could not be started, or did not get ready.
+/// The fleet could not be started, did not get ready, or was interrupted.
 pub fn run_soak(options: &SoakOptions) -> Result<SoakReport, FleetEmulatorError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, async { Soak::start(options).await?.play().await })
+    LocalSet::new().block_on(&runtime, async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        tokio::select! {
+            report = async { Soak::start(options).await?.play().await } => report,
+            _ = tokio::signal::ctrl_c() => Err(FleetEmulatorError::Interrupted),
+            _ = terminate.recv() => Err(FleetEmulatorError::Interrupted),
+        }
+    })
 }
 
 /// The fleet while it is played. Parts that several tasks change are shared.
