Count a server of the soak that ends as one that breaks off

Cause, by trace: the record of the run said that its caller had left, but the server had closed the connection (RULES.md, LOST: "These cases don't count: the server broke off"). Only crashes were recorded as breaks. Change: every end of a server is one. A lost request is reported with its kind.

--- a/crates/fleet-emulator/src/model_server.rs
+++ b/crates/fleet-emulator/src/model_server.rs
@@ -114,7 +114,7 @@
     recorder: Recorder,
     /// Set when the server ends; its connections end with it.
     ended: watch::Sender<bool>,
-    has_crashed: Rc<Cell<bool>>,
+    has_ended: Rc<Cell<bool>>,
     tasks: RefCell<Vec<AbortHandle>>,
 }
 
@@ -146,7 +146,7 @@
             recorder: environment.recorder.clone(),
             environment,
             ended: watch::Sender::new(false),
-            has_crashed: Rc::default(),
+            has_ended: Rc::default(),
             tasks: RefCell::default(),
         });
         let listening = tokio::task::spawn_local(serve(server.clone(), listener)).abort_handle();
@@ -176,13 +176,14 @@
         self.end();
     }
 
-    /// Ends without a word, and breaks off what it works on.
+    /// Ends without a word.
     pub(crate) fn crash(&self) {
-        self.has_crashed.set(true);
         self.end();
     }
 
+    /// Ends, and breaks off what it works on.
     fn end(&self) {
+        self.has_ended.set(true);
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
         self.ended.send_replace(true);
     }
--- a/crates/fleet-emulator/src/model_server/run_record.rs
+++ b/crates/fleet-emulator/src/model_server/run_record.rs
@@ -8,7 +8,7 @@
 
 use crate::recorder::Recorder;
 
-/// Records a run when it is dropped. Unless the run was completed or broken off before, its server has crashed or its
+/// Records a run when it is dropped. Unless the run was completed or broken off before, its server has ended or its
 /// caller has closed the connection.
 pub(super) struct RunRecord {
     recorder: Recorder,
@@ -18,7 +18,7 @@
     status: u16,
     body: BodyDigest,
     end: Option<RunEnd>,
-    has_crashed: Rc<Cell<bool>>,
+    has_ended: Rc<Cell<bool>>,
 }
 
 impl RunRecord {
@@ -28,7 +28,7 @@
         attempt: AttemptId,
         instance: InstanceId,
         arrived_at: Instant,
-        has_crashed: &Rc<Cell<bool>>,
+        has_ended: &Rc<Cell<bool>>,
     ) -> RunRecord {
         RunRecord {
             recorder: recorder.clone(),
@@ -38,7 +38,7 @@
             status: 200,
             body: BodyDigest::default(),
             end: None,
-            has_crashed: has_crashed.clone(),
+            has_ended: has_ended.clone(),
         }
     }
 
@@ -61,7 +61,7 @@
 
 impl Drop for RunRecord {
     fn drop(&mut self) {
-        let unstated = if self.has_crashed.get() { RunEnd::BrokenOff } else { RunEnd::Abandoned };
+        let unstated = if self.has_ended.get() { RunEnd::BrokenOff } else { RunEnd::Abandoned };
         let outcome = RunOutcome::Executed {
             status: self.status,
             body: self.body,
--- a/crates/fleet-emulator/src/model_server/service.rs
+++ b/crates/fleet-emulator/src/model_server/service.rs
@@ -87,7 +87,7 @@
     /// Begins the record of a run.
     pub(super) fn begin_run(&self, attempt: &AttemptId, arrived_at: Instant) -> RunRecord {
         let (attempt, instance) = (attempt.clone(), self.instance_id.clone());
-        RunRecord::begin(&self.recorder, attempt, instance, arrived_at, &self.has_crashed)
+        RunRecord::begin(&self.recorder, attempt, instance, arrived_at, &self.has_ended)
     }
 }
 
--- a/crates/fleet-rules/src/rules/lost.rs
+++ b/crates/fleet-rules/src/rules/lost.rs
@@ -15,8 +15,13 @@
         findings.judge(Rule::Lost);
         if request.end == RequestEnd::CutOff && was_read(case, request) && !is_excused(case, request) {
             let last_run = case.executed_runs_of(&request.attempt).filter_map(end_of).last();
-            let (attempt, proxy) = (request.attempt.clone(), request.proxy);
-            findings.report(Rule::Lost, request.ended_at, Details::CutOff { attempt, proxy, last_run });
+            let details = Details::CutOff {
+                attempt: request.attempt.clone(),
+                kind: request.kind,
+                proxy: request.proxy,
+                last_run,
+            };
+            findings.report(Rule::Lost, request.ended_at, details);
         }
     }
 }
--- a/crates/fleet-rules/src/violation.rs
+++ b/crates/fleet-rules/src/violation.rs
@@ -5,7 +5,7 @@
 
 use mosshead_time::Instant;
 
-use crate::history::{AttemptId, InstanceId, MachineId, RunEnd};
+use crate::history::{AttemptId, InstanceId, MachineId, RequestKind, RunEnd};
 
 /// A rule of `RULES.md`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -68,6 +68,8 @@
     CutOff {
         /// The client's attempt.
         attempt: AttemptId,
+        /// What it asked for.
+        kind: RequestKind,
         /// The number of the proxy.
         proxy: usize,
         /// How its last run at a server ended, if there was one.
@@ -184,8 +186,11 @@
 impl fmt::Display for Details {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Details::CutOff { attempt, proxy, last_run } => {
-                write!(f, "{attempt} at proxy-{proxy} ended without an answer, last run: {last_run:?}")
+            Details::CutOff { attempt, kind, proxy, last_run } => {
+                write!(
+                    f,
+                    "{attempt}, {kind:?}, at proxy-{proxy} ended without an answer, last run: {last_run:?}"
+                )
             }
             Details::RanTwice { attempt, instances } => {
                 let instances: Vec<_> = instances.iter().map(ToString::to_string).collect();
