Wait for readiness before the admin endpoint's test asks for it

Cause, by trace: the program logs "start" before its endpoint list has arrived, and is not ready until then (docs/ROADMAP.md has that); the test asked once, right after that line. The test was wrong: the proxy owes no 200 yet. Change: it waits for readiness first, as the other tests of readiness do. What it checks, a 200 amid 40 silent connections and 20 clients on 64 descriptors, is the same. Result: the 14 tests of the admin endpoint pass; ./check was not run whole after it.

--- a/crates/proxy/tests/network/admin.rs
+++ b/crates/proxy/tests/network/admin.rs
@@ -30,6 +30,7 @@
     let clients: String = (0..20).map(|number| format!("a{number} send raw GET /\n")).collect();
     play(&format!(
         "proxy start admin n1 sockets=64
+         proxy await-ready
          {silent}
          {clients}
          op send GET /ops/readiness
