Derive in the soak what was kept twice, and name Pin where it is used

Found by reading the change once more; behaviour stays as it is. Cause and change: a model server kept its end in a watch and in a flag, and its recorder beside the environment that has it; the record of a run reads the watch now, and end serves crashes and planned ends. History::proxies was read by nobody; Contact is for the package alone; the operators' show returned a number that nobody used. frontend.rs used Pin by a name that only a macro of the runtime library brings into scope: it is written out.

--- a/crates/data-plane/src/frontend.rs
+++ b/crates/data-plane/src/frontend.rs
@@ -127,7 +127,7 @@
                 biased;
                 result = &mut connection => result,
                 () = self.wait_until_closable(&state.has_received_request) => {
-                    Pin::new(&mut connection).graceful_shutdown();
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
                     (&mut connection).await
                 }
             }
--- a/crates/fleet-emulator/src/model_server.rs
+++ b/crates/fleet-emulator/src/model_server.rs
@@ -111,10 +111,8 @@
     is_draining: Cell<bool>,
     engine: Engine,
     environment: ServerEnvironment,
-    recorder: Recorder,
     /// Set when the server ends; its connections end with it.
     ended: watch::Sender<bool>,
-    has_ended: Rc<Cell<bool>>,
     tasks: RefCell<Vec<AbortHandle>>,
 }
 
@@ -143,10 +141,8 @@
             orders: Cell::new(0),
             is_draining: Cell::new(false),
             engine: Engine::default(),
-            recorder: environment.recorder.clone(),
             environment,
             ended: watch::Sender::new(false),
-            has_ended: Rc::default(),
             tasks: RefCell::default(),
         });
         let listening = tokio::task::spawn_local(serve(server.clone(), listener)).abort_handle();
@@ -176,14 +172,8 @@
         self.end();
     }
 
-    /// Ends without a word.
-    pub(crate) fn crash(&self) {
-        self.end();
-    }
-
-    /// Ends, and breaks off what it works on.
-    fn end(&self) {
-        self.has_ended.set(true);
+    /// Ends without a word, and breaks off what it works on.
+    pub(crate) fn end(&self) {
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
         self.ended.send_replace(true);
     }
--- a/crates/fleet-emulator/src/model_server/heartbeats.rs
+++ b/crates/fleet-emulator/src/model_server/heartbeats.rs
@@ -50,9 +50,9 @@
 
 fn record_drain(server: &ModelServer, control_node: Option<usize>) {
     let Some(control_node) = control_node else { return };
-    let acknowledgement = Acknowledgement { at: server.recorder.now(), control_node };
+    let acknowledgement = Acknowledgement { at: server.environment.recorder.now(), control_node };
     let instance = server.instance_id.clone();
-    server.recorder.record(|history| history.drains.push(Drain { instance, acknowledgement }));
+    server.environment.recorder.record(|history| history.drains.push(Drain { instance, acknowledgement }));
 }
 
 fn heartbeat(server: &ModelServer, sequence: &Cell<u64>) -> (String, String) {
--- a/crates/fleet-emulator/src/model_server/run_record.rs
+++ b/crates/fleet-emulator/src/model_server/run_record.rs
@@ -1,10 +1,8 @@
 //! The record of one run of a request at a server.
 
-use std::cell::Cell;
-use std::rc::Rc;
-
 use mosshead_fleet_rules::{AttemptId, BodyDigest, InstanceId, Run, RunEnd, RunOutcome};
 use mosshead_time::Instant;
+use tokio::sync::watch;
 
 use crate::recorder::Recorder;
 
@@ -18,7 +16,7 @@
     status: u16,
     body: BodyDigest,
     end: Option<RunEnd>,
-    has_ended: Rc<Cell<bool>>,
+    server_ended: watch::Receiver<bool>,
 }
 
 impl RunRecord {
@@ -28,7 +26,7 @@
         attempt: AttemptId,
         instance: InstanceId,
         arrived_at: Instant,
-        has_ended: &Rc<Cell<bool>>,
+        server_ended: watch::Receiver<bool>,
     ) -> RunRecord {
         RunRecord {
             recorder: recorder.clone(),
@@ -38,7 +36,7 @@
             status: 200,
             body: BodyDigest::default(),
             end: None,
-            has_ended: has_ended.clone(),
+            server_ended,
         }
     }
 
@@ -61,7 +59,7 @@
 
 impl Drop for RunRecord {
     fn drop(&mut self) {
-        let unstated = if self.has_ended.get() { RunEnd::BrokenOff } else { RunEnd::Abandoned };
+        let unstated = if *self.server_ended.borrow() { RunEnd::BrokenOff } else { RunEnd::Abandoned };
         let outcome = RunOutcome::Executed {
             status: self.status,
             body: self.body,
--- a/crates/fleet-emulator/src/model_server/service.rs
+++ b/crates/fleet-emulator/src/model_server/service.rs
@@ -36,7 +36,7 @@
     server: Rc<ModelServer>,
     request: Request<Incoming>,
 ) -> Result<Response<EventBody>, BrokenOff> {
-    let arrived_at = server.recorder.now();
+    let arrived_at = server.environment.recorder.now();
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| BrokenOff)?.to_bytes();
     let path = head.uri.path().to_owned();
@@ -81,13 +81,15 @@
     /// Records a request that was not run.
     fn record_run(&self, attempt: &AttemptId, arrived_at: Instant, outcome: RunOutcome) {
         let (attempt, instance) = (attempt.clone(), self.instance_id.clone());
-        self.recorder.record(|history| history.runs.push(Run { attempt, instance, arrived_at, outcome }));
+        self.environment
+            .recorder
+            .record(|history| history.runs.push(Run { attempt, instance, arrived_at, outcome }));
     }
 
     /// Begins the record of a run.
     pub(super) fn begin_run(&self, attempt: &AttemptId, arrived_at: Instant) -> RunRecord {
         let (attempt, instance) = (attempt.clone(), self.instance_id.clone());
-        RunRecord::begin(&self.recorder, attempt, instance, arrived_at, &self.has_ended)
+        RunRecord::begin(&self.environment.recorder, attempt, instance, arrived_at, self.ended.subscribe())
     }
 }
 
@@ -133,12 +135,12 @@
 fn record_order(server: &ModelServer, owner: &str, fence: u64) {
     let order = Order {
         instance: server.instance_id.clone(),
-        at: server.recorder.now(),
+        at: server.environment.recorder.now(),
         owner: owner.into(),
         control_node: owner.strip_prefix(CONTROL_NODE_PREFIX).and_then(|number| number.parse().ok()),
         fence,
     };
-    server.recorder.record(|history| history.orders.push(order));
+    server.environment.recorder.record(|history| history.orders.push(order));
 }
 
 fn stage_of(value: &Value) -> Option<ServerStage> {
--- a/crates/fleet-emulator/src/processes.rs
+++ b/crates/fleet-emulator/src/processes.rs
@@ -96,7 +96,8 @@
 
     /// Whether the process does not run.
     pub(crate) fn has_ended(&mut self) -> bool {
-        self.take_exit().is_some() || !self.is_running()
+        self.take_exit();
+        !self.is_running()
     }
 }
 
--- a/crates/fleet-emulator/src/run.rs
+++ b/crates/fleet-emulator/src/run.rs
@@ -204,7 +204,7 @@
                 if self.servers.iter().filter(|server| decodes(server)).count() > 1
                     && let Some(position) = self.servers.iter().position(decodes)
                 {
-                    self.servers.remove(position).crash();
+                    self.servers.remove(position).end();
                 }
             }
             Disturbance::ShutDownProxy => {
--- a/crates/fleet-emulator/src/soak.rs
+++ b/crates/fleet-emulator/src/soak.rs
@@ -124,7 +124,7 @@
         let (ports, recorder) = (Ports::choose()?, Recorder::new());
         let mut random = Pcg64Mcg::seed_from_u64(options.seed);
         let (control_nodes, proxies) = (options.control_nodes(), options.proxies());
-        recorder.record(|history| (history.control_nodes, history.proxies) = (control_nodes, proxies));
+        recorder.record(|history| history.control_nodes = control_nodes);
         let logs = options.logs.as_deref();
         let processes = FleetProcesses::prepare(&options.programs, &ports, control_nodes, proxies, logs)?;
         let mut machines = Machines::new(processes, recorder.clone(), Bounds::default().grace);
--- a/crates/fleet-emulator/src/soak/operators.rs
+++ b/crates/fleet-emulator/src/soak/operators.rs
@@ -105,7 +105,7 @@
             changes.iter().filter(|change| matches!(change.outcome, ChangeOutcome::Acknowledged(_)));
         if let Some(change) = acknowledged.next() {
             self.current.set(change.revision);
-        } else if let Some((_, shown)) = self.show(CALL_TIMEOUT).await {
+        } else if let Some(shown) = self.show(CALL_TIMEOUT).await {
             self.current.set(revision_of(&shown).unwrap_or(0));
         }
         self.is_busy.set(false);
@@ -168,7 +168,7 @@
     }
 
     /// Asks for the configuration until a control node has one.
-    async fn show(&self, time: Duration) -> Option<(usize, Value)> {
+    async fn show(&self, time: Duration) -> Option<Value> {
         let deadline = Instant::now() + time;
         let mut control_node = self.draw_control_node();
         while Instant::now() < deadline {
@@ -177,7 +177,7 @@
             if let Some((StatusCode::OK, body)) = answer
                 && let Ok(shown) = serde_json::from_str(&body)
             {
-                return Some((control_node, shown));
+                return Some(shown);
             }
             control_node = (control_node + 1) % self.control_nodes.max(1);
             sleep(RETRY_PAUSE).await;
@@ -187,7 +187,7 @@
 
     /// Reads the configuration back, and records it.
     pub(super) async fn read_back(&self) {
-        let shown = self.show(READ_BACK_TIMEOUT).await.map(|(_, shown)| shown);
+        let shown = self.show(READ_BACK_TIMEOUT).await;
         let revision = shown.as_ref().and_then(revision_of);
         let is_as_sent = revision.is_some_and(|revision| shown == Some(configuration(revision)));
         self.recorder.record(|history| history.read_back = Some(ReadBack { revision, is_as_sent }));
--- a/crates/fleet-emulator/src/soak/servers.rs
+++ b/crates/fleet-emulator/src/soak/servers.rs
@@ -66,7 +66,7 @@
     /// A server ends without a word; another one takes its place after a pause.
     pub(super) async fn crash(&mut self) -> Result<(), FleetEmulatorError> {
         let crashing = self.remove_any();
-        crashing.crash();
+        crashing.end();
         tokio::time::sleep(CRASH_PAUSE).await;
         let role = self.draw_successor(crashing.role());
         self.add(role).await
--- a/crates/fleet-rules/src/contact.rs
+++ b/crates/fleet-rules/src/contact.rs
@@ -8,7 +8,7 @@
 
 /// The disturbances of all machines.
 #[derive(Debug)]
-pub struct Contact<'a> {
+pub(crate) struct Contact<'a> {
     history: &'a History,
     /// The events of each machine, in the order of time.
     events: BTreeMap<MachineId, Vec<ProcessEvent>>,
@@ -16,7 +16,7 @@
 
 impl<'a> Contact<'a> {
     /// Sorts the events of a history by machine.
-    pub fn new(history: &'a History) -> Contact<'a> {
+    pub(crate) fn new(history: &'a History) -> Contact<'a> {
         let mut events: BTreeMap<MachineId, Vec<ProcessEvent>> = BTreeMap::new();
         for event in &history.process_events {
             events.entry(event.machine).or_default().push(*event);
@@ -25,32 +25,32 @@
     }
 
     /// True if the machine is in touch at this instant.
-    pub fn is_in_touch(&self, machine: MachineId, at: Instant) -> bool {
+    pub(crate) fn is_in_touch(&self, machine: MachineId, at: Instant) -> bool {
         self.is_undisturbed(machine, at) && self.is_core_stable(at)
     }
 
     /// True if the machine's own process has run for the contact time without a disturbance.
-    pub fn is_undisturbed(&self, machine: MachineId, at: Instant) -> bool {
+    pub(crate) fn is_undisturbed(&self, machine: MachineId, at: Instant) -> bool {
         let from = at - self.history.bounds.contact;
         self.runs(machine, from) && !self.is_disturbed(machine, from, at) && !self.is_slow(from, at)
     }
 
     /// True if more than half of the core runs, and nothing has disturbed it for the contact time.
-    pub fn is_core_stable(&self, at: Instant) -> bool {
+    pub(crate) fn is_core_stable(&self, at: Instant) -> bool {
         let from = at - self.history.bounds.contact;
         let is_calm = self.core().all(|node| !self.is_disturbed(node, from, at));
         is_calm && !self.is_slow(from, at) && self.has_running_majority(at)
     }
 
     /// True if more than half of the core has run all the while.
-    pub fn has_majority_throughout(&self, from: Instant, until: Instant) -> bool {
+    pub(crate) fn has_majority_throughout(&self, from: Instant, until: Instant) -> bool {
         let core_events = self.core().flat_map(|node| self.events_of(node));
         let instants = core_events.map(|event| event.at).filter(|at| (from..=until).contains(at));
         instants.chain([from, until]).all(|at| self.has_running_majority(at))
     }
 
     /// True if a machine was killed, frozen or continued, or its process ended by itself, within this time.
-    pub fn has_unplanned_trouble(&self, machine: MachineId, from: Instant, until: Instant) -> bool {
+    pub(crate) fn has_unplanned_trouble(&self, machine: MachineId, from: Instant, until: Instant) -> bool {
         let is_unplanned = |event: &&ProcessEvent| {
             matches!(
                 event.kind,
@@ -65,18 +65,18 @@
     }
 
     /// True if any control node had unplanned trouble within this time.
-    pub fn has_unplanned_core_trouble(&self, from: Instant, until: Instant) -> bool {
+    pub(crate) fn has_unplanned_core_trouble(&self, from: Instant, until: Instant) -> bool {
         self.core().any(|node| self.has_unplanned_trouble(node, from, until))
     }
 
     /// The latest event of this kind at a machine, at or before an instant.
-    pub fn latest(&self, machine: MachineId, kind: ProcessEventKind, at: Instant) -> Option<Instant> {
+    pub(crate) fn latest(&self, machine: MachineId, kind: ProcessEventKind, at: Instant) -> Option<Instant> {
         let events = self.events_of(machine).filter(|event| event.kind == kind && event.at <= at);
         events.map(|event| event.at).last()
     }
 
     /// True if the whole machine was too busy at some time within this span.
-    pub fn is_slow(&self, from: Instant, until: Instant) -> bool {
+    pub(crate) fn is_slow(&self, from: Instant, until: Instant) -> bool {
         self.history.slow_spans.iter().any(|span| span.from <= until && span.until >= from)
     }
 
--- a/crates/fleet-rules/src/history.rs
+++ b/crates/fleet-rules/src/history.rs
@@ -357,8 +357,6 @@
     pub bounds: Bounds,
     /// The number of control nodes.
     pub control_nodes: usize,
-    /// The number of proxies.
-    pub proxies: usize,
     /// What happened to the processes, in the order of time.
     pub process_events: Vec<ProcessEvent>,
     /// When the whole machine was too busy.
--- a/crates/fleet-rules/src/lib.rs
+++ b/crates/fleet-rules/src/lib.rs
@@ -10,7 +10,6 @@
 mod violation;
 
 pub use bounds::Bounds;
-pub use contact::Contact;
 pub use history::{
     Acknowledgement, AttemptId, BodyDigest, Change, ChangeOutcome, Drain, History, InstanceId, MachineId,
     MachineKind, Order, ProcessEvent, ProcessEventKind, ReadBack, Request, RequestEnd, RequestKind,
--- a/crates/fleet-rules/tests/common/mod.rs
+++ b/crates/fleet-rules/tests/common/mod.rs
@@ -35,12 +35,7 @@
 pub(crate) fn started_fleet() -> History {
     let machines = (0..3).map(MachineId::control_node).chain((0..2).map(MachineId::proxy));
     let started = |machine| ProcessEvent { machine, at: Instant::ORIGIN, kind: ProcessEventKind::Started };
-    History {
-        control_nodes: 3,
-        proxies: 2,
-        process_events: machines.map(started).collect(),
-        ..History::default()
-    }
+    History { control_nodes: 3, process_events: machines.map(started).collect(), ..History::default() }
 }
 
 /// Adds an event of a process, in the order of time.
--- a/crates/programs/src/proxy/refusal_log.rs
+++ b/crates/programs/src/proxy/refusal_log.rs
@@ -32,8 +32,8 @@
 }
 
 impl RefusalLog {
-    /// The value of the line's field `counts`: each code with the number of refusals since the last line. `None` if there is nothing
-    /// to log now.
+    /// The value of the line's field `counts`: each code with the number of refusals since the last line. `None` if there
+    /// is nothing to log now.
     pub fn line(&self, now: Instant, counts: RefusalCounts) -> Option<String> {
         let logged = self.logged.get();
         if counts == logged || self.limit.admit(now).is_none() {
